--- /dev/null
+++ b/crates/borageshore_cli/src/run.rs
@@ -0,0 +1,102 @@
+//! From arguments to an exit code.
+
+use std::{io::Write, path::Path, process::ExitCode};
+
+use borageshore_api::Status;
+use borageshore_daemon::{Config, Daemon, install_logger};
+use borageshore_net::run_event_loop;
+use clap::{CommandFactory, Parser};
+use eyre::WrapErr;
+
+use crate::{
+    arguments::{Arguments, Command, Connection},
+    client::{CommandError, get, post, read_file},
+    handover, settings, show,
+};
+
+/// Runs the command line of this process.
+pub fn run() -> ExitCode {
+    let arguments = Arguments::parse();
+    match arguments.command {
+        Command::Daemon { config } => daemon(&config),
+        Command::Completions { shell } => {
+            clap_complete::generate(
+                shell,
+                &mut Arguments::command(),
+                "borageshore",
+                &mut std::io::stdout(),
+            );
+            ExitCode::SUCCESS
+        }
+        command => finish(run_event_loop(operate(&arguments.connection, command))),
+    }
+}
+
+fn finish(outcome: Result<String, CommandError>) -> ExitCode {
+    match outcome {
+        Ok(text) => {
+            let _ = writeln!(std::io::stdout(), "{}", text.trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            let _ = writeln!(std::io::stderr(), "{error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+async fn operate(connection: &Connection, command: Command) -> Result<String, CommandError> {
+    match command {
+        Command::CheckConfig { file } => {
+            load_config(&file)?;
+            Ok(format!("{}: no faults", file.display()))
+        }
+        Command::Settings(command) => settings::run(connection, command).await,
+        Command::Audit { hours } => {
+            let entries = handover::changes(connection, hours).await?;
+            Ok(show::either(connection, &entries, |entries| {
+                show::audit(entries)
+            }))
+        }
+        Command::Status => {
+            let status: Status = get(connection, "/v1/admin/status").await?;
+            Ok(show::either(connection, &status, show::status))
+        }
+        Command::Jobs => {
+            let status: Status = get(connection, "/v1/admin/status").await?;
+            Ok(show::either(connection, &status, show::jobs))
+        }
+        Command::Drain => post(connection, "/v1/admin/drain", &()).await,
+        Command::Handover { hours } => handover::run(connection, hours).await,
+        Command::Daemon { .. } | Command::Completions { .. } => {
+            unreachable!("handled by the caller")
+        }
+    }
+}
+
+fn load_config(file: &Path) -> Result<Config, CommandError> {
+    let text = read_file(file)?;
+    Config::parse(&file.display().to_string(), &text)
+        .map_err(|fault| CommandError::Files(vec![fault]))
+}
+
+fn daemon(file: &Path) -> ExitCode {
+    let config = match load_config(file) {
+        Ok(config) => config,
+        Err(error) => return finish(Err(error)),
+    };
+    if let Err(error) = serve(config) {
+        let _ = writeln!(std::io::stderr(), "{error:#}");
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
+
+fn serve(config: Config) -> eyre::Result<()> {
+    install_logger(&config.name).wrap_err("logging")?;
+    run_event_loop(async {
+        let daemon = Daemon::spawn(config).wrap_err("an address cannot be bound")?;
+        daemon.run_until_stopped().await.wrap_err("signals")?;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/borageshore_daemon/src/daemon.rs
@@ -0,0 +1,250 @@
+//! The state of a daemon and its start.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    rc::Rc,
+    sync::Arc,
+};
+
+use borageshore_base::SortedMap;
+use borageshore_lease::{LeaseAgent, LeaseTable};
+use borageshore_membership::{MemberEntry, MemberState, Membership};
+use borageshore_net::{Clock, HttpClient, HttpServer, ServerLimits};
+use borageshore_routing::{AdmissionLimits, EndpointTable, KeyTable, RetryBudget};
+use borageshore_settings::{ROOT, SettingsFold};
+use monoio::net::udp::UdpSocket;
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{
+    config::Config,
+    control, drain,
+    edge::Edge,
+    gate::Gate,
+    gossip,
+    jobs::JobRuntime,
+    metrics::Metrics,
+    peer_client::PeerClient,
+    peer_server,
+    platform::{engine::HttpEngine, log_service::HttpLog},
+    stream::SharedStream,
+};
+
+/// The stream of settings changes.
+const SETTINGS_STREAM: &str = "settings";
+/// The stream of sessions and claims.
+const LEASES_STREAM: &str = "leases";
+/// Memory for request keys and the answers kept for them.
+const KEY_MEMORY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Where a daemon is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Life {
+    /// It has no settings yet.
+    Starting,
+    /// It serves.
+    Ready,
+    /// It serves what it has, and callers whose address list still names it.
+    Draining,
+    /// It has stopped.
+    Stopped,
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    pub(crate) config: Config,
+    pub(crate) incarnation: u64,
+    pub(crate) session: Arc<str>,
+    pub(crate) settings: Rc<SharedStream<SettingsFold>>,
+    pub(crate) leases: Rc<SharedStream<LeaseTable>>,
+    pub(crate) lease_agent: RefCell<LeaseAgent>,
+    pub(crate) membership: RefCell<Membership>,
+    pub(crate) endpoints: RefCell<EndpointTable>,
+    pub(crate) gates: RefCell<SortedMap<Arc<str>, Rc<Gate>>>,
+    pub(crate) keys: RefCell<KeyTable>,
+    pub(crate) keys_answered: tokio::sync::Notify,
+    pub(crate) retry_budget: RefCell<RetryBudget>,
+    pub(crate) jobs: RefCell<SortedMap<Arc<str>, Rc<JobRuntime>>>,
+    pub(crate) http: HttpClient,
+    pub(crate) engine: HttpEngine,
+    pub(crate) peers: PeerClient,
+    pub(crate) log: HttpLog,
+    pub(crate) metrics: Rc<Metrics>,
+    pub(crate) life: Cell<Life>,
+    pub(crate) in_flight: Cell<u64>,
+    pub(crate) vm_list_version: Cell<u64>,
+    pub(crate) gossip_socket: RefCell<Option<Rc<UdpSocket>>>,
+    server: RefCell<Option<HttpServer>>,
+    clock: Clock,
+    random: RefCell<Pcg64Mcg>,
+}
+
+impl Daemon {
+    /// Binds the addresses of a configuration and starts the daemon on the present event loop.
+    pub fn spawn(config: Config) -> io::Result<Rc<Self>> {
+        let daemon = Rc::new(Self::open(config));
+        let edge = Edge::open(daemon.clone());
+        let limits = ServerLimits {
+            connections: daemon.config.connection_limit,
+            ..ServerLimits::default()
+        };
+        let server = HttpServer::bind(&daemon.config.http_address, limits, edge)?;
+        *daemon.server.borrow_mut() = Some(server);
+        peer_server::bind(&daemon)?;
+        let socket = gossip::bind(&daemon)?;
+        *daemon.gossip_socket.borrow_mut() = Some(socket);
+        control::spawn(&daemon);
+        log::info!(
+            "daemon {} of zone {} listens at {}",
+            daemon.session,
+            daemon.config.zone,
+            daemon.config.http_address
+        );
+        Ok(daemon)
+    }
+
+    fn open(config: Config) -> Self {
+        // Rises with every start, as long as the VM's clock is not set back by more than a life.
+        let incarnation = jiff::Timestamp::now().as_millisecond() as u64;
+        let session: Arc<str> = format!("{}.{incarnation}", config.name).into();
+        let metrics = Rc::new(Metrics::open());
+        let http = HttpClient::open();
+        let own = own_entry(&config, incarnation);
+        let seeds = config.gossip_seeds.clone();
+        let keys = KeyTable::open(config.name.clone(), incarnation, 600_000, KEY_MEMORY_BYTES);
+        let seed = borageshore_base::rendezvous_weight(&session, "random");
+        Self {
+            settings: Rc::new(SharedStream::open(
+                SETTINGS_STREAM.into(),
+                session.clone(),
+                SettingsFold::default(),
+            )),
+            leases: Rc::new(SharedStream::open(
+                LEASES_STREAM.into(),
+                session.clone(),
+                LeaseTable::default(),
+            )),
+            lease_agent: RefCell::new(LeaseAgent::open(session.clone())),
+            membership: RefCell::new(Membership::open(own, seeds, 0)),
+            endpoints: RefCell::default(),
+            gates: RefCell::default(),
+            keys: RefCell::new(keys),
+            keys_answered: tokio::sync::Notify::new(),
+            retry_budget: RefCell::new(RetryBudget::open(20)),
+            jobs: RefCell::default(),
+            engine: HttpEngine::open(http.clone()),
+            peers: PeerClient::open(config.peer_token.clone(), metrics.clone()),
+            log: HttpLog::open(config.log_address.clone(), http.clone(), metrics.clone()),
+            http,
+            metrics,
+            life: Cell::new(Life::Starting),
+            in_flight: Cell::new(0),
+            vm_list_version: Cell::new(0),
+            gossip_socket: RefCell::new(None),
+            server: RefCell::new(None),
+            clock: Clock::start(),
+            random: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            config,
+            incarnation,
+            session,
+        }
+    }
+
+    /// Serves until SIGTERM, SIGINT or an operator's drain, then stops gracefully.
+    pub async fn run_until_stopped(self: &Rc<Self>) -> io::Result<()> {
+        drain::wait_for_stop(self).await?;
+        drain::drain(self).await;
+        Ok(())
+    }
+
+    /// Where the daemon is in its life.
+    pub fn life(&self) -> Life {
+        self.life.get()
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// A random number below a bound.
+    pub(crate) fn random_below(&self, bound: u64) -> u64 {
+        self.random.borrow_mut().next_u64() % bound.max(1)
+    }
+
+    pub(crate) fn with_random<Use, Made>(&self, make: Use) -> Made
+    where
+        Use: FnOnce(&mut Pcg64Mcg) -> Made,
+    {
+        make(&mut self.random.borrow_mut())
+    }
+
+    /// A whole number in force at a node.
+    pub(crate) fn setting(&self, node: &str, key: &str) -> u64 {
+        self.settings
+            .with_fold(|fold| fold.tree().integer(node, key))
+    }
+
+    /// A whole number in force at the root.
+    pub(crate) fn root_setting(&self, key: &str) -> u64 {
+        self.setting(ROOT, key)
+    }
+
+    /// A text in force at a node.
+    pub(crate) fn setting_text(&self, node: &str, key: &str) -> Option<Arc<str>> {
+        self.settings.with_fold(|fold| fold.tree().text(node, key))
+    }
+
+    /// The gate of a service.
+    pub(crate) fn gate(&self, service: &Arc<str>) -> Rc<Gate> {
+        let mut gates = self.gates.borrow_mut();
+        let closed = AdmissionLimits {
+            slots: 1,
+            training_slots: 0,
+            queue_limit_requests: 256,
+        };
+        gates
+            .get_or_insert_with(service.clone(), || Gate::open(closed))
+            .clone()
+    }
+
+    pub(crate) fn server(&self) -> Option<HttpServer> {
+        self.server.borrow().clone()
+    }
+}
+
+fn own_entry(config: &Config, incarnation: u64) -> MemberEntry {
+    MemberEntry {
+        name: config.name.clone(),
+        incarnation,
+        counter: 0,
+        zone: config.zone.clone(),
+        http_address: config.http_address.clone(),
+        peer_address: config.peer_address.clone(),
+        gossip_address: config.gossip_address.clone(),
+        state: MemberState::Live,
+    }
+}
+
+/// Counts work in flight while it lives, so that a drain knows when nothing is left.
+#[derive(Debug)]
+pub(crate) struct InFlight {
+    daemon: Rc<Daemon>,
+}
+
+impl InFlight {
+    /// Begins a piece of work.
+    pub(crate) fn open(daemon: &Rc<Daemon>) -> Self {
+        daemon.in_flight.set(daemon.in_flight.get() + 1);
+        Self {
+            daemon: daemon.clone(),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.daemon.in_flight.set(self.daemon.in_flight.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/borageshore_daemon/src/drain.rs
@@ -0,0 +1,98 @@
+//! The graceful stop.
+
+use std::{
+    io,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use borageshore_lease::LeaseRecord;
+use borageshore_net::sleep_ms;
+
+use crate::{
+    daemon::{Daemon, Life},
+    gossip, jobs,
+};
+
+/// The pace at which the stop signal and the last requests are looked at.
+const POLL_MS: u64 = 50;
+/// Work that is still in flight after this time is abandoned; callers' deadlines lie well below it.
+const LONGEST_DRAIN_MS: u64 = 180_000;
+/// By this time every daemon of the zone knows that we leave.
+const LEAVING_KNOWN_MS: u64 = 3_000;
+/// How long the released leases may take to reach the log.
+const RELEASE_WAIT_MS: u64 = 3_000;
+
+/// Waits for SIGTERM, SIGINT or an operator's drain.
+pub(crate) async fn wait_for_stop(daemon: &Rc<Daemon>) -> io::Result<()> {
+    let signalled = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, signalled.clone())?;
+    }
+    while !signalled.load(Ordering::Relaxed) && daemon.life() != Life::Draining {
+        sleep_ms(POLL_MS).await;
+    }
+    Ok(())
+}
+
+/// Stops without cutting anything: is no longer listed, hands its leases over, serves callers whose
+/// address list may still name it, lets every request end, says goodbye.
+pub(crate) async fn drain(daemon: &Rc<Daemon>) {
+    daemon.life.set(Life::Draining);
+    log::info!("daemon {} drains", daemon.session);
+    // Other daemons list us until our leaving reaches them, and their callers keep that list.
+    let listed_until_ms =
+        daemon.now_ms() + LEAVING_KNOWN_MS + daemon.root_setting("address_ttl_ms");
+    daemon.membership.borrow_mut().leave();
+    announce(daemon).await;
+    release_leases(daemon).await;
+    sleep_ms(listed_until_ms.saturating_sub(daemon.now_ms())).await;
+    if let Some(server) = daemon.server() {
+        server.stop_gracefully();
+    }
+    wait_for_requests(daemon).await;
+    daemon.life.set(Life::Stopped);
+    daemon.membership.borrow_mut().stop();
+    announce(daemon).await;
+    log::info!("daemon {} stopped", daemon.session);
+}
+
+async fn announce(daemon: &Rc<Daemon>) {
+    let socket = daemon.gossip_socket.borrow().clone();
+    if let Some(socket) = socket {
+        gossip::announce(daemon, &socket).await;
+    }
+}
+
+async fn release_leases(daemon: &Rc<Daemon>) {
+    jobs::close_all(daemon);
+    let owns_any = daemon
+        .leases
+        .with_fold(|table| table.owns_any(&daemon.session));
+    if !owns_any {
+        return;
+    }
+    let sequence = daemon.leases.propose(LeaseRecord::End {
+        session: daemon.session.clone(),
+    });
+    let until_ms = daemon.now_ms() + RELEASE_WAIT_MS;
+    while daemon.leases.is_pending(sequence) && daemon.now_ms() < until_ms {
+        sleep_ms(POLL_MS).await;
+    }
+}
+
+async fn wait_for_requests(daemon: &Rc<Daemon>) {
+    let until_ms = daemon.now_ms() + LONGEST_DRAIN_MS;
+    let mut idle_rounds = 0;
+    while idle_rounds < 2 && daemon.now_ms() < until_ms {
+        let connections = daemon
+            .server()
+            .map_or(0, |server| server.open_connections());
+        let is_idle = daemon.in_flight.get() == 0 && connections == 0;
+        idle_rounds = if is_idle { idle_rounds + 1 } else { 0 };
+        sleep_ms(POLL_MS).await;
+    }
+}
--- /dev/null
+++ b/crates/borageshore_daemon/src/generation.rs
@@ -0,0 +1,368 @@
+//! Token generation: one request, as many attempts as it takes, one whole answer.
+
+use std::{future::Future, rc::Rc, sync::Arc};
+
+use borageshore_base::{Fault, ResultCode};
+use borageshore_net::{CallError, Timeouts};
+use borageshore_routing::{
+    Attempt, AttemptEvent, ChoiceRequest, Idempotent, Outcome, Workload, choose_endpoint,
+};
+
+use crate::{
+    daemon::Daemon,
+    gate::GateRequest,
+    platform::engine::{ChunkStream, Engine, EngineChunk, EngineRequest},
+};
+
+const CONNECT_MS: u64 = 1_000;
+/// Bytes of a prompt that decide which engines are likely to have it cached.
+const PREFIX_BYTES: usize = 256;
+
+/// A request for tokens, from a caller or for a sample.
+#[derive(Debug, Clone)]
+pub(crate) struct Generation {
+    pub(crate) request_id: Arc<str>,
+    pub(crate) service: Arc<str>,
+    /// The settings node that the request runs under.
+    pub(crate) node: Arc<str>,
+    pub(crate) prompt: Arc<str>,
+    pub(crate) max_tokens: u64,
+    pub(crate) adapter: Option<Arc<str>>,
+    pub(crate) workload: Workload,
+    pub(crate) deadline_ms: u64,
+    pub(crate) on_swap: OnSwap,
+}
+
+/// What to do when the engine's weights change in the middle.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OnSwap {
+    /// Go on; the tokens say which version made them.
+    Keep,
+    /// Begin again, so that one version makes the whole.
+    Restart,
+}
+
+/// One token with the version that made it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Token {
+    pub(crate) text: String,
+    pub(crate) version: Option<u64>,
+}
+
+/// Where tokens go.
+pub(crate) trait TokenSink {
+    /// Takes a token; `Gone` when nobody wants any more.
+    fn on_token(&mut self, token: &Token) -> impl Future<Output = Result<(), Gone>>;
+
+    /// Forgets all tokens so far. Only called under [`OnSwap::Restart`].
+    fn on_restart(&mut self);
+}
+
+/// Nobody reads the answer any more.
+#[derive(Debug)]
+pub(crate) struct Gone;
+
+/// Why a generation ended without its whole answer.
+#[derive(Debug, Clone)]
+pub(crate) struct GenerationFailure {
+    pub(crate) fault: Fault,
+    pub(crate) outcome: Outcome,
+    pub(crate) retry_after_ms: Option<u64>,
+}
+
+enum AttemptEnd {
+    Finished,
+    Restart,
+    CallerGone,
+    Failed(CallError),
+}
+
+/// Generates the whole answer, resuming on another engine after the last good token.
+pub(crate) async fn generate<Sink>(
+    daemon: &Rc<Daemon>,
+    generation: &Generation,
+    sink: &mut Sink,
+) -> Result<(), GenerationFailure>
+where
+    Sink: TokenSink,
+{
+    let _slot = acquire_slot(daemon, generation).await?;
+    daemon.retry_budget.borrow_mut().on_request();
+    let mut produced: Vec<Token> = Vec::new();
+    let mut tried: Vec<Arc<str>> = Vec::new();
+    let mut outcome = Outcome::NotRun;
+    loop {
+        let Some(endpoint) = choose(daemon, generation, &tried) else {
+            return Err(no_endpoint(generation, outcome));
+        };
+        let mut attempt = Attempt::open();
+        daemon.endpoints.borrow_mut().on_start(&endpoint);
+        let mut watch = EndpointWatch::open(daemon, &endpoint);
+        let end = attempt_once(
+            daemon,
+            generation,
+            &endpoint,
+            &mut produced,
+            sink,
+            &mut attempt,
+        )
+        .await;
+        if attempt.outcome() != Outcome::NotRun {
+            outcome = Outcome::Unknown;
+        }
+        match end {
+            AttemptEnd::Finished => {
+                watch.succeeded();
+                return Ok(());
+            }
+            AttemptEnd::CallerGone => {
+                return Err(failure(
+                    ResultCode::EndpointLost,
+                    "the caller went away",
+                    outcome,
+                ));
+            }
+            AttemptEnd::Restart => {
+                produced.clear();
+                sink.on_restart();
+            }
+            AttemptEnd::Failed(error) => {
+                watch.failed();
+                log::debug!(
+                    "attempt of {} at {endpoint} failed: {error}",
+                    generation.request_id
+                );
+                tried.push(endpoint);
+                check_retry(daemon, generation, &attempt, outcome, &error)?;
+            }
+        }
+    }
+}
+
+async fn acquire_slot(
+    daemon: &Rc<Daemon>,
+    generation: &Generation,
+) -> Result<crate::gate::Slot, GenerationFailure> {
+    let request = GateRequest {
+        node: generation.node.clone(),
+        importance: daemon.setting(&generation.node, "importance"),
+        workload: generation.workload,
+        deadline_ms: generation.deadline_ms,
+    };
+    let acquired = daemon
+        .gate(&generation.service)
+        .acquire(daemon, request)
+        .await;
+    acquired.map_err(|refusal| GenerationFailure {
+        fault: refusal.fault,
+        outcome: Outcome::NotRun,
+        retry_after_ms: Some(refusal.retry_after_ms),
+    })
+}
+
+fn choose(daemon: &Daemon, generation: &Generation, tried: &[Arc<str>]) -> Option<Arc<str>> {
+    let prefix_end = generation.prompt.floor_char_boundary(PREFIX_BYTES);
+    let request = ChoiceRequest {
+        service: &generation.service,
+        prefix: Some(&generation.prompt[..prefix_end]),
+        zone: &daemon.config.zone,
+        tried,
+    };
+    let now_ms = daemon.now_ms();
+    daemon
+        .with_random(|random| choose_endpoint(&daemon.endpoints.borrow(), request, now_ms, random))
+}
+
+/// Generation is idempotent, so only the deadline and the retry budget end the attempts.
+fn check_retry(
+    daemon: &Daemon,
+    generation: &Generation,
+    attempt: &Attempt,
+    outcome: Outcome,
+    error: &CallError,
+) -> Result<(), GenerationFailure> {
+    let in_time = daemon.now_ms() < generation.deadline_ms;
+    let allowed = attempt.may_retry(Idempotent::Yes) && in_time;
+    if allowed && daemon.retry_budget.borrow_mut().try_retry() {
+        daemon.metrics.on_retry();
+        return Ok(());
+    }
+    Err(failure(
+        ResultCode::EndpointFailed,
+        &error.to_string(),
+        outcome,
+    ))
+}
+
+fn no_endpoint(generation: &Generation, outcome: Outcome) -> GenerationFailure {
+    let mut failure = failure(ResultCode::NoEndpoint, &generation.service, outcome);
+    failure.retry_after_ms = Some(1_000);
+    failure
+}
+
+fn failure(code: ResultCode, detail: &str, outcome: Outcome) -> GenerationFailure {
+    GenerationFailure {
+        fault: Fault::new(code, detail),
+        outcome,
+        retry_after_ms: None,
+    }
+}
+
+async fn attempt_once<Sink>(
+    daemon: &Rc<Daemon>,
+    generation: &Generation,
+    endpoint: &Arc<str>,
+    produced: &mut Vec<Token>,
+    sink: &mut Sink,
+    attempt: &mut Attempt,
+) -> AttemptEnd
+where
+    Sink: TokenSink,
+{
+    let Some(address) = daemon
+        .endpoints
+        .borrow()
+        .get(endpoint)
+        .map(|e| e.listing.address.clone())
+    else {
+        return AttemptEnd::Failed(CallError::NotSent("the endpoint has gone".into()));
+    };
+    let request = engine_request(daemon, generation, produced);
+    let first_byte_ms = daemon.setting(&generation.node, "first_byte_timeout_ms");
+    let timeouts = Timeouts {
+        connect_ms: CONNECT_MS,
+        first_byte_ms,
+    };
+    attempt.on(AttemptEvent::Start);
+    attempt.on(AttemptEvent::Connected);
+    let mut chunks = match daemon.engine.generate(&address, &request, timeouts).await {
+        Ok((chunks, report)) => {
+            attempt.on(AttemptEvent::Sent);
+            if let Some(report) = report {
+                daemon
+                    .endpoints
+                    .borrow_mut()
+                    .on_report(endpoint, report, daemon.now_ms());
+            }
+            chunks
+        }
+        Err(error) => {
+            if matches!(error, CallError::NoAnswer(_)) {
+                attempt.on(AttemptEvent::Sent);
+            }
+            return AttemptEnd::Failed(error);
+        }
+    };
+    let chunk_timeout_ms = daemon.setting(&generation.node, "chunk_timeout_ms");
+    loop {
+        match chunks.next_chunk(chunk_timeout_ms).await {
+            Err(error) => {
+                daemon.http.distrust(&address);
+                return AttemptEnd::Failed(error);
+            }
+            Ok(None) => {
+                return AttemptEnd::Failed(CallError::NoAnswer("the stream ended early".into()));
+            }
+            Ok(Some(chunk)) => {
+                if let Some(end) = on_chunk(daemon, generation, chunk, produced, sink).await {
+                    if matches!(end, AttemptEnd::Finished) {
+                        attempt.on(AttemptEvent::Answered);
+                    }
+                    return end;
+                }
+            }
+        }
+    }
+}
+
+fn engine_request(daemon: &Daemon, generation: &Generation, produced: &[Token]) -> EngineRequest {
+    EngineRequest {
+        request_id: generation.request_id.clone(),
+        prompt: generation.prompt.clone(),
+        max_tokens: generation.max_tokens,
+        resume_tokens: produced.iter().map(|token| token.text.clone()).collect(),
+        priority: daemon.setting(&generation.node, "importance"),
+        adapter: generation.adapter.clone(),
+    }
+}
+
+/// Takes in one chunk.
+///
+/// Guards against late and crossed answers: a chunk of another request, or out of its place, is
+/// dropped and counted; it can never end up in this answer.
+async fn on_chunk<Sink>(
+    daemon: &Daemon,
+    generation: &Generation,
+    chunk: EngineChunk,
+    produced: &mut Vec<Token>,
+    sink: &mut Sink,
+) -> Option<AttemptEnd>
+where
+    Sink: TokenSink,
+{
+    if chunk.request_id != generation.request_id || chunk.index != produced.len() as u64 {
+        daemon.metrics.on_dropped_chunk();
+        return None;
+    }
+    let Some(text) = chunk.token else {
+        return Some(AttemptEnd::Finished);
+    };
+    let swapped = produced
+        .last()
+        .is_some_and(|last| last.version != chunk.version);
+    if swapped && generation.on_swap == OnSwap::Restart {
+        return Some(AttemptEnd::Restart);
+    }
+    let token = Token {
+        text,
+        version: chunk.version,
+    };
+    if sink.on_token(&token).await.is_err() {
+        return Some(AttemptEnd::CallerGone);
+    }
+    produced.push(token);
+    None
+}
+
+/// Counts a request at an endpoint until its end is known, also when its task is dropped.
+#[derive(Debug)]
+pub(crate) struct EndpointWatch {
+    daemon: Rc<Daemon>,
+    endpoint: Option<Arc<str>>,
+}
+
+impl EndpointWatch {
+    /// Begins to watch a request that was counted by `on_start`.
+    pub(crate) fn open(daemon: &Rc<Daemon>, endpoint: &Arc<str>) -> Self {
+        Self {
+            daemon: daemon.clone(),
+            endpoint: Some(endpoint.clone()),
+        }
+    }
+
+    /// The endpoint answered.
+    pub(crate) fn succeeded(&mut self) {
+        if let Some(endpoint) = self.endpoint.take() {
+            self.daemon.endpoints.borrow_mut().on_success(&endpoint);
+        }
+    }
+
+    /// The endpoint failed.
+    pub(crate) fn failed(&mut self) {
+        if let Some(endpoint) = self.endpoint.take() {
+            let now_ms = self.daemon.now_ms();
+            self.daemon
+                .endpoints
+                .borrow_mut()
+                .on_failure(&endpoint, now_ms);
+        }
+    }
+}
+
+impl Drop for EndpointWatch {
+    fn drop(&mut self) {
+        if let Some(endpoint) = self.endpoint.take() {
+            self.daemon.endpoints.borrow_mut().on_cancelled(&endpoint);
+        }
+    }
+}
--- /dev/null
+++ b/crates/borageshore_daemon/src/gossip.rs
@@ -0,0 +1,111 @@
+//! Heartbeats over UDP.
+
+use std::{io, net::SocketAddr, rc::Rc, sync::Arc};
+
+use borageshore_membership::{MemberEntry, TICK_MS};
+use borageshore_net::sleep_ms;
+use borageshore_wire::{WireGossip, decode, encode, gossip_from_wire, gossip_to_wire};
+use monoio::net::udp::UdpSocket;
+
+use crate::{daemon::Daemon, metrics::Direction};
+
+/// The largest datagram.
+const DATAGRAM_BYTES: usize = 8 * 1024;
+/// The length of the keyed hash in front of each datagram.
+const TAG_BYTES: usize = 16;
+const KEY_CONTEXT: &str = "borageshore gossip datagrams v1";
+
+/// Binds the gossip socket and starts to send and receive.
+pub(crate) fn bind(daemon: &Rc<Daemon>) -> io::Result<Rc<UdpSocket>> {
+    let socket = Rc::new(UdpSocket::bind(&*daemon.config.gossip_address)?);
+    let key = blake3::derive_key(KEY_CONTEXT, daemon.config.peer_token.as_bytes());
+    monoio::spawn(receive_loop(daemon.clone(), socket.clone(), key));
+    monoio::spawn(send_loop(daemon.clone(), socket.clone(), key));
+    Ok(socket)
+}
+
+async fn send_loop(daemon: Rc<Daemon>, socket: Rc<UdpSocket>, key: [u8; 32]) {
+    loop {
+        let now_ms = daemon.now_ms();
+        let seed = daemon.random_below(u64::MAX);
+        let messages = {
+            let mut membership = daemon.membership.borrow_mut();
+            membership.advance(now_ms);
+            membership.gossip(seed, now_ms)
+        };
+        send_all(&daemon, &socket, &key, messages).await;
+        sleep_ms(TICK_MS).await;
+    }
+}
+
+/// Tells the zone of a change of this daemon's own state at once.
+pub(crate) async fn announce(daemon: &Rc<Daemon>, socket: &Rc<UdpSocket>) {
+    let key = blake3::derive_key(KEY_CONTEXT, daemon.config.peer_token.as_bytes());
+    let messages = daemon.membership.borrow().farewell(daemon.now_ms());
+    send_all(daemon, socket, &key, messages).await;
+}
+
+async fn send_all(
+    daemon: &Daemon,
+    socket: &UdpSocket,
+    key: &[u8; 32],
+    messages: Vec<(Arc<str>, Vec<MemberEntry>)>,
+) {
+    for (address, entries) in messages {
+        let Ok(target) = address.parse::<SocketAddr>() else {
+            continue;
+        };
+        let Ok(payload) = encode(&gossip_to_wire(&entries)) else {
+            continue;
+        };
+        let mut datagram = tag(key, &payload).to_vec();
+        datagram.extend_from_slice(&payload);
+        daemon
+            .metrics
+            .on_control_bytes("gossip", Direction::Sent, datagram.len());
+        let _ = socket.send_to(datagram, target).await;
+    }
+}
+
+async fn receive_loop(daemon: Rc<Daemon>, socket: Rc<UdpSocket>, key: [u8; 32]) {
+    let mut buffer = vec![0_u8; DATAGRAM_BYTES];
+    loop {
+        let (received, returned) = socket.recv_from(buffer).await;
+        buffer = returned;
+        let Ok((length, _)) = received else {
+            sleep_ms(10).await;
+            continue;
+        };
+        daemon
+            .metrics
+            .on_control_bytes("gossip", Direction::Received, length);
+        on_datagram(&daemon, &key, &buffer[..length]);
+    }
+}
+
+/// Takes in a datagram whose keyed hash shows that a peer sent it; a stranger's could otherwise
+/// declare daemons dead or draw callers to an address of its own.
+fn on_datagram(daemon: &Daemon, key: &[u8; 32], datagram: &[u8]) {
+    let Some((offered, payload)) = datagram.split_at_checked(TAG_BYTES) else {
+        return;
+    };
+    let expected = tag(key, payload);
+    if !bool::from(subtle::ConstantTimeEq::ct_eq(offered, &expected[..])) {
+        return;
+    }
+    let Ok(gossip) = decode::<WireGossip>(payload) else {
+        return;
+    };
+    let now_ms = daemon.now_ms();
+    let mut membership = daemon.membership.borrow_mut();
+    for entry in gossip_from_wire(gossip) {
+        membership.on_entry(entry, now_ms);
+    }
+}
+
+fn tag(key: &[u8; 32], payload: &[u8]) -> [u8; TAG_BYTES] {
+    let hash = blake3::keyed_hash(key, payload);
+    let mut tag = [0_u8; TAG_BYTES];
+    tag.copy_from_slice(&hash.as_bytes()[..TAG_BYTES]);
+    tag
+}
--- /dev/null
+++ b/crates/borageshore_daemon/src/jobs.rs
@@ -0,0 +1,426 @@
+//! Jobs that this daemon owns, and pulls of trainers for any job.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
+
+use borageshore_base::{Fault, ResultCode, rank_by_rendezvous};
+use borageshore_membership::Health;
+use borageshore_net::sleep_ms;
+use borageshore_rollout::{
+    Delivery, Freshness, JobController, JobPlan, Ledger, LedgerRecord, PullDecision, PullView,
+    Sample, SampleOrder,
+};
+use borageshore_settings::NodeKind;
+use borageshore_wire::{PeerReply, PeerRequest, PullReply, PullRequest, SampleRequest};
+
+use crate::{
+    daemon::Daemon,
+    peer_server::failed_pull,
+    samples::{MadeSample, SampleJob, from_reply, make_sample},
+    stream::{SharedStream, Source, append_proposals, follow},
+};
+
+/// The longest time that a sample may take.
+const SAMPLE_DEADLINE_MS: u64 = 120_000;
+/// How much longer than the deadline a peer may take to answer.
+const PEER_SLACK_MS: u64 = 2_000;
+/// How long a pull waits for the ledger or for samples before it looks again.
+const PULL_STEP_MS: u64 = 50;
+/// The longest wait that a trainer may ask for.
+const PULL_WAIT_MS: u64 = 30_000;
+/// The most samples in one delivery.
+const PULL_SAMPLES: u64 = 4_096;
+
+/// A job that this daemon owns.
+#[derive(Debug)]
+pub(crate) struct JobRuntime {
+    job: Arc<str>,
+    ledger: Rc<SharedStream<Ledger>>,
+    controller: RefCell<JobController>,
+    has_opened_ledger: Cell<bool>,
+    is_closed: Cell<bool>,
+}
+
+/// The shard that the owner of a job holds.
+pub(crate) fn shard_of(job: &str) -> Arc<str> {
+    format!("job/{job}").into()
+}
+
+/// Opens jobs that were won, closes jobs that were lost, and orders what is to be generated.
+pub(crate) fn tick(daemon: &Rc<Daemon>) {
+    let jobs: Vec<Arc<str>> = daemon
+        .settings
+        .with_fold(|fold| fold.tree().nodes_of_kind(NodeKind::Job).cloned().collect());
+    for job in &jobs {
+        let epoch = own_epoch(daemon, job);
+        let known = daemon.jobs.borrow().get(job).cloned();
+        match (epoch, known) {
+            (Some(epoch), Some(runtime)) if runtime.controller.borrow().epoch() == epoch => {
+                tick_job(daemon, &runtime);
+            }
+            (Some(epoch), _) => open_job(daemon, job, epoch),
+            (None, Some(_)) => close_job(daemon, job),
+            (None, None) => {}
+        }
+    }
+    let removed: Vec<Arc<str>> = daemon
+        .jobs
+        .borrow()
+        .keys()
+        .filter(|job| !jobs.contains(job))
+        .cloned()
+        .collect();
+    for job in removed {
+        close_job(daemon, &job);
+    }
+}
+
+fn own_epoch(daemon: &Daemon, job: &str) -> Option<u64> {
+    let agent = daemon.lease_agent.borrow();
+    daemon
+        .leases
+        .with_fold(|table| agent.epoch(table, &shard_of(job), daemon.now_ms()))
+}
+
+fn open_job(daemon: &Rc<Daemon>, job: &Arc<str>, epoch: u64) {
+    close_job(daemon, job);
+    log::info!("job {job} is owned under epoch {epoch}");
+    // A writer name of its own for each epoch: sequences of a stream start with its proposer.
+    let writer: Arc<str> = format!("{}/{epoch}", daemon.session).into();
+    let ledger = Rc::new(SharedStream::open(
+        format!("ledger-{job}").into(),
+        writer,
+        Ledger::default(),
+    ));
+    let runtime = Rc::new(JobRuntime {
+        job: job.clone(),
+        ledger: ledger.clone(),
+        controller: RefCell::new(JobController::open(job.clone(), epoch)),
+        has_opened_ledger: Cell::new(false),
+        is_closed: Cell::new(false),
+    });
+    monoio::spawn(follow(
+        daemon.clone(),
+        ledger.clone(),
+        |_, _| Source::Log,
+        |_, _, _| {},
+    ));
+    monoio::spawn(append_proposals(daemon.clone(), ledger));
+    daemon.jobs.borrow_mut().insert(job.clone(), runtime);
+}
+
+/// Gives up a job; also done for all jobs when the daemon drains.
+pub(crate) fn close_job(daemon: &Daemon, job: &Arc<str>) {
+    if let Some(runtime) = daemon.jobs.borrow_mut().remove(job) {
+        log::info!("job {job} is given up");
+        runtime.is_closed.set(true);
+        runtime.ledger.close();
+    }
+}
+
+fn tick_job(daemon: &Rc<Daemon>, runtime: &Rc<JobRuntime>) {
+    let mut controller = runtime.controller.borrow_mut();
+    if !runtime.has_opened_ledger.replace(true) {
+        runtime.ledger.propose(LedgerRecord::Open {
+            epoch: controller.epoch(),
+        });
+    }
+    runtime
+        .ledger
+        .with_fold(|ledger| controller.on_ledger(ledger));
+    let orders = controller.tick(&plan_of(daemon, &runtime.job), daemon.now_ms());
+    drop(controller);
+    for order in orders {
+        monoio::spawn(carry_out(daemon.clone(), runtime.clone(), order));
+    }
+    runtime
+        .ledger
+        .propose_snapshot_if_due(|next_offset, snapshot| LedgerRecord::Snapshot {
+            next_offset,
+            snapshot,
+        });
+}
+
+fn plan_of(daemon: &Daemon, job: &str) -> JobPlan {
+    daemon.settings.with_fold(|fold| {
+        let number = |key: &str| fold.tree().integer(job, key);
+        JobPlan {
+            groups_per_step: number("groups_per_step"),
+            samples_per_group: number("samples_per_group"),
+            steps_ahead: number("steps_ahead"),
+            freshness: Freshness {
+                versions: number("staleness_bound_versions"),
+                age_ms: number("staleness_bound_ms"),
+            },
+        }
+    })
+}
+
+/// Has a sample made, by the daemon that the group's prompt belongs to, so that the samples of a
+/// group meet the same cached prefix; a second attempt goes elsewhere.
+async fn carry_out(daemon: Rc<Daemon>, runtime: Rc<JobRuntime>, order: SampleOrder) {
+    let started_at_ms = daemon.now_ms();
+    let job = sample_job(&daemon, &runtime, &order);
+    let prompt = job.prompt.clone();
+    let made = place(&daemon, &job, &order).await;
+    if runtime.is_closed.get() {
+        return;
+    }
+    let now_ms = daemon.now_ms();
+    let mut controller = runtime.controller.borrow_mut();
+    match made {
+        Ok(MadeSample {
+            tokens,
+            segments,
+            score,
+        }) => {
+            let (id, group) = (order.id, order.group);
+            let sample = Sample {
+                id,
+                group,
+                prompt,
+                tokens,
+                segments,
+                score,
+                age_ms: 0,
+            };
+            controller.on_sample(sample, started_at_ms, now_ms);
+        }
+        Err(fault) => {
+            log::debug!("sample {} failed: {fault}", order.id);
+            controller.on_failure(order.group, &order.id, now_ms);
+        }
+    }
+}
+
+fn sample_job(daemon: &Daemon, runtime: &JobRuntime, order: &SampleOrder) -> SampleJob {
+    let template = daemon.setting_text(&runtime.job, "prompt");
+    let template = template.unwrap_or_else(|| "{job} group {group}".into());
+    let prompt = template
+        .replace("{job}", &runtime.job)
+        .replace("{group}", &order.group.to_string());
+    SampleJob {
+        job: runtime.job.clone(),
+        sample_id: order.id.clone(),
+        prompt: prompt.into(),
+        max_tokens: daemon.setting(&runtime.job, "max_tokens_per_sample"),
+        deadline_ms: daemon.now_ms() + SAMPLE_DEADLINE_MS,
+    }
+}
+
+async fn place(
+    daemon: &Rc<Daemon>,
+    job: &SampleJob,
+    order: &SampleOrder,
+) -> Result<MadeSample, Fault> {
+    let worker = {
+        let membership = daemon.membership.borrow();
+        let names = membership.usable(daemon.now_ms()).map(|entry| &*entry.name);
+        let ranked = rank_by_rendezvous(&format!("{}/{}", job.job, order.group), names);
+        let chosen = ranked
+            .get(order.attempt as usize % ranked.len().max(1))
+            .copied();
+        chosen
+            .and_then(|name| membership.entry(name))
+            .map(|e| (e.name.clone(), e.peer_address.clone()))
+    };
+    let Some((name, address)) = worker.filter(|(name, _)| *name != daemon.config.name) else {
+        return make_sample(daemon, job).await;
+    };
+    let request = PeerRequest::Sample(SampleRequest {
+        job: job.job.to_string(),
+        sample_id: job.sample_id.to_string(),
+        prompt: job.prompt.to_string(),
+        max_tokens: job.max_tokens as i64,
+        deadline_ms: SAMPLE_DEADLINE_MS as i64,
+    });
+    match daemon
+        .peers
+        .call(&address, &request, SAMPLE_DEADLINE_MS + PEER_SLACK_MS)
+        .await
+    {
+        Ok(PeerReply::Sample(reply)) => from_reply(reply),
+        Ok(_) => Err(Fault::new(ResultCode::PeerUnavailable, &*name)),
+        Err(error) => Err(Fault::new(
+            ResultCode::PeerUnavailable,
+            format!("{name}: {error}"),
+        )),
+    }
+}
+
+/// A trainer's pull.
+#[derive(Debug, Clone)]
+pub(crate) struct Pull {
+    pub(crate) job: Arc<str>,
+    pub(crate) cursor: u64,
+    pub(crate) seen_epoch: u64,
+    pub(crate) max_samples: u64,
+    pub(crate) wait_ms: u64,
+}
+
+/// Answers a pull here or through the owner of the job; waits for an owner while there is none.
+pub(crate) async fn pull(daemon: &Rc<Daemon>, pull: Pull) -> Result<String, ResultCode> {
+    let is_job = daemon.settings.with_fold(|fold| {
+        fold.tree().exists(&pull.job) && fold.tree().kind(&pull.job) == NodeKind::Job
+    });
+    if !is_job {
+        return Err(ResultCode::UnknownJob);
+    }
+    let until_ms = daemon.now_ms() + pull.wait_ms.min(PULL_WAIT_MS);
+    loop {
+        if own_epoch(daemon, &pull.job).is_some() {
+            return pull_here(daemon, &pull, until_ms).await;
+        }
+        if let Some(address) = owner_address(daemon, &pull.job) {
+            let remaining_ms = until_ms.saturating_sub(daemon.now_ms());
+            match forward_pull(daemon, &pull, &address, remaining_ms).await {
+                Err(ResultCode::NotOwner | ResultCode::PeerUnavailable) => {}
+                answered => return answered,
+            }
+        }
+        if daemon.now_ms() >= until_ms {
+            return Err(ResultCode::NotOwner);
+        }
+        sleep_ms(PULL_STEP_MS).await;
+    }
+}
+
+fn owner_address(daemon: &Daemon, job: &str) -> Option<Arc<str>> {
+    let owner = daemon
+        .leases
+        .with_fold(|table| table.shard(&shard_of(job))?.owner.clone())?;
+    let (name, incarnation) = owner.rsplit_once('.')?;
+    if name == &*daemon.config.name {
+        return None;
+    }
+    let membership = daemon.membership.borrow();
+    let is_gone = membership.health(name, daemon.now_ms()) == Health::Dead;
+    let entry = membership
+        .entry(name)
+        .filter(|entry| entry.incarnation.to_string() == incarnation);
+    entry
+        .filter(|_| !is_gone)
+        .map(|entry| entry.peer_address.clone())
+}
+
+async fn forward_pull(
+    daemon: &Rc<Daemon>,
+    pull: &Pull,
+    address: &str,
+    remaining_ms: u64,
+) -> Result<String, ResultCode> {
+    let request = PeerRequest::Pull(PullRequest {
+        job: pull.job.to_string(),
+        cursor: pull.cursor as i64,
+        epoch: pull.seen_epoch as i64,
+        max_samples: pull.max_samples as i64,
+        wait_ms: remaining_ms as i64,
+    });
+    match daemon
+        .peers
+        .call(address, &request, remaining_ms + PEER_SLACK_MS)
+        .await
+    {
+        Ok(PeerReply::Pull(reply)) if reply.code == i32::from(ResultCode::Done.number()) => {
+            Ok(reply.body)
+        }
+        Ok(PeerReply::Pull(reply)) => {
+            Err(ResultCode::from_number(reply.code as u16).unwrap_or(ResultCode::PeerUnavailable))
+        }
+        Ok(_) | Err(_) => Err(ResultCode::PeerUnavailable),
+    }
+}
+
+/// Answers a peer that forwards a pull to us.
+pub(crate) async fn on_peer_pull(daemon: &Rc<Daemon>, request: PullRequest) -> PullReply {
+    let pull = Pull {
+        job: request.job.into(),
+        cursor: request.cursor.max(0) as u64,
+        seen_epoch: request.epoch.max(0) as u64,
+        max_samples: request.max_samples.max(1) as u64,
+        wait_ms: request.wait_ms.max(0) as u64,
+    };
+    let until_ms = daemon.now_ms() + pull.wait_ms.min(PULL_WAIT_MS);
+    match pull_here(daemon, &pull, until_ms).await {
+        Ok(body) => PullReply {
+            code: i32::from(ResultCode::Done.number()),
+            body,
+        },
+        Err(code) => failed_pull(code),
+    }
+}
+
+/// Answers as the owner.
+///
+/// The lease is checked at each step, but safety does not rest on it: what is handed over was first
+/// accepted by the ledger's fold under this epoch.
+async fn pull_here(daemon: &Rc<Daemon>, pull: &Pull, until_ms: u64) -> Result<String, ResultCode> {
+    loop {
+        let now_ms = daemon.now_ms();
+        let runtime = daemon.jobs.borrow().get(&pull.job).cloned();
+        let Some(runtime) = runtime.filter(|_| own_epoch(daemon, &pull.job).is_some()) else {
+            return Err(ResultCode::NotOwner);
+        };
+        match decide(daemon, &runtime, pull, now_ms) {
+            PullDecision::Deliver(delivery) => return Ok(encode(&delivery)),
+            PullDecision::Refuse(code) => return Err(code),
+            PullDecision::Append(record) => {
+                runtime.ledger.propose(record);
+            }
+            PullDecision::Wait if now_ms >= until_ms => {
+                return Ok(encode(&nothing_yet(daemon, &runtime, pull)));
+            }
+            PullDecision::Wait => {}
+        }
+        runtime.ledger.wait_progress(PULL_STEP_MS).await;
+    }
+}
+
+fn decide(daemon: &Daemon, runtime: &JobRuntime, pull: &Pull, now_ms: u64) -> PullDecision {
+    let view = PullView {
+        cursor: pull.cursor,
+        seen_epoch: pull.seen_epoch,
+        max_samples: pull.max_samples.min(PULL_SAMPLES),
+        target_version: daemon.setting(&pull.job, "weights_version"),
+    };
+    let plan = plan_of(daemon, &pull.job);
+    let mut controller = runtime.controller.borrow_mut();
+    runtime.ledger.with_fold(|ledger| {
+        controller.on_ledger(ledger);
+        controller.on_pull(ledger, &plan, view, now_ms)
+    })
+}
+
+fn nothing_yet(daemon: &Daemon, runtime: &JobRuntime, pull: &Pull) -> Delivery {
+    Delivery {
+        epoch: runtime.controller.borrow().epoch(),
+        through: pull.cursor,
+        target_version: daemon.setting(&pull.job, "weights_version"),
+        samples: Vec::new(),
+    }
+}
+
+fn encode(delivery: &Delivery) -> String {
+    serde_json::to_string(delivery).expect("deliveries are plain data")
+}
+
+/// Counts of a job for `status`, when this daemon owns it.
+pub(crate) fn counts(
+    daemon: &Daemon,
+    job: &str,
+) -> Option<(borageshore_rollout::JobCounts, usize)> {
+    let runtime = daemon.jobs.borrow().get(job).cloned()?;
+    let controller = runtime.controller.borrow();
+    Some((controller.counts(), controller.buffered()))
+}
+
+/// Gives up all jobs.
+pub(crate) fn close_all(daemon: &Daemon) {
+    let jobs: Vec<Arc<str>> = daemon.jobs.borrow().keys().cloned().collect();
+    for job in jobs {
+        close_job(daemon, &job);
+    }
+}
--- /dev/null
+++ b/crates/borageshore_daemon/src/lib.rs
@@ -0,0 +1,39 @@
+//! The daemon: one event loop that joins the decision core to sockets, timers and the platform.
+//!
+//! [`Daemon::spawn`] returns a running daemon; [`Daemon::run_until_stopped`] follows its life from
+//! start to graceful stop. The modules under `platform` speak to outside systems, each behind one
+//! small trait or function, so that a change of an outside protocol stays in one file.
+//!
+//! ```
+//! use borageshore_daemon::Config;
+//!
+//! let faults = Config::parse("vm-1.yaml", "name: vm-1").unwrap_err();
+//! assert_eq!(faults.fault.code.number(), 2007);
+//! ```
+
+mod admin;
+mod calls;
+mod config;
+mod control;
+mod daemon;
+mod drain;
+mod edge;
+mod gate;
+mod generation;
+mod gossip;
+mod jobs;
+mod logging;
+mod metrics;
+mod peer_client;
+mod peer_server;
+mod platform;
+mod samples;
+mod stream;
+mod swaps;
+
+pub use self::{
+    config::Config,
+    daemon::{Daemon, Life},
+    logging::install_logger,
+    platform::engine,
+};
--- /dev/null
+++ b/crates/borageshore_daemon/src/metrics.rs
@@ -0,0 +1,117 @@
+//! Metrics by opentelemetry, read as Prometheus text.
+
+use borageshore_base::ResultCode;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// The instruments of a daemon.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    // Dropping the provider would stop the instruments.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    request_duration_ms: Histogram<u64>,
+    retries: Counter<u64>,
+    dropped_chunks: Counter<u64>,
+    settings_lag_ms: Histogram<u64>,
+    control_bytes: Counter<u64>,
+    gauges: Gauge<u64>,
+}
+
+/// Which way control traffic went.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Direction {
+    Sent,
+    Received,
+}
+
+impl Metrics {
+    /// Opens the instruments.
+    pub(crate) fn open() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .expect("a fresh registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter: Meter = provider.meter("borageshore");
+        Self {
+            registry,
+            requests: meter.u64_counter("borageshore_requests").build(),
+            request_duration_ms: meter
+                .u64_histogram("borageshore_request_duration_ms")
+                .build(),
+            retries: meter.u64_counter("borageshore_retries").build(),
+            dropped_chunks: meter.u64_counter("borageshore_dropped_chunks").build(),
+            settings_lag_ms: meter
+                .u64_histogram("borageshore_settings_in_force_lag_ms")
+                .build(),
+            control_bytes: meter.u64_counter("borageshore_control_bytes").build(),
+            gauges: meter.u64_gauge("borageshore_state").build(),
+            _provider: provider,
+        }
+    }
+
+    /// Counts an answered request.
+    pub(crate) fn on_request(&self, route: &'static str, code: ResultCode, duration_ms: u64) {
+        let labels = [
+            KeyValue::new("route", route),
+            KeyValue::new("code", i64::from(code.number())),
+        ];
+        self.requests.add(1, &labels);
+        self.request_duration_ms.record(duration_ms, &labels[..1]);
+    }
+
+    /// Counts a retry.
+    pub(crate) fn on_retry(&self) {
+        self.retries.add(1, &[]);
+    }
+
+    /// Counts a chunk that belonged to another request or came out of order.
+    pub(crate) fn on_dropped_chunk(&self) {
+        self.dropped_chunks.add(1, &[]);
+    }
+
+    /// Notes how long a settings change took from the log to this daemon.
+    pub(crate) fn on_settings_in_force(&self, lag_ms: u64) {
+        self.settings_lag_ms.record(lag_ms, &[]);
+    }
+
+    /// Counts bytes of control traffic: gossip, streams, lists and load reports.
+    pub(crate) fn on_control_bytes(
+        &self,
+        channel: &'static str,
+        direction: Direction,
+        bytes: usize,
+    ) {
+        let direction = match direction {
+            Direction::Sent => "sent",
+            Direction::Received => "received",
+        };
+        let labels = [
+            KeyValue::new("channel", channel),
+            KeyValue::new("direction", direction),
+        ];
+        self.control_bytes.add(bytes as u64, &labels);
+    }
+
+    /// Sets a gauge.
+    pub(crate) fn set_state(&self, what: &'static str, value: u64) {
+        self.gauges.record(value, &[KeyValue::new("what", what)]);
+    }
+
+    /// All instruments as Prometheus text.
+    pub(crate) fn to_text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("metrics cannot be encoded: {error}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/borageshore_daemon/src/peer_client.rs
@@ -0,0 +1,115 @@
+//! Calls to other daemons.
+
+use std::{cell::RefCell, fmt, net::SocketAddr, rc::Rc, sync::Arc};
+
+use borageshore_base::SortedMap;
+use borageshore_net::{read_frame, within_ms, write_frame};
+use borageshore_wire::{MAX_FRAME_BYTES, PeerReply, PeerRequest, decode, encode};
+use monoio::net::TcpStream;
+
+use crate::{
+    config::Secret,
+    metrics::{Direction, Metrics},
+};
+
+/// The most idle connections kept to one peer.
+const IDLE_PER_PEER: usize = 16;
+const CONNECT_MS: u64 = 1_000;
+
+/// Why a peer gave no answer.
+#[derive(Debug)]
+pub(crate) struct PeerError(String);
+
+impl fmt::Display for PeerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for PeerError {}
+
+/// Connections to peers: one request at a time on each, so an answer can only belong to its request.
+#[derive(Debug)]
+pub(crate) struct PeerClient {
+    token: Secret,
+    idle: RefCell<SortedMap<Arc<str>, Vec<TcpStream>>>,
+    metrics: Rc<Metrics>,
+}
+
+impl PeerClient {
+    /// Opens a client without connections.
+    pub(crate) fn open(token: Secret, metrics: Rc<Metrics>) -> Self {
+        Self {
+            token,
+            idle: RefCell::default(),
+            metrics,
+        }
+    }
+
+    /// Asks a peer and waits for its answer.
+    ///
+    /// Guards against silent connections: a call that fails drops all idle connections to that peer,
+    /// and the connection of a call that timed out is never used again.
+    pub(crate) async fn call(
+        &self,
+        address: &str,
+        request: &PeerRequest,
+        timeout_ms: u64,
+    ) -> Result<PeerReply, PeerError> {
+        let answered = within_ms(timeout_ms, self.exchange(address, request)).await;
+        let answered = answered.unwrap_or_else(|| Err(PeerError("no answer in time".into())));
+        if answered.is_err() {
+            self.idle.borrow_mut().remove(address);
+        }
+        answered
+    }
+
+    async fn exchange(&self, address: &str, request: &PeerRequest) -> Result<PeerReply, PeerError> {
+        let payload = encode(request).map_err(fail)?;
+        let idle = self.idle.borrow_mut().get_mut(address).and_then(Vec::pop);
+        let mut stream = match idle {
+            Some(stream) => stream,
+            None => self.connect(address).await?,
+        };
+        write_frame(&mut stream, &payload).await.map_err(fail)?;
+        let reply = read_frame(&mut stream, MAX_FRAME_BYTES)
+            .await
+            .map_err(fail)?;
+        if matches!(request, PeerRequest::Follow(_)) {
+            self.metrics
+                .on_control_bytes("peer", Direction::Sent, payload.len());
+            self.metrics
+                .on_control_bytes("peer", Direction::Received, reply.len());
+        }
+        let reply = decode(&reply).map_err(fail)?;
+        self.keep(address, stream);
+        Ok(reply)
+    }
+
+    async fn connect(&self, address: &str) -> Result<TcpStream, PeerError> {
+        let target: SocketAddr = address.parse().map_err(fail)?;
+        let connected = within_ms(CONNECT_MS, TcpStream::connect_addr(target)).await;
+        let connected = connected.ok_or_else(|| PeerError("connecting took too long".into()))?;
+        let mut stream = connected.map_err(fail)?;
+        let _ = stream.set_nodelay(true);
+        write_frame(&mut stream, self.token.as_bytes())
+            .await
+            .map_err(fail)?;
+        Ok(stream)
+    }
+
+    fn keep(&self, address: &str, stream: TcpStream) {
+        let mut idle = self.idle.borrow_mut();
+        let streams = idle.get_or_insert_with(address.into(), Vec::new);
+        if streams.len() < IDLE_PER_PEER {
+            streams.push(stream);
+        }
+    }
+}
+
+fn fail<Cause>(cause: Cause) -> PeerError
+where
+    Cause: fmt::Display,
+{
+    PeerError(cause.to_string())
+}
--- /dev/null
+++ b/crates/borageshore_daemon/src/peer_server.rs
@@ -0,0 +1,110 @@
+//! Answers to other daemons.
+
+use std::{io, rc::Rc};
+
+use borageshore_base::{Fault, ResultCode};
+use borageshore_net::{read_frame, sleep_ms, within_ms, write_frame};
+use borageshore_wire::{
+    CallReply, FollowReply, MAX_FRAME_BYTES, PeerReply, PeerRequest, PullReply, SampleReply,
+    decode, encode,
+};
+use monoio::net::{TcpListener, TcpStream};
+
+use crate::{calls, daemon::Daemon, jobs, samples, stream::NOTHING_HEARD};
+
+/// How long a new connection may take to show its token.
+const HELLO_MS: u64 = 2_000;
+/// The largest token.
+const HELLO_BYTES: usize = 1_024;
+
+/// Accepts peers until the process ends.
+pub(crate) fn bind(daemon: &Rc<Daemon>) -> io::Result<()> {
+    let listener = TcpListener::bind(&*daemon.config.peer_address)?;
+    monoio::spawn(accept_loop(daemon.clone(), listener));
+    Ok(())
+}
+
+async fn accept_loop(daemon: Rc<Daemon>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                monoio::spawn(serve(daemon.clone(), stream));
+            }
+            Err(_) => sleep_ms(50).await,
+        }
+    }
+}
+
+async fn serve(daemon: Rc<Daemon>, mut stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let hello = within_ms(HELLO_MS, read_frame(&mut stream, HELLO_BYTES)).await;
+    let Some(Ok(token)) = hello else {
+        return;
+    };
+    if !daemon.config.peer_token.matches(&token) {
+        log::warn!("a connection showed a wrong peer token");
+        return;
+    }
+    while let Ok(frame) = read_frame(&mut stream, MAX_FRAME_BYTES).await {
+        let Ok(request) = decode::<PeerRequest>(&frame) else {
+            log::warn!("a peer sent a frame that cannot be decoded");
+            return;
+        };
+        let reply = answer(&daemon, request).await;
+        let Ok(payload) = encode(&reply) else {
+            return;
+        };
+        if write_frame(&mut stream, &payload).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn answer(daemon: &Rc<Daemon>, request: PeerRequest) -> PeerReply {
+    match request {
+        PeerRequest::Follow(request) if request.stream == *daemon.settings.name => {
+            PeerReply::Follow(daemon.settings.serve_follow(&request).await)
+        }
+        PeerRequest::Follow(request) if request.stream == *daemon.leases.name => {
+            PeerReply::Follow(daemon.leases.serve_follow(&request).await)
+        }
+        PeerRequest::Follow(_) => {
+            PeerReply::Follow(FollowReply::new(0, NOTHING_HEARD, Vec::new(), None, None))
+        }
+        PeerRequest::Call(request) => PeerReply::Call(calls::on_peer_call(daemon, request).await),
+        PeerRequest::Sample(request) => {
+            PeerReply::Sample(samples::on_peer_sample(daemon, request).await)
+        }
+        PeerRequest::Pull(request) => PeerReply::Pull(jobs::on_peer_pull(daemon, request).await),
+    }
+}
+
+/// A reply to a call that failed.
+pub(crate) fn failed_call(fault: Fault) -> CallReply {
+    CallReply {
+        code: i32::from(fault.code.number()),
+        status: i32::from(fault.code.http_status()),
+        content_type: "text/plain".into(),
+        body: Vec::new(),
+        detail: fault.detail,
+    }
+}
+
+/// A reply to a sample order that failed.
+pub(crate) fn failed_sample(fault: Fault) -> SampleReply {
+    SampleReply {
+        code: i32::from(fault.code.number()),
+        detail: fault.detail,
+        tokens: Vec::new(),
+        segments: Vec::new(),
+        score: None,
+    }
+}
+
+/// A reply to a pull that failed.
+pub(crate) fn failed_pull(code: ResultCode) -> PullReply {
+    PullReply {
+        code: i32::from(code.number()),
+        body: String::new(),
+    }
+}
--- /dev/null
+++ b/crates/borageshore_daemon/src/platform/engine.rs
@@ -0,0 +1,259 @@
+//! Model engines over HTTP: streams of tokens, load reports and orders.
+
+use std::{collections::VecDeque, future::Future, sync::Arc};
+
+use borageshore_net::{CallError, HttpClient, Timeouts, within_ms};
+use borageshore_routing::LoadReport;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Request, StatusCode,
+    body::Incoming,
+    header::{HOST, HeaderMap},
+};
+use serde::{Deserialize, Serialize};
+
+/// The longest line of a stream.
+const LINE_BYTES: usize = 1024 * 1024;
+const ORDER_TIMEOUTS: Timeouts = Timeouts {
+    connect_ms: 1_000,
+    first_byte_ms: 3_000,
+};
+
+/// A request for tokens.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct EngineRequest {
+    /// Comes back with every chunk.
+    pub request_id: Arc<str>,
+    /// The prompt.
+    pub prompt: Arc<str>,
+    /// How many tokens in all.
+    pub max_tokens: u64,
+    /// Tokens that an earlier attempt already produced.
+    pub resume_tokens: Vec<String>,
+    /// Higher goes first.
+    pub priority: u64,
+    /// The adapter whose weights to use; the base model without one.
+    pub adapter: Option<Arc<str>>,
+}
+
+/// One line of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineChunk {
+    /// The request that the line belongs to.
+    pub request_id: Arc<str>,
+    /// The token's place, from 0.
+    pub index: u64,
+    /// The token; `None` in the last line.
+    pub token: Option<String>,
+    /// The weight version that produced it; `None` when the engine does not know.
+    pub version: Option<u64>,
+}
+
+/// The weights of one adapter in an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdapterReport {
+    /// The adapter.
+    pub adapter: Arc<str>,
+    /// The version that serves; `None` while it is not known.
+    pub version: Option<u64>,
+    /// The version that is being loaded.
+    pub loading: Option<u64>,
+}
+
+/// What an engine says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineReport {
+    /// Requests running and queued.
+    pub requests: u64,
+    /// Requests that run at once.
+    pub slots: u64,
+    /// The weights.
+    pub adapters: Vec<AdapterReport>,
+}
+
+/// An order to be at a version. It may be given any number of times.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineOrder {
+    /// The adapter.
+    pub adapter: Arc<str>,
+    /// The version.
+    pub version: u64,
+    /// The fencing number of whoever gives the order.
+    pub epoch: u64,
+}
+
+/// What an engine said to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderAnswer {
+    /// It is being carried out.
+    Taken,
+    /// The engine has seen a newer fencing number.
+    StaleEpoch,
+}
+
+/// An engine's stream of chunks.
+pub trait ChunkStream {
+    /// The next chunk, `None` at the end of the body.
+    fn next_chunk(
+        &mut self,
+        timeout_ms: u64,
+    ) -> impl Future<Output = Result<Option<EngineChunk>, CallError>>;
+}
+
+/// A model engine at an address.
+pub trait Engine {
+    /// Its streams.
+    type Chunks: ChunkStream;
+
+    /// Starts a generation. `NotSent` is also the answer when the engine refuses.
+    fn generate(
+        &self,
+        address: &str,
+        request: &EngineRequest,
+        timeouts: Timeouts,
+    ) -> impl Future<Output = Result<(Self::Chunks, Option<LoadReport>), CallError>>;
+
+    /// Asks for its report; also returns the bytes received.
+    fn report(
+        &self,
+        address: &str,
+    ) -> impl Future<Output = Result<(EngineReport, usize), CallError>>;
+
+    /// Gives an order.
+    fn order(
+        &self,
+        address: &str,
+        order: &EngineOrder,
+    ) -> impl Future<Output = Result<OrderAnswer, CallError>>;
+}
+
+/// Engines that speak HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpEngine {
+    http: HttpClient,
+}
+
+impl HttpEngine {
+    /// Opens the adapter.
+    pub fn open(http: HttpClient) -> Self {
+        Self { http }
+    }
+}
+
+impl Engine for HttpEngine {
+    type Chunks = HttpChunks;
+
+    async fn generate(
+        &self,
+        address: &str,
+        request: &EngineRequest,
+        timeouts: Timeouts,
+    ) -> Result<(HttpChunks, Option<LoadReport>), CallError> {
+        let body = serde_json::to_vec(request).expect("messages are plain data");
+        let request = Request::post("/generate")
+            .header(HOST, address)
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| CallError::NotSent(error.to_string()))?;
+        let mut sender = self.http.connect(address, timeouts).await?;
+        let response = self.http.send(&mut sender, request, timeouts).await;
+        let response = response.inspect_err(|_| self.http.distrust(address))?;
+        if response.status() != StatusCode::OK {
+            return Err(CallError::NotSent(format!(
+                "refused with status {}",
+                response.status()
+            )));
+        }
+        let report = load_report(response.headers());
+        let chunks = HttpChunks {
+            body: response.into_body(),
+            buffer: Vec::new(),
+            lines: VecDeque::new(),
+        };
+        Ok((chunks, report))
+    }
+
+    async fn report(&self, address: &str) -> Result<(EngineReport, usize), CallError> {
+        let request = Request::get("/load")
+            .body(Full::default())
+            .map_err(|error| CallError::NotSent(error.to_string()))?;
+        let (_, body) = self.http.call(address, request, ORDER_TIMEOUTS).await?;
+        let report = serde_json::from_slice(&body);
+        let report = report.map_err(|error| CallError::NoAnswer(error.to_string()))?;
+        Ok((report, body.len()))
+    }
+
+    async fn order(&self, address: &str, order: &EngineOrder) -> Result<OrderAnswer, CallError> {
+        let body = serde_json::to_vec(order).expect("messages are plain data");
+        let request = Request::post("/order")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| CallError::NotSent(error.to_string()))?;
+        let (status, _) = self.http.call(address, request, ORDER_TIMEOUTS).await?;
+        match status {
+            StatusCode::CONFLICT => Ok(OrderAnswer::StaleEpoch),
+            status if status.is_success() => Ok(OrderAnswer::Taken),
+            status => Err(CallError::NoAnswer(format!("status {status}"))),
+        }
+    }
+}
+
+/// The load that engines add to the head of each answer, which saves asking for it.
+fn load_report(headers: &HeaderMap) -> Option<LoadReport> {
+    let number = |name: &str| headers.get(name)?.to_str().ok()?.parse().ok();
+    Some(LoadReport {
+        requests: number("x-load-requests")?,
+        slots: number("x-load-slots")?,
+    })
+}
+
+/// JSON lines of a body.
+#[derive(Debug)]
+pub struct HttpChunks {
+    body: Incoming,
+    buffer: Vec<u8>,
+    lines: VecDeque<EngineChunk>,
+}
+
+impl HttpChunks {
+    fn take_lines(&mut self, data: &[u8]) -> Result<(), CallError> {
+        self.buffer.extend_from_slice(data);
+        let Some(end) = self.buffer.iter().rposition(|byte| *byte == b'\n') else {
+            if self.buffer.len() > LINE_BYTES {
+                return Err(CallError::NoAnswer(
+                    "a line of the stream is too long".into(),
+                ));
+            }
+            return Ok(());
+        };
+        let whole: Vec<u8> = self.buffer.drain(..=end).collect();
+        for line in whole
+            .split(|byte| *byte == b'\n')
+            .filter(|line| !line.is_empty())
+        {
+            let chunk = serde_json::from_slice(line);
+            self.lines
+                .push_back(chunk.map_err(|error| CallError::NoAnswer(error.to_string()))?);
+        }
+        Ok(())
+    }
+}
+
+impl ChunkStream for HttpChunks {
+    async fn next_chunk(&mut self, timeout_ms: u64) -> Result<Option<EngineChunk>, CallError> {
+        loop {
+            if let Some(chunk) = self.lines.pop_front() {
+                return Ok(Some(chunk));
+            }
+            match within_ms(timeout_ms, self.body.frame()).await {
+                None => return Err(CallError::NoAnswer("the stream went silent".into())),
+                Some(None) => return Ok(None),
+                Some(Some(Err(error))) => return Err(CallError::NoAnswer(error.to_string())),
+                Some(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.take_lines(&data)?;
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/borageshore_daemon/src/platform/log_service.rs
@@ -0,0 +1,98 @@
+//! The platform's log service over HTTP.
+
+use std::{rc::Rc, sync::Arc};
+
+use borageshore_log::{LogError, LogPage, LogService};
+use borageshore_net::{CallError, HttpClient, Timeouts};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use serde::Deserialize;
+
+use crate::metrics::{Direction, Metrics};
+
+/// How long an append may take before its answer counts as lost.
+const APPEND_TIMEOUT_MS: u64 = 3_000;
+/// How much longer than the asked wait a read may take.
+const READ_SLACK_MS: u64 = 2_000;
+const CONNECT_MS: u64 = 1_000;
+
+/// The log behind one address.
+#[derive(Debug, Clone)]
+pub(crate) struct HttpLog {
+    address: Arc<str>,
+    http: HttpClient,
+    metrics: Rc<Metrics>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Appended {
+    offset: u64,
+}
+
+impl HttpLog {
+    /// Opens the adapter.
+    pub(crate) fn open(address: Arc<str>, http: HttpClient, metrics: Rc<Metrics>) -> Self {
+        Self {
+            address,
+            http,
+            metrics,
+        }
+    }
+
+    async fn call(
+        &self,
+        request: Request<Full<Bytes>>,
+        first_byte_ms: u64,
+    ) -> Result<(StatusCode, Bytes), LogError> {
+        let timeouts = Timeouts {
+            connect_ms: CONNECT_MS,
+            first_byte_ms,
+        };
+        let answer = self.http.call(&self.address, request, timeouts).await;
+        answer.map_err(|error| match error {
+            CallError::NotSent(why) => LogError::Refused(why),
+            CallError::NoAnswer(why) => LogError::Unknown(why),
+        })
+    }
+}
+
+impl LogService for HttpLog {
+    async fn append(&self, stream: &str, records: &[String]) -> Result<u64, LogError> {
+        let body = serde_json::to_vec(records).expect("strings encode");
+        self.metrics
+            .on_control_bytes("log", Direction::Sent, body.len());
+        let request = Request::post(format!("/streams/{stream}"))
+            .body(Full::new(body.into()))
+            .map_err(|error| LogError::Refused(error.to_string()))?;
+        let (status, body) = self.call(request, APPEND_TIMEOUT_MS).await?;
+        if status == StatusCode::TOO_MANY_REQUESTS {
+            return Err(LogError::Refused("over the append rate".into()));
+        }
+        if !status.is_success() {
+            return Err(LogError::Unknown(format!("status {status}")));
+        }
+        let appended: Appended =
+            serde_json::from_slice(&body).map_err(|error| LogError::Unknown(error.to_string()))?;
+        Ok(appended.offset)
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from_offset: u64,
+        wait_ms: u64,
+    ) -> Result<LogPage, LogError> {
+        let uri = format!("/streams/{stream}?from={from_offset}&wait_ms={wait_ms}");
+        let request = Request::get(uri)
+            .body(Full::default())
+            .map_err(|error| LogError::Refused(error.to_string()))?;
+        let (status, body) = self.call(request, wait_ms + READ_SLACK_MS).await?;
+        self.metrics
+            .on_control_bytes("log", Direction::Received, body.len());
+        if !status.is_success() {
+            return Err(LogError::Refused(format!("status {status}")));
+        }
+        serde_json::from_slice(&body).map_err(|error| LogError::Unknown(error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/borageshore_daemon/src/platform/plain.rs
@@ -0,0 +1,99 @@
+//! Plain services: a request is forwarded as it is.
+
+use std::sync::Arc;
+
+use borageshore_net::{CallError, HttpClient, Timeouts};
+use borageshore_routing::{Attempt, AttemptEvent};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, header::HOST};
+
+/// The largest answer that is passed on.
+const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// The header by which an endpoint says that it refused before running anything.
+const NOT_RUN_HEADER: &str = "x-not-run";
+
+/// A request to a plain service.
+#[derive(Debug, Clone)]
+pub(crate) struct PlainCall {
+    pub(crate) method: Arc<str>,
+    pub(crate) path: Arc<str>,
+    pub(crate) content_type: Arc<str>,
+    pub(crate) body: Bytes,
+    pub(crate) request_key: Arc<str>,
+}
+
+/// Its answer.
+#[derive(Debug, Clone)]
+pub(crate) struct PlainAnswer {
+    pub(crate) status: u16,
+    pub(crate) content_type: Arc<str>,
+    pub(crate) body: Bytes,
+}
+
+/// Which connection a call may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectionUse {
+    /// An idle one if there is one.
+    Pooled,
+    /// A new one. An idle connection may have been forgotten by something between the two ends; a
+    /// call that must not be repeated would end as unknown there for no need.
+    Fresh,
+}
+
+/// Forwards a call to one endpoint and notes in `attempt` how far it got.
+pub(crate) async fn call_plain(
+    http: &HttpClient,
+    address: &str,
+    call: &PlainCall,
+    connection: ConnectionUse,
+    timeouts: Timeouts,
+    attempt: &mut Attempt,
+) -> Result<PlainAnswer, CallError> {
+    attempt.on(AttemptEvent::Start);
+    let request = Request::builder()
+        .method(&*call.method)
+        .uri(&*call.path)
+        .header(HOST, address)
+        .header("content-type", &*call.content_type)
+        .header("x-request-key", &*call.request_key)
+        .body(Full::new(call.body.clone()))
+        .map_err(|error| CallError::NotSent(error.to_string()))?;
+    let mut sender = match connection {
+        ConnectionUse::Pooled => http.connect(address, timeouts).await?,
+        ConnectionUse::Fresh => http.connect_new(address, timeouts).await?,
+    };
+    attempt.on(AttemptEvent::Connected);
+    let sent = http.send(&mut sender, request, timeouts).await;
+    if !matches!(sent, Err(CallError::NotSent(_))) {
+        attempt.on(AttemptEvent::Sent);
+    }
+    let response = sent.inspect_err(|_| http.distrust(address))?;
+    let status = response.status().as_u16();
+    let is_refusal = response.headers().contains_key(NOT_RUN_HEADER);
+    let content_type = response
+        .headers()
+        .get("content-type")
+        .and_then(|value| value.to_str().ok());
+    let content_type: Arc<str> = content_type.unwrap_or("application/octet-stream").into();
+    let collecting = Limited::new(response.into_body(), ANSWER_BYTES).collect();
+    let collected = borageshore_net::within_ms(timeouts.first_byte_ms, collecting).await;
+    let body = match collected {
+        Some(Ok(body)) => body.to_bytes(),
+        Some(Err(error)) => return Err(CallError::NoAnswer(error.to_string())),
+        None => return Err(CallError::NoAnswer("the body took too long".into())),
+    };
+    http.keep(address, sender);
+    if is_refusal {
+        // The endpoint's own word that nothing ran: a new attempt, refused before hand-over.
+        *attempt = Attempt::open();
+        attempt.on(AttemptEvent::Refused);
+        return Err(CallError::NotSent(format!("refused with status {status}")));
+    }
+    attempt.on(AttemptEvent::Answered);
+    Ok(PlainAnswer {
+        status,
+        content_type,
+        body,
+    })
+}
--- /dev/null
+++ b/crates/borageshore_membership/src/gossip.rs
@@ -0,0 +1,118 @@
+//! What is sent to whom in a tick.
+
+use std::sync::Arc;
+
+use crate::{
+    entry::{MemberEntry, MemberState},
+    members::{Health, Member, Membership},
+};
+
+/// How many peers of the own zone hear from a daemon in a tick.
+const ZONE_FANOUT: usize = 2;
+/// How many peers of other zones hear from it.
+const REMOTE_FANOUT: usize = 1;
+/// How many entries besides the sender's a message carries.
+const ENTRIES_PER_MESSAGE: usize = 15;
+/// How many of those are kept for the sender's own zone.
+const ZONE_ENTRIES_PER_MESSAGE: usize = 8;
+
+impl Membership {
+    /// Picks this tick's messages; `seed` varies the choice of peers.
+    pub fn gossip(&mut self, seed: u64, now_ms: u64) -> Vec<(Arc<str>, Vec<MemberEntry>)> {
+        let targets = self.targets(seed, now_ms);
+        let messages = targets.into_iter().map(|target| (target, self.compose()));
+        messages.collect()
+    }
+
+    /// A message for everybody at once, for the last words of a daemon that stops.
+    pub fn farewell(&self, now_ms: u64) -> Vec<(Arc<str>, Vec<MemberEntry>)> {
+        let zone = &self.own.zone;
+        let peers = self
+            .entries(now_ms)
+            .skip(1)
+            .filter(|(entry, _)| entry.zone == *zone);
+        peers
+            .map(|(entry, _)| (entry.gossip_address.clone(), vec![self.own.clone()]))
+            .collect()
+    }
+
+    fn targets(&self, seed: u64, now_ms: u64) -> Vec<Arc<str>> {
+        let own_zone = &self.own.zone;
+        let reachable = |member: &&Member| self.health_of(member, now_ms) != Health::Dead;
+        let (near, far): (Vec<&Member>, Vec<&Member>) = self
+            .members
+            .values()
+            .filter(reachable)
+            .partition(|member| member.entry.zone == *own_zone);
+        let mut targets = pick(&near, ZONE_FANOUT, seed);
+        targets.extend(pick(&far, REMOTE_FANOUT, seed.rotate_left(32)));
+        // Seeds keep a restarted or cut-off daemon trying to find the others.
+        if let Some(address) = pick_one(&self.seeds, seed)
+            && (targets.is_empty() || seed.is_multiple_of(8))
+            && *address != self.own.gossip_address
+        {
+            targets.push(address.clone());
+        }
+        targets
+    }
+
+    fn compose(&mut self) -> Vec<MemberEntry> {
+        let mut message = vec![self.own.clone()];
+        for (_, member) in self.members.iter_mut() {
+            if member.news_left > 0 && message.len() <= ENTRIES_PER_MESSAGE {
+                member.news_left -= 1;
+                message.push(member.entry.clone());
+            }
+        }
+        let zone = self.own.zone.clone();
+        self.fill(&mut message, ZONE_ENTRIES_PER_MESSAGE, |entry| {
+            entry.zone == zone
+        });
+        self.fill(&mut message, ENTRIES_PER_MESSAGE, |_| true);
+        self.rotation = self.rotation.wrapping_add(ENTRIES_PER_MESSAGE);
+        message
+    }
+
+    /// Adds entries from the rotating start until the message holds `limit` of them.
+    fn fill<Wanted>(&self, message: &mut Vec<MemberEntry>, limit: usize, wanted: Wanted)
+    where
+        Wanted: Fn(&MemberEntry) -> bool,
+    {
+        let count = self.members.len();
+        let start = if count == 0 { 0 } else { self.rotation % count };
+        let rotated = self
+            .members
+            .values()
+            .skip(start)
+            .chain(self.members.values().take(start));
+        for member in rotated {
+            if message.len() > limit {
+                return;
+            }
+            let entry = &member.entry;
+            let repeated = message.iter().any(|listed| listed.name == entry.name);
+            if !repeated && entry.state != MemberState::Dead && wanted(entry) {
+                message.push(entry.clone());
+            }
+        }
+    }
+}
+
+fn pick(members: &[&Member], count: usize, seed: u64) -> Vec<Arc<str>> {
+    if members.is_empty() {
+        return Vec::new();
+    }
+    let start = seed as usize % members.len();
+    let chosen = (0..count.min(members.len())).map(|step| members[(start + step) % members.len()]);
+    chosen
+        .map(|member| member.entry.gossip_address.clone())
+        .collect()
+}
+
+fn pick_one(seeds: &[Arc<str>], seed: u64) -> Option<&Arc<str>> {
+    if seeds.is_empty() {
+        None
+    } else {
+        seeds.get((seed >> 16) as usize % seeds.len())
+    }
+}
--- /dev/null
+++ b/crates/borageshore_membership/src/lib.rs
@@ -0,0 +1,32 @@
+//! Which daemons live, and which of them callers should use.
+//!
+//! Heartbeats travel by gossip over UDP: each tick a daemon sends its own entry and a bounded number
+//! of others to a few peers, mostly in its own availability zone. [`Membership`] is pure: the shell
+//! gives it time, a seed and messages, and sends what it returns.
+//!
+//! ```
+//! use borageshore_membership::{MemberEntry, MemberState, Membership};
+//!
+//! let own = MemberEntry {
+//!     name: "vm-1".into(),
+//!     incarnation: 1,
+//!     counter: 0,
+//!     zone: "suva-hall".into(),
+//!     http_address: "127.0.0.1:1".into(),
+//!     peer_address: "127.0.0.1:2".into(),
+//!     gossip_address: "127.0.0.1:3".into(),
+//!     state: MemberState::Live,
+//! };
+//! let membership = Membership::open(own, Vec::new(), 0);
+//! assert_eq!(membership.address_list("a caller", 4), ["127.0.0.1:1".into()]);
+//! ```
+
+mod addresses;
+mod entry;
+mod gossip;
+mod members;
+
+pub use self::{
+    entry::{MemberEntry, MemberState},
+    members::{Health, Membership, TICK_MS},
+};
--- /dev/null
+++ b/crates/borageshore_net/src/client.rs
@@ -0,0 +1,218 @@
+//! An HTTP client that knows whether a request was handed over.
+
+use std::{cell::RefCell, fmt, net::SocketAddr, rc::Rc, sync::Arc};
+
+use borageshore_base::SortedMap;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    client::conn::http1::{Builder, SendRequest},
+    header::HOST,
+};
+use monoio::{io::IntoPollIo, net::TcpStream};
+use monoio_compat::hyper::MonoioIo;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::event_loop::within_ms;
+
+/// The most idle connections kept to one address.
+const IDLE_PER_ADDRESS: usize = 64;
+/// The largest body that is collected whole.
+const COLLECTED_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Why a call failed, and with it whether the request can have run.
+#[derive(Debug)]
+pub enum CallError {
+    /// Nothing was handed over.
+    NotSent(String),
+    /// The request was handed over and no usable answer came.
+    NoAnswer(String),
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallError::NotSent(why) => write!(f, "not sent: {why}"),
+            CallError::NoAnswer(why) => write!(f, "no answer: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for CallError {}
+
+/// How long to wait for what.
+#[derive(Debug, Clone, Copy)]
+pub struct Timeouts {
+    /// For a new connection.
+    pub connect_ms: u64,
+    /// For the head of the answer.
+    pub first_byte_ms: u64,
+}
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// A client with a pool of idle connections by address.
+///
+/// Guards against connections that went silent for good: after a time-out all idle connections to
+/// that address are dropped ([`HttpClient::distrust`]), so the next request opens a new one.
+#[derive(Debug, Clone, Default)]
+pub struct HttpClient {
+    idle: Rc<RefCell<SortedMap<Arc<str>, Vec<Sender>>>>,
+}
+
+impl HttpClient {
+    /// Opens a client without connections.
+    pub fn open() -> Self {
+        Self::default()
+    }
+
+    /// Drops the idle connections to an address.
+    pub fn distrust(&self, address: &str) {
+        self.idle.borrow_mut().remove(address);
+    }
+
+    /// Returns a connection for one request: an idle one, or a new one.
+    pub async fn connect(&self, address: &str, timeouts: Timeouts) -> Result<Sender, CallError> {
+        while let Some(sender) = self.take_idle(address) {
+            if sender.is_ready() {
+                return Ok(sender);
+            }
+        }
+        self.connect_new(address, timeouts).await
+    }
+
+    /// Opens a new connection, for requests that must not meet a stale one.
+    pub async fn connect_new(
+        &self,
+        address: &str,
+        timeouts: Timeouts,
+    ) -> Result<Sender, CallError> {
+        let target: SocketAddr = address
+            .parse()
+            .map_err(|error| CallError::NotSent(format!("{address}: {error}")))?;
+        let connecting = within_ms(timeouts.connect_ms, TcpStream::connect_addr(target)).await;
+        let stream = match connecting {
+            Some(Ok(stream)) => stream,
+            Some(Err(error)) => return Err(CallError::NotSent(error.to_string())),
+            None => return Err(CallError::NotSent("connecting took too long".into())),
+        };
+        let _ = stream.set_nodelay(true);
+        let stream = stream
+            .into_poll_io()
+            .map_err(|error| CallError::NotSent(error.to_string()))?;
+        let handshake = Builder::new().handshake(MonoioIo::new(stream)).await;
+        let (sender, connection) =
+            handshake.map_err(|error| CallError::NotSent(error.to_string()))?;
+        monoio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+
+    /// Sends a request over a connection and waits for the head of the answer.
+    pub async fn send(
+        &self,
+        sender: &mut Sender,
+        request: Request<Full<Bytes>>,
+        timeouts: Timeouts,
+    ) -> Result<Response<Incoming>, CallError> {
+        match within_ms(timeouts.first_byte_ms, sender.try_send_request(request)).await {
+            Some(Ok(response)) => Ok(response),
+            Some(Err(mut error)) => {
+                // Hyper gives the request back only when no byte of it was written.
+                let unsent = error.take_message().is_some();
+                let why = error.into_error().to_string();
+                Err(if unsent {
+                    CallError::NotSent(why)
+                } else {
+                    CallError::NoAnswer(why)
+                })
+            }
+            None => Err(CallError::NoAnswer("no first byte in time".into())),
+        }
+    }
+
+    /// Keeps a connection whose answer was read to the end.
+    pub fn keep(&self, address: &str, sender: Sender) {
+        let mut idle = self.idle.borrow_mut();
+        let senders = idle.get_or_insert_with(address.into(), Vec::new);
+        senders.retain(|sender| !sender.is_closed());
+        if senders.len() < IDLE_PER_ADDRESS {
+            senders.push(sender);
+        }
+    }
+
+    /// Makes a whole call and collects the body.
+    pub async fn call(
+        &self,
+        address: &str,
+        mut request: Request<Full<Bytes>>,
+        timeouts: Timeouts,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        set_host(&mut request, address);
+        let mut sender = self.connect(address, timeouts).await?;
+        let response = self
+            .send(&mut sender, request, timeouts)
+            .await
+            .inspect_err(|error| {
+                if matches!(error, CallError::NoAnswer(_)) {
+                    self.distrust(address);
+                }
+            })?;
+        let status = response.status();
+        let body = collect(response.into_body(), timeouts.first_byte_ms).await?;
+        self.keep(address, sender);
+        Ok((status, body))
+    }
+
+    /// Sends JSON and reads JSON.
+    pub async fn call_json<Asked, Answer>(
+        &self,
+        address: &str,
+        method: &str,
+        path: &str,
+        body: &Asked,
+        timeouts: Timeouts,
+    ) -> Result<(StatusCode, Answer), CallError>
+    where
+        Asked: Serialize,
+        Answer: DeserializeOwned,
+    {
+        let body = serde_json::to_vec(body).expect("messages are plain data");
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("content-type", "application/json")
+            .body(Full::new(body.into()))
+            .map_err(|error| CallError::NotSent(error.to_string()))?;
+        let (status, body) = self.call(address, request, timeouts).await?;
+        let answer = serde_json::from_slice(&body);
+        answer.map(|answer| (status, answer)).map_err(|error| {
+            CallError::NoAnswer(format!(
+                "{status}: {error}: {}",
+                String::from_utf8_lossy(&body)
+            ))
+        })
+    }
+
+    fn take_idle(&self, address: &str) -> Option<Sender> {
+        self.idle.borrow_mut().get_mut(address)?.pop()
+    }
+}
+
+fn set_host(request: &mut Request<Full<Bytes>>, address: &str) {
+    if let Ok(host) = address.parse() {
+        request.headers_mut().insert(HOST, host);
+    }
+}
+
+async fn collect(body: Incoming, timeout_ms: u64) -> Result<Bytes, CallError> {
+    let collecting = Limited::new(body, COLLECTED_BODY_BYTES).collect();
+    match within_ms(timeout_ms, collecting).await {
+        Some(Ok(collected)) => Ok(collected.to_bytes()),
+        Some(Err(error)) => Err(CallError::NoAnswer(error.to_string())),
+        None => Err(CallError::NoAnswer("the body took too long".into())),
+    }
+}
--- /dev/null
+++ b/crates/borageshore_net/src/event_loop.rs
@@ -0,0 +1,56 @@
+//! The one loop on the one thread of a process.
+
+use std::{
+    future::Future,
+    time::{Duration, Instant},
+};
+
+use monoio::{LegacyDriver, RuntimeBuilder};
+
+/// Runs a future to its end on an epoll loop.
+///
+/// The legacy driver is named outright: `monoio::main` and the fusion driver would pick io_uring,
+/// which the users' machines do not allow; the crate is built without it as well.
+pub fn run_event_loop<Main>(main: Main) -> Main::Output
+where
+    Main: Future,
+{
+    let builder = RuntimeBuilder::<LegacyDriver>::new().enable_timer();
+    let mut runtime = builder.build().expect("an epoll instance can be made");
+    runtime.block_on(main)
+}
+
+/// Sleeps.
+pub async fn sleep_ms(duration_ms: u64) {
+    monoio::time::sleep(Duration::from_millis(duration_ms)).await;
+}
+
+/// Waits for a future for so long at the most.
+pub async fn within_ms<Work>(duration_ms: u64, work: Work) -> Option<Work::Output>
+where
+    Work: Future,
+{
+    monoio::time::timeout(Duration::from_millis(duration_ms), work)
+        .await
+        .ok()
+}
+
+/// A monotonic clock that starts at 0 with the process.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    started: Instant,
+}
+
+impl Clock {
+    /// Starts a clock.
+    pub fn start() -> Self {
+        Self {
+            started: Instant::now(),
+        }
+    }
+
+    /// The time since the start.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+}
--- /dev/null
+++ b/crates/borageshore_net/src/lib.rs
@@ -0,0 +1,21 @@
+//! Sockets: one event loop, HTTP by `hyper` over `monoio-compat`, frames between peers.
+//!
+//! ```
+//! let sum = borageshore_net::run_event_loop(async { 1 + 1 });
+//! assert_eq!(sum, 2);
+//! ```
+
+mod client;
+mod event_loop;
+mod frame;
+mod server;
+
+pub use self::{
+    client::{CallError, HttpClient, Timeouts},
+    event_loop::{Clock, run_event_loop, sleep_ms, within_ms},
+    frame::{FrameError, read_frame, write_frame},
+    server::{
+        BodyError, BodyFault, EdgeBody, EdgeRequest, EdgeResponse, Handler, HttpServer,
+        ServerLimits, empty_body, full_body, json_response, read_body, stream_body,
+    },
+};
--- /dev/null
+++ b/crates/borageshore_net/src/server.rs
@@ -0,0 +1,249 @@
+//! An HTTP server with bounds on what a stranger can send.
+
+use std::{
+    cell::Cell, convert::Infallible, future::Future, io, net::SocketAddr, pin::pin, rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures_util::future::{Either as Race, select};
+use http_body_util::{
+    BodyExt, Either, Full, Limited,
+    channel::{Channel, Sender},
+};
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, server::conn::http1::Builder,
+    service::service_fn,
+};
+use monoio::{
+    io::IntoPollIo,
+    net::{TcpListener, TcpStream},
+};
+use monoio_compat::hyper::{MonoioIo, MonoioTimer};
+use serde::Serialize;
+use tokio::sync::Notify;
+
+use crate::event_loop::within_ms;
+
+/// Chunks that wait for a slow reader before the writer waits as well.
+const STREAM_BUFFER_CHUNKS: usize = 16;
+
+/// Why a streamed body was cut.
+pub type BodyError = io::Error;
+/// A body as the edge sends it: whole, or a stream with back-pressure.
+pub type EdgeBody = Either<Full<Bytes>, Channel<Bytes, BodyError>>;
+/// A request as the edge receives it.
+pub type EdgeRequest = Request<Incoming>;
+/// A response as the edge sends it.
+pub type EdgeResponse = Response<EdgeBody>;
+
+/// Bounds on connections and requests.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerLimits {
+    /// Open connections.
+    pub connections: usize,
+    /// Bytes of a request's head.
+    pub head_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// Time for a whole head, and between two requests of a connection.
+    pub head_timeout_ms: u64,
+    /// Time for a whole body.
+    pub body_timeout_ms: u64,
+}
+
+impl Default for ServerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 4_096,
+            head_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            head_timeout_ms: 10_000,
+            body_timeout_ms: 10_000,
+        }
+    }
+}
+
+/// Answers requests.
+pub trait Handler {
+    /// Answers one request from `remote`.
+    fn handle(
+        &self,
+        request: EdgeRequest,
+        remote: SocketAddr,
+    ) -> impl Future<Output = EdgeResponse>;
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    open: Cell<usize>,
+    refused: Cell<u64>,
+    is_stopping: Cell<bool>,
+    stopping: Notify,
+}
+
+/// A running server.
+#[derive(Debug, Clone)]
+pub struct HttpServer {
+    address: SocketAddr,
+    shared: Rc<Shared>,
+}
+
+impl HttpServer {
+    /// Binds an address and serves it on the present event loop.
+    pub fn bind<Service>(address: &str, limits: ServerLimits, handler: Service) -> io::Result<Self>
+    where
+        Service: Handler + 'static,
+    {
+        let listener = TcpListener::bind(address)?;
+        let server = Self {
+            address: listener.local_addr()?,
+            shared: Rc::default(),
+        };
+        monoio::spawn(accept_loop(
+            listener,
+            limits,
+            Rc::new(handler),
+            server.shared.clone(),
+        ));
+        Ok(server)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.shared.open.get()
+    }
+
+    /// Connections refused over the limit.
+    pub fn refused_connections(&self) -> u64 {
+        self.shared.refused.get()
+    }
+
+    /// Lets every connection end after the request that it is serving now.
+    pub fn stop_gracefully(&self) {
+        self.shared.is_stopping.set(true);
+        self.shared.stopping.notify_waiters();
+    }
+}
+
+async fn accept_loop<Service>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    handler: Rc<Service>,
+    shared: Rc<Shared>,
+) where
+    Service: Handler + 'static,
+{
+    loop {
+        let Ok((stream, remote)) = listener.accept().await else {
+            // Out of file descriptors: wait for some to come back rather than spin.
+            crate::event_loop::sleep_ms(50).await;
+            continue;
+        };
+        if shared.open.get() >= limits.connections {
+            shared.refused.set(shared.refused.get() + 1);
+            continue;
+        }
+        shared.open.set(shared.open.get() + 1);
+        let (handler, shared) = (handler.clone(), shared.clone());
+        monoio::spawn(async move {
+            if let Err(error) = serve_connection(stream, remote, limits, handler, &shared).await {
+                log::debug!("connection from {remote} ended: {error}");
+            }
+            shared.open.set(shared.open.get() - 1);
+        });
+    }
+}
+
+async fn serve_connection<Service>(
+    stream: TcpStream,
+    remote: SocketAddr,
+    limits: ServerLimits,
+    handler: Rc<Service>,
+    shared: &Shared,
+) -> Result<(), Box<dyn std::error::Error>>
+where
+    Service: Handler + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let io = MonoioIo::new(stream.into_poll_io()?);
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(request, remote).await) }
+    });
+    let mut builder = Builder::new();
+    builder.timer(MonoioTimer);
+    builder.max_buf_size(limits.head_bytes.max(8 * 1024));
+    builder.header_read_timeout(Duration::from_millis(limits.head_timeout_ms));
+    let mut connection = pin!(builder.serve_connection(io, service));
+    let stopping = pin!(shared.stopping.notified());
+    if shared.is_stopping.get() {
+        connection.as_mut().graceful_shutdown();
+    } else if let Race::Left((ended, _)) = select(connection.as_mut(), stopping).await {
+        return ended.map_err(Into::into);
+    } else {
+        connection.as_mut().graceful_shutdown();
+    }
+    connection.await.map_err(Into::into)
+}
+
+/// A body known in full.
+pub fn full_body<Content>(content: Content) -> EdgeBody
+where
+    Content: Into<Bytes>,
+{
+    Either::Left(Full::new(content.into()))
+}
+
+/// No body.
+pub fn empty_body() -> EdgeBody {
+    full_body(Bytes::new())
+}
+
+/// A streamed body and the end to write it with.
+pub fn stream_body() -> (Sender<Bytes, BodyError>, EdgeBody) {
+    let (sender, channel) = Channel::new(STREAM_BUFFER_CHUNKS);
+    (sender, Either::Right(channel))
+}
+
+/// A JSON answer.
+pub fn json_response<Content>(status: u16, content: &Content) -> EdgeResponse
+where
+    Content: Serialize,
+{
+    let body = serde_json::to_vec(content).expect("answers are plain data");
+    Response::builder()
+        .status(StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
+        .header("content-type", "application/json")
+        .body(full_body(body))
+        .expect("the head is valid")
+}
+
+/// Reads a request's body within the limits; the error says what was wrong.
+pub async fn read_body(body: Incoming, limits: ServerLimits) -> Result<Bytes, BodyFault> {
+    let collecting = Limited::new(body, limits.body_bytes).collect();
+    match within_ms(limits.body_timeout_ms, collecting).await {
+        Some(Ok(collected)) => Ok(collected.to_bytes()),
+        Some(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(BodyFault::TooLarge)
+        }
+        Some(Err(error)) => Err(BodyFault::Malformed(error.to_string())),
+        None => Err(BodyFault::TooSlow),
+    }
+}
+
+/// What was wrong with a request's body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BodyFault {
+    /// Larger than the limit.
+    TooLarge,
+    /// Not whole in time.
+    TooSlow,
+    /// Broken chunks or a broken connection.
+    Malformed(String),
+}
--- /dev/null
+++ b/crates/borageshore_rollout/src/controller.rs
@@ -0,0 +1,406 @@
+//! The owner's side of a job: what to generate, and what to hand over.
+
+use std::sync::Arc;
+
+use borageshore_base::{ResultCode, SortedMap};
+use hdrhistogram::Histogram;
+
+use crate::{
+    ledger::{Ledger, LedgerRecord},
+    sample::{Delivery, Freshness, Sample},
+};
+
+/// A sample takes at least this long before it counts as a straggler.
+const STRAGGLER_FLOOR_MS: u64 = 1_000;
+/// Past this multiple of the job's 95th percentile a sample is placed a second time.
+const STRAGGLER_FACTOR: u64 = 2;
+/// Durations needed before the percentile means anything.
+const STRAGGLER_HISTORY: u64 = 20;
+/// The most attempts that run for one sample at once.
+const ATTEMPTS_AT_ONCE: u32 = 2;
+/// The pause after a failed attempt.
+const RETRY_AFTER_MS: u64 = 200;
+
+/// What the settings ask of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct JobPlan {
+    /// Groups in a step.
+    pub groups_per_step: u64,
+    /// Samples in a group.
+    pub samples_per_group: u64,
+    /// Steps that may be generated ahead of the trainer.
+    pub steps_ahead: u64,
+    /// The staleness bound.
+    pub freshness: Freshness,
+}
+
+/// A sample to generate.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SampleOrder {
+    /// Its name.
+    pub id: Arc<str>,
+    /// Its group.
+    pub group: u64,
+    /// 0 for the first attempt.
+    pub attempt: u32,
+}
+
+/// The answer to a pull.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PullDecision {
+    /// Hand this over.
+    Deliver(Delivery),
+    /// Append this to the ledger and ask again once it is folded.
+    Append(LedgerRecord),
+    /// Nothing is ready.
+    Wait,
+    /// Refuse.
+    Refuse(ResultCode),
+}
+
+/// Counts since the controller was opened.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct JobCounts {
+    /// Samples generated.
+    pub generated: u64,
+    /// Samples that came a second time.
+    pub repeated: u64,
+    /// Samples dropped as too old.
+    pub stale: u64,
+    /// Samples placed a second time because the first attempt took long.
+    pub replaced: u64,
+    /// Attempts that failed.
+    pub failed: u64,
+}
+
+#[derive(Debug)]
+struct Slot {
+    id: Arc<str>,
+    running: u32,
+    attempts: u32,
+    started_at_ms: u64,
+    retry_at_ms: u64,
+    done: Option<FinishedSample>,
+}
+
+#[derive(Debug, Clone)]
+struct FinishedSample {
+    sample: Sample,
+    started_at_ms: u64,
+}
+
+#[derive(Debug)]
+struct Group {
+    slots: Vec<Slot>,
+}
+
+impl Group {
+    fn is_complete(&self) -> bool {
+        self.slots.iter().all(|slot| slot.done.is_some())
+    }
+}
+
+/// One job under one epoch of ownership.
+#[derive(Debug)]
+pub struct JobController {
+    job: Arc<str>,
+    epoch: u64,
+    next_group: u64,
+    groups: SortedMap<u64, Group>,
+    /// Contents of numbered samples that the trainer has not confirmed.
+    held: SortedMap<u64, FinishedSample>,
+    /// Contents of samples whose numbers are on their way through the log.
+    assigning: SortedMap<Arc<str>, FinishedSample>,
+    durations_ms: Histogram<u64>,
+    counts: JobCounts,
+}
+
+impl JobController {
+    /// Opens a controller for an accepted claim.
+    pub fn open(job: Arc<str>, epoch: u64) -> Self {
+        Self {
+            job,
+            epoch,
+            next_group: 0,
+            groups: SortedMap::default(),
+            held: SortedMap::default(),
+            assigning: SortedMap::default(),
+            durations_ms: Histogram::new(2).expect("two significant digits are supported"),
+            counts: JobCounts::default(),
+        }
+    }
+
+    /// The epoch that the controller acts under.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Counts for metrics.
+    pub fn counts(&self) -> JobCounts {
+        self.counts
+    }
+
+    /// Finished samples that wait for a pull or its confirmation.
+    pub fn buffered(&self) -> usize {
+        let finished = |group: &Group| {
+            group
+                .slots
+                .iter()
+                .filter(|slot| slot.done.is_some())
+                .count()
+        };
+        self.groups.values().map(finished).sum::<usize>() + self.held.len() + self.assigning.len()
+    }
+
+    /// Says what to generate now.
+    pub fn tick(&mut self, plan: &JobPlan, now_ms: u64) -> Vec<SampleOrder> {
+        self.open_groups(plan, now_ms);
+        let straggler_ms = self.straggler_ms();
+        let mut orders = Vec::new();
+        for (group, state) in self.groups.iter_mut() {
+            for slot in state.slots.iter_mut().filter(|slot| slot.done.is_none()) {
+                let is_due = slot.running == 0 && now_ms >= slot.retry_at_ms;
+                let is_straggler = slot.running > 0
+                    && slot.running < ATTEMPTS_AT_ONCE
+                    && now_ms >= slot.started_at_ms + straggler_ms;
+                if !is_due && !is_straggler {
+                    continue;
+                }
+                self.counts.replaced += u64::from(is_straggler);
+                orders.push(SampleOrder {
+                    id: slot.id.clone(),
+                    group: *group,
+                    attempt: slot.attempts,
+                });
+                slot.running += 1;
+                slot.attempts += 1;
+                slot.started_at_ms = now_ms;
+            }
+        }
+        orders
+    }
+
+    /// Keeps the number of groups that are generated, buffered or unconfirmed within the plan, so
+    /// that a trainer that stops pulling stops generation instead of filling memory.
+    fn open_groups(&mut self, plan: &JobPlan, now_ms: u64) {
+        let unconfirmed = (self.held.len() + self.assigning.len()) as u64 / plan.samples_per_group;
+        let ahead = (plan.groups_per_step * plan.steps_ahead).saturating_sub(unconfirmed);
+        while (self.groups.len() as u64) < ahead {
+            let group = self.next_group;
+            self.next_group += 1;
+            let slots =
+                (0..plan.samples_per_group).map(|index| self.open_slot(group, index, now_ms));
+            let slots = slots.collect();
+            self.groups.insert(group, Group { slots });
+        }
+    }
+
+    fn open_slot(&self, group: u64, index: u64, now_ms: u64) -> Slot {
+        let id = format!("{}.{}.{group}.{index}", self.job, self.epoch).into();
+        Slot {
+            id,
+            running: 0,
+            attempts: 0,
+            started_at_ms: now_ms,
+            retry_at_ms: 0,
+            done: None,
+        }
+    }
+
+    fn straggler_ms(&self) -> u64 {
+        if self.durations_ms.len() < STRAGGLER_HISTORY {
+            return u64::MAX / 2;
+        }
+        let percentile = self.durations_ms.value_at_quantile(0.95);
+        (percentile * STRAGGLER_FACTOR).max(STRAGGLER_FLOOR_MS)
+    }
+
+    fn slot_mut(&mut self, group: u64, id: &str) -> Option<&mut Slot> {
+        self.groups
+            .get_mut(&group)?
+            .slots
+            .iter_mut()
+            .find(|slot| &*slot.id == id)
+    }
+
+    /// Takes in a finished sample; the first attempt to finish wins.
+    pub fn on_sample(&mut self, sample: Sample, started_at_ms: u64, now_ms: u64) {
+        let Some(slot) = self.slot_mut(sample.group, &sample.id) else {
+            self.counts.repeated += 1;
+            return;
+        };
+        slot.running = slot.running.saturating_sub(1);
+        if slot.done.is_some() {
+            self.counts.repeated += 1;
+            return;
+        }
+        slot.done = Some(FinishedSample {
+            sample,
+            started_at_ms,
+        });
+        self.counts.generated += 1;
+        self.durations_ms
+            .saturating_record(now_ms.saturating_sub(started_at_ms).max(1));
+    }
+
+    /// Notes a failed attempt.
+    pub fn on_failure(&mut self, group: u64, id: &str, now_ms: u64) {
+        self.counts.failed += 1;
+        if let Some(slot) = self.slot_mut(group, id) {
+            slot.running = slot.running.saturating_sub(1);
+            slot.retry_at_ms = now_ms + RETRY_AFTER_MS;
+        }
+    }
+
+    /// Takes over the contents of samples that the ledger has numbered.
+    pub fn on_ledger(&mut self, ledger: &Ledger) {
+        if self.assigning.is_empty() {
+            return;
+        }
+        let numbered: Vec<(u64, Arc<str>)> = ledger
+            .assigned_above(0)
+            .map(|(number, id)| (number, id.clone()))
+            .collect();
+        for (number, id) in numbered {
+            if let Some(finished) = self.assigning.remove(&id) {
+                self.held.insert(number, finished);
+            }
+        }
+    }
+
+    /// Answers a trainer that has everything up to `cursor` and has seen owners up to `seen_epoch`.
+    pub fn on_pull(
+        &mut self,
+        ledger: &Ledger,
+        plan: &JobPlan,
+        pull: PullView,
+        now_ms: u64,
+    ) -> PullDecision {
+        if pull.seen_epoch > self.epoch {
+            return PullDecision::Refuse(ResultCode::StaleEpoch);
+        }
+        if ledger.epoch() != self.epoch {
+            return PullDecision::Wait;
+        }
+        if pull.cursor > ledger.last_number() {
+            return PullDecision::Refuse(ResultCode::CursorAhead);
+        }
+        self.held.retain(|number, _| *number > pull.cursor);
+        if ledger.last_number() > pull.cursor {
+            return PullDecision::Deliver(self.deliver(ledger, plan, pull, now_ms));
+        }
+        if !self.assigning.is_empty() {
+            return PullDecision::Wait;
+        }
+        self.assign(ledger, plan, pull, now_ms)
+    }
+
+    /// Hands over the numbered samples above the cursor. Those that are lost with their holder or
+    /// have grown stale are left out; their numbers are never used again.
+    fn deliver(
+        &mut self,
+        ledger: &Ledger,
+        plan: &JobPlan,
+        pull: PullView,
+        now_ms: u64,
+    ) -> Delivery {
+        let mut through = pull.cursor;
+        let mut samples = Vec::new();
+        for (number, _) in ledger
+            .assigned_above(pull.cursor)
+            .take(pull.max_samples as usize)
+        {
+            through = number;
+            let Some(finished) = self.held.get(&number) else {
+                continue;
+            };
+            let age_ms = now_ms.saturating_sub(finished.started_at_ms);
+            if plan
+                .freshness
+                .permits(&finished.sample.segments, age_ms, pull.target_version)
+            {
+                samples.push((
+                    number,
+                    Sample {
+                        age_ms,
+                        ..finished.sample.clone()
+                    },
+                ));
+            }
+        }
+        Delivery {
+            epoch: self.epoch,
+            through,
+            target_version: pull.target_version,
+            samples,
+        }
+    }
+
+    fn assign(
+        &mut self,
+        ledger: &Ledger,
+        plan: &JobPlan,
+        pull: PullView,
+        now_ms: u64,
+    ) -> PullDecision {
+        self.drop_stale(plan, pull.target_version, now_ms);
+        let complete: Vec<u64> = self
+            .groups
+            .iter()
+            .filter(|(_, group)| group.is_complete())
+            .map(|(number, _)| *number)
+            .take((pull.max_samples / plan.samples_per_group).max(1) as usize)
+            .collect();
+        if complete.is_empty() {
+            return PullDecision::Wait;
+        }
+        let mut sample_ids = Vec::new();
+        for group in complete {
+            let group = self.groups.remove(&group).expect("listed just now");
+            for slot in group.slots {
+                sample_ids.push(slot.id.clone());
+                self.assigning
+                    .insert(slot.id, slot.done.expect("the group is complete"));
+            }
+        }
+        PullDecision::Append(LedgerRecord::Assign {
+            epoch: self.epoch,
+            confirmed: pull.cursor,
+            first_number: ledger.last_number() + 1,
+            sample_ids,
+        })
+    }
+
+    /// Generates anew what has grown stale before it was numbered.
+    fn drop_stale(&mut self, plan: &JobPlan, target_version: u64, now_ms: u64) {
+        let mut dropped = 0;
+        for (_, group) in self.groups.iter_mut() {
+            for slot in &mut group.slots {
+                let is_stale = slot.done.as_ref().is_some_and(|done| {
+                    let age_ms = now_ms.saturating_sub(done.started_at_ms);
+                    !plan
+                        .freshness
+                        .permits(&done.sample.segments, age_ms, target_version)
+                });
+                if is_stale {
+                    slot.done = None;
+                    dropped += 1;
+                }
+            }
+        }
+        self.counts.stale += dropped;
+    }
+}
+
+/// What a trainer's pull says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PullView {
+    /// The trainer has every number up to this one.
+    pub cursor: u64,
+    /// The highest epoch that it was served under.
+    pub seen_epoch: u64,
+    /// The most samples that it wants.
+    pub max_samples: u64,
+    /// The newest version in force.
+    pub target_version: u64,
+}
--- /dev/null
+++ b/crates/borageshore_routing/src/choice.rs
@@ -0,0 +1,88 @@
+//! The choice of an endpoint for one request.
+
+use std::sync::Arc;
+
+use borageshore_base::rendezvous_weight;
+use rand_core::Rng;
+
+use crate::endpoint::{Endpoint, EndpointTable};
+
+/// What a cached prefix is worth, in percent of an endpoint's slots. Bounded, so that a popular
+/// prefix cannot heap all its requests on one endpoint.
+const AFFINITY_BONUS_PERCENT: u64 = 50;
+/// What another availability zone costs, in percent of an endpoint's slots.
+const OTHER_ZONE_PERCENT: u64 = 25;
+/// How many endpoints are likely to hold a prefix.
+const AFFINITY_HOLDERS: usize = 1;
+
+/// What the choice depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct ChoiceRequest<'r> {
+    /// The service.
+    pub service: &'r str,
+    /// The caller's prompt prefix, if the request has one.
+    pub prefix: Option<&'r str>,
+    /// The availability zone of this daemon.
+    pub zone: &'r str,
+    /// Endpoints that were tried already.
+    pub tried: &'r [Arc<str>],
+}
+
+/// Chooses the better of two random endpoints, with a bounded bonus for a cached prefix.
+///
+/// Two choices suffice to keep queues short even though reports lag; taking the least loaded by a
+/// lagging report would send every daemon to the same endpoint at once.
+pub fn choose_endpoint<Random>(
+    table: &EndpointTable,
+    request: ChoiceRequest<'_>,
+    now_ms: u64,
+    random: &mut Random,
+) -> Option<Arc<str>>
+where
+    Random: Rng,
+{
+    let fresh = |endpoint: &&Endpoint| !request.tried.contains(&endpoint.listing.name);
+    let usable: Vec<&Endpoint> = table
+        .usable(request.service, now_ms)
+        .filter(fresh)
+        .collect();
+    if usable.is_empty() {
+        return None;
+    }
+    let holders = prefix_holders(&usable, request.prefix);
+    let count = usable.len() as u64;
+    let first = usable[(random.next_u64() % count) as usize];
+    let second = usable[(random.next_u64() % count) as usize];
+    let candidates = [first, second].into_iter().chain(holders.iter().copied());
+    let cost = |endpoint: &&Endpoint| cost_of(endpoint, request.zone, &holders, now_ms);
+    candidates
+        .min_by_key(cost)
+        .map(|endpoint| endpoint.listing.name.clone())
+}
+
+fn prefix_holders<'e>(usable: &[&'e Endpoint], prefix: Option<&str>) -> Vec<&'e Endpoint> {
+    let Some(prefix) = prefix else {
+        return Vec::new();
+    };
+    let mut ranked: Vec<&Endpoint> = usable.to_vec();
+    ranked.sort_by_key(|endpoint| {
+        std::cmp::Reverse(rendezvous_weight(prefix, &endpoint.listing.name))
+    });
+    ranked.truncate(AFFINITY_HOLDERS);
+    ranked
+}
+
+/// Load in thousandths of the slots, less the bonus, plus the price of distance.
+fn cost_of(endpoint: &Endpoint, zone: &str, holders: &[&Endpoint], now_ms: u64) -> u64 {
+    let mut cost = 10 * AFFINITY_BONUS_PERCENT + endpoint.load(now_ms) * 1_000 / endpoint.slots();
+    if holders
+        .iter()
+        .any(|holder| holder.listing.name == endpoint.listing.name)
+    {
+        cost -= 10 * AFFINITY_BONUS_PERCENT;
+    }
+    if &*endpoint.listing.zone != zone {
+        cost += 10 * OTHER_ZONE_PERCENT;
+    }
+    cost
+}
--- /dev/null
+++ b/crates/borageshore_routing/src/keys.rs
@@ -0,0 +1,204 @@
+//! At most once without a record per request.
+//!
+//! A request key starts with a prefix that names one daemon incarnation and the time slot in which
+//! the prefix was given out. Only that incarnation runs the key, and it remembers the key in memory;
+//! when it is gone, the truthful answer is that nobody knows whether the key ran.
+
+use std::{fmt, sync::Arc};
+
+use borageshore_base::{ResultCode, SortedMap};
+
+/// The length of a prefix's time slot.
+const SLOT_MS: u64 = 10_000;
+
+/// The beginning of a request key: `<daemon>.<incarnation>.<slot>`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyPrefix {
+    /// The daemon that gave it out.
+    pub daemon: Arc<str>,
+    /// The incarnation of that daemon.
+    pub incarnation: u64,
+    /// The time slot, by the incarnation's own clock.
+    pub slot: u64,
+}
+
+impl KeyPrefix {
+    /// Reads the prefix of a key of the form `<daemon>.<incarnation>.<slot>.<caller's part>`.
+    pub fn parse(key: &str) -> Option<Self> {
+        let mut parts = key.rsplitn(4, '.');
+        let own_part = parts.next()?;
+        let slot = parts.next()?.parse().ok()?;
+        let incarnation = parts.next()?.parse().ok()?;
+        let daemon = parts.next()?;
+        let complete = !own_part.is_empty() && !daemon.is_empty();
+        complete.then(|| Self {
+            daemon: daemon.into(),
+            incarnation,
+            slot,
+        })
+    }
+}
+
+impl fmt::Display for KeyPrefix {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.daemon, self.incarnation, self.slot)
+    }
+}
+
+/// The answer kept for a key that ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredAnswer {
+    /// The result code.
+    pub code: ResultCode,
+    /// The endpoint's HTTP status, or that of the code.
+    pub status: u16,
+    /// The type of the body.
+    pub content_type: Arc<str>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// The particulars of a failure.
+    pub detail: String,
+}
+
+/// What to do with a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeyDecision {
+    /// Run it: it is new, and now remembered.
+    Run,
+    /// It is running; wait for its answer.
+    Wait,
+    /// It ran; give the same answer again.
+    Replay(StoredAnswer),
+    /// It must not run here, for the reason that the code names.
+    Refuse(ResultCode),
+}
+
+#[derive(Debug)]
+struct KeyEntry {
+    slot: u64,
+    answer: Option<StoredAnswer>,
+}
+
+/// The keys of one daemon incarnation.
+///
+/// Guards against a repeated non-idempotent request. A repeat within the window finds its key; one
+/// after the window carries a slot too old to be remembered and is answered as unknown; a full table
+/// refuses new keys rather than forget old ones.
+#[derive(Debug)]
+pub struct KeyTable {
+    daemon: Arc<str>,
+    incarnation: u64,
+    window_ms: u64,
+    most_bytes: usize,
+    bytes: usize,
+    /// Slots below this were forgotten and can never be run again, whatever the window becomes.
+    forgotten_below: u64,
+    entries: SortedMap<Arc<str>, KeyEntry>,
+}
+
+impl KeyTable {
+    /// Opens an empty table for an incarnation.
+    pub fn open(daemon: Arc<str>, incarnation: u64, window_ms: u64, most_bytes: usize) -> Self {
+        Self {
+            daemon,
+            incarnation,
+            window_ms,
+            most_bytes,
+            bytes: 0,
+            forgotten_below: 0,
+            entries: SortedMap::default(),
+        }
+    }
+
+    /// Follows a change of settings.
+    pub fn set_window_ms(&mut self, window_ms: u64) {
+        self.window_ms = window_ms;
+    }
+
+    /// The prefix to give out at `now_ms`, by the incarnation's clock.
+    pub fn prefix(&self, now_ms: u64) -> KeyPrefix {
+        KeyPrefix {
+            daemon: self.daemon.clone(),
+            incarnation: self.incarnation,
+            slot: now_ms / SLOT_MS,
+        }
+    }
+
+    /// Says whether a prefix is this incarnation's.
+    pub fn owns(&self, prefix: &KeyPrefix) -> bool {
+        prefix.daemon == self.daemon && prefix.incarnation == self.incarnation
+    }
+
+    /// Decides about a key that this incarnation owns.
+    pub fn decide(&mut self, key: &str, prefix: &KeyPrefix, now_ms: u64) -> KeyDecision {
+        match self.entries.get(key) {
+            Some(KeyEntry {
+                answer: Some(answer),
+                ..
+            }) => {
+                return KeyDecision::Replay(answer.clone());
+            }
+            Some(KeyEntry { answer: None, .. }) => return KeyDecision::Wait,
+            None => {}
+        }
+        self.forget(now_ms);
+        let is_future = prefix.slot > now_ms / SLOT_MS;
+        if prefix.slot < self.forgotten_below || is_future {
+            return KeyDecision::Refuse(ResultCode::KeyExpired);
+        }
+        if self.bytes + key.len() > self.most_bytes {
+            return KeyDecision::Refuse(ResultCode::KeyMemoryFull);
+        }
+        self.bytes += key.len();
+        self.entries.insert(
+            key.into(),
+            KeyEntry {
+                slot: prefix.slot,
+                answer: None,
+            },
+        );
+        KeyDecision::Run
+    }
+
+    /// Keeps the answer of a key that ran or may have run.
+    pub fn on_answer(&mut self, key: &str, answer: StoredAnswer) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            self.bytes += answer.body.len();
+            entry.answer = Some(answer);
+        }
+    }
+
+    /// Forgets a key that certainly did not run, so that the caller may try it again.
+    pub fn on_not_run(&mut self, key: &str) {
+        if self.entries.remove(key).is_some() {
+            self.bytes = self.bytes.saturating_sub(key.len());
+        }
+    }
+
+    /// The number of keys remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Says whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn forget(&mut self, now_ms: u64) {
+        let oldest_slot = now_ms.saturating_sub(self.window_ms) / SLOT_MS;
+        if oldest_slot <= self.forgotten_below {
+            return;
+        }
+        self.forgotten_below = oldest_slot;
+        let mut freed = 0;
+        self.entries.retain(|key, entry| {
+            let keep = entry.slot >= oldest_slot || entry.answer.is_none();
+            if !keep {
+                freed += key.len() + entry.answer.as_ref().map_or(0, |answer| answer.body.len());
+            }
+            keep
+        });
+        self.bytes = self.bytes.saturating_sub(freed);
+    }
+}
--- /dev/null
+++ b/crates/borageshore_routing/src/lib.rs
@@ -0,0 +1,26 @@
+//! Routing of requests: choice of endpoint, admission, retries, request keys and outcomes.
+//!
+//! Everything here is pure: time and random numbers come in as arguments.
+//!
+//! ```
+//! use borageshore_routing::RetryBudget;
+//!
+//! let mut budget = RetryBudget::open(20);
+//! assert!(budget.try_retry(), "a budget starts with a small reserve");
+//! ```
+
+mod admission;
+mod attempt;
+mod budget;
+mod choice;
+mod endpoint;
+mod keys;
+
+pub use self::{
+    admission::{Admission, AdmissionLimits, Admitted, Ticket, TicketId, Workload},
+    attempt::{Attempt, AttemptEvent, AttemptState, Idempotent, Outcome, attempt_chart},
+    budget::RetryBudget,
+    choice::{ChoiceRequest, choose_endpoint},
+    endpoint::{Endpoint, EndpointListing, EndpointState, EndpointTable, LoadReport},
+    keys::{KeyDecision, KeyPrefix, KeyTable, StoredAnswer},
+};
--- /dev/null
+++ b/crates/borageshore_settings/src/file.rs
@@ -0,0 +1,144 @@
+//! Settings files in YAML.
+//!
+//! A file holds `nodes`, a map from node name to its own keys:
+//!
+//! ```yaml
+//! nodes:
+//!   navua: { parent: root, lease_ttl_ms: 4000 }
+//! ```
+
+use std::{collections::BTreeMap, fmt, sync::Arc};
+
+use borageshore_base::{Fault, ResultCode};
+use serde::Deserialize;
+use serde_saphyr::Spanned;
+
+use crate::{
+    change::{Edit, SettingsChange},
+    fold::SettingsFold,
+    tree::SettingsTree,
+    validate::check_value,
+    value::SettingValue,
+};
+
+/// One key of a file with its place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FileSetting {
+    /// The node.
+    pub node: Arc<str>,
+    /// The key.
+    pub key: Arc<str>,
+    /// The value.
+    pub value: SettingValue,
+    /// The line of the value, from 1.
+    pub line: u64,
+}
+
+/// A fault with its place in a file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FileFault {
+    /// The file as the user named it.
+    pub file: String,
+    /// The line, from 1, where it is known.
+    pub line: Option<u64>,
+    /// What is wrong.
+    pub fault: Fault,
+}
+
+impl fmt::Display for FileFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            Some(line) => write!(f, "{}:{line}: {}", self.file, self.fault),
+            None => write!(f, "{}: {}", self.file, self.fault),
+        }
+    }
+}
+
+impl std::error::Error for FileFault {}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SettingsFile {
+    nodes: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Spanned<SettingValue>>>,
+}
+
+/// Reads a settings file and checks it as a tree of its own; returns every fault found.
+pub fn parse_settings_file(file: &str, text: &str) -> Result<Vec<FileSetting>, Vec<FileFault>> {
+    let parsed: SettingsFile = serde_saphyr::from_str(text).map_err(|error| {
+        let fault = Fault::new(ResultCode::MalformedFile, error.to_string());
+        vec![FileFault {
+            file: file.into(),
+            line: None,
+            fault,
+        }]
+    })?;
+    let settings = flatten(parsed);
+    let mut faults: Vec<FileFault> = Vec::new();
+    for setting in &settings {
+        if let Err(fault) = check_value(&setting.node, &setting.key, &setting.value) {
+            faults.push(FileFault {
+                file: file.into(),
+                line: Some(setting.line),
+                fault,
+            });
+        }
+    }
+    if faults.is_empty() {
+        faults.extend(check_as_tree(file, &settings));
+    }
+    if faults.is_empty() {
+        Ok(settings)
+    } else {
+        Err(faults)
+    }
+}
+
+fn flatten(parsed: SettingsFile) -> Vec<FileSetting> {
+    let mut settings = Vec::new();
+    for (node, keys) in parsed.nodes {
+        for (key, value) in keys {
+            let line = value.referenced.line();
+            settings.push(FileSetting {
+                node: node.clone(),
+                key,
+                value: value.value,
+                line,
+            });
+        }
+    }
+    settings
+}
+
+fn check_as_tree(file: &str, settings: &[FileSetting]) -> Option<FileFault> {
+    let edits = edits_against(&SettingsTree::default(), settings);
+    let change = SettingsChange {
+        actor: "check".into(),
+        reason: "check".into(),
+        edits,
+    };
+    let fault = SettingsFold::default().check(&change).err()?;
+    // The detail begins with `node.key` or the node, which leads back to the line.
+    let place = |setting: &&FileSetting| {
+        let whole = format!("{}.{}", setting.node, setting.key);
+        fault.detail.starts_with(&whole)
+    };
+    let line = settings.iter().find(place).map(|setting| setting.line);
+    Some(FileFault {
+        file: file.into(),
+        line,
+        fault,
+    })
+}
+
+/// The edits that bring a tree to what a file says; keys that the file leaves out stay as they are.
+pub fn edits_against(tree: &SettingsTree, settings: &[FileSetting]) -> Vec<Edit> {
+    let differs =
+        |setting: &&FileSetting| tree.own(&setting.node, &setting.key) != Some(&setting.value);
+    let to_edit = |setting: &FileSetting| Edit {
+        node: setting.node.clone(),
+        key: setting.key.clone(),
+        value: Some(setting.value.clone()),
+        based_on: tree.revision(&setting.node, &setting.key),
+    };
+    settings.iter().filter(differs).map(to_edit).collect()
+}
--- /dev/null
+++ b/crates/borageshore_settings/src/validate.rs
@@ -0,0 +1,162 @@
+//! Checks of single edits and of the whole tree.
+
+use std::sync::Arc;
+
+use borageshore_base::{Fault, ResultCode};
+
+use crate::{
+    schema::{KeySpec, NodeKind, SCHEMA, ValueSpec, key_spec},
+    tree::{ROOT, SettingsTree},
+    value::SettingValue,
+};
+
+/// Checks a key and its value by themselves.
+pub(crate) fn check_value(node: &str, key: &str, value: &SettingValue) -> Result<(), Fault> {
+    let Some(spec) = key_spec(key) else {
+        return Err(Fault::new(
+            ResultCode::UnknownKey,
+            format!("{node}.{key}{}", suggestion(key)),
+        ));
+    };
+    if node == ROOT && matches!(key, "parent" | "kind") {
+        return Err(Fault::new(
+            ResultCode::WrongNodeKind,
+            format!("{node}.{key}: the root is fixed"),
+        ));
+    }
+    check_against(spec, value)
+        .map_err(|fault| Fault::new(fault.code, format!("{node}.{key}: {}", fault.detail)))
+}
+
+fn check_against(spec: &KeySpec, value: &SettingValue) -> Result<(), Fault> {
+    match (spec.values, value) {
+        (ValueSpec::Integer { least, most }, SettingValue::Integer(number)) => {
+            if (least..=most).contains(number) {
+                return Ok(());
+            }
+            let detail = format!("{number} is not within {least} to {most}");
+            Err(Fault::new(ResultCode::OutOfRange, detail))
+        }
+        (ValueSpec::Integer { .. }, other) => {
+            let detail = format!("'{other}' is not a whole number{}", unit_hint(spec.name));
+            Err(Fault::new(ResultCode::WrongType, detail))
+        }
+        (ValueSpec::Choice(words), SettingValue::Text(text)) if words.contains(&&**text) => Ok(()),
+        (ValueSpec::Choice(words), other) => {
+            let detail = format!("'{other}' is not one of {}", words.join(", "));
+            Err(Fault::new(ResultCode::OutOfRange, detail))
+        }
+        (ValueSpec::Text { most_bytes }, SettingValue::Text(text)) if text.len() > most_bytes => {
+            let detail = format!("{} bytes are more than {most_bytes}", text.len());
+            Err(Fault::new(ResultCode::OutOfRange, detail))
+        }
+        (_, SettingValue::Text(_)) => Ok(()),
+        (_, other) => Err(Fault::new(
+            ResultCode::WrongType,
+            format!("'{other}' is not text"),
+        )),
+    }
+}
+
+fn unit_hint(key: &str) -> &'static str {
+    if key.ends_with("_ms") {
+        return " of milliseconds without a unit";
+    }
+    if key.ends_with("_percent") {
+        return " of percent without a sign";
+    }
+    ""
+}
+
+/// Names the key that differs from an unknown one in its unit only.
+fn suggestion(key: &str) -> String {
+    let stem = key.rsplit_once('_').map_or(key, |(stem, _)| stem);
+    let close = SCHEMA.iter().find(|spec| {
+        spec.name == stem
+            || spec
+                .name
+                .rsplit_once('_')
+                .is_some_and(|(known, _)| known == stem || known == key)
+    });
+    match close {
+        Some(spec) => format!(": the unit is wrong, the key is {}", spec.name),
+        None => String::new(),
+    }
+}
+
+/// Checks what a set of edited nodes can have broken in the whole tree.
+pub(crate) fn check_tree(tree: &SettingsTree, touched: &[Arc<str>]) -> Result<(), Fault> {
+    for node in touched {
+        check_node(tree, node)?;
+    }
+    // Other nodes can only be hurt by a node that stopped to exist or is no service any more.
+    let vanished = touched
+        .iter()
+        .filter(|node| !tree.exists(node))
+        .collect::<Vec<_>>();
+    for name in tree.node_names() {
+        let parent = tree.parent(name).expect("only existing nodes are listed");
+        if vanished.contains(&parent) {
+            return Err(Fault::new(
+                ResultCode::MissingParent,
+                format!("{name}.parent: {parent}"),
+            ));
+        }
+        check_reference(tree, name)?;
+    }
+    Ok(())
+}
+
+fn check_node(tree: &SettingsTree, node: &Arc<str>) -> Result<(), Fault> {
+    let Some(parent) = tree.parent(node) else {
+        if **node != *ROOT && tree.own_entries(node).next().is_some() {
+            return Err(Fault::new(
+                ResultCode::MissingNode,
+                format!("{node} has keys but no parent"),
+            ));
+        }
+        return Ok(());
+    };
+    if !tree.exists(parent) {
+        return Err(Fault::new(
+            ResultCode::MissingParent,
+            format!("{node}.parent: {parent}"),
+        ));
+    }
+    check_cycle(tree, node)?;
+    if tree.kind(node) == NodeKind::Job && tree.text(node, "service").is_none() {
+        return Err(Fault::new(
+            ResultCode::MissingReference,
+            format!("{node}.service: a job needs a service"),
+        ));
+    }
+    Ok(())
+}
+
+fn check_cycle(tree: &SettingsTree, node: &Arc<str>) -> Result<(), Fault> {
+    let mut path = vec![node];
+    let mut at = node;
+    while let Some(parent) = tree.parent(at) {
+        if path.contains(&parent) {
+            let names: Vec<&str> = path.iter().map(|name| &***name).collect();
+            let detail = format!("{node}.parent: {} -> {parent}", names.join(" -> "));
+            return Err(Fault::new(ResultCode::ParentCycle, detail));
+        }
+        path.push(parent);
+        at = parent;
+    }
+    Ok(())
+}
+
+fn check_reference(tree: &SettingsTree, node: &Arc<str>) -> Result<(), Fault> {
+    for key in ["scorer", "service"] {
+        let Some(SettingValue::Text(service)) = tree.own(node, key) else {
+            continue;
+        };
+        if !tree.exists(service) || tree.kind(service) != NodeKind::Service {
+            let detail = format!("{node}.{key}: {service} is no service");
+            return Err(Fault::new(ResultCode::MissingReference, detail));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/borageshore_standins/src/plain.rs
@@ -0,0 +1,151 @@
+//! A plain service that counts how often it ran each request key, and a scorer.
+
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, sync::Arc};
+
+use borageshore_base::SortedMap;
+use borageshore_net::{EdgeRequest, EdgeResponse, Handler, HttpServer, json_response, sleep_ms};
+use serde::{Deserialize, Serialize};
+
+use crate::http;
+
+/// Faults that can be switched on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlainSwitches {
+    /// The answers to this many calls are lost after they ran.
+    pub lose_answers: u64,
+    /// This many calls are refused before they run, and say so.
+    pub refuse: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    runs: SortedMap<Arc<str>, u64>,
+    switches: PlainSwitches,
+}
+
+/// What the service ran.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunCounts {
+    /// Distinct request keys.
+    pub keys: u64,
+    /// Runs in all.
+    pub runs: u64,
+    /// The most runs of one key.
+    pub most_runs: u64,
+}
+
+/// A running service.
+#[derive(Debug, Clone)]
+pub struct PlainStandin {
+    state: Rc<RefCell<State>>,
+    latency_ms: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Ran<'r> {
+    request_key: &'r str,
+    runs: u64,
+    score: f64,
+}
+
+impl PlainStandin {
+    /// Opens a service whose calls take `latency_ms`; its replicas share one count of runs.
+    pub fn open(latency_ms: u64) -> Self {
+        Self {
+            state: Rc::default(),
+            latency_ms,
+        }
+    }
+
+    /// Binds the address of one replica.
+    pub fn bind(&self, address: &str) -> io::Result<HttpServer> {
+        HttpServer::bind(address, http::limits(), self.clone())
+    }
+
+    fn counts(&self) -> RunCounts {
+        let state = self.state.borrow();
+        RunCounts {
+            keys: state.runs.len() as u64,
+            runs: state.runs.values().sum(),
+            most_runs: state.runs.values().copied().max().unwrap_or(0),
+        }
+    }
+
+    /// Those of some keys that ran.
+    fn ran(&self, keys: &[Arc<str>]) -> Vec<Arc<str>> {
+        let state = self.state.borrow();
+        keys.iter()
+            .filter(|key| state.runs.contains_key(*key))
+            .cloned()
+            .collect()
+    }
+
+    async fn run(&self, request: EdgeRequest) -> EdgeResponse {
+        let key = request
+            .headers()
+            .get("x-request-key")
+            .and_then(|key| key.to_str().ok());
+        let key: Arc<str> = key.unwrap_or("").into();
+        if self.take(|switches| &mut switches.refuse) {
+            let mut response = http::status(503);
+            response
+                .headers_mut()
+                .insert("x-not-run", "true".parse().expect("plain text"));
+            return response;
+        }
+        let runs = {
+            let mut state = self.state.borrow_mut();
+            let runs = state.runs.get_or_insert_with(key.clone(), || 0);
+            *runs += 1;
+            *runs
+        };
+        sleep_ms(self.latency_ms).await;
+        if self.take(|switches| &mut switches.lose_answers) {
+            sleep_ms(60_000).await;
+        }
+        json_response(
+            200,
+            &Ran {
+                request_key: &key,
+                runs,
+                score: 0.5,
+            },
+        )
+    }
+
+    fn take<Select>(&self, select: Select) -> bool
+    where
+        Select: FnOnce(&mut PlainSwitches) -> &mut u64,
+    {
+        let mut state = self.state.borrow_mut();
+        let left = select(&mut state.switches);
+        let is_on = *left > 0;
+        *left -= u64::from(is_on);
+        is_on
+    }
+}
+
+impl Handler for PlainStandin {
+    async fn handle(&self, request: EdgeRequest, _remote: SocketAddr) -> EdgeResponse {
+        match request.uri().path() {
+            "/counts" => json_response(200, &self.counts()),
+            "/ran" => match http::json::<Vec<Arc<str>>>(request).await {
+                Ok(keys) => json_response(200, &self.ran(&keys)),
+                Err(response) => response,
+            },
+            "/load" => json_response(
+                200,
+                &serde_json::json!({"requests": 0, "slots": 64, "adapters": []}),
+            ),
+            "/switches" => match http::json(request).await {
+                Ok(switches) => {
+                    self.state.borrow_mut().switches = switches;
+                    json_response(200, &switches)
+                }
+                Err(response) => response,
+            },
+            _ => self.run(request).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/borageshore_standins/src/trainer.rs
@@ -0,0 +1,243 @@
+//! A trainer that pulls samples, checks every promise about them and publishes new weights.
+
+use std::{collections::HashSet, sync::Arc};
+
+use borageshore_net::{Clock, HttpClient, Timeouts, sleep_ms};
+use borageshore_rollout::{Delivery, Sample};
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use serde::Serialize;
+
+use crate::engine::expected_token;
+
+const TIMEOUTS: Timeouts = Timeouts {
+    connect_ms: 1_000,
+    first_byte_ms: 8_000,
+};
+const PULL_WAIT_MS: u64 = 2_000;
+
+/// How a trainer works.
+#[derive(Debug, Clone)]
+pub struct TrainerOptions {
+    /// Daemons to ask, in turn.
+    pub daemons: Vec<Arc<str>>,
+    /// The trainer token.
+    pub token: Arc<str>,
+    /// The job.
+    pub job: Arc<str>,
+    /// Samples in a step.
+    pub samples_per_step: u64,
+    /// Time that the trainer computes for a step.
+    pub step_ms: u64,
+    /// Steps to make.
+    pub steps: u64,
+    /// The staleness bound that the job promises.
+    pub staleness_bound_versions: u64,
+    /// Gives up after this time.
+    pub limit_ms: u64,
+}
+
+/// What a trainer saw.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct TrainerSummary {
+    /// The job.
+    pub job: Arc<str>,
+    /// Whole steps.
+    pub steps: u64,
+    /// Samples taken.
+    pub samples: u64,
+    /// Samples that came again: a broken promise.
+    pub repeated: u64,
+    /// Samples with wrong tokens or attribution: a broken promise.
+    pub misattributed: u64,
+    /// Samples over the staleness bound: a broken promise.
+    pub stale: u64,
+    /// Numbers that were given up and never delivered.
+    pub given_up: u64,
+    /// Time spent waiting for samples.
+    pub idle_ms: u64,
+    /// Time spent computing.
+    pub busy_ms: u64,
+    /// Share of the time spent waiting.
+    pub idle_percent: f64,
+    /// Median of versions behind.
+    pub staleness_versions_p50: u64,
+    /// 99th percentile of versions behind.
+    pub staleness_versions_p99: u64,
+    /// Median age.
+    pub age_ms_p50: u64,
+    /// 99th percentile of age.
+    pub age_ms_p99: u64,
+}
+
+impl TrainerSummary {
+    /// The number of broken promises.
+    pub fn broken(&self) -> u64 {
+        self.repeated + self.misattributed + self.stale
+    }
+}
+
+/// A trainer at work.
+#[derive(Debug)]
+pub struct Trainer {
+    options: TrainerOptions,
+    http: HttpClient,
+    clock: Clock,
+    daemon: usize,
+    cursor: u64,
+    epoch: u64,
+    version: u64,
+    seen: HashSet<Arc<str>>,
+    staleness: Histogram<u64>,
+    ages_ms: Histogram<u64>,
+    summary: TrainerSummary,
+}
+
+impl Trainer {
+    /// Opens a trainer that has nothing yet.
+    pub fn open(options: TrainerOptions) -> Self {
+        let histogram = || Histogram::new(3).expect("three digits are supported");
+        let summary = TrainerSummary {
+            job: options.job.clone(),
+            ..TrainerSummary::default()
+        };
+        Self {
+            options,
+            http: HttpClient::open(),
+            clock: Clock::start(),
+            daemon: 0,
+            cursor: 0,
+            epoch: 0,
+            version: 0,
+            seen: HashSet::new(),
+            staleness: histogram(),
+            ages_ms: histogram(),
+            summary,
+        }
+    }
+
+    /// Works until all steps are made or the time is up.
+    pub async fn run(mut self) -> TrainerSummary {
+        while self.summary.steps < self.options.steps && self.in_time() {
+            let began_ms = self.clock.now_ms();
+            let is_whole = self.collect_step().await;
+            self.summary.idle_ms += self.clock.now_ms() - began_ms;
+            if !is_whole {
+                break;
+            }
+            sleep_ms(self.options.step_ms).await;
+            self.summary.busy_ms += self.options.step_ms;
+            self.summary.steps += 1;
+            self.publish().await;
+        }
+        self.summarize()
+    }
+
+    fn in_time(&self) -> bool {
+        self.clock.now_ms() < self.options.limit_ms
+    }
+
+    async fn collect_step(&mut self) -> bool {
+        let wanted = (self.summary.steps + 1) * self.options.samples_per_step;
+        while self.summary.samples < wanted {
+            if !self.in_time() {
+                return false;
+            }
+            let missing = wanted - self.summary.samples;
+            match self.pull(missing).await {
+                Some(delivery) => self.take(delivery),
+                None => {
+                    self.daemon += 1;
+                    sleep_ms(100).await;
+                }
+            }
+        }
+        true
+    }
+
+    async fn pull(&self, missing: u64) -> Option<Delivery> {
+        let path = format!(
+            "/v1/jobs/{}/samples?cursor={}&epoch={}&max={missing}&wait_ms={PULL_WAIT_MS}",
+            self.options.job, self.cursor, self.epoch
+        );
+        let body = self.call("GET", &path, "").await?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    async fn call(&self, method: &str, path: &str, body: &str) -> Option<Bytes> {
+        let daemon = &self.options.daemons[self.daemon % self.options.daemons.len()];
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("authorization", format!("Bearer {}", self.options.token))
+            .body(Full::new(Bytes::from(body.to_owned())))
+            .ok()?;
+        match self.http.call(daemon, request, TIMEOUTS).await {
+            Ok((StatusCode::OK, body)) => Some(body),
+            _ => None,
+        }
+    }
+
+    fn take(&mut self, delivery: Delivery) {
+        if delivery.epoch < self.epoch || delivery.through < self.cursor {
+            // A late answer of an owner that was replaced.
+            return;
+        }
+        let numbers = delivery.through - self.cursor;
+        self.summary.given_up += numbers - delivery.samples.len() as u64;
+        for (number, sample) in &delivery.samples {
+            self.check(*number, sample, delivery.target_version);
+        }
+        self.summary.samples += delivery.samples.len() as u64;
+        self.epoch = delivery.epoch;
+        self.cursor = delivery.through;
+    }
+
+    fn check(&mut self, number: u64, sample: &Sample, target_version: u64) {
+        let is_new = number > self.cursor && self.seen.insert(sample.id.clone());
+        self.summary.repeated += u64::from(!is_new);
+        let attributed: u64 = sample
+            .segments
+            .iter()
+            .map(|segment| segment.token_count)
+            .sum();
+        let is_whole = attributed == sample.tokens.len() as u64 && attributed > 0;
+        let mut tokens = sample.tokens.iter().enumerate();
+        let is_right =
+            tokens.all(|(at, token)| *token == expected_token(&sample.prompt, at as u64));
+        self.summary.misattributed += u64::from(!is_whole || !is_right);
+        let oldest = sample
+            .segments
+            .iter()
+            .map(|segment| segment.version)
+            .min()
+            .unwrap_or(0);
+        let behind = target_version.saturating_sub(oldest);
+        self.summary.stale += u64::from(behind > self.options.staleness_bound_versions);
+        self.staleness
+            .saturating_record(self.version.saturating_sub(oldest));
+        self.ages_ms.saturating_record(sample.age_ms);
+    }
+
+    async fn publish(&mut self) {
+        self.version += 1;
+        let path = format!("/v1/jobs/{}/weights", self.options.job);
+        let body = format!("{{\"version\":{}}}", self.version);
+        while self.in_time() && self.call("POST", &path, &body).await.is_none() {
+            self.daemon += 1;
+            sleep_ms(100).await;
+        }
+    }
+
+    fn summarize(mut self) -> TrainerSummary {
+        let total_ms = (self.summary.idle_ms + self.summary.busy_ms).max(1);
+        self.summary.idle_percent = self.summary.idle_ms as f64 * 100.0 / total_ms as f64;
+        self.summary.staleness_versions_p50 = self.staleness.value_at_quantile(0.5);
+        self.summary.staleness_versions_p99 = self.staleness.value_at_quantile(0.99);
+        self.summary.age_ms_p50 = self.ages_ms.value_at_quantile(0.5);
+        self.summary.age_ms_p99 = self.ages_ms.value_at_quantile(0.99);
+        self.summary
+    }
+}
--- /dev/null
+++ b/crates/borageshore_standins/src/vm_list.rs
@@ -0,0 +1,115 @@
+//! The VM list, which shows each change only after a lag.
+
+use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, sync::Arc};
+
+use borageshore_net::{Clock, EdgeRequest, EdgeResponse, Handler, HttpServer, json_response};
+use hyper::Method;
+use serde::{Deserialize, Serialize};
+
+use crate::http;
+
+/// A VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vm {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The service that it is an endpoint of.
+    pub service: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// Where it listens.
+    pub address: Arc<str>,
+    /// Its state.
+    pub state: VmState,
+}
+
+/// The state of a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum VmState {
+    /// In use.
+    Live,
+    /// About to go.
+    Leaving,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Listing {
+    version: u64,
+    vms: Vec<Vm>,
+}
+
+#[derive(Debug)]
+struct State {
+    /// All versions with the time from which each shows.
+    versions: Vec<(u64, Listing)>,
+    lag_ms: u64,
+    clock: Clock,
+}
+
+/// A running list.
+#[derive(Debug, Clone)]
+pub struct VmListStandin {
+    state: Rc<RefCell<State>>,
+}
+
+impl VmListStandin {
+    /// Binds an address and serves a list.
+    pub fn bind(address: &str, vms: Vec<Vm>, lag_ms: u64) -> io::Result<HttpServer> {
+        let versions = vec![(0, Listing { version: 1, vms })];
+        let state = State {
+            versions,
+            lag_ms,
+            clock: Clock::start(),
+        };
+        HttpServer::bind(
+            address,
+            http::limits(),
+            Self {
+                state: Rc::new(RefCell::new(state)),
+            },
+        )
+    }
+
+    fn shown(&self) -> Listing {
+        let state = self.state.borrow();
+        let now_ms = state.clock.now_ms();
+        let shown = state
+            .versions
+            .iter()
+            .rev()
+            .find(|(from_ms, _)| now_ms >= *from_ms);
+        shown
+            .expect("the first version shows from the start")
+            .1
+            .clone()
+    }
+
+    async fn replace(&self, request: EdgeRequest) -> EdgeResponse {
+        let vms: Vec<Vm> = match http::json(request).await {
+            Ok(vms) => vms,
+            Err(response) => return response,
+        };
+        let mut state = self.state.borrow_mut();
+        let version = state
+            .versions
+            .last()
+            .map_or(1, |(_, listing)| listing.version + 1);
+        let from_ms = state.clock.now_ms() + state.lag_ms;
+        state.versions.push((from_ms, Listing { version, vms }));
+        json_response(200, &version)
+    }
+}
+
+impl Handler for VmListStandin {
+    async fn handle(&self, request: EdgeRequest, _remote: SocketAddr) -> EdgeResponse {
+        if request.method() == Method::POST {
+            return self.replace(request).await;
+        }
+        let shown = self.shown();
+        if http::number(&request, "known") == Some(shown.version) {
+            return http::status(304);
+        }
+        json_response(200, &shown)
+    }
+}
--- /dev/null
+++ b/crates/borageshore_wire/idl/wire.thrift
@@ -0,0 +1,116 @@
+// Messages between daemons. Regenerate with `tools/generate-wire`; the result is committed.
+
+enum WireMemberState {
+  LIVE = 1
+  LEAVING = 2
+  DEAD = 3
+}
+
+struct WireMember {
+  1: required string name
+  2: required i64 incarnation
+  3: required i64 counter
+  4: required string zone
+  5: required string http_address
+  6: required string peer_address
+  7: required string gossip_address
+  8: required WireMemberState state
+}
+
+// One UDP datagram.
+struct WireGossip {
+  1: required list<WireMember> members
+}
+
+struct WireRecord {
+  1: required i64 offset
+  2: required i64 at_ms
+  3: required string data
+}
+
+// Asks a peer for records of a stream, as one would ask the log.
+struct FollowRequest {
+  1: required string stream
+  2: required i64 from_offset
+  3: required i64 wait_ms
+}
+
+// `snapshot` comes when the peer does not hold records from `from_offset` on.
+struct FollowReply {
+  1: required i64 first_offset
+  2: required i64 end_offset
+  3: required list<WireRecord> records
+  4: optional string snapshot
+  5: optional i64 snapshot_next_offset
+}
+
+// A call whose request key belongs to the receiver.
+struct CallRequest {
+  1: required string service_name
+  2: required string node
+  3: required string method
+  4: required string path
+  5: required string content_type
+  6: required binary body
+  7: required string request_key
+  8: required bool idempotent
+  9: required i64 deadline_ms
+}
+
+struct CallReply {
+  1: required i32 code
+  2: required i32 status
+  3: required string content_type
+  4: required binary body
+  5: required string detail
+}
+
+// Asks a peer to produce one sample.
+struct SampleRequest {
+  1: required string job
+  2: required string sample_id
+  3: required string prompt
+  4: required i64 max_tokens
+  5: required i64 deadline_ms
+}
+
+struct WireSegment {
+  1: required i64 version
+  2: required i64 token_count
+}
+
+struct SampleReply {
+  1: required i32 code
+  2: required string detail
+  3: required list<string> tokens
+  4: required list<WireSegment> segments
+  5: optional double score
+}
+
+struct PullRequest {
+  1: required string job
+  2: required i64 cursor
+  3: required i64 epoch
+  4: required i64 max_samples
+  5: required i64 wait_ms
+}
+
+// The body is the JSON answer to the trainer.
+struct PullReply {
+  1: required i32 code
+  2: required string body
+}
+
+union PeerRequest {
+  1: FollowRequest follow
+  2: CallRequest call
+  3: SampleRequest sample
+  4: PullRequest pull
+}
+
+union PeerReply {
+  1: FollowReply follow
+  2: CallReply call
+  3: SampleReply sample
+  4: PullReply pull
+}
--- /dev/null
+++ b/crates/borageshore_wire/src/convert.rs
@@ -0,0 +1,56 @@
+//! Between wire structures and the types of the decision core.
+
+use borageshore_membership::{MemberEntry, MemberState};
+
+use crate::generated::{WireGossip, WireMember, WireMemberState};
+
+/// Builds a gossip message.
+pub fn gossip_to_wire(entries: &[MemberEntry]) -> WireGossip {
+    WireGossip::new(entries.iter().map(member_to_wire).collect::<Vec<_>>())
+}
+
+/// Reads a gossip message; entries in a state that this release does not know are left out.
+pub fn gossip_from_wire(gossip: WireGossip) -> Vec<MemberEntry> {
+    gossip
+        .members
+        .into_iter()
+        .filter_map(member_from_wire)
+        .collect()
+}
+
+fn member_to_wire(entry: &MemberEntry) -> WireMember {
+    let state = match entry.state {
+        MemberState::Live => WireMemberState::LIVE,
+        MemberState::Leaving => WireMemberState::LEAVING,
+        MemberState::Dead => WireMemberState::DEAD,
+    };
+    WireMember {
+        name: entry.name.to_string(),
+        incarnation: entry.incarnation as i64,
+        counter: entry.counter as i64,
+        zone: entry.zone.to_string(),
+        http_address: entry.http_address.to_string(),
+        peer_address: entry.peer_address.to_string(),
+        gossip_address: entry.gossip_address.to_string(),
+        state,
+    }
+}
+
+fn member_from_wire(member: WireMember) -> Option<MemberEntry> {
+    let state = match member.state {
+        WireMemberState::LIVE => MemberState::Live,
+        WireMemberState::LEAVING => MemberState::Leaving,
+        WireMemberState::DEAD => MemberState::Dead,
+        _ => return None,
+    };
+    Some(MemberEntry {
+        name: member.name.into(),
+        incarnation: member.incarnation as u64,
+        counter: member.counter as u64,
+        zone: member.zone.into(),
+        http_address: member.http_address.into(),
+        peer_address: member.peer_address.into(),
+        gossip_address: member.gossip_address.into(),
+        state,
+    })
+}
