Scenarios, a fuzzer with an oracle, and broken guards that they must catch

Cause: the promises stood in code without a proof that a test could fail.

Conclusion: the stories and the fuzzer can fail for each promise they judge.

--- a/crates/borageshore_daemon/src/calls.rs
+++ b/crates/borageshore_daemon/src/calls.rs
@@ -138,7 +138,7 @@
         match answer.outcome {
             Outcome::NotRun => keys.on_not_run(&call.request_key),
             Outcome::Done | Outcome::Unknown => {
-                keys.on_answer(&call.request_key, answer.answer.clone())
+                keys.on_answer(&call.request_key, answer.answer.clone());
             }
         }
         drop(keys);
--- a/crates/borageshore_daemon/src/stream.rs
+++ b/crates/borageshore_daemon/src/stream.rs
@@ -299,7 +299,7 @@
             Ok(page) => {
                 failures = 0;
                 stream.on_page(&daemon, page, |record, envelope| {
-                    observe(&daemon, record, envelope)
+                    observe(&daemon, record, envelope);
                 });
             }
             Err(why) => {
--- a/crates/borageshore_daemon/src/swaps.rs
+++ b/crates/borageshore_daemon/src/swaps.rs
@@ -187,7 +187,7 @@
             );
         }
         Ok(OrderAnswer::StaleEpoch) => {
-            log::info!("{} knows a newer owner of {service}", replica.name)
+            log::info!("{} knows a newer owner of {service}", replica.name);
         }
         // Lost answers need no care: the next read-back shows what became of the order.
         Err(error) => log::debug!("order to {}: {error}", replica.name),
--- /dev/null
+++ b/crates/borageshore_scenarios/src/log.rs
@@ -0,0 +1,123 @@
+//! A log service in memory, with the faults of the real one.
+
+use std::sync::Arc;
+
+use borageshore_base::SortedMap;
+use borageshore_log::{LogPage, LogRecord};
+
+/// What became of an append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Appended {
+    /// It took effect and the writer knows.
+    Acknowledged,
+    /// It took effect and the writer does not know.
+    AnswerLost,
+    /// It had no effect and the writer knows.
+    Refused,
+    /// It has no effect yet, may have one later, and the writer does not know.
+    Delayed,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    first_offset: u64,
+    records: Vec<LogRecord>,
+}
+
+/// Streams of records.
+#[derive(Debug, Default)]
+pub struct MemoryLog {
+    streams: SortedMap<Arc<str>, Stream>,
+    /// Answers nothing while it lasts.
+    pub has_outage: bool,
+    /// The next append takes effect and its answer is lost.
+    pub lose_next_answer: bool,
+    /// The next append that contains this text is held back until [`MemoryLog::release`].
+    pub delay_next: Option<String>,
+    /// Reads of this stream get no answer.
+    pub blocked: Option<Arc<str>>,
+    delayed: Vec<(Arc<str>, Vec<String>)>,
+}
+
+impl MemoryLog {
+    /// Appends records.
+    pub fn append(&mut self, stream: &str, records: Vec<String>, at_ms: u64) -> Appended {
+        if self.has_outage {
+            return Appended::Refused;
+        }
+        let is_awaited = |text: &String| records.iter().any(|record| record.contains(text));
+        if self.delay_next.as_ref().is_some_and(is_awaited) {
+            self.delay_next = None;
+            self.delayed.push((stream.into(), records));
+            return Appended::Delayed;
+        }
+        self.push(stream, records, at_ms);
+        if std::mem::take(&mut self.lose_next_answer) {
+            Appended::AnswerLost
+        } else {
+            Appended::Acknowledged
+        }
+    }
+
+    /// The number of appends that are held back.
+    pub fn delayed(&self) -> usize {
+        self.delayed.len()
+    }
+
+    /// Lets the appends that were held back take effect.
+    pub fn release(&mut self, at_ms: u64) {
+        for (stream, records) in std::mem::take(&mut self.delayed) {
+            self.push(&stream, records, at_ms);
+        }
+    }
+
+    fn push(&mut self, stream: &str, records: Vec<String>, at_ms: u64) {
+        let stream = self
+            .streams
+            .get_or_insert_with(stream.into(), Stream::default);
+        for data in records {
+            let offset = stream.first_offset + stream.records.len() as u64;
+            stream.records.push(LogRecord {
+                offset,
+                at_ms,
+                data,
+            });
+        }
+    }
+
+    /// Reads up to `most` records; `None` during an outage.
+    pub fn read(&self, stream: &str, from_offset: u64, most: usize) -> Option<LogPage> {
+        if self.has_outage || self.blocked.as_deref() == Some(stream) {
+            return None;
+        }
+        let Some(stream) = self.streams.get(stream) else {
+            return Some(LogPage {
+                first_offset: 0,
+                end_offset: 0,
+                records: Vec::new(),
+            });
+        };
+        let skipped = from_offset.saturating_sub(stream.first_offset) as usize;
+        Some(LogPage {
+            first_offset: stream.first_offset,
+            end_offset: stream.first_offset + stream.records.len() as u64,
+            records: stream
+                .records
+                .iter()
+                .skip(skipped)
+                .take(most)
+                .cloned()
+                .collect(),
+        })
+    }
+
+    /// Forgets all records of a stream below an offset, as retention does.
+    pub fn trim(&mut self, stream: &str, below_offset: u64) {
+        if let Some(stream) = self.streams.get_mut(stream) {
+            let count = below_offset.saturating_sub(stream.first_offset) as usize;
+            let count = count.min(stream.records.len());
+            stream.records.drain(..count);
+            stream.first_offset += count as u64;
+        }
+    }
+}
--- /dev/null
+++ b/crates/borageshore_scenarios/src/member.rs
@@ -0,0 +1,186 @@
+//! One daemon's decision core.
+
+use std::sync::Arc;
+
+use borageshore_lease::{LeaseAgent, LeaseRecord, LeaseTable, Want};
+use borageshore_log::{Fold, Follower, Proposer, ProposerAction};
+use borageshore_rollout::{JobController, Ledger, LedgerRecord};
+use borageshore_routing::KeyTable;
+use borageshore_settings::SettingsFold;
+
+use crate::{
+    log::{Appended, MemoryLog},
+    world::{JOB, LEDGER, shard_of_job},
+};
+
+const BATCH_RECORDS: usize = 8;
+const PAGE_RECORDS: usize = 16;
+const LEASE_TTL_MS: u64 = 5_000;
+const KEY_WINDOW_MS: u64 = 60_000;
+const KEY_BYTES: usize = 4_096;
+
+/// A stream with both of its sides.
+#[derive(Debug)]
+pub struct Stream<State> {
+    name: Arc<str>,
+    writer: Arc<str>,
+    /// The reader's side.
+    pub follower: Follower<State>,
+    /// The writer's side.
+    pub proposer: Proposer,
+}
+
+impl<State> Stream<State>
+where
+    State: Fold + Default,
+{
+    fn open(name: &str, writer: Arc<str>) -> Self {
+        Self {
+            name: name.into(),
+            follower: Follower::open(State::default()),
+            proposer: Proposer::open(writer.clone(), BATCH_RECORDS),
+            writer,
+        }
+    }
+
+    fn append(&mut self, log: &mut MemoryLog, now_ms: u64) {
+        // The log stamps records with a clock of its own; any clock will do for the folds.
+        let ProposerAction::Append(records) = self.proposer.poll(now_ms) else {
+            return;
+        };
+        match log.append(&self.name, records, now_ms) {
+            Appended::Acknowledged => self.proposer.on_acknowledged(),
+            Appended::AnswerLost | Appended::Delayed => self.proposer.on_lost_answer(),
+            Appended::Refused => self.proposer.on_refused(now_ms, 0),
+        }
+    }
+
+    fn read<Observe>(&mut self, log: &MemoryLog, now_ms: u64, mut observe: Observe)
+    where
+        Observe: FnMut(u64, &borageshore_log::Envelope<State::Body>),
+    {
+        let Some(page) = log.read(&self.name, self.follower.next_offset(), PAGE_RECORDS) else {
+            return;
+        };
+        let writer = self.writer.clone();
+        let mut own_sequence = 0;
+        self.follower.on_page(page, |record, envelope| {
+            if envelope.writer == writer {
+                own_sequence = envelope.sequence;
+            }
+            observe(record.offset, envelope);
+        });
+        if own_sequence > 0 {
+            self.proposer.on_seen(own_sequence);
+        }
+        let end = self.follower.end_offset().unwrap_or(0);
+        self.proposer
+            .on_progress(self.follower.applied_offset(), end, now_ms, 0);
+    }
+}
+
+/// A daemon incarnation.
+#[derive(Debug)]
+pub struct Member {
+    /// The daemon's name.
+    pub name: Arc<str>,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Whether it is stopped in its tracks, as by SIGSTOP.
+    pub is_paused: bool,
+    /// The settings stream.
+    pub settings: Stream<SettingsFold>,
+    /// The lease stream.
+    pub leases: Stream<LeaseTable>,
+    /// The ledger of the one job, while this member owns it.
+    pub job: Option<(Stream<Ledger>, JobController)>,
+    /// When it may act, and what it should renew or claim.
+    pub agent: LeaseAgent,
+    /// The request keys that it ran.
+    pub keys: KeyTable,
+    /// Its place among the candidates for shards.
+    pub rank: u64,
+    /// How fast its clock runs, in thousandths of true time.
+    pub clock_permille: u64,
+}
+
+impl Member {
+    /// Starts a daemon incarnation.
+    pub fn open(name: &str, incarnation: u64, rank: u64) -> Self {
+        let session: Arc<str> = format!("{name}.{incarnation}").into();
+        Self {
+            name: name.into(),
+            incarnation,
+            is_paused: false,
+            settings: Stream::open("settings", session.clone()),
+            leases: Stream::open("leases", session.clone()),
+            job: None,
+            agent: LeaseAgent::open(session),
+            keys: KeyTable::open(name.into(), incarnation, KEY_WINDOW_MS, KEY_BYTES),
+            rank,
+            clock_permille: 1_000,
+        }
+    }
+
+    /// The time by its own clock.
+    pub fn local_ms(&self, true_ms: u64) -> u64 {
+        true_ms * self.clock_permille / 1_000
+    }
+
+    /// The epoch under which it may act for a shard at a true time.
+    pub fn epoch(&self, shard: &str, true_ms: u64) -> Option<u64> {
+        self.agent
+            .epoch(self.leases.follower.fold(), shard, self.local_ms(true_ms))
+    }
+
+    /// One round of the event loop at a true time: read, decide, append.
+    pub fn tick(&mut self, log: &mut MemoryLog, true_ms: u64) {
+        let now_ms = self.local_ms(true_ms);
+        self.settings.read(log, now_ms, |_, _| {});
+        let agent = &mut self.agent;
+        self.leases.read(log, now_ms, |offset, envelope| {
+            agent.on_applied(offset, envelope, now_ms);
+        });
+        self.tick_leases(now_ms);
+        self.tick_job(log, true_ms);
+        self.settings.append(log, now_ms);
+        self.leases.append(log, now_ms);
+        if let Some((ledger, _)) = &mut self.job {
+            ledger.append(log, now_ms);
+        }
+    }
+
+    fn tick_leases(&mut self, now_ms: u64) {
+        let wants = [Want {
+            shard: shard_of_job(),
+            rank: self.rank,
+        }];
+        let table = self.leases.follower.fold();
+        for record in self.agent.tick(table, &wants, LEASE_TTL_MS, now_ms) {
+            let is_renewal = matches!(record, LeaseRecord::Renew { .. });
+            let sequence = self.leases.proposer.propose(record);
+            if is_renewal {
+                self.agent.on_renewal_sent(sequence, now_ms);
+            }
+        }
+    }
+
+    fn tick_job(&mut self, log: &MemoryLog, true_ms: u64) {
+        let now_ms = self.local_ms(true_ms);
+        let epoch = self.epoch(&shard_of_job(), true_ms);
+        if self.job.as_ref().map(|(_, controller)| controller.epoch()) != epoch {
+            self.job = epoch.map(|epoch| self.open_job(epoch));
+        }
+        if let Some((ledger, controller)) = &mut self.job {
+            ledger.read(log, now_ms, |_, _| {});
+            controller.on_ledger(ledger.follower.fold());
+        }
+    }
+
+    fn open_job(&self, epoch: u64) -> (Stream<Ledger>, JobController) {
+        let writer: Arc<str> = format!("{}.{}/{epoch}", self.name, self.incarnation).into();
+        let mut ledger = Stream::open(LEDGER, writer);
+        ledger.proposer.propose(LedgerRecord::Open { epoch });
+        (ledger, JobController::open(JOB.into(), epoch))
+    }
+}
--- /dev/null
+++ b/crates/borageshore_scenarios/src/oracle.rs
@@ -0,0 +1,129 @@
+//! What must always hold, checked against the simplest possible memory of what happened.
+
+use std::sync::Arc;
+
+use borageshore_base::SortedMap;
+use borageshore_log::FollowerState;
+use borageshore_rollout::Delivery;
+use borageshore_routing::Outcome;
+
+use crate::{
+    member::Member,
+    world::{CallReply, plan},
+};
+
+/// A promise that did not hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Broken {
+    /// Two members may act for one shard at the same time.
+    TwoHolders(Vec<(Arc<str>, u64)>),
+    /// Two members that folded the same records have different settings.
+    SettingsDiffer(u64),
+    /// A member's settings went back.
+    SettingsReverted(Arc<str>),
+    /// A request key ran more than once.
+    RanTwice(Arc<str>),
+    /// A call was answered as not run, but it had run.
+    FalseNotRun(Arc<str>),
+    /// A sample was delivered twice.
+    DeliveredTwice(Arc<str>),
+    /// A sample over the staleness bound was delivered.
+    Stale(Arc<str>),
+    /// A sample without attribution was delivered.
+    Unattributed(Arc<str>),
+    /// A delivery had numbers at or below the trainer's cursor.
+    NumberRepeated(u64),
+}
+
+/// The memory of what happened.
+#[derive(Debug, Default)]
+pub struct Oracle {
+    /// The settings as text by applied offset.
+    settings: SortedMap<u64, String>,
+    /// The last applied offset by member incarnation.
+    applied: SortedMap<(Arc<str>, u64), u64>,
+    delivered: SortedMap<Arc<str>, u64>,
+    broken: Option<Broken>,
+}
+
+impl Oracle {
+    fn report(&mut self, broken: Broken) {
+        self.broken.get_or_insert(broken);
+    }
+
+    /// Looks at who may act now.
+    pub fn on_holders(&mut self, holders: Vec<(Arc<str>, u64)>) {
+        if holders.len() > 1 {
+            self.report(Broken::TwoHolders(holders));
+        }
+    }
+
+    /// Looks at a member's settings.
+    pub fn on_settings(&mut self, member: &Member) {
+        let follower = &member.settings.follower;
+        if follower.state() != FollowerState::Following {
+            return;
+        }
+        let applied = follower.applied_offset();
+        let before = self
+            .applied
+            .insert((member.name.clone(), member.incarnation), applied);
+        if before.is_some_and(|before| before > applied) {
+            self.report(Broken::SettingsReverted(member.name.clone()));
+        }
+        let tree = serde_json::to_string(follower.fold().tree()).expect("trees are plain data");
+        let known = self.settings.get_or_insert_with(applied, || tree.clone());
+        if *known != tree {
+            self.report(Broken::SettingsDiffer(applied));
+        }
+    }
+
+    /// Looks at the plain service's counts.
+    pub fn on_runs(&mut self, runs: &SortedMap<Arc<str>, u64>) {
+        if let Some((key, _)) = runs.iter().find(|(_, count)| **count > 1) {
+            self.report(Broken::RanTwice(key.clone()));
+        }
+    }
+
+    /// Looks at the answer to a call.
+    pub fn on_call(&mut self, key: &str, reply: CallReply, runs: u64) {
+        if reply.outcome == Outcome::NotRun && runs > 0 {
+            self.report(Broken::FalseNotRun(key.into()));
+        }
+    }
+
+    /// Looks at what the trainer takes.
+    pub fn on_delivery(&mut self, cursor: u64, delivery: &Delivery, target_version: u64) {
+        for (number, sample) in &delivery.samples {
+            if *number <= cursor {
+                self.report(Broken::NumberRepeated(*number));
+            }
+            if self.delivered.insert(sample.id.clone(), *number).is_some() {
+                self.report(Broken::DeliveredTwice(sample.id.clone()));
+            }
+            let oldest = sample.segments.iter().map(|segment| segment.version).min();
+            match oldest {
+                None => self.report(Broken::Unattributed(sample.id.clone())),
+                Some(oldest)
+                    if target_version.saturating_sub(oldest) > plan().freshness.versions =>
+                {
+                    self.report(Broken::Stale(sample.id.clone()));
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    /// The number of samples delivered.
+    pub fn delivered(&self) -> usize {
+        self.delivered.len()
+    }
+
+    /// The first broken promise, if any.
+    pub fn verdict(&self) -> Result<(), Broken> {
+        match &self.broken {
+            Some(broken) => Err(broken.clone()),
+            None => Ok(()),
+        }
+    }
+}
