Leases stay where they are through an outage of the log

Cause: a successor's wait ran on while the log was down and nobody could renew, so every lease changed hands when the log came back, and each owner's buffered samples were lost. Ruled out: renewals going out too late after the outage (they were queued, but claims of daemons that had waited long enough came first).

Change: the wait for a renewal counts only while there is contact with the log; after a gap of more than 2.5 s every holder gets its whole time again. Relays tell how long ago they heard of the log. Scenarios can cut a single member off and let clocks drift; every step of the clock checks that one member may act.

A takeover after an outage may take one lease time longer.

--- a/crates/borageshore_daemon/src/peer_server.rs
+++ b/crates/borageshore_daemon/src/peer_server.rs
@@ -63,14 +63,19 @@
 async fn answer(daemon: &Rc<Daemon>, request: PeerRequest) -> PeerReply {
     match request {
         PeerRequest::Follow(request) if request.stream == *daemon.settings.name => {
-            PeerReply::Follow(daemon.settings.serve_follow(&request).await)
+            PeerReply::Follow(daemon.settings.serve_follow(daemon, &request).await)
         }
         PeerRequest::Follow(request) if request.stream == *daemon.leases.name => {
-            PeerReply::Follow(daemon.leases.serve_follow(&request).await)
-        }
-        PeerRequest::Follow(_) => {
-            PeerReply::Follow(FollowReply::new(0, NOTHING_HEARD, Vec::new(), None, None))
+            PeerReply::Follow(daemon.leases.serve_follow(daemon, &request).await)
         }
+        PeerRequest::Follow(_) => PeerReply::Follow(FollowReply::new(
+            0,
+            NOTHING_HEARD,
+            Vec::new(),
+            None,
+            None,
+            0,
+        )),
         PeerRequest::Call(request) => PeerReply::Call(calls::on_peer_call(daemon, request).await),
         PeerRequest::Sample(request) => {
             PeerReply::Sample(samples::on_peer_sample(daemon, request).await)
--- a/crates/borageshore_daemon/src/stream.rs
+++ b/crates/borageshore_daemon/src/stream.rs
@@ -19,7 +19,7 @@
 use crate::daemon::Daemon;
 
 /// How long a read waits for a first record.
-const FOLLOW_WAIT_MS: u64 = 2_000;
+const FOLLOW_WAIT_MS: u64 = 1_000;
 /// The pause after a failed read.
 const RETRY_MS: u64 = 200;
 /// Records kept for peers that follow through this daemon.
@@ -50,6 +50,8 @@
     recent: RefCell<VecDeque<LogRecord>>,
     records_since_snapshot: Cell<u64>,
     is_closed: Cell<bool>,
+    /// When the log was last heard of, by us or by the peer that we follow.
+    heard_at_ms: Cell<u64>,
     progressed: Notify,
     queued: Notify,
 }
@@ -67,6 +69,7 @@
             recent: RefCell::default(),
             records_since_snapshot: Cell::new(0),
             is_closed: Cell::new(false),
+            heard_at_ms: Cell::new(0),
             progressed: Notify::new(),
             queued: Notify::new(),
         }
@@ -98,6 +101,11 @@
         )
     }
 
+    /// When the log was last heard of.
+    pub(crate) fn heard_at_ms(&self) -> u64 {
+        self.heard_at_ms.get()
+    }
+
     /// Queues a record; returns its sequence.
     pub(crate) fn propose(&self, body: State::Body) -> u64
     where
@@ -196,7 +204,11 @@
     }
 
     /// Answers a peer that follows through this daemon.
-    pub(crate) async fn serve_follow(&self, request: &FollowRequest) -> FollowReply {
+    pub(crate) async fn serve_follow(
+        &self,
+        daemon: &Daemon,
+        request: &FollowRequest,
+    ) -> FollowReply {
         let from_offset = request.from_offset as u64;
         if self.offsets().0 <= from_offset {
             self.wait_progress(request.wait_ms.clamp(0, FOLLOW_WAIT_MS as i64) as u64)
@@ -225,6 +237,7 @@
             records: if is_covered { records } else { Vec::new() },
             snapshot_next_offset: snapshot.as_ref().map(|_| applied as i64),
             snapshot,
+            log_age_ms: daemon.now_ms().saturating_sub(self.heard_at_ms.get()) as i64,
         }
     }
 
@@ -236,7 +249,9 @@
                     .log
                     .read(&self.name, from_offset, FOLLOW_WAIT_MS)
                     .await;
-                page.map_err(|error| error.to_string())
+                let page = page.map_err(|error| error.to_string())?;
+                self.heard_at_ms.set(daemon.now_ms());
+                Ok(page)
             }
             Source::Peer(address) => self.read_from_peer(daemon, address, from_offset).await,
         }
@@ -265,6 +280,11 @@
         if reply.end_offset == NOTHING_HEARD {
             return Err("the peer has no state either".into());
         }
+        let heard_at_ms = daemon
+            .now_ms()
+            .saturating_sub(reply.log_age_ms.max(0) as u64);
+        self.heard_at_ms
+            .set(self.heard_at_ms.get().max(heard_at_ms));
         if let (Some(snapshot), Some(next_offset)) = (reply.snapshot, reply.snapshot_next_offset) {
             let snapshot = serde_json::from_str(&snapshot).map_err(|error| error.to_string())?;
             self.follower
--- a/crates/borageshore_daemon/tests/edge.rs
+++ b/crates/borageshore_daemon/tests/edge.rs
@@ -48,18 +48,29 @@
 
 fn chunked(body: &str) -> String {
     let headers = "authorization: Bearer operator\r\ntransfer-encoding: chunked\r\n";
-    format!("{}{body}", request("POST /v1/admin/settings HTTP/1.1", headers))
+    format!(
+        "{}{body}",
+        request("POST /v1/admin/settings HTTP/1.1", headers)
+    )
 }
 
 fn with_body(path: &str, body: &str) -> String {
-    let headers = format!("authorization: Bearer operator\r\ncontent-length: {}\r\n", body.len());
-    format!("{}{body}", request(&format!("POST {path} HTTP/1.1"), &headers))
+    let headers = format!(
+        "authorization: Bearer operator\r\ncontent-length: {}\r\n",
+        body.len()
+    );
+    format!(
+        "{}{body}",
+        request(&format!("POST {path} HTTP/1.1"), &headers)
+    )
 }
 
 /// Sends raw bytes to a daemon of its own and returns what comes back.
 fn ask(request: &str) -> String {
     let mut stream = TcpStream::connect(spawn_daemon()).unwrap();
-    stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+    stream
+        .set_read_timeout(Some(Duration::from_secs(30)))
+        .unwrap();
     let request = request.to_owned();
     let mut writing = stream.try_clone().unwrap();
     // The server may refuse and close before it has read everything.
--- a/crates/borageshore_lease/src/agent.rs
+++ b/crates/borageshore_lease/src/agent.rs
@@ -15,6 +15,9 @@
 const RENEWALS_PER_TTL: u64 = 3;
 /// How much longer each lower-ranked candidate waits before it claims a free shard.
 const CANDIDATE_STAGGER_MS: u64 = 1_000;
+/// A longer silence between the log and this daemon counts as an outage. Above the time that a quiet
+/// log leaves between two answers, also through a relay.
+const CONTACT_GAP_MS: u64 = 2_500;
 /// After this long without a verdict a claim is made anew.
 const CLAIM_RETRY_MS: u64 = 3_000;
 
@@ -52,6 +55,7 @@
     seen: SortedMap<Arc<str>, SeenRenewal>,
     claimed_at_ms: SortedMap<Arc<str>, u64>,
     free_since_ms: SortedMap<Arc<str>, u64>,
+    contact_ms: Option<u64>,
 }
 
 impl LeaseAgent {
@@ -65,9 +69,25 @@
             seen: SortedMap::default(),
             claimed_at_ms: SortedMap::default(),
             free_since_ms: SortedMap::default(),
+            contact_ms: None,
         }
     }
 
+    /// Notes that the state of the log at `heard_at_ms` is known.
+    ///
+    /// Guards against all leases changing hands after an outage of the log: no holder could renew
+    /// meanwhile, and whoever had waited would claim first. The wait for a renewal counts only while
+    /// there is contact, so after a gap every holder gets its whole time again.
+    pub fn on_contact(&mut self, heard_at_ms: u64) {
+        let last_ms = self.contact_ms.unwrap_or(heard_at_ms);
+        if heard_at_ms > last_ms + CONTACT_GAP_MS {
+            for (_, seen) in self.seen.iter_mut() {
+                seen.seen_at_ms = seen.seen_at_ms.max(heard_at_ms);
+            }
+        }
+        self.contact_ms = Some(last_ms.max(heard_at_ms));
+    }
+
     /// The session's name.
     pub fn session(&self) -> &Arc<str> {
         &self.session
--- a/crates/borageshore_scenarios/src/member.rs
+++ b/crates/borageshore_scenarios/src/member.rs
@@ -15,6 +15,7 @@
 
 const BATCH_RECORDS: usize = 8;
 const PAGE_RECORDS: usize = 16;
+/// The lease time until a scenario sets another.
 const LEASE_TTL_MS: u64 = 5_000;
 const KEY_WINDOW_MS: u64 = 60_000;
 const KEY_BYTES: usize = 4_096;
@@ -55,12 +56,13 @@
         }
     }
 
-    fn read<Observe>(&mut self, log: &MemoryLog, now_ms: u64, mut observe: Observe)
+    /// Reads one page; says whether the log answered.
+    fn read<Observe>(&mut self, log: &MemoryLog, now_ms: u64, mut observe: Observe) -> bool
     where
         Observe: FnMut(u64, &borageshore_log::Envelope<State::Body>),
     {
         let Some(page) = log.read(&self.name, self.follower.next_offset(), PAGE_RECORDS) else {
-            return;
+            return false;
         };
         let writer = self.writer.clone();
         let mut own_sequence = 0;
@@ -76,6 +78,7 @@
         let end = self.follower.end_offset().unwrap_or(0);
         self.proposer
             .on_progress(self.follower.applied_offset(), end, now_ms, 0);
+        true
     }
 }
 
@@ -88,6 +91,8 @@
     pub incarnation: u64,
     /// Whether it is stopped in its tracks, as by SIGSTOP.
     pub is_paused: bool,
+    /// Whether it cannot reach the log, which others still can.
+    pub is_cut_off: bool,
     /// The settings stream.
     pub settings: Stream<SettingsFold>,
     /// The lease stream.
@@ -100,6 +105,8 @@
     pub keys: KeyTable,
     /// Its place among the candidates for shards.
     pub rank: u64,
+    /// The lease time that it asks for.
+    pub lease_ttl_ms: u64,
     /// How fast its clock runs, in thousandths of true time.
     pub clock_permille: u64,
 }
@@ -112,12 +119,14 @@
             name: name.into(),
             incarnation,
             is_paused: false,
+            is_cut_off: false,
             settings: Stream::open("settings", session.clone()),
             leases: Stream::open("leases", session.clone()),
             job: None,
             agent: LeaseAgent::open(session),
             keys: KeyTable::open(name.into(), incarnation, KEY_WINDOW_MS, KEY_BYTES),
             rank,
+            lease_ttl_ms: LEASE_TTL_MS,
             clock_permille: 1_000,
         }
     }
@@ -138,9 +147,12 @@
         let now_ms = self.local_ms(true_ms);
         self.settings.read(log, now_ms, |_, _| {});
         let agent = &mut self.agent;
-        self.leases.read(log, now_ms, |offset, envelope| {
+        let is_in_touch = self.leases.read(log, now_ms, |offset, envelope| {
             agent.on_applied(offset, envelope, now_ms);
         });
+        if is_in_touch {
+            self.agent.on_contact(now_ms);
+        }
         self.tick_leases(now_ms);
         self.tick_job(log, true_ms);
         self.settings.append(log, now_ms);
@@ -156,7 +168,7 @@
             rank: self.rank,
         }];
         let table = self.leases.follower.fold();
-        for record in self.agent.tick(table, &wants, LEASE_TTL_MS, now_ms) {
+        for record in self.agent.tick(table, &wants, self.lease_ttl_ms, now_ms) {
             let is_renewal = matches!(record, LeaseRecord::Renew { .. });
             let sequence = self.leases.proposer.propose(record);
             if is_renewal {
--- a/crates/borageshore_scenarios/src/world.rs
+++ b/crates/borageshore_scenarios/src/world.rs
@@ -126,13 +126,14 @@
     /// Runs one round of a member's event loop, unless it is paused or gone.
     pub fn tick(&mut self, name: &str) {
         let now_ms = self.now_ms;
-        if let Some(member) = self
-            .members
-            .get_mut(name)
-            .filter(|member| !member.is_paused)
-        {
-            member.tick(&mut self.log, now_ms);
-        }
+        let member = self.members.get_mut(name);
+        let Some(member) = member.filter(|member| !member.is_paused) else {
+            return;
+        };
+        let has_outage = self.log.has_outage;
+        self.log.has_outage |= member.is_cut_off;
+        member.tick(&mut self.log, now_ms);
+        self.log.has_outage = has_outage;
     }
 
     /// Moves the clock and runs every member's event loop at its usual pace.
@@ -144,9 +145,18 @@
             for name in names {
                 self.tick(&name);
             }
+            self.check_holders();
         }
     }
 
+    fn check_holders(&mut self) {
+        let holders = self.members.values().filter_map(|member| {
+            let epoch = member.epoch(&shard_of_job(), self.now_ms)?;
+            (!member.is_paused).then(|| (member.name.clone(), epoch))
+        });
+        self.oracle.on_holders(holders.collect());
+    }
+
     /// Moves the clock until a member may act for the job, for a minute at the most.
     pub fn advance_until_holder(&mut self, name: &str) {
         self.advance_until(|world| {
@@ -376,11 +386,7 @@
 
     /// Checks what must always hold.
     pub fn check(&mut self) -> Result<(), Broken> {
-        let holders = self.members.values().filter_map(|member| {
-            let epoch = member.epoch(&shard_of_job(), self.now_ms)?;
-            (!member.is_paused).then(|| (member.name.clone(), epoch))
-        });
-        self.oracle.on_holders(holders.collect());
+        self.check_holders();
         for member in self.members.values() {
             self.oracle.on_settings(member);
         }
--- a/crates/borageshore_scenarios/tests/fuzz.rs
+++ b/crates/borageshore_scenarios/tests/fuzz.rs
@@ -20,6 +20,10 @@
     Resume(Who),
     Crash(Who),
     Start(Who),
+    CutOff {
+        who: Who,
+        is_cut_off: bool,
+    },
     LoseAnswer,
     DelayAppend,
     DelayClaim,
@@ -97,6 +101,11 @@
         Step::Crash(who) => world.crash(who.name()),
         Step::Start(who) if !world.members.contains_key(who.name()) => world.start(who.name()),
         Step::Start(_) => {}
+        Step::CutOff { who, is_cut_off } => {
+            if let Some(member) = world.members.get_mut(who.name()) {
+                member.is_cut_off = *is_cut_off;
+            }
+        }
         Step::LoseAnswer => world.log.lose_next_answer = true,
         Step::DelayAppend => world.log.delay_next = Some(String::new()),
         Step::DelayClaim => world.log.delay_next = Some("claim".into()),
--- a/crates/borageshore_scenarios/tests/scenarios.rs
+++ b/crates/borageshore_scenarios/tests/scenarios.rs
@@ -66,10 +66,13 @@
             "pause" => self.set_paused(next()?, true),
             "resume" => self.set_paused(next()?, false),
             "clock" => self.set_clock(next()?, next()?.parse()?),
+            "lease_ttl" => self.set_lease_ttl(next()?.parse()?),
             "outage" => self.set_outage(next()? == "on"),
             "lose_answer" => self.lose_answer(),
             "delay_append" => self.delay_append(next()?),
             "block" => self.block(Some(next()?)),
+            "cut_off" => self.set_cut_off(next()?, true),
+            "mend" => self.set_cut_off(next()?, false),
             "unblock" => self.block(None),
             "until_delayed" => self.until_delayed(),
             "until_holder" => self.until_holder(next()?),
@@ -154,6 +157,13 @@
         Ok(String::new())
     }
 
+    fn set_lease_ttl(&mut self, lease_ttl_ms: u64) -> Output {
+        for (_, member) in self.world.members.iter_mut() {
+            member.lease_ttl_ms = lease_ttl_ms;
+        }
+        Ok(String::new())
+    }
+
     fn set_outage(&mut self, has_outage: bool) -> Output {
         self.world.log.has_outage = has_outage;
         Ok(String::new())
@@ -169,6 +179,12 @@
         Ok(String::new())
     }
 
+    fn set_cut_off(&mut self, name: &str, is_cut_off: bool) -> Output {
+        let member = self.world.members.get_mut(name).ok_or("no such member")?;
+        member.is_cut_off = is_cut_off;
+        Ok(String::new())
+    }
+
     fn block(&mut self, stream: Option<&str>) -> Output {
         self.world.log.blocked = stream.map(Into::into);
         Ok(String::new())
--- a/crates/borageshore_wire/idl/wire.thrift
+++ b/crates/borageshore_wire/idl/wire.thrift
@@ -42,6 +42,8 @@
   3: required list<WireRecord> records
   4: optional string snapshot
   5: optional i64 snapshot_next_offset
+  // How long ago the peer heard of the log, itself or through others.
+  6: required i64 log_age_ms
 }
 
 // A call whose request key belongs to the receiver.
--- a/crates/borageshore_wire/src/generated.rs
+++ b/crates/borageshore_wire/src/generated.rs
@@ -456,16 +456,18 @@
   pub records: Vec<WireRecord>,
   pub snapshot: Option<String>,
   pub snapshot_next_offset: Option<i64>,
+  pub log_age_ms: i64,
 }
 
 impl FollowReply {
-  pub fn new<F4, F5>(first_offset: i64, end_offset: i64, records: Vec<WireRecord>, snapshot: F4, snapshot_next_offset: F5) -> FollowReply where F4: Into<Option<String>>, F5: Into<Option<i64>> {
+  pub fn new<F4, F5>(first_offset: i64, end_offset: i64, records: Vec<WireRecord>, snapshot: F4, snapshot_next_offset: F5, log_age_ms: i64) -> FollowReply where F4: Into<Option<String>>, F5: Into<Option<i64>> {
     FollowReply {
       first_offset,
       end_offset,
       records,
       snapshot: snapshot.into(),
       snapshot_next_offset: snapshot_next_offset.into(),
+      log_age_ms,
     }
   }
 }
@@ -478,6 +480,7 @@
     let mut f_3: Option<Vec<WireRecord>> = None;
     let mut f_4: Option<String> = None;
     let mut f_5: Option<i64> = None;
+    let mut f_6: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -511,6 +514,10 @@
           let val = i_prot.read_i64()?;
           f_5 = Some(val);
         },
+        6 => {
+          let val = i_prot.read_i64()?;
+          f_6 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -521,12 +528,14 @@
     verify_required_field_exists("FollowReply.first_offset", &f_1)?;
     verify_required_field_exists("FollowReply.end_offset", &f_2)?;
     verify_required_field_exists("FollowReply.records", &f_3)?;
+    verify_required_field_exists("FollowReply.log_age_ms", &f_6)?;
     let ret = FollowReply {
       first_offset: f_1.expect("auto-generated code should have checked for presence of required fields"),
       end_offset: f_2.expect("auto-generated code should have checked for presence of required fields"),
       records: f_3.expect("auto-generated code should have checked for presence of required fields"),
       snapshot: f_4,
       snapshot_next_offset: f_5,
+      log_age_ms: f_6.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -556,6 +565,9 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    o_prot.write_field_begin(&TFieldIdentifier::new("log_age_ms", TType::I64, 6))?;
+    o_prot.write_i64(self.log_age_ms)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
