A leaving daemon passes address questions on

The callers' lists still named the leaving daemon; they asked it for the next list and bound their keys to its incarnation, which was gone before the list ran out.

Change: a daemon that drains asks a usable peer for the list and the key prefix.

--- /dev/null
+++ b/crates/borageshore_daemon/src/addresses.rs
@@ -0,0 +1,63 @@
+//! The addresses that callers should use, and the prefix of their request keys.
+
+use std::{rc::Rc, sync::Arc};
+
+use borageshore_wire::{AddressReply, AddressRequest, PeerReply, PeerRequest};
+use serde::Serialize;
+
+use crate::daemon::{Daemon, Life};
+
+/// How long a peer may take to answer for a daemon that leaves.
+const PEER_TIMEOUT_MS: u64 = 1_000;
+
+#[derive(Debug, Serialize)]
+struct AddressList {
+    addresses: Vec<Arc<str>>,
+    ttl_ms: u64,
+    request_key_prefix: String,
+}
+
+/// The answer to a caller as JSON.
+///
+/// Guards against keys that outlive their daemon: a caller whose list still names a leaving daemon
+/// asks it for the next list, and would bind its keys to an incarnation that is gone before the list
+/// runs out; its calls would end as unknown. A leaving daemon passes the question on instead.
+pub(crate) async fn for_caller(daemon: &Rc<Daemon>, caller: &str) -> String {
+    if daemon.life() != Life::Draining {
+        return own_answer(daemon, caller);
+    }
+    match ask_peer(daemon, caller).await {
+        Some(body) => body,
+        None => own_answer(daemon, caller),
+    }
+}
+
+async fn ask_peer(daemon: &Rc<Daemon>, caller: &str) -> Option<String> {
+    let peers: Vec<Arc<str>> = {
+        let membership = daemon.membership.borrow();
+        let usable = membership.usable(daemon.now_ms());
+        usable.map(|entry| entry.peer_address.clone()).collect()
+    };
+    let chosen = daemon.random_below(peers.len() as u64) as usize;
+    let address = peers.get(chosen)?;
+    let request = PeerRequest::Addresses(AddressRequest::new(caller.to_owned()));
+    match daemon.peers.call(address, &request, PEER_TIMEOUT_MS).await {
+        Ok(PeerReply::Addresses(reply)) => Some(reply.body),
+        _ => None,
+    }
+}
+
+/// Answers a peer that leaves.
+pub(crate) fn on_peer_addresses(daemon: &Daemon, request: &AddressRequest) -> AddressReply {
+    AddressReply::new(own_answer(daemon, &request.caller))
+}
+
+fn own_answer(daemon: &Daemon, caller: &str) -> String {
+    let count = daemon.root_setting("address_count") as usize;
+    let list = AddressList {
+        addresses: daemon.membership.borrow().address_list(caller, count),
+        ttl_ms: daemon.root_setting("address_ttl_ms"),
+        request_key_prefix: daemon.keys.borrow().prefix(daemon.now_ms()).to_string(),
+    };
+    serde_json::to_string(&list).expect("lists are plain data")
+}
--- a/crates/borageshore_daemon/src/edge.rs
+++ b/crates/borageshore_daemon/src/edge.rs
@@ -18,7 +18,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    admin,
+    addresses, admin,
     calls::{CallAnswer, ServiceCall, call_service},
     daemon::{Daemon, InFlight, Life},
     generation::{Generation, GenerationFailure, Gone, OnSwap, Token, TokenSink, generate},
@@ -175,9 +175,10 @@
                 daemon.metrics.to_text(),
             )),
         ),
-        (&Method::GET, ["v1", "addresses"]) => {
-            ("addresses", respond(addresses(daemon, &request, remote)))
-        }
+        (&Method::GET, ["v1", "addresses"]) => (
+            "addresses",
+            respond(on_addresses(daemon, &request, remote).await),
+        ),
         (&Method::POST, ["v1", "services", service, "generate"]) => (
             "generate",
             on_generate(daemon, service, request, request_id).await,
@@ -264,26 +265,12 @@
     text.parse().map_err(refuse)
 }
 
-#[derive(Debug, Serialize)]
-struct AddressList {
-    addresses: Vec<Arc<str>>,
-    ttl_ms: u64,
-    request_key_prefix: String,
-}
-
-fn addresses(daemon: &Daemon, request: &EdgeRequest, remote: SocketAddr) -> Answer {
+async fn on_addresses(daemon: &Rc<Daemon>, request: &EdgeRequest, remote: SocketAddr) -> Answer {
     if daemon.life() == Life::Starting {
         return Answer::refused(ResultCode::NotReady, "no settings yet");
     }
     let caller = query(request, "caller").map_or_else(|| remote.ip().to_string(), str::to_owned);
-    let ttl_ms = daemon.root_setting("address_ttl_ms");
-    let count = daemon.root_setting("address_count") as usize;
-    let now_ms = daemon.now_ms();
-    Answer::json(&AddressList {
-        addresses: daemon.membership.borrow().address_list(&caller, count),
-        ttl_ms,
-        request_key_prefix: daemon.keys.borrow().prefix(now_ms).to_string(),
-    })
+    Answer::done(JSON, addresses::for_caller(daemon, &caller).await)
 }
 
 /// Reads a body within the limits of the edge.
@@ -593,8 +580,6 @@
     let answered = call_service(daemon, call).await;
     let mut response = respond(call_answer(answered));
     set_header(response.headers_mut(), KEY_HEADER, &request_key);
-    let prefix = daemon.keys.borrow().prefix(daemon.now_ms()).to_string();
-    set_header(response.headers_mut(), "x-request-key-prefix", &prefix);
     response
 }
 
--- a/crates/borageshore_daemon/src/lib.rs
+++ b/crates/borageshore_daemon/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(faults.fault.code.number(), 2007);
 //! ```
 
+mod addresses;
 mod admin;
 mod calls;
 mod config;
--- a/crates/borageshore_wire/idl/wire.thrift
+++ b/crates/borageshore_wire/idl/wire.thrift
@@ -103,11 +103,22 @@
   2: required string body
 }
 
+// Asks for the address list of a caller, for a daemon that leaves.
+struct AddressRequest {
+  1: required string caller
+}
+
+// The body is the JSON answer to the caller.
+struct AddressReply {
+  1: required string body
+}
+
 union PeerRequest {
   1: FollowRequest follow
   2: CallRequest call
   3: SampleRequest sample
   4: PullRequest pull
+  5: AddressRequest addresses
 }
 
 union PeerReply {
@@ -115,4 +126,5 @@
   2: CallReply call
   3: SampleReply sample
   4: PullReply pull
+  5: AddressReply addresses
 }
--- a/crates/borageshore_wire/src/generated.rs
+++ b/crates/borageshore_wire/src/generated.rs
@@ -1298,6 +1298,118 @@
   }
 }
 
+//
+// AddressRequest
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct AddressRequest {
+  pub caller: String,
+}
+
+impl AddressRequest {
+  pub fn new(caller: String) -> AddressRequest {
+    AddressRequest {
+      caller,
+    }
+  }
+}
+
+impl TSerializable for AddressRequest {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<AddressRequest> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("AddressRequest.caller", &f_1)?;
+    let ret = AddressRequest {
+      caller: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("AddressRequest");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("caller", TType::String, 1))?;
+    o_prot.write_string(&self.caller)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// AddressReply
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct AddressReply {
+  pub body: String,
+}
+
+impl AddressReply {
+  pub fn new(body: String) -> AddressReply {
+    AddressReply {
+      body,
+    }
+  }
+}
+
+impl TSerializable for AddressReply {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<AddressReply> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("AddressReply.body", &f_1)?;
+    let ret = AddressReply {
+      body: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("AddressReply");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("body", TType::String, 1))?;
+    o_prot.write_string(&self.body)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // PeerRequest
 //
@@ -1308,6 +1420,7 @@
   Call(CallRequest),
   Sample(SampleRequest),
   Pull(PullRequest),
+  Addresses(AddressRequest),
 }
 
 impl TSerializable for PeerRequest {
@@ -1350,6 +1463,13 @@
           }
           received_field_count += 1;
         },
+        5 => {
+          let val = AddressRequest::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(PeerRequest::Addresses(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -1404,6 +1524,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      PeerRequest::Addresses(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("addresses", TType::Struct, 5))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
@@ -1420,6 +1545,7 @@
   Call(CallReply),
   Sample(SampleReply),
   Pull(PullReply),
+  Addresses(AddressReply),
 }
 
 impl TSerializable for PeerReply {
@@ -1462,6 +1588,13 @@
           }
           received_field_count += 1;
         },
+        5 => {
+          let val = AddressReply::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(PeerReply::Addresses(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -1516,6 +1649,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      PeerReply::Addresses(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("addresses", TType::Struct, 5))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
