Settings: keys of all daemons at the root only, faults with their lines

Cause: the example set address_ttl_ms on a folder, where nothing reads it; a stop took 13 s instead of 5 s and nobody was told. A malformed file's fault carried an excerpt of several lines and no line number of its own; apply refused a file that builds on nodes of the running tree.

Conclusion: a setting that would do nothing is now refused.

--- a/crates/borageshore_cli/src/settings.rs
+++ b/crates/borageshore_cli/src/settings.rs
@@ -5,7 +5,8 @@
 use borageshore_api::{Explanation, KeyView, SettingsView};
 use borageshore_base::{Fault, ResultCode};
 use borageshore_settings::{
-    AuditEntry, Edit, FileSetting, SettingValue, SettingsChange, parse_settings_file,
+    AuditEntry, Edit, FileSetting, SettingValue, SettingsChange, check_settings_file,
+    parse_settings_file,
 };
 
 use crate::{
@@ -42,7 +43,9 @@
         SettingsCommand::Diff { file } => diff(connection, &file).await,
         SettingsCommand::History { node, key } => history(connection, &node, key).await,
         SettingsCommand::Check { file } => {
-            let settings = parse(&file)?;
+            let name = file.display().to_string();
+            let settings =
+                check_settings_file(&name, &read_file(&file)?).map_err(CommandError::Files)?;
             Ok(format!(
                 "{}: {} settings, no faults",
                 file.display(),
--- a/crates/borageshore_daemon/src/config.rs
+++ b/crates/borageshore_daemon/src/config.rs
@@ -3,7 +3,7 @@
 use std::{fmt, sync::Arc};
 
 use borageshore_base::{Fault, ResultCode};
-use borageshore_settings::FileFault;
+use borageshore_settings::{FileFault, malformed};
 use serde::Deserialize;
 use subtle::ConstantTimeEq;
 
@@ -76,15 +76,8 @@
 impl Config {
     /// Reads and checks the text of a file; a fault names the file, the line and the field.
     pub fn parse(file: &str, text: &str) -> Result<Self, FileFault> {
-        let config: Config = serde_saphyr::from_str(text).map_err(|error| {
-            let line = error.location().map(|location| location.line());
-            let fault = Fault::new(ResultCode::MalformedFile, error.to_string());
-            FileFault {
-                file: file.into(),
-                line,
-                fault,
-            }
-        })?;
+        let config: Config =
+            serde_saphyr::from_str(text).map_err(|error| malformed(file, &error))?;
         config.check().map_err(|fault| FileFault {
             file: file.into(),
             line: None,
--- a/crates/borageshore_settings/src/file.rs
+++ b/crates/borageshore_settings/src/file.rs
@@ -62,30 +62,22 @@
     nodes: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Spanned<SettingValue>>>,
 }
 
-/// Reads a settings file and checks it as a tree of its own; returns every fault found.
+/// Reads a settings file and checks each key by itself; returns every fault found.
 pub fn parse_settings_file(file: &str, text: &str) -> Result<Vec<FileSetting>, Vec<FileFault>> {
-    let parsed: SettingsFile = serde_saphyr::from_str(text).map_err(|error| {
-        let fault = Fault::new(ResultCode::MalformedFile, error.to_string());
-        vec![FileFault {
-            file: file.into(),
-            line: None,
-            fault,
-        }]
-    })?;
+    let parsed: SettingsFile =
+        serde_saphyr::from_str(text).map_err(|error| vec![malformed(file, &error)])?;
     let settings = flatten(parsed);
     let mut faults: Vec<FileFault> = Vec::new();
     for setting in &settings {
         if let Err(fault) = check_value(&setting.node, &setting.key, &setting.value) {
+            let line = Some(setting.line);
             faults.push(FileFault {
                 file: file.into(),
-                line: Some(setting.line),
+                line,
                 fault,
             });
         }
     }
-    if faults.is_empty() {
-        faults.extend(check_as_tree(file, &settings));
-    }
     if faults.is_empty() {
         Ok(settings)
     } else {
@@ -93,6 +85,30 @@
     }
 }
 
+/// Reads a settings file and checks it as a whole tree, without those nodes that only a running
+/// tree has.
+pub fn check_settings_file(file: &str, text: &str) -> Result<Vec<FileSetting>, Vec<FileFault>> {
+    let settings = parse_settings_file(file, text)?;
+    match check_as_tree(file, &settings) {
+        Some(fault) => Err(vec![fault]),
+        None => Ok(settings),
+    }
+}
+
+/// The fault of a file that is no YAML or has not the expected shape.
+pub fn malformed(file: &str, error: &serde_saphyr::Error) -> FileFault {
+    let line = error.location().map(|location| location.line());
+    let whole = error.to_string();
+    // The rest is an excerpt of the file.
+    let first_line = whole.lines().next().unwrap_or_default();
+    let fault = Fault::new(ResultCode::MalformedFile, first_line);
+    FileFault {
+        file: file.into(),
+        line,
+        fault,
+    }
+}
+
 fn flatten(parsed: SettingsFile) -> Vec<FileSetting> {
     let mut settings = Vec::new();
     for (node, keys) in parsed.nodes {
--- a/crates/borageshore_settings/src/lib.rs
+++ b/crates/borageshore_settings/src/lib.rs
@@ -24,7 +24,9 @@
 pub use self::{
     audit::{AuditEntry, AuditedEdit, Verdict},
     change::{Edit, SettingsChange, SettingsRecord},
-    file::{FileFault, FileSetting, edits_against, parse_settings_file},
+    file::{
+        FileFault, FileSetting, check_settings_file, edits_against, malformed, parse_settings_file,
+    },
     fold::{SettingsFold, SettingsSnapshot},
     schema::{Inheritance, KeySpec, NodeKind, SCHEMA, ValueSpec, key_spec},
     tree::{EffectiveSetting, Entry, Node, ROOT, SettingsTree},
--- a/crates/borageshore_settings/src/schema.rs
+++ b/crates/borageshore_settings/src/schema.rs
@@ -59,6 +59,8 @@
     Inherited,
     /// The key speaks of its own node only.
     Own,
+    /// The key speaks of all daemons and is set at the root only.
+    RootOnly,
 }
 
 /// One key of the schema.
@@ -96,7 +98,7 @@
     ValueSpec::Integer { least, most }
 }
 
-use Inheritance::{Inherited, Own};
+use Inheritance::{Inherited, Own, RootOnly};
 
 const MAX_MS: u64 = 86_400_000;
 
@@ -105,14 +107,14 @@
     key(
         "address_count",
         range(1, 16),
-        Inherited,
+        RootOnly,
         Some("4"),
         "How many daemon addresses a caller is given.",
     ),
     key(
         "address_ttl_ms",
         range(500, MAX_MS),
-        Inherited,
+        RootOnly,
         Some("10000"),
         "How long a caller may keep an address list.",
     ),
@@ -168,14 +170,14 @@
     key(
         "lease_ttl_ms",
         range(500, MAX_MS),
-        Inherited,
+        RootOnly,
         Some("5000"),
         "How long a lease holds without renewal.",
     ),
     key(
         "log_level",
         ValueSpec::Choice(&["error", "warn", "info", "debug", "trace"]),
-        Inherited,
+        RootOnly,
         Some("info"),
         "The least severe log lines that daemons write.",
     ),
@@ -231,14 +233,14 @@
     key(
         "request_key_window_ms",
         range(1_000, MAX_MS),
-        Inherited,
+        RootOnly,
         Some("600000"),
         "How long a daemon remembers the request keys that it ran.",
     ),
     key(
         "retry_budget_percent",
         range(0, 100),
-        Inherited,
+        RootOnly,
         Some("20"),
         "Retries as a share of requests.",
     ),
--- a/crates/borageshore_settings/src/validate.rs
+++ b/crates/borageshore_settings/src/validate.rs
@@ -5,7 +5,7 @@
 use borageshore_base::{Fault, ResultCode};
 
 use crate::{
-    schema::{KeySpec, NodeKind, SCHEMA, ValueSpec, key_spec},
+    schema::{Inheritance, KeySpec, NodeKind, SCHEMA, ValueSpec, key_spec},
     tree::{ROOT, SettingsTree},
     value::SettingValue,
 };
@@ -24,6 +24,10 @@
             format!("{node}.{key}: the root is fixed"),
         ));
     }
+    if node != ROOT && spec.inheritance == Inheritance::RootOnly {
+        let detail = format!("{node}.{key}: the key is set at the root only");
+        return Err(Fault::new(ResultCode::WrongNodeKind, detail));
+    }
     check_against(spec, value)
         .map_err(|fault| Fault::new(fault.code, format!("{node}.{key}: {}", fault.detail)))
 }
