Three slopes that were too steep: candidacy, settings fold, choice of endpoint

Cause: benchmarks at the size of the plan. A daemon ranked all 680 daemons for each of 52 shards ten times a second: 2.88 ms a tick, 2.9 % of a core for this alone, over the budget of 2 % for all control. Each settings change checked every node: 1.54 ms at 2,000 nodes, which a replay pays for every record. Each request sorted all 480 replicas of a zone by rendezvous weight: 85 us.

Change: the rank stops at the fourth member that comes before; other nodes are looked at only after an edit of a structural key (which also finds a job that loses an inherited service); the holder of a prefix is a maximum, not a sort.

--- a/crates/borageshore_base/src/rendezvous.rs
+++ b/crates/borageshore_base/src/rendezvous.rs
@@ -22,3 +22,20 @@
     ranked.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(b.1)));
     ranked.into_iter().map(|(_, member)| member).collect()
 }
+
+/// The rank of `own` among `members` for `key` if it is below `limit`; `own` need not be listed.
+///
+/// Stops at the first `limit` members that come before, so a member that is far from the front, as
+/// most are for most keys, looks at a few others only.
+pub fn rank_within<'m, Members>(key: &str, own: &str, members: Members, limit: usize) -> Option<usize>
+where
+    Members: IntoIterator<Item = &'m str>,
+{
+    let own_weight = rendezvous_weight(key, own);
+    let comes_before = |member: &&str| {
+        let weight = rendezvous_weight(key, member);
+        weight > own_weight || (weight == own_weight && *member < own)
+    };
+    let before = members.into_iter().filter(comes_before).take(limit).count();
+    (before < limit).then_some(before)
+}
--- /dev/null
+++ b/crates/borageshore_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- a/crates/borageshore_daemon/src/control.rs
+++ b/crates/borageshore_daemon/src/control.rs
@@ -2,13 +2,13 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use borageshore_base::rank_by_rendezvous;
-use borageshore_lease::{LeaseRecord, Want};
+use borageshore_base::{rank_by_rendezvous, rank_within};
+use borageshore_lease::{LeaseRecord, Want, wants_of};
 use borageshore_log::{Envelope, LogRecord};
 use borageshore_membership::Health;
 use borageshore_net::sleep_ms;
 use borageshore_routing::{AdmissionLimits, LoadReport};
-use borageshore_settings::{NodeKind, ROOT, SettingsRecord};
+use borageshore_settings::{NodeKind, ROOT, SettingsChange, SettingsRecord};
 
 use crate::{
     daemon::{Daemon, Life},
@@ -110,17 +110,15 @@
     let SettingsRecord::Change(change) = &envelope.body else {
         return;
     };
+    let wall_ms = jiff::Timestamp::now().as_millisecond() as u64;
+    let lag_ms = wall_ms.saturating_sub(record.at_ms);
+    let SettingsChange { actor, reason, .. } = change;
     log::info!(
-        "settings record {} by {}: {}",
-        record.offset,
-        change.actor,
-        change.reason
+        "settings record {} by {actor} after {lag_ms} ms: {reason}",
+        record.offset
     );
     if daemon.life.get() != Life::Starting {
-        let wall_ms = jiff::Timestamp::now().as_millisecond() as u64;
-        daemon
-            .metrics
-            .on_settings_in_force(wall_ms.saturating_sub(record.at_ms));
+        daemon.metrics.on_settings_in_force(lag_ms);
     }
 }
 
@@ -252,18 +250,7 @@
         .usable(now_ms)
         .map(|entry| &*entry.name)
         .collect();
-    let rank_in = |shard: &str| {
-        let ranked = rank_by_rendezvous(shard, names.iter().copied());
-        ranked
-            .iter()
-            .take(CANDIDATES)
-            .position(|name| **name == *daemon.config.name)
-    };
-    let ranked = shards(daemon).into_iter().filter_map(|shard| {
-        let rank = rank_in(&shard)? as u64;
-        Some(Want { shard, rank })
-    });
-    ranked.collect()
+    wants_of(&daemon.config.name, &shards(daemon), names.iter().copied(), CANDIDATES)
 }
 
 fn refresh_limits(daemon: &Rc<Daemon>) {
@@ -308,8 +295,10 @@
 /// The first daemon by rendezvous order keeps snapshots young enough for retention.
 fn snapshot_if_due(daemon: &Rc<Daemon>) {
     let membership = daemon.membership.borrow();
-    let names = membership.usable(daemon.now_ms()).map(|entry| &*entry.name);
-    let is_first = rank_by_rendezvous("snapshot", names).first() == Some(&&*daemon.config.name);
+    let names = membership
+        .usable(daemon.now_ms())
+        .map(|entry| &*entry.name);
+    let is_first = rank_within("snapshot", &daemon.config.name, names, 1).is_some();
     if !is_first || daemon.life.get() != Life::Ready {
         return;
     }
--- a/crates/borageshore_lease/src/agent.rs
+++ b/crates/borageshore_lease/src/agent.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, sync::Arc};
 
-use borageshore_base::SortedMap;
+use borageshore_base::{SortedMap, rank_within};
 use borageshore_log::Envelope;
 
 use crate::table::{LeaseRecord, LeaseTable, ShardClaim};
@@ -35,6 +35,26 @@
     pub rank: u64,
 }
 
+/// The shards that `own` is one of the first `candidates` members for.
+pub fn wants_of<'m, Members>(
+    own: &str,
+    shards: &[Arc<str>],
+    members: Members,
+    candidates: usize,
+) -> Vec<Want>
+where
+    Members: Iterator<Item = &'m str> + Clone,
+{
+    let ranked = shards.iter().filter_map(|shard| {
+        let rank = rank_within(shard, own, members.clone(), candidates)? as u64;
+        Some(Want {
+            shard: shard.clone(),
+            rank,
+        })
+    });
+    ranked.collect()
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct SeenRenewal {
     offset: u64,
--- a/crates/borageshore_routing/src/choice.rs
+++ b/crates/borageshore_routing/src/choice.rs
@@ -12,8 +12,6 @@
 const AFFINITY_BONUS_PERCENT: u64 = 50;
 /// What another availability zone costs, in percent of an endpoint's slots.
 const OTHER_ZONE_PERCENT: u64 = 25;
-/// How many endpoints are likely to hold a prefix.
-const AFFINITY_HOLDERS: usize = 1;
 
 /// What the choice depends on.
 #[derive(Debug, Clone, Copy)]
@@ -49,36 +47,28 @@
     if usable.is_empty() {
         return None;
     }
-    let holders = prefix_holders(&usable, request.prefix);
+    let holder = prefix_holder(&usable, request.prefix);
     let count = usable.len() as u64;
     let first = usable[(random.next_u64() % count) as usize];
     let second = usable[(random.next_u64() % count) as usize];
-    let candidates = [first, second].into_iter().chain(holders.iter().copied());
-    let cost = |endpoint: &&Endpoint| cost_of(endpoint, request.zone, &holders, now_ms);
+    let candidates = [first, second].into_iter().chain(holder);
+    let cost = |endpoint: &&Endpoint| cost_of(endpoint, request.zone, holder, now_ms);
     candidates
         .min_by_key(cost)
         .map(|endpoint| endpoint.listing.name.clone())
 }
 
-fn prefix_holders<'e>(usable: &[&'e Endpoint], prefix: Option<&str>) -> Vec<&'e Endpoint> {
-    let Some(prefix) = prefix else {
-        return Vec::new();
-    };
-    let mut ranked: Vec<&Endpoint> = usable.to_vec();
-    ranked.sort_by_key(|endpoint| {
-        std::cmp::Reverse(rendezvous_weight(prefix, &endpoint.listing.name))
-    });
-    ranked.truncate(AFFINITY_HOLDERS);
-    ranked
+/// The endpoint that most likely has the prefix cached: requests of one prefix meet there.
+fn prefix_holder<'e>(usable: &[&'e Endpoint], prefix: Option<&str>) -> Option<&'e Endpoint> {
+    let prefix = prefix?;
+    let weight = |endpoint: &&&Endpoint| rendezvous_weight(prefix, &endpoint.listing.name);
+    usable.iter().max_by_key(weight).copied()
 }
 
 /// Load in thousandths of the slots, less the bonus, plus the price of distance.
-fn cost_of(endpoint: &Endpoint, zone: &str, holders: &[&Endpoint], now_ms: u64) -> u64 {
+fn cost_of(endpoint: &Endpoint, zone: &str, holder: Option<&Endpoint>, now_ms: u64) -> u64 {
     let mut cost = 10 * AFFINITY_BONUS_PERCENT + endpoint.load(now_ms) * 1_000 / endpoint.slots();
-    if holders
-        .iter()
-        .any(|holder| holder.listing.name == endpoint.listing.name)
-    {
+    if holder.is_some_and(|holder| holder.listing.name == endpoint.listing.name) {
         cost -= 10 * AFFINITY_BONUS_PERCENT;
     }
     if &*endpoint.listing.zone != zone {
--- a/crates/borageshore_settings/src/fold.rs
+++ b/crates/borageshore_settings/src/fold.rs
@@ -182,10 +182,7 @@
         let before = node.insert(edit.key.clone(), entry);
         undo.push((edit.node.clone(), edit.key.clone(), before));
     }
-    let mut touched: Vec<Arc<str>> = change.edits.iter().map(|edit| edit.node.clone()).collect();
-    touched.sort();
-    touched.dedup();
-    check_tree(tree, &touched).inspect_err(|_| roll_back(tree, undo))
+    check_tree(tree, &change.edits).inspect_err(|_| roll_back(tree, undo))
 }
 
 fn check_change(tree: &SettingsTree, change: &SettingsChange) -> Result<(), Fault> {
--- a/crates/borageshore_settings/src/validate.rs
+++ b/crates/borageshore_settings/src/validate.rs
@@ -5,6 +5,7 @@
 use borageshore_base::{Fault, ResultCode};
 
 use crate::{
+    change::Edit,
     schema::{Inheritance, KeySpec, NodeKind, SCHEMA, ValueSpec, key_spec},
     tree::{ROOT, SettingsTree},
     value::SettingValue,
@@ -88,25 +89,25 @@
     }
 }
 
-/// Checks what a set of edited nodes can have broken in the whole tree.
-pub(crate) fn check_tree(tree: &SettingsTree, touched: &[Arc<str>]) -> Result<(), Fault> {
-    for node in touched {
-        check_node(tree, node)?;
+/// The keys whose edit can make other nodes invalid: what they inherit from or refer to.
+const STRUCTURAL_KEYS: &[&str] = &["kind", "parent", "scorer", "service"];
+
+/// Checks what a set of edits can have broken in the whole tree.
+///
+/// Most changes set a number and can only be wrong by themselves, so the other nodes are looked at
+/// only after an edit of a structural key.
+pub(crate) fn check_tree(tree: &SettingsTree, edits: &[Edit]) -> Result<(), Fault> {
+    for edit in edits {
+        check_node(tree, &edit.node)?;
     }
-    // Other nodes can only be hurt by a node that stopped to exist or is no service any more.
-    let vanished = touched
+    if !edits
         .iter()
-        .filter(|node| !tree.exists(node))
-        .collect::<Vec<_>>();
+        .any(|edit| STRUCTURAL_KEYS.contains(&&*edit.key))
+    {
+        return Ok(());
+    }
     for name in tree.node_names() {
-        let parent = tree.parent(name).expect("only existing nodes are listed");
-        if vanished.contains(&parent) {
-            return Err(Fault::new(
-                ResultCode::MissingParent,
-                format!("{name}.parent: {parent}"),
-            ));
-        }
-        check_reference(tree, name)?;
+        check_node(tree, name)?;
     }
     Ok(())
 }
@@ -114,25 +115,20 @@
 fn check_node(tree: &SettingsTree, node: &Arc<str>) -> Result<(), Fault> {
     let Some(parent) = tree.parent(node) else {
         if **node != *ROOT && tree.own_entries(node).next().is_some() {
-            return Err(Fault::new(
-                ResultCode::MissingNode,
-                format!("{node} has keys but no parent"),
-            ));
+            let detail = format!("{node} has keys but no parent");
+            return Err(Fault::new(ResultCode::MissingNode, detail));
         }
         return Ok(());
     };
     if !tree.exists(parent) {
-        return Err(Fault::new(
-            ResultCode::MissingParent,
-            format!("{node}.parent: {parent}"),
-        ));
+        let detail = format!("{node}.parent: {parent}");
+        return Err(Fault::new(ResultCode::MissingParent, detail));
     }
     check_cycle(tree, node)?;
+    check_reference(tree, node)?;
     if tree.kind(node) == NodeKind::Job && tree.text(node, "service").is_none() {
-        return Err(Fault::new(
-            ResultCode::MissingReference,
-            format!("{node}.service: a job needs a service"),
-        ));
+        let detail = format!("{node}.service: a job needs a service");
+        return Err(Fault::new(ResultCode::MissingReference, detail));
     }
     Ok(())
 }
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -4,10 +4,11 @@
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 bin=${BORAGESHORE_BIN:-$root/target/release}
 out=${BORAGESHORE_OUT:-$(mktemp -d)}
+mkdir -p "$out"
 base_port=${BORAGESHORE_BASE_PORT:-17000}
 daemon_port=$((base_port + 1000))
 zones=(suva-hall nausori-hall navua-hall)
-declare -A pids=()
+declare -gA pids=()
 
 http_of() { echo "127.0.0.1:$((daemon_port + 10 * $1))"; }
 
