Gossip: signs of life instead of whole entries

Cause: at 680 daemons a tick sent 3,770 bytes, 16 whole entries of 78 bytes in each message, and received as much: 7.5 of the 12 KB a second that all control may use. Ruled out: more than three messages a tick (3.0 measured).

Change: a message carries the sender's entry, news and one entry in turn whole, and up to 16 others as name, incarnation and counter. A daemon that starts asks the first peer it hears of for all entries.

--- a/crates/borageshore_base/src/rendezvous.rs
+++ b/crates/borageshore_base/src/rendezvous.rs
@@ -27,7 +27,12 @@
 ///
 /// Stops at the first `limit` members that come before, so a member that is far from the front, as
 /// most are for most keys, looks at a few others only.
-pub fn rank_within<'m, Members>(key: &str, own: &str, members: Members, limit: usize) -> Option<usize>
+pub fn rank_within<'m, Members>(
+    key: &str,
+    own: &str,
+    members: Members,
+    limit: usize,
+) -> Option<usize>
 where
     Members: IntoIterator<Item = &'m str>,
 {
--- a/crates/borageshore_bench/benches/slopes.rs
+++ b/crates/borageshore_bench/benches/slopes.rs
@@ -8,7 +8,7 @@
 use borageshore_base::SortedMap;
 use borageshore_lease::{LeaseAgent, LeaseRecord, LeaseTable, ShardClaim, Want, wants_of};
 use borageshore_log::{Envelope, Fold};
-use borageshore_membership::{MemberEntry, MemberState, Membership};
+use borageshore_membership::{GossipMessage, Heartbeat, MemberEntry, MemberState, Membership};
 use borageshore_rollout::{
     Freshness, JobController, JobPlan, Ledger, LedgerRecord, PullDecision, PullView, ReplicaView,
     Sample, Segment, SwapLimits, plan_swaps,
@@ -222,8 +222,8 @@
         let mut messages = 0;
         report.time("membership", "tick_ns", size, 50, |round| {
             membership.advance(400 + round as u64);
-            for (_, entries) in membership.gossip(round as u64 * 7, 400) {
-                bytes += encode(&gossip_to_wire(&entries)).expect("encodes").len();
+            for (_, message) in membership.gossip(round as u64 * 7, 400) {
+                bytes += encode(&gossip_to_wire(&message)).expect("encodes").len();
                 messages += 1;
             }
         });
@@ -240,19 +240,23 @@
             size,
             f64::from(messages) / ticks,
         );
-        let (_, entries) = membership.gossip(1, 400).swap_remove(0);
+        let (_, message) = membership.gossip(1, 400).swap_remove(0);
         let mut counter = 200;
         report.time("membership", "receive_message_ns", size, 100, |_| {
             counter += 1;
-            for entry in &entries {
-                membership.on_entry(
-                    MemberEntry {
-                        counter,
-                        ..entry.clone()
-                    },
-                    400,
-                );
-            }
+            let entries = message.entries.iter().map(|entry| MemberEntry {
+                counter,
+                ..entry.clone()
+            });
+            let heartbeats = message.heartbeats.iter().map(|beat| Heartbeat {
+                counter,
+                ..beat.clone()
+            });
+            let message = GossipMessage {
+                entries: entries.collect(),
+                heartbeats: heartbeats.collect(),
+            };
+            membership.on_message(message, 400);
         });
     }
 }
@@ -416,11 +420,18 @@
 
 /// One daemon's candidacy for 27 jobs and the weights of 25 services among all daemons.
 fn candidacy(report: &mut Report) {
-    let shards: Vec<Arc<str>> = (0..52).map(|number| format!("job/{number}").into()).collect();
+    let shards: Vec<Arc<str>> = (0..52)
+        .map(|number| format!("job/{number}").into())
+        .collect();
     for size in [45, 85, 170, 340, 680] {
         let names: Vec<String> = (0..size).map(|number| format!("vm-{number}")).collect();
         report.time("candidacy", "tick_ns", size, 20, |_| {
-            black_box(wants_of("vm-1", &shards, names.iter().map(String::as_str), 4));
+            black_box(wants_of(
+                "vm-1",
+                &shards,
+                names.iter().map(String::as_str),
+                4,
+            ));
         });
     }
 }
--- a/crates/borageshore_daemon/src/control.rs
+++ b/crates/borageshore_daemon/src/control.rs
@@ -250,7 +250,12 @@
         .usable(now_ms)
         .map(|entry| &*entry.name)
         .collect();
-    wants_of(&daemon.config.name, &shards(daemon), names.iter().copied(), CANDIDATES)
+    wants_of(
+        &daemon.config.name,
+        &shards(daemon),
+        names.iter().copied(),
+        CANDIDATES,
+    )
 }
 
 fn refresh_limits(daemon: &Rc<Daemon>) {
@@ -295,9 +300,7 @@
 /// The first daemon by rendezvous order keeps snapshots young enough for retention.
 fn snapshot_if_due(daemon: &Rc<Daemon>) {
     let membership = daemon.membership.borrow();
-    let names = membership
-        .usable(daemon.now_ms())
-        .map(|entry| &*entry.name);
+    let names = membership.usable(daemon.now_ms()).map(|entry| &*entry.name);
     let is_first = rank_within("snapshot", &daemon.config.name, names, 1).is_some();
     if !is_first || daemon.life.get() != Life::Ready {
         return;
--- a/crates/borageshore_daemon/src/gossip.rs
+++ b/crates/borageshore_daemon/src/gossip.rs
@@ -2,9 +2,12 @@
 
 use std::{io, net::SocketAddr, rc::Rc, sync::Arc};
 
-use borageshore_membership::{MemberEntry, TICK_MS};
+use borageshore_membership::{GossipMessage, TICK_MS};
 use borageshore_net::sleep_ms;
-use borageshore_wire::{WireGossip, decode, encode, gossip_from_wire, gossip_to_wire};
+use borageshore_wire::{
+    MembersReply, MembersRequest, PeerReply, PeerRequest, WireGossip, decode, encode,
+    gossip_from_wire, gossip_to_wire, member_from_wire, member_to_wire,
+};
 use monoio::net::udp::UdpSocket;
 
 use crate::{daemon::Daemon, metrics::Direction};
@@ -13,6 +16,7 @@
 const DATAGRAM_BYTES: usize = 8 * 1024;
 /// The length of the keyed hash in front of each datagram.
 const TAG_BYTES: usize = 16;
+const MEMBERS_TIMEOUT_MS: u64 = 2_000;
 const KEY_CONTEXT: &str = "borageshore gossip datagrams v1";
 
 /// Binds the gossip socket and starts to send and receive.
@@ -49,13 +53,13 @@
     daemon: &Daemon,
     socket: &UdpSocket,
     key: &[u8; 32],
-    messages: Vec<(Arc<str>, Vec<MemberEntry>)>,
+    messages: Vec<(Arc<str>, GossipMessage)>,
 ) {
-    for (address, entries) in messages {
+    for (address, message) in messages {
         let Ok(target) = address.parse::<SocketAddr>() else {
             continue;
         };
-        let Ok(payload) = encode(&gossip_to_wire(&entries)) else {
+        let Ok(payload) = encode(&gossip_to_wire(&message)) else {
             continue;
         };
         let mut datagram = tag(key, &payload).to_vec();
@@ -85,7 +89,7 @@
 
 /// Takes in a datagram whose keyed hash shows that a peer sent it; a stranger's could otherwise
 /// declare daemons dead or draw callers to an address of its own.
-fn on_datagram(daemon: &Daemon, key: &[u8; 32], datagram: &[u8]) {
+fn on_datagram(daemon: &Rc<Daemon>, key: &[u8; 32], datagram: &[u8]) {
     let Some((offered, payload)) = datagram.split_at_checked(TAG_BYTES) else {
         return;
     };
@@ -96,13 +100,57 @@
     let Ok(gossip) = decode::<WireGossip>(payload) else {
         return;
     };
+    let message = gossip_from_wire(gossip);
+    let sender = message
+        .entries
+        .first()
+        .map(|entry| entry.peer_address.clone());
     let now_ms = daemon.now_ms();
-    let mut membership = daemon.membership.borrow_mut();
-    for entry in gossip_from_wire(gossip) {
-        membership.on_entry(entry, now_ms);
+    daemon.membership.borrow_mut().on_message(message, now_ms);
+    if let Some(sender) = sender
+        && daemon.members_asked.replace(Asked::Yes) == Asked::No
+    {
+        monoio::spawn(ask_members(daemon.clone(), sender));
     }
 }
 
+/// Whether a peer was asked for all daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Asked {
+    No,
+    Yes,
+}
+
+/// Learns all daemons from the first peer heard of: datagrams tell of them only by and by.
+async fn ask_members(daemon: Rc<Daemon>, address: Arc<str>) {
+    let request = PeerRequest::Members(MembersRequest::new());
+    match daemon
+        .peers
+        .call(&address, &request, MEMBERS_TIMEOUT_MS)
+        .await
+    {
+        Ok(PeerReply::Members(reply)) => {
+            let now_ms = daemon.now_ms();
+            let mut membership = daemon.membership.borrow_mut();
+            for entry in reply.members.into_iter().filter_map(member_from_wire) {
+                membership.on_entry(entry, now_ms);
+            }
+        }
+        _ => daemon.members_asked.set(Asked::No),
+    }
+}
+
+/// Answers a peer that has just started.
+pub(crate) fn on_peer_members(daemon: &Daemon) -> MembersReply {
+    let membership = daemon.membership.borrow();
+    let entries = membership.entries(daemon.now_ms());
+    MembersReply::new(
+        entries
+            .map(|(entry, _)| member_to_wire(entry))
+            .collect::<Vec<_>>(),
+    )
+}
+
 fn tag(key: &[u8; 32], payload: &[u8]) -> [u8; TAG_BYTES] {
     let hash = blake3::keyed_hash(key, payload);
     let mut tag = [0_u8; TAG_BYTES];
--- a/crates/borageshore_daemon/src/peer_server.rs
+++ b/crates/borageshore_daemon/src/peer_server.rs
@@ -10,7 +10,7 @@
 };
 use monoio::net::{TcpListener, TcpStream};
 
-use crate::{addresses, calls, daemon::Daemon, jobs, samples, stream::NOTHING_HEARD};
+use crate::{addresses, calls, daemon::Daemon, gossip, jobs, samples, stream::NOTHING_HEARD};
 
 /// How long a new connection may take to show its token.
 const HELLO_MS: u64 = 2_000;
@@ -79,6 +79,7 @@
         PeerRequest::Addresses(request) => {
             PeerReply::Addresses(addresses::on_peer_addresses(daemon, &request))
         }
+        PeerRequest::Members(_) => PeerReply::Members(gossip::on_peer_members(daemon)),
         PeerRequest::Call(request) => PeerReply::Call(calls::on_peer_call(daemon, request).await),
         PeerRequest::Sample(request) => {
             PeerReply::Sample(samples::on_peer_sample(daemon, request).await)
--- a/crates/borageshore_membership/src/entry.rs
+++ b/crates/borageshore_membership/src/entry.rs
@@ -44,3 +44,23 @@
         rank(self) > rank(other)
     }
 }
+
+/// A sign of life of a daemon that the receiver knows already.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// The daemon's name.
+    pub name: Arc<str>,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Its counter.
+    pub counter: u64,
+}
+
+/// What one datagram carries.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct GossipMessage {
+    /// Whole entries: the sender's own, news, and a few others in turn.
+    pub entries: Vec<MemberEntry>,
+    /// Signs of life, a third of an entry's size.
+    pub heartbeats: Vec<Heartbeat>,
+}
--- a/crates/borageshore_membership/src/gossip.rs
+++ b/crates/borageshore_membership/src/gossip.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    entry::{MemberEntry, MemberState},
+    entry::{GossipMessage, Heartbeat, MemberEntry, MemberState},
     members::{Health, Member, Membership},
 };
 
@@ -11,28 +11,36 @@
 const ZONE_FANOUT: usize = 2;
 /// How many peers of other zones hear from it.
 const REMOTE_FANOUT: usize = 1;
-/// How many entries besides the sender's a message carries.
-const ENTRIES_PER_MESSAGE: usize = 15;
+/// The most whole entries in a message, the sender's own included.
+const ENTRIES_PER_MESSAGE: usize = 12;
+/// Whole entries that go around in turn beside the news, against news that never arrived.
+const ENTRIES_IN_TURN: usize = 1;
+/// How many signs of life a message carries.
+const HEARTBEATS_PER_MESSAGE: usize = 16;
 /// How many of those are kept for the sender's own zone.
-const ZONE_ENTRIES_PER_MESSAGE: usize = 8;
+const ZONE_HEARTBEATS_PER_MESSAGE: usize = 8;
 
 impl Membership {
     /// Picks this tick's messages; `seed` varies the choice of peers.
-    pub fn gossip(&mut self, seed: u64, now_ms: u64) -> Vec<(Arc<str>, Vec<MemberEntry>)> {
+    pub fn gossip(&mut self, seed: u64, now_ms: u64) -> Vec<(Arc<str>, GossipMessage)> {
         let targets = self.targets(seed, now_ms);
         let messages = targets.into_iter().map(|target| (target, self.compose()));
         messages.collect()
     }
 
     /// A message for everybody at once, for the last words of a daemon that stops.
-    pub fn farewell(&self, now_ms: u64) -> Vec<(Arc<str>, Vec<MemberEntry>)> {
+    pub fn farewell(&self, now_ms: u64) -> Vec<(Arc<str>, GossipMessage)> {
         let zone = &self.own.zone;
         let peers = self
             .entries(now_ms)
             .skip(1)
             .filter(|(entry, _)| entry.zone == *zone);
+        let message = GossipMessage {
+            entries: vec![self.own.clone()],
+            heartbeats: Vec::new(),
+        };
         peers
-            .map(|(entry, _)| (entry.gossip_address.clone(), vec![self.own.clone()]))
+            .map(|(entry, _)| (entry.gossip_address.clone(), message.clone()))
             .collect()
     }
 
@@ -56,43 +64,63 @@
         targets
     }
 
-    fn compose(&mut self) -> Vec<MemberEntry> {
-        let mut message = vec![self.own.clone()];
+    fn compose(&mut self) -> GossipMessage {
+        let mut message = GossipMessage {
+            entries: vec![self.own.clone()],
+            heartbeats: Vec::new(),
+        };
         for (_, member) in self.members.iter_mut() {
-            if member.news_left > 0 && message.len() <= ENTRIES_PER_MESSAGE {
+            if member.news_left > 0 && message.entries.len() < ENTRIES_PER_MESSAGE {
                 member.news_left -= 1;
-                message.push(member.entry.clone());
+                message.entries.push(member.entry.clone());
             }
         }
+        let in_turn = self
+            .rotated()
+            .map(|member| member.entry.clone())
+            .take(ENTRIES_IN_TURN);
+        message.entries.extend(in_turn);
         let zone = self.own.zone.clone();
-        self.fill(&mut message, ZONE_ENTRIES_PER_MESSAGE, |entry| {
+        self.fill(&mut message, ZONE_HEARTBEATS_PER_MESSAGE, |entry| {
             entry.zone == zone
         });
-        self.fill(&mut message, ENTRIES_PER_MESSAGE, |_| true);
-        self.rotation = self.rotation.wrapping_add(ENTRIES_PER_MESSAGE);
+        self.fill(&mut message, HEARTBEATS_PER_MESSAGE, |_| true);
+        self.rotation = self
+            .rotation
+            .wrapping_add(HEARTBEATS_PER_MESSAGE - ENTRIES_IN_TURN);
         message
     }
 
-    /// Adds entries from the rotating start until the message holds `limit` of them.
-    fn fill<Wanted>(&self, message: &mut Vec<MemberEntry>, limit: usize, wanted: Wanted)
-    where
-        Wanted: Fn(&MemberEntry) -> bool,
-    {
+    /// The members from a start that moves on with each message.
+    fn rotated(&self) -> impl Iterator<Item = &Member> {
         let count = self.members.len();
         let start = if count == 0 { 0 } else { self.rotation % count };
-        let rotated = self
-            .members
+        self.members
             .values()
             .skip(start)
-            .chain(self.members.values().take(start));
-        for member in rotated {
-            if message.len() > limit {
+            .chain(self.members.values().take(start))
+    }
+
+    /// Adds signs of life until the message holds `limit` of them.
+    fn fill<Wanted>(&self, message: &mut GossipMessage, limit: usize, wanted: Wanted)
+    where
+        Wanted: Fn(&MemberEntry) -> bool,
+    {
+        for member in self.rotated() {
+            if message.heartbeats.len() >= limit {
                 return;
             }
             let entry = &member.entry;
-            let repeated = message.iter().any(|listed| listed.name == entry.name);
-            if !repeated && entry.state != MemberState::Dead && wanted(entry) {
-                message.push(entry.clone());
+            let is_listed = message
+                .heartbeats
+                .iter()
+                .any(|listed| listed.name == entry.name);
+            if !is_listed && entry.state != MemberState::Dead && wanted(entry) {
+                message.heartbeats.push(Heartbeat {
+                    name: entry.name.clone(),
+                    incarnation: entry.incarnation,
+                    counter: entry.counter,
+                });
             }
         }
     }
--- a/crates/borageshore_membership/src/lib.rs
+++ b/crates/borageshore_membership/src/lib.rs
@@ -27,6 +27,6 @@
 mod members;
 
 pub use self::{
-    entry::{MemberEntry, MemberState},
+    entry::{GossipMessage, Heartbeat, MemberEntry, MemberState},
     members::{Health, Membership, TICK_MS},
 };
--- a/crates/borageshore_membership/src/members.rs
+++ b/crates/borageshore_membership/src/members.rs
@@ -4,7 +4,7 @@
 
 use borageshore_base::SortedMap;
 
-use crate::entry::{MemberEntry, MemberState};
+use crate::entry::{GossipMessage, Heartbeat, MemberEntry, MemberState};
 
 /// The time between two heartbeats.
 pub const TICK_MS: u64 = 1_000;
@@ -156,6 +156,34 @@
         member.entry = entry;
     }
 
+    /// Takes in a sign of life. One of an unknown daemon or incarnation is passed over: the whole
+    /// entry comes as news, and a daemon that starts asks a peer for all entries.
+    pub fn on_heartbeat(&mut self, heartbeat: &Heartbeat, now_ms: u64) {
+        let Some(member) = self.members.get_mut(&heartbeat.name) else {
+            return;
+        };
+        let is_same_life = heartbeat.incarnation == member.entry.incarnation;
+        if !is_same_life || heartbeat.counter <= member.entry.counter {
+            return;
+        }
+        member.entry.counter = heartbeat.counter;
+        member.advanced_at_ms = now_ms;
+        if member.entry.state == MemberState::Dead {
+            member.entry.state = MemberState::Live;
+            member.news_left = NEWS_REPEATS;
+        }
+    }
+
+    /// Takes in a datagram.
+    pub fn on_message(&mut self, message: GossipMessage, now_ms: u64) {
+        for entry in message.entries {
+            self.on_entry(entry, now_ms);
+        }
+        for heartbeat in &message.heartbeats {
+            self.on_heartbeat(heartbeat, now_ms);
+        }
+    }
+
     /// Outbids a rumour about this daemon: a verdict of death, or a counter of an earlier life.
     fn refute(&mut self, rumour: &MemberEntry) {
         if rumour.incarnation == self.own.incarnation && rumour.supersedes(&self.own) {
--- a/crates/borageshore_wire/idl/wire.thrift
+++ b/crates/borageshore_wire/idl/wire.thrift
@@ -17,9 +17,25 @@
   8: required WireMemberState state
 }
 
+// A sign of life of a daemon that the receiver knows already.
+struct WireHeartbeat {
+  1: required string name
+  2: required i64 incarnation
+  3: required i64 counter
+}
+
 // One UDP datagram.
 struct WireGossip {
   1: required list<WireMember> members
+  2: required list<WireHeartbeat> heartbeats
+}
+
+// Asks a peer for all daemons that it knows.
+struct MembersRequest {
+}
+
+struct MembersReply {
+  1: required list<WireMember> members
 }
 
 struct WireRecord {
@@ -119,6 +135,7 @@
   3: SampleRequest sample
   4: PullRequest pull
   5: AddressRequest addresses
+  6: MembersRequest members
 }
 
 union PeerReply {
@@ -127,4 +144,5 @@
   3: SampleReply sample
   4: PullReply pull
   5: AddressReply addresses
+  6: MembersReply members
 }
--- a/crates/borageshore_wire/src/convert.rs
+++ b/crates/borageshore_wire/src/convert.rs
@@ -1,24 +1,41 @@
 //! Between wire structures and the types of the decision core.
 
-use borageshore_membership::{MemberEntry, MemberState};
+use borageshore_membership::{GossipMessage, Heartbeat, MemberEntry, MemberState};
 
-use crate::generated::{WireGossip, WireMember, WireMemberState};
+use crate::generated::{WireGossip, WireHeartbeat, WireMember, WireMemberState};
 
 /// Builds a gossip message.
-pub fn gossip_to_wire(entries: &[MemberEntry]) -> WireGossip {
-    WireGossip::new(entries.iter().map(member_to_wire).collect::<Vec<_>>())
+pub fn gossip_to_wire(message: &GossipMessage) -> WireGossip {
+    let heartbeat = |heartbeat: &Heartbeat| WireHeartbeat {
+        name: heartbeat.name.to_string(),
+        incarnation: heartbeat.incarnation as i64,
+        counter: heartbeat.counter as i64,
+    };
+    WireGossip {
+        members: message.entries.iter().map(member_to_wire).collect(),
+        heartbeats: message.heartbeats.iter().map(heartbeat).collect(),
+    }
 }
 
 /// Reads a gossip message; entries in a state that this release does not know are left out.
-pub fn gossip_from_wire(gossip: WireGossip) -> Vec<MemberEntry> {
-    gossip
-        .members
-        .into_iter()
-        .filter_map(member_from_wire)
-        .collect()
+pub fn gossip_from_wire(gossip: WireGossip) -> GossipMessage {
+    let heartbeat = |heartbeat: WireHeartbeat| Heartbeat {
+        name: heartbeat.name.into(),
+        incarnation: heartbeat.incarnation as u64,
+        counter: heartbeat.counter as u64,
+    };
+    GossipMessage {
+        entries: gossip
+            .members
+            .into_iter()
+            .filter_map(member_from_wire)
+            .collect(),
+        heartbeats: gossip.heartbeats.into_iter().map(heartbeat).collect(),
+    }
 }
 
-fn member_to_wire(entry: &MemberEntry) -> WireMember {
+/// Builds one entry.
+pub fn member_to_wire(entry: &MemberEntry) -> WireMember {
     let state = match entry.state {
         MemberState::Live => WireMemberState::LIVE,
         MemberState::Leaving => WireMemberState::LEAVING,
@@ -36,7 +53,8 @@
     }
 }
 
-fn member_from_wire(member: WireMember) -> Option<MemberEntry> {
+/// Reads one entry; `None` in a state that this release does not know.
+pub fn member_from_wire(member: WireMember) -> Option<MemberEntry> {
     let state = match member.state {
         WireMemberState::LIVE => MemberState::Live,
         WireMemberState::LEAVING => MemberState::Leaving,
--- a/crates/borageshore_wire/src/generated.rs
+++ b/crates/borageshore_wire/src/generated.rs
@@ -219,6 +219,86 @@
   }
 }
 
+//
+// WireHeartbeat
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct WireHeartbeat {
+  pub name: String,
+  pub incarnation: i64,
+  pub counter: i64,
+}
+
+impl WireHeartbeat {
+  pub fn new(name: String, incarnation: i64, counter: i64) -> WireHeartbeat {
+    WireHeartbeat {
+      name,
+      incarnation,
+      counter,
+    }
+  }
+}
+
+impl TSerializable for WireHeartbeat {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<WireHeartbeat> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("WireHeartbeat.name", &f_1)?;
+    verify_required_field_exists("WireHeartbeat.incarnation", &f_2)?;
+    verify_required_field_exists("WireHeartbeat.counter", &f_3)?;
+    let ret = WireHeartbeat {
+      name: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      incarnation: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      counter: f_3.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("WireHeartbeat");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("name", TType::String, 1))?;
+    o_prot.write_string(&self.name)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("incarnation", TType::I64, 2))?;
+    o_prot.write_i64(self.incarnation)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("counter", TType::I64, 3))?;
+    o_prot.write_i64(self.counter)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // WireGossip
 //
@@ -226,12 +306,14 @@
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct WireGossip {
   pub members: Vec<WireMember>,
+  pub heartbeats: Vec<WireHeartbeat>,
 }
 
 impl WireGossip {
-  pub fn new(members: Vec<WireMember>) -> WireGossip {
+  pub fn new(members: Vec<WireMember>, heartbeats: Vec<WireHeartbeat>) -> WireGossip {
     WireGossip {
       members,
+      heartbeats,
     }
   }
 }
@@ -240,6 +322,7 @@
   fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<WireGossip> {
     i_prot.read_struct_begin()?;
     let mut f_1: Option<Vec<WireMember>> = None;
+    let mut f_2: Option<Vec<WireHeartbeat>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -257,6 +340,16 @@
           i_prot.read_list_end()?;
           f_1 = Some(val);
         },
+        2 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<WireHeartbeat> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_1 = WireHeartbeat::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_1);
+          }
+          i_prot.read_list_end()?;
+          f_2 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -265,8 +358,10 @@
     }
     i_prot.read_struct_end()?;
     verify_required_field_exists("WireGossip.members", &f_1)?;
+    verify_required_field_exists("WireGossip.heartbeats", &f_2)?;
     let ret = WireGossip {
       members: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      heartbeats: f_2.expect("auto-generated code should have checked for presence of required fields"),
     };
     Ok(ret)
   }
@@ -280,6 +375,127 @@
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("heartbeats", TType::List, 2))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.heartbeats.len() as i32))?;
+    for e in &self.heartbeats {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// MembersRequest
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct MembersRequest {
+}
+
+impl MembersRequest {
+  pub fn new() -> MembersRequest {
+    MembersRequest {}
+  }
+}
+
+impl TSerializable for MembersRequest {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<MembersRequest> {
+    i_prot.read_struct_begin()?;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    let ret = MembersRequest {};
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("MembersRequest");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+impl Default for MembersRequest {
+  fn default() -> Self {
+    MembersRequest{}
+  }
+}
+
+//
+// MembersReply
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct MembersReply {
+  pub members: Vec<WireMember>,
+}
+
+impl MembersReply {
+  pub fn new(members: Vec<WireMember>) -> MembersReply {
+    MembersReply {
+      members,
+    }
+  }
+}
+
+impl TSerializable for MembersReply {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<MembersReply> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Vec<WireMember>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<WireMember> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_2 = WireMember::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_2);
+          }
+          i_prot.read_list_end()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("MembersReply.members", &f_1)?;
+    let ret = MembersReply {
+      members: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("MembersReply");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("members", TType::List, 1))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.members.len() as i32))?;
+    for e in &self.members {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -500,8 +716,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<WireRecord> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_1 = WireRecord::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_1);
+            let list_elem_3 = WireRecord::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_3);
           }
           i_prot.read_list_end()?;
           f_3 = Some(val);
@@ -1053,8 +1269,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_2 = i_prot.read_string()?;
-            val.push(list_elem_2);
+            let list_elem_4 = i_prot.read_string()?;
+            val.push(list_elem_4);
           }
           i_prot.read_list_end()?;
           f_3 = Some(val);
@@ -1063,8 +1279,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<WireSegment> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_3 = WireSegment::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_3);
+            let list_elem_5 = WireSegment::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_5);
           }
           i_prot.read_list_end()?;
           f_4 = Some(val);
@@ -1421,6 +1637,7 @@
   Sample(SampleRequest),
   Pull(PullRequest),
   Addresses(AddressRequest),
+  Members(MembersRequest),
 }
 
 impl TSerializable for PeerRequest {
@@ -1470,6 +1687,13 @@
           }
           received_field_count += 1;
         },
+        6 => {
+          let val = MembersRequest::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(PeerRequest::Members(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -1529,6 +1753,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      PeerRequest::Members(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("members", TType::Struct, 6))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
@@ -1546,6 +1775,7 @@
   Sample(SampleReply),
   Pull(PullReply),
   Addresses(AddressReply),
+  Members(MembersReply),
 }
 
 impl TSerializable for PeerReply {
@@ -1595,6 +1825,13 @@
           }
           received_field_count += 1;
         },
+        6 => {
+          let val = MembersReply::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(PeerReply::Members(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -1654,6 +1891,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      PeerReply::Members(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("members", TType::Struct, 6))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/borageshore_wire/src/lib.rs
+++ b/crates/borageshore_wire/src/lib.rs
@@ -19,6 +19,6 @@
 
 pub use self::{
     codec::{MAX_FRAME_BYTES, decode, encode},
-    convert::{gossip_from_wire, gossip_to_wire},
+    convert::{gossip_from_wire, gossip_to_wire, member_from_wire, member_to_wire},
     generated::*,
 };
