Durations over a quarter of a second were recorded as 2 ms

The histograms were opened without bounds, and saturating_record clamps to the range without resizing: durations over 255 ms counted as 2 ms at the job's owner, so its 95th percentile was 2 ms and every sample was placed a second time after one second. Ruled out: wrong start times (samples were right).

Change: histograms are opened for up to an hour.

Before: a test with samples of 5 s fails (a second attempt after 6 s). After: 8 tests of controller and swaps pass; a straggler is placed twice, and only it.

--- a/crates/borageshore_rollout/src/controller.rs
+++ b/crates/borageshore_rollout/src/controller.rs
@@ -10,6 +10,8 @@
     sample::{Delivery, Freshness, Sample},
 };
 
+/// The longest duration that is told apart; longer ones count as this.
+const LONGEST_DURATION_MS: u64 = 3_600_000;
 /// A sample takes at least this long before it counts as a straggler.
 const STRAGGLER_FLOOR_MS: u64 = 1_000;
 /// Past this multiple of the job's 95th percentile a sample is placed a second time.
@@ -125,7 +127,8 @@
             groups: SortedMap::default(),
             held: SortedMap::default(),
             assigning: SortedMap::default(),
-            durations_ms: Histogram::new(2).expect("two significant digits are supported"),
+            durations_ms: Histogram::new_with_max(LONGEST_DURATION_MS, 2)
+                .expect("two significant digits are supported"),
             counts: JobCounts::default(),
         }
     }
--- /dev/null
+++ b/crates/borageshore_rollout/tests/rollout.rs
@@ -0,0 +1,132 @@
+//! Stragglers, back-pressure and weight swaps.
+
+use borageshore_rollout::{
+    Freshness, JobController, JobPlan, ReplicaView, Sample, SampleOrder, Segment, SwapLimits,
+    plan_swaps,
+};
+
+macro_rules! stories {
+    ($($name:ident: $story:expr;)*) => {
+        $(#[test] fn $name() { $story })*
+    };
+}
+
+fn plan() -> JobPlan {
+    JobPlan {
+        groups_per_step: 10,
+        samples_per_group: 4,
+        steps_ahead: 1,
+        freshness: Freshness {
+            versions: 1,
+            age_ms: 60_000,
+        },
+    }
+}
+
+fn sample(order: &SampleOrder) -> Sample {
+    Sample {
+        id: order.id.clone(),
+        group: order.group,
+        prompt: "p".into(),
+        tokens: vec!["t".into()],
+        segments: vec![Segment {
+            version: 1,
+            token_count: 1,
+        }],
+        score: None,
+        age_ms: 0,
+    }
+}
+
+fn replica(name: &str, version: u64) -> ReplicaView {
+    ReplicaView {
+        name: name.into(),
+        version: Some(version),
+        is_loading: false,
+    }
+}
+
+fn limits(wave_replicas: u64, minimum_serving_percent: u64) -> SwapLimits {
+    SwapLimits {
+        wave_replicas,
+        minimum_serving_percent,
+    }
+}
+
+stories! {
+    // Samples of a job take five seconds as a rule. One that runs for six is no straggler; one that
+    // runs for eleven is, and is placed a second time, once. (Durations over a quarter of a second
+    // were once recorded as 2 ms, so that every sample counted as a straggler after a second.)
+    only_stragglers_are_placed_twice: {
+        let mut controller = JobController::open("job".into(), 1);
+        let orders = controller.tick(&plan(), 0);
+        assert_eq!(orders.len(), 40);
+        for order in &orders[..39] {
+            controller.on_sample(sample(order), 0, 5_000);
+        }
+        assert_eq!(controller.tick(&plan(), 6_000), []);
+        let again = controller.tick(&plan(), 11_000);
+        assert_eq!(again.len(), 1);
+        assert_eq!((&again[0].id, again[0].attempt), (&orders[39].id, 1));
+        assert_eq!(controller.tick(&plan(), 30_000), []);
+        assert_eq!(controller.counts().replaced, 1);
+    };
+
+    // Both attempts of a straggler finish. One sample comes of it.
+    second_finish_is_dropped: {
+        let mut controller = JobController::open("job".into(), 1);
+        let orders = controller.tick(&plan(), 0);
+        controller.on_sample(sample(&orders[0]), 0, 10);
+        controller.on_sample(sample(&orders[0]), 0, 20);
+        assert_eq!((controller.counts().generated, controller.counts().repeated), (1, 1));
+    };
+
+    // The trainer stops pulling. Generation stops with it instead of filling memory.
+    generation_waits_for_the_trainer: {
+        let mut controller = JobController::open("job".into(), 1);
+        for order in controller.tick(&plan(), 0) {
+            controller.on_sample(sample(&order), 0, 10);
+        }
+        assert_eq!(controller.tick(&plan(), 1_000), []);
+        assert_eq!(controller.buffered(), 40);
+    };
+
+    // An attempt fails. It is tried again after a pause, not at once.
+    failed_attempt_is_repeated_after_a_pause: {
+        let mut controller = JobController::open("job".into(), 1);
+        let orders = controller.tick(&plan(), 0);
+        controller.on_failure(orders[0].group, &orders[0].id, 100);
+        assert_eq!(controller.tick(&plan(), 200), []);
+        assert_eq!(controller.tick(&plan(), 300).len(), 1);
+    };
+
+    // New weights for eight replicas, two at a time, half must serve. Those furthest behind go first.
+    swaps_go_in_waves: {
+        let mut replicas: Vec<ReplicaView> = (0..8).map(|n| replica(&format!("e{n}"), 3)).collect();
+        replicas[5].version = Some(1);
+        let first = plan_swaps(&replicas, 4, limits(2, 50));
+        assert_eq!(first.iter().map(|name| &**name).collect::<Vec<_>>(), ["e5", "e0"]);
+        replicas[5].is_loading = true;
+        replicas[0].is_loading = true;
+        assert!(plan_swaps(&replicas, 4, limits(2, 50)).is_empty());
+        assert_eq!(plan_swaps(&replicas, 4, limits(8, 50)).len(), 2, "half must serve");
+    };
+
+    // A swap failed partway: the replica reports the base version again and is simply ordered again.
+    failed_swap_is_ordered_again: {
+        let replicas = [replica("e0", 4), replica("e1", 0)];
+        assert_eq!(plan_swaps(&replicas, 4, limits(2, 50)), ["e1".into()]);
+    };
+
+    // The only replica of a service must serve, but its weights still have to change.
+    single_replica_is_swapped: {
+        assert_eq!(plan_swaps(&[replica("e0", 1)], 2, limits(1, 100)), ["e0".into()]);
+    };
+
+    // A replica does not answer. It gets no order, and counts as one that does not serve.
+    silent_replica_is_left_alone: {
+        let mut replicas = vec![replica("e0", 1), replica("e1", 1)];
+        replicas[0].version = None;
+        assert_eq!(plan_swaps(&replicas, 2, limits(2, 50)), ["e1".into()]);
+    };
+}
--- a/crates/borageshore_standins/src/callers.rs
+++ b/crates/borageshore_standins/src/callers.rs
@@ -11,6 +11,8 @@
 
 use crate::engine::expected_token;
 
+/// The longest time that histograms tell apart.
+const LONGEST_MS: u64 = 3_600_000;
 const TIMEOUTS: Timeouts = Timeouts {
     connect_ms: 1_000,
     first_byte_ms: 15_000,
@@ -118,7 +120,9 @@
         http: HttpClient::open(),
         clock: Clock::start(),
         summary: RefCell::new(summary),
-        latencies_ms: RefCell::new(Histogram::new(3).expect("three digits are supported")),
+        latencies_ms: RefCell::new(
+            Histogram::new_with_max(LONGEST_MS, 3).expect("three digits are supported"),
+        ),
         options,
     });
     let callers = (0..shared.options.callers)
--- a/crates/borageshore_standins/src/trainer.rs
+++ b/crates/borageshore_standins/src/trainer.rs
@@ -12,6 +12,8 @@
 
 use crate::engine::expected_token;
 
+/// The longest time that histograms tell apart.
+const LONGEST_MS: u64 = 3_600_000;
 const TIMEOUTS: Timeouts = Timeouts {
     connect_ms: 1_000,
     first_byte_ms: 8_000,
@@ -98,7 +100,8 @@
 impl Trainer {
     /// Opens a trainer that has nothing yet.
     pub fn open(options: TrainerOptions) -> Self {
-        let histogram = || Histogram::new(3).expect("three digits are supported");
+        let histogram =
+            || Histogram::new_with_max(LONGEST_MS, 3).expect("three digits are supported");
         let summary = TrainerSummary {
             job: options.job.clone(),
             ..TrainerSummary::default()
