Capacity page from measured slopes; relay tree, subsets, bounded polling

Working it out showed three mechanisms over budget at the full size: two relays a zone that serve all others send 13 times what they receive (about 50 of 12 KB/s); every daemon observed all 12,000 replicas; each was asked for its load once a second. Ruled out as a remedy for relays: fewer records, since renewals already go out one a session.

Change: relays form a tree of fan-out 2 in rendezvous order and collect records for 100 ms; of more than 64 endpoints each is observed by 8 daemons of its zone; at most 8 reports a second are asked for. A bench crate measures slopes and writes docs/CAPACITY.md, a test compares the two. The edge is split by subject; docs, OpenAPI file with a test, tidy test, examples.

--- a/crates/borageshore_bench/benches/slopes.rs
+++ b/crates/borageshore_bench/benches/slopes.rs
@@ -33,7 +33,7 @@
 );
 
 /// Collects lines of the file.
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct Report {
     lines: String,
 }
@@ -69,8 +69,8 @@
         let region = Region::new(ALLOCATOR);
         let made = make();
         let change = region.change();
-        let bytes = change.bytes_allocated as f64 - change.bytes_deallocated as f64
-            + change.bytes_reallocated as f64;
+        // Reallocations are counted in both already.
+        let bytes = change.bytes_allocated as f64 - change.bytes_deallocated as f64;
         self.add(part, "memory_bytes", size, bytes);
         made
     }
--- a/crates/borageshore_daemon/src/control.rs
+++ b/crates/borageshore_daemon/src/control.rs
@@ -2,12 +2,12 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use borageshore_base::{rank_by_rendezvous, rank_within};
+use borageshore_base::rank_within;
 use borageshore_lease::{LeaseRecord, Want, wants_of};
 use borageshore_log::{Envelope, LogRecord};
-use borageshore_membership::Health;
+use borageshore_membership::{Health, RelaySource, relay_source};
 use borageshore_net::sleep_ms;
-use borageshore_routing::{AdmissionLimits, LoadReport};
+use borageshore_routing::{AdmissionLimits, Endpoint, EndpointListing, LoadReport, subset_of};
 use borageshore_settings::{NodeKind, ROOT, SettingsChange, SettingsRecord};
 
 use crate::{
@@ -23,10 +23,15 @@
 const TICK_MS: u64 = 100;
 /// The pace of the VM list.
 const VM_LIST_MS: u64 = 1_000;
-/// An endpoint whose last report is older than this is asked.
+/// An endpoint whose last report is older than this is asked, as far as the pace allows.
 const REPORT_AGE_MS: u64 = 1_000;
-/// How many daemons of a zone follow the log for the others.
-const RELAYS_PER_ZONE: usize = 2;
+/// The pace of asking for reports.
+const REPORT_TICK_MS: u64 = 500;
+/// How many endpoints are asked in a tick. Answers bring reports along; asking is for idle endpoints
+/// and must not grow with their number.
+const REPORTS_PER_TICK: usize = 4;
+/// How many daemons of a zone observe each endpoint of a large deployment.
+const OBSERVERS: usize = 8;
 /// Daemons beyond this rank do not claim: others are closer at hand.
 const CANDIDATES: usize = 4;
 
@@ -52,58 +57,25 @@
     monoio::spawn(swaps::swap_loop(daemon.clone()));
 }
 
-/// Relays read the log, the others read from a relay; after a failure the log and peers take turns,
-/// so that neither a dead relay nor an outage of the log cuts a daemon off.
+/// Where to read a stream: by the zone's tree of relays, or from any peer when the zone has none.
 fn stream_source(daemon: &Daemon, failures: u32) -> Source {
     let membership = daemon.membership.borrow();
     let now_ms = daemon.now_ms();
-    let peers: Vec<&str> = membership
-        .usable_in_zone(&daemon.config.zone, now_ms)
-        .map(|entry| &*entry.name)
-        .collect();
-    let ranked = rank_by_rendezvous("relay", peers);
-    let is_relay = ranked
-        .iter()
-        .take(RELAYS_PER_ZONE)
-        .any(|name| **name == *daemon.config.name);
-    let prefers_log = is_relay || ranked.len() <= RELAYS_PER_ZONE;
-    if prefers_log && failures.is_multiple_of(2) {
-        return Source::Log;
+    let zone = membership.usable_in_zone(&daemon.config.zone, now_ms);
+    let mut names: Vec<&str> = zone.map(|entry| &*entry.name).collect();
+    if names.len() <= 1 && failures > 0 {
+        names = membership
+            .usable(now_ms)
+            .map(|entry| &*entry.name)
+            .collect();
     }
-    if !prefers_log && failures % 2 == 1 {
-        return Source::Log;
-    }
-    let turn = failures as usize / 2 + daemon.incarnation as usize % RELAYS_PER_ZONE;
-    let others: Vec<&str> = ranked
-        .into_iter()
-        .filter(|name| **name != *daemon.config.name)
-        .collect();
-    if others.is_empty() {
-        return any_peer(daemon, &membership, failures);
+    match relay_source(&daemon.config.name, names, failures as usize) {
+        RelaySource::Log => Source::Log,
+        RelaySource::Peer(name) => match membership.entry(name) {
+            Some(entry) => Source::Peer(entry.peer_address.clone()),
+            None => Source::Log,
+        },
     }
-    let relay = others[turn % others.len().min(RELAYS_PER_ZONE)];
-    membership.entry(relay).map_or(Source::Log, |entry| {
-        Source::Peer(entry.peer_address.clone())
-    })
-}
-
-fn any_peer(
-    daemon: &Daemon,
-    membership: &borageshore_membership::Membership,
-    failures: u32,
-) -> Source {
-    let others: Vec<_> = membership
-        .usable(daemon.now_ms())
-        .filter(|e| e.name != daemon.config.name)
-        .collect();
-    if others.is_empty() {
-        return Source::Log;
-    }
-    Source::Peer(
-        others[failures as usize % others.len()]
-            .peer_address
-            .clone(),
-    )
 }
 
 fn on_settings(daemon: &Daemon, record: &LogRecord, envelope: &Envelope<SettingsRecord>) {
@@ -129,48 +101,83 @@
         .on_applied(record.offset, envelope, daemon.now_ms());
 }
 
+/// The VM list as last read, and the peers that it was shared out among.
+#[derive(Debug, Default)]
+struct Listed {
+    endpoints: Vec<EndpointListing>,
+    peers: Vec<Arc<str>>,
+}
+
 async fn vm_list_loop(daemon: Rc<Daemon>) {
+    let mut listed = Listed::default();
     loop {
         let known = daemon.vm_list_version.get();
-        match read_vm_list(&daemon.http, &daemon.config.vm_list_address, known).await {
+        let read = read_vm_list(&daemon.http, &daemon.config.vm_list_address, known).await;
+        let is_new = matches!(read, Ok((Some(_), _)));
+        match read {
             Ok((Some(list), bytes)) => {
                 daemon
                     .metrics
                     .on_control_bytes("vm_list", Direction::Received, bytes);
                 daemon.vm_list_version.set(list.version);
-                daemon
-                    .endpoints
-                    .borrow_mut()
-                    .on_listing(list.into_endpoints());
+                listed.endpoints = list.into_endpoints();
             }
             Ok((None, _)) => {}
             // Without the list the daemon goes on with the endpoints that it knows.
             Err(error) => log::debug!("VM list: {error}"),
         }
+        let peers = zone_peers(&daemon);
+        if is_new || peers != listed.peers {
+            listed.peers = peers;
+            observe_share(&daemon, &listed);
+        }
         sleep_ms(VM_LIST_MS).await;
     }
 }
 
+fn zone_peers(daemon: &Daemon) -> Vec<Arc<str>> {
+    let membership = daemon.membership.borrow();
+    let peers = membership.usable_in_zone(&daemon.config.zone, daemon.now_ms());
+    peers.map(|entry| entry.name.clone()).collect()
+}
+
+/// Observes all endpoints of a small list, this daemon's share of a large one.
+fn observe_share(daemon: &Daemon, listed: &Listed) {
+    let peers: Vec<&str> = listed.peers.iter().map(|name| &**name).collect();
+    let (own, zone) = (&daemon.config.name, &daemon.config.zone);
+    let share = subset_of(listed.endpoints.clone(), own, zone, &peers, OBSERVERS);
+    daemon.endpoints.borrow_mut().on_listing(share);
+}
+
 /// Asks endpoints for their load when no answer brought it along lately.
 async fn report_loop(daemon: Rc<Daemon>) {
     loop {
         let now_ms = daemon.now_ms();
-        let due: Vec<(Arc<str>, Arc<str>)> = {
-            let endpoints = daemon.endpoints.borrow();
-            let is_due = |endpoint: &&borageshore_routing::Endpoint| {
-                endpoint.reported_at_ms() + REPORT_AGE_MS <= now_ms || endpoint.report.is_none()
-            };
-            let due = endpoints.iter().filter(is_due);
-            due.map(|e| (e.listing.name.clone(), e.listing.address.clone()))
-                .collect()
-        };
+        let due = oldest_reports(&daemon, now_ms);
         for (name, address) in due {
             monoio::spawn(ask_report(daemon.clone(), name, address));
         }
-        sleep_ms(REPORT_AGE_MS / 2).await;
+        sleep_ms(REPORT_TICK_MS).await;
     }
 }
 
+fn oldest_reports(daemon: &Daemon, now_ms: u64) -> Vec<(Arc<str>, Arc<str>)> {
+    let endpoints = daemon.endpoints.borrow();
+    let is_due = |endpoint: &&Endpoint| {
+        endpoint.report.is_none() || endpoint.reported_at_ms() + REPORT_AGE_MS <= now_ms
+    };
+    let mut due: Vec<&Endpoint> = endpoints.iter().filter(is_due).collect();
+    due.sort_by_key(|endpoint| endpoint.reported_at_ms());
+    due.truncate(REPORTS_PER_TICK);
+    let address = |endpoint: &Endpoint| {
+        (
+            endpoint.listing.name.clone(),
+            endpoint.listing.address.clone(),
+        )
+    };
+    due.into_iter().map(address).collect()
+}
+
 async fn ask_report(daemon: Rc<Daemon>, name: Arc<str>, address: Arc<str>) {
     if let Ok((report, bytes)) = daemon.engine.report(&address).await {
         daemon
--- /dev/null
+++ b/crates/borageshore_daemon/src/edge/generate.rs
@@ -0,0 +1,214 @@
+//! Tokens for callers, whole or as a stream.
+
+use std::{rc::Rc, sync::Arc};
+
+use borageshore_base::{Fault, ResultCode};
+use borageshore_net::{EdgeRequest, EdgeResponse, stream_body};
+use borageshore_routing::{Outcome, Workload};
+use bytes::Bytes;
+use hyper::Response;
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+
+use super::answer::{Answer, json_of, ran, respond, set_header, terms};
+use crate::{
+    daemon::{Daemon, InFlight},
+    generation::{Generation, GenerationFailure, Gone, OnSwap, Token, TokenSink, generate},
+};
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GenerateBody {
+    prompt: Arc<str>,
+    max_tokens: u64,
+    #[serde(default)]
+    stream: bool,
+    adapter: Option<Arc<str>>,
+}
+
+#[derive(Debug, Serialize)]
+struct GenerateAnswer<'a> {
+    request_id: &'a str,
+    tokens: &'a [String],
+    versions: &'a [Option<u64>],
+}
+
+pub(super) async fn on_generate(
+    daemon: &Rc<Daemon>,
+    service: &str,
+    request: EdgeRequest,
+    request_id: &Arc<str>,
+) -> EdgeResponse {
+    let terms = match terms(daemon, service, request.headers()) {
+        Ok(terms) => terms,
+        Err(answer) => return respond(answer),
+    };
+    let body: GenerateBody = match json_of(request).await {
+        Ok(body) => body,
+        Err(answer) => return respond(answer),
+    };
+    let generation = Generation {
+        request_id: request_id.clone(),
+        service: service.into(),
+        node: terms.node,
+        prompt: body.prompt,
+        max_tokens: body.max_tokens,
+        adapter: body.adapter,
+        workload: Workload::Live,
+        deadline_ms: terms.deadline_ms,
+        on_swap: OnSwap::Keep,
+    };
+    if body.stream {
+        return stream_tokens(daemon, generation).await;
+    }
+    let mut collected = CollectedTokens::default();
+    match generate(daemon, &generation, &mut collected).await {
+        Ok(()) => respond(Answer::json(&GenerateAnswer {
+            request_id,
+            tokens: &collected.tokens,
+            versions: &collected.versions,
+        })),
+        Err(failure) => respond(failed(failure)),
+    }
+}
+
+fn failed(failure: GenerationFailure) -> Answer {
+    let answer = Answer::fault(&failure.fault, failure.outcome);
+    Answer {
+        retry_after_ms: failure.retry_after_ms,
+        ..answer
+    }
+}
+
+#[derive(Debug, Default)]
+struct CollectedTokens {
+    tokens: Vec<String>,
+    versions: Vec<Option<u64>>,
+}
+
+impl TokenSink for CollectedTokens {
+    async fn on_token(&mut self, token: &Token) -> Result<(), Gone> {
+        self.tokens.push(token.text.clone());
+        self.versions.push(token.version);
+        Ok(())
+    }
+
+    fn on_restart(&mut self) {
+        self.tokens.clear();
+        self.versions.clear();
+    }
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum StreamLine<'l> {
+    Token {
+        index: u64,
+        text: &'l str,
+        version: Option<u64>,
+    },
+    Done {
+        token_count: u64,
+    },
+    Failed {
+        code: u16,
+        detail: &'l str,
+    },
+}
+
+/// Answers with a stream of JSON lines. The head is sent with the first token, so that a refusal
+/// before it still comes with its own status; the last line says that the answer is whole.
+async fn stream_tokens(daemon: &Rc<Daemon>, generation: Generation) -> EdgeResponse {
+    let (sender, body) = stream_body();
+    let (first, begun) = oneshot::channel();
+    let mut sink = StreamSink {
+        sender,
+        first: Some(first),
+        token_count: 0,
+    };
+    let daemon = daemon.clone();
+    monoio::spawn(async move {
+        let _in_flight = InFlight::open(&daemon);
+        let ended = generate(&daemon, &generation, &mut sink).await;
+        sink.finish(ended).await;
+    });
+    match begun.await {
+        Ok(Ok(())) => {
+            let mut response = Response::new(body);
+            let headers = response.headers_mut();
+            set_header(headers, "content-type", "application/x-ndjson");
+            set_header(
+                headers,
+                "x-result-code",
+                &ResultCode::Done.number().to_string(),
+            );
+            set_header(headers, "x-ran", ran(Outcome::Done));
+            response
+        }
+        Ok(Err(failure)) => respond(failed(failure)),
+        Err(_) => respond(Answer::fault(
+            &Fault::new(ResultCode::EndpointFailed, "stream"),
+            Outcome::Unknown,
+        )),
+    }
+}
+
+struct StreamSink {
+    sender: http_body_util::channel::Sender<Bytes, borageshore_net::BodyError>,
+    first: Option<oneshot::Sender<Result<(), GenerationFailure>>>,
+    token_count: u64,
+}
+
+impl StreamSink {
+    async fn write(&mut self, line: &StreamLine<'_>) -> Result<(), Gone> {
+        if let Some(first) = self.first.take() {
+            first.send(Ok(())).map_err(|_| Gone)?;
+        }
+        let mut encoded = serde_json::to_vec(line).expect("lines are plain data");
+        encoded.push(b'\n');
+        self.sender
+            .send_data(encoded.into())
+            .await
+            .map_err(|_| Gone)
+    }
+
+    async fn finish(mut self, ended: Result<(), GenerationFailure>) {
+        let token_count = self.token_count;
+        match ended {
+            Ok(()) => {
+                let _ = self.write(&StreamLine::Done { token_count }).await;
+            }
+            Err(failure) => match self.first.take() {
+                Some(first) => {
+                    let _ = first.send(Err(failure));
+                }
+                None => {
+                    let code = failure.fault.code.number();
+                    let line = StreamLine::Failed {
+                        code,
+                        detail: &failure.fault.detail,
+                    };
+                    let _ = self.write(&line).await;
+                    // Without this the body would end as if it were whole.
+                    self.sender
+                        .abort(std::io::Error::other("the answer was cut"));
+                }
+            },
+        }
+    }
+}
+
+impl TokenSink for StreamSink {
+    async fn on_token(&mut self, token: &Token) -> Result<(), Gone> {
+        let index = self.token_count;
+        self.token_count += 1;
+        self.write(&StreamLine::Token {
+            index,
+            text: &token.text,
+            version: token.version,
+        })
+        .await
+    }
+
+    fn on_restart(&mut self) {}
+}
--- /dev/null
+++ b/crates/borageshore_daemon/src/edge/trainer.rs
@@ -0,0 +1,75 @@
+//! What trainers ask for: samples by cursor, and new weights.
+
+use std::rc::Rc;
+
+use borageshore_base::ResultCode;
+use borageshore_net::EdgeRequest;
+use serde::Deserialize;
+
+use super::answer::{Answer, JSON, json_of, query_number};
+use crate::{
+    admin,
+    daemon::{Daemon, Life},
+    jobs,
+};
+
+fn is_trainer(daemon: &Daemon, request: &EdgeRequest) -> Result<(), Answer> {
+    let offered = admin::bearer(request);
+    let is_known = daemon
+        .config
+        .trainer_token
+        .as_ref()
+        .is_some_and(|token| token.matches(offered));
+    if is_known {
+        Ok(())
+    } else {
+        Err(Answer::refused(ResultCode::Unauthorized, "trainer token"))
+    }
+}
+
+pub(super) async fn on_pull(daemon: &Rc<Daemon>, job: &str, request: &EdgeRequest) -> Answer {
+    let pull = match pull_of(daemon, job, request) {
+        Ok(pull) => pull,
+        Err(answer) => return answer,
+    };
+    match jobs::pull(daemon, pull).await {
+        Ok(body) => Answer::done(JSON, body),
+        Err(code) => {
+            let answer = Answer::refused(code, job);
+            Answer {
+                retry_after_ms: Some(500),
+                ..answer
+            }
+        }
+    }
+}
+
+fn pull_of(daemon: &Daemon, job: &str, request: &EdgeRequest) -> Result<jobs::Pull, Answer> {
+    is_trainer(daemon, request)?;
+    if daemon.life() == Life::Starting {
+        return Err(Answer::refused(ResultCode::NotReady, "no settings yet"));
+    }
+    Ok(jobs::Pull {
+        job: job.into(),
+        cursor: query_number(request, "cursor", 0)?,
+        seen_epoch: query_number(request, "epoch", 0)?,
+        max_samples: query_number(request, "max", 64)?.max(1),
+        wait_ms: query_number(request, "wait_ms", 1_000)?,
+    })
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WeightsBody {
+    version: u64,
+}
+
+pub(super) async fn on_weights(daemon: &Rc<Daemon>, job: &str, request: EdgeRequest) -> Answer {
+    if let Err(answer) = is_trainer(daemon, &request) {
+        return answer;
+    }
+    match json_of::<WeightsBody>(request).await {
+        Ok(body) => admin::publish_weights(daemon, job, body.version).await,
+        Err(answer) => answer,
+    }
+}
--- a/crates/borageshore_daemon/src/stream.rs
+++ b/crates/borageshore_daemon/src/stream.rs
@@ -20,6 +20,8 @@
 
 /// How long a read waits for a first record.
 const FOLLOW_WAIT_MS: u64 = 1_000;
+/// How long a relay collects records before it answers.
+const RELAY_BATCH_MS: u64 = 100;
 /// The pause after a failed read.
 const RETRY_MS: u64 = 200;
 /// Records kept for peers that follow through this daemon.
@@ -213,6 +215,8 @@
         if self.offsets().0 <= from_offset {
             self.wait_progress(request.wait_ms.clamp(0, FOLLOW_WAIT_MS as i64) as u64)
                 .await;
+            // Records that come close together travel together.
+            sleep_ms(RELAY_BATCH_MS).await;
         }
         let (applied, _) = self.offsets();
         let recent = self.recent.borrow();
--- a/crates/borageshore_daemon/tests/edge.rs
+++ b/crates/borageshore_daemon/tests/edge.rs
@@ -3,18 +3,15 @@
 //! The cases repeat the table of `docs/decisions/0003-http.md`: each is a fault that made another
 //! server answer wrongly, hang or grow.
 
+mod support;
+
 use std::{
     io::{Read, Write},
     net::TcpStream,
-    sync::mpsc,
     thread,
     time::Duration,
 };
 
-use borageshore_daemon::{Config, Daemon};
-use borageshore_net::{run_event_loop, sleep_ms};
-use borageshore_standins::{log::LogStandin, vm_list::VmListStandin};
-
 macro_rules! edge_cases {
     ($($name:ident: $request:expr => $expected:expr;)*) => {
         $(
@@ -67,7 +64,7 @@
 
 /// Sends raw bytes to a daemon of its own and returns what comes back.
 fn ask(request: &str) -> String {
-    let mut stream = TcpStream::connect(spawn_daemon()).unwrap();
+    let mut stream = TcpStream::connect(support::spawn_daemon()).unwrap();
     stream
         .set_read_timeout(Some(Duration::from_secs(30)))
         .unwrap();
@@ -86,34 +83,9 @@
 /// after its time for heads; without that, such connections pile up until none is left for callers.
 #[test]
 fn half_a_request_line() {
-    let mut stream = TcpStream::connect(spawn_daemon()).unwrap();
+    let mut stream = TcpStream::connect(support::spawn_daemon()).unwrap();
     stream.write_all(b"GET /heal").unwrap();
     let mut answer = Vec::new();
     stream.read_to_end(&mut answer).unwrap();
     assert!(answer.is_empty() || answer.starts_with(b"HTTP/1.1 408"));
 }
-
-/// Runs a daemon with its stand-ins on a thread of its own for the length of the test process.
-fn spawn_daemon() -> String {
-    let (ready, address) = mpsc::channel();
-    thread::spawn(move || {
-        run_event_loop(async move {
-            let log = LogStandin::bind("127.0.0.1:0").unwrap();
-            let list = VmListStandin::bind("127.0.0.1:0", Vec::new(), 0).unwrap();
-            let config = format!(
-                "name: vm-1\nzone: suva-hall\nhttp_address: 127.0.0.1:0\npeer_address: 127.0.0.1:0\n\
-                 gossip_address: 127.0.0.1:0\nlog_address: {}\nvm_list_address: {}\n\
-                 head_timeout_ms: 300\noperator_token: operator\ntrainer_token: trainer\npeer_token: peer\n",
-                log.address(),
-                list.address()
-            );
-            let daemon = Daemon::spawn(Config::parse("test", &config).unwrap()).unwrap();
-            while daemon.life() != borageshore_daemon::Life::Ready {
-                sleep_ms(5).await;
-            }
-            ready.send(daemon.http_address().to_string()).unwrap();
-            daemon.run_until_stopped().await.unwrap();
-        });
-    });
-    address.recv().unwrap()
-}
--- a/crates/borageshore_membership/src/lib.rs
+++ b/crates/borageshore_membership/src/lib.rs
@@ -25,8 +25,10 @@
 mod entry;
 mod gossip;
 mod members;
+mod relay;
 
 pub use self::{
     entry::{GossipMessage, Heartbeat, MemberEntry, MemberState},
     members::{Health, Membership, TICK_MS},
+    relay::{RelaySource, relay_source},
 };
--- a/crates/borageshore_membership/tests/detector.rs
+++ b/crates/borageshore_membership/tests/detector.rs
@@ -16,7 +16,12 @@
 impl Zone {
     /// Daemons `d0`, `d1` and so on in these zones; all know `d0` as a seed.
     fn open(zones: &[&str]) -> Self {
-        let mut zone = Self { now_ms: 0, daemons: SortedMap::default(), silent: Vec::new(), rounds: 0 };
+        let mut zone = Self {
+            now_ms: 0,
+            daemons: SortedMap::default(),
+            silent: Vec::new(),
+            rounds: 0,
+        };
         for (number, name) in zones.iter().enumerate() {
             zone.start(number, name, 1);
         }
@@ -38,7 +43,8 @@
         let mut membership = Membership::open(own, vec!["d0".into()], self.now_ms);
         // A daemon that starts asks a peer for everything.
         if let Some(peer) = self.daemons.values().next() {
-            let entries: Vec<MemberEntry> = peer.entries(self.now_ms).map(|(e, _)| e.clone()).collect();
+            let entries: Vec<MemberEntry> =
+                peer.entries(self.now_ms).map(|(e, _)| e.clone()).collect();
             for entry in entries {
                 membership.on_entry(entry, self.now_ms);
             }
@@ -64,7 +70,10 @@
             daemon.advance(self.now_ms);
             let seed = self.rounds.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ at as u64;
             for (target, message) in daemon.gossip(seed, self.now_ms) {
-                let reached = self.daemons.get_mut(&target).filter(|_| !self.silent.contains(&target));
+                let reached = self
+                    .daemons
+                    .get_mut(&target)
+                    .filter(|_| !self.silent.contains(&target));
                 if let Some(reached) = reached {
                     reached.on_message(message, self.now_ms);
                 }
--- /dev/null
+++ b/crates/borageshore_membership/tests/relay.rs
@@ -0,0 +1,60 @@
+//! The tree of relays of a zone.
+
+use borageshore_membership::{RelaySource, relay_source};
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("vm-{number}")).collect()
+}
+
+fn source(own: &str, names: &[String], failures: usize) -> RelaySource<'static> {
+    let found = relay_source(own, names.iter().map(String::as_str), failures);
+    match found {
+        RelaySource::Log => RelaySource::Log,
+        RelaySource::Peer(name) => RelaySource::Peer(String::leak(name.to_owned())),
+    }
+}
+
+/// Two daemons of a zone of 27 read the log, nobody serves more than two others, and every daemon
+/// reaches the log in a few steps.
+#[test]
+fn tree_is_narrow_and_shallow() {
+    let names = names(27);
+    let roots = names
+        .iter()
+        .filter(|name| source(name, &names, 0) == RelaySource::Log)
+        .count();
+    assert_eq!(roots, 2);
+    for name in &names {
+        let served = names
+            .iter()
+            .filter(|own| source(own, &names, 0) == RelaySource::Peer(name))
+            .count();
+        assert!(served <= 2, "{name} serves {served}");
+        let mut at: &str = name;
+        let mut steps = 0;
+        while let RelaySource::Peer(parent) = source(at, &names, 0) {
+            at = parent;
+            steps += 1;
+        }
+        assert!(steps <= 4, "{name} is {steps} steps away");
+    }
+}
+
+/// A relay dies and nobody knows yet. Whoever read from it goes to the log, and when the log is down
+/// as well, to ever other peers.
+#[test]
+fn failures_lead_elsewhere() {
+    let names = names(9);
+    let reader = names
+        .iter()
+        .find(|name| source(name, &names, 0) != RelaySource::Log)
+        .unwrap();
+    assert_eq!(source(reader, &names, 1), RelaySource::Log);
+    let peers = [2, 4, 6].map(|failures| source(reader, &names, failures));
+    assert!(
+        peers
+            .iter()
+            .all(|peer| matches!(peer, RelaySource::Peer(_)))
+    );
+    assert!(peers[0] != peers[1] && peers[1] != peers[2]);
+}
--- a/crates/borageshore_routing/src/lib.rs
+++ b/crates/borageshore_routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod choice;
 mod endpoint;
 mod keys;
+mod subset;
 
 pub use self::{
     admission::{Admission, AdmissionLimits, Admitted, Ticket, TicketId, Workload},
@@ -23,4 +24,5 @@
     choice::{ChoiceRequest, choose_endpoint},
     endpoint::{Endpoint, EndpointListing, EndpointState, EndpointTable, LoadReport},
     keys::{KeyDecision, KeyPrefix, KeyTable, StoredAnswer},
+    subset::subset_of,
 };
--- /dev/null
+++ b/crates/borageshore_routing/tests/routing.rs
@@ -0,0 +1,185 @@
+//! Choice, ejection, admission, subsets and the attempt chart.
+
+use std::sync::Arc;
+
+use borageshore_routing::{
+    Admission, AdmissionLimits, Admitted, AttemptEvent, AttemptState, ChoiceRequest,
+    EndpointListing, EndpointState, EndpointTable, LoadReport, RetryBudget, Ticket, Workload,
+    attempt_chart, choose_endpoint, subset_of,
+};
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+macro_rules! stories {
+    ($($name:ident: $story:expr;)*) => {
+        $(#[test] fn $name() { $story })*
+    };
+}
+
+fn listing(number: usize, zone: &str) -> EndpointListing {
+    EndpointListing {
+        name: format!("e{number:03}").into(),
+        service: "s".into(),
+        zone: zone.into(),
+        address: "127.0.0.1:1".into(),
+        state: EndpointState::Live,
+    }
+}
+
+fn table(count: usize) -> EndpointTable {
+    let mut table = EndpointTable::default();
+    table.on_listing((0..count).map(|number| listing(number, "a")).collect());
+    table
+}
+
+fn choices(table: &EndpointTable, prefix: Option<&str>, now_ms: u64) -> Vec<Arc<str>> {
+    let mut random = Pcg64Mcg::seed_from_u64(7);
+    let request = ChoiceRequest {
+        service: "s",
+        prefix,
+        zone: "a",
+        tried: &[],
+    };
+    (0..200)
+        .filter_map(|_| choose_endpoint(table, request, now_ms, &mut random))
+        .collect()
+}
+
+fn ticket(id: u64, importance: u64, workload: Workload) -> Ticket {
+    Ticket {
+        id,
+        node: "n".into(),
+        importance,
+        workload,
+        deadline_ms: 1_000,
+    }
+}
+
+fn admission(slots: u64, training_slots: u64) -> Admission {
+    Admission::open(AdmissionLimits {
+        slots,
+        training_slots,
+        queue_limit_requests: 4,
+    })
+}
+
+stories! {
+    chart_answers_every_event_in_every_state: {
+        use AttemptEvent::{Answered, Connected as Opened, Expired, Lost, Refused, Sent, Start};
+        use AttemptState::{Connected, Connecting, Done, HandedOver, NotRun, Unknown, Waiting};
+        let states = [Waiting, Connecting, Connected, HandedOver, NotRun, Unknown, Done];
+        let events = [Start, Opened, Sent, Refused, Answered, Lost, Expired];
+        assert_eq!(attempt_chart().gaps(&states, &events), []);
+    };
+
+    // Its VM is leaving: from the next list on no new work goes there, and what runs may end.
+    leaving_endpoint_gets_nothing_new: {
+        let mut table = table(3);
+        table.on_start("e001");
+        table.on_listing(vec![
+            listing(0, "a"),
+            EndpointListing { state: EndpointState::Leaving, ..listing(1, "a") },
+        ]);
+        assert!(choices(&table, None, 0).iter().all(|name| &**name == "e000"));
+        assert!(table.get("e001").is_some(), "it still has a request of ours");
+        assert!(table.get("e002").is_none());
+    };
+
+    // One engine fails every request. After three in a row it is left out; after a while it gets a
+    // chance again.
+    failing_endpoint_is_ejected_for_a_while: {
+        let mut table = table(4);
+        for _ in 0..3 {
+            table.on_start("e000");
+            table.on_failure("e000", 0);
+        }
+        assert!(!choices(&table, None, 1_000).contains(&"e000".into()));
+        assert!(choices(&table, None, 3_000).contains(&"e000".into()));
+    };
+
+    // The daemon's own link is bad: every endpoint fails. At most half of them are ejected, or no
+    // request could be served once the link is back.
+    bad_measurements_cannot_eject_everybody: {
+        let mut table = table(4);
+        for name in ["e000", "e001", "e002", "e003"] {
+            for _ in 0..3 {
+                table.on_start(name);
+                table.on_failure(name, 0);
+            }
+        }
+        assert_eq!(table.usable("s", 1).count(), 2);
+    };
+
+    // Many callers share one prompt prefix. Its requests meet at one engine while that has room, and
+    // spill over once its load outweighs the cached prefix.
+    prefix_affinity_is_bounded: {
+        let mut table = table(4);
+        for number in 0..4 {
+            table.on_report(&format!("e{number:03}"), LoadReport { requests: 0, slots: 4 }, 0);
+        }
+        let first = choices(&table, Some("p"), 0);
+        assert!(first.iter().all(|name| *name == first[0]));
+        for _ in 0..4 {
+            table.on_start(&first[0]);
+        }
+        assert!(choices(&table, Some("p"), 0).iter().any(|name| *name != first[0]));
+    };
+
+    // Everything fails. Retries stay a share of the requests instead of multiplying them.
+    retries_are_a_share_of_requests: {
+        let mut budget = RetryBudget::open(20);
+        let retries = (0..1_000).filter(|_| {
+            budget.on_request();
+            budget.try_retry()
+        });
+        let retries = retries.count();
+        assert!((200..=210).contains(&retries), "{retries}");
+    };
+
+    // A burst of unimportant requests waits; a clerk comes last and is served first.
+    importance_goes_first: {
+        let mut admission = admission(1, 0);
+        assert_eq!(admission.offer(ticket(1, 10, Workload::Live)), Admitted::Start);
+        assert_eq!(admission.offer(ticket(2, 10, Workload::Live)), Admitted::Queued);
+        assert_eq!(admission.offer(ticket(3, 90, Workload::Live)), Admitted::Queued);
+        admission.finish(Workload::Live, 10);
+        assert_eq!(admission.start_next().map(|ticket| ticket.id), Some(3));
+    };
+
+    // Live traffic takes everything it can. Training keeps its minimum.
+    training_keeps_its_minimum: {
+        let mut admission = admission(4, 1);
+        for id in 0..6 {
+            admission.offer(ticket(id, 90, Workload::Live));
+        }
+        assert_eq!(admission.running(Workload::Live), 3);
+        assert_eq!(admission.offer(ticket(9, 10, Workload::Training)), Admitted::Start);
+        assert_eq!(admission.offer(ticket(10, 10, Workload::Training)), Admitted::Queued);
+    };
+
+    // The queue is full. The answer comes at once and says when to come back.
+    full_queue_refuses_at_once: {
+        let mut admission = admission(1, 0);
+        for id in 0..5 {
+            admission.offer(ticket(id, 10, Workload::Live));
+        }
+        let refused = admission.offer(ticket(6, 10, Workload::Live));
+        assert!(matches!(refused, Admitted::Refused { retry_after_ms } if retry_after_ms > 0));
+        assert_eq!(admission.expire(1_000).len(), 4);
+    };
+
+    // 12,000 replicas are too many for every daemon. Each is observed by some daemons of its zone, the
+    // shares are even, and one daemon more moves few of them.
+    large_deployment_is_shared_out: {
+        let listed: Vec<EndpointListing> = (0..480).map(|number| listing(number, "a")).collect();
+        let names: Vec<String> = (0..28).map(|number| format!("vm-{number}")).collect();
+        let peers: Vec<&str> = names.iter().map(String::as_str).collect();
+        let share = |own: &str, peers: &[&str]| subset_of(listed.clone(), own, "a", peers, 8);
+        let sizes: Vec<usize> = peers[..27].iter().map(|own| share(own, &peers[..27]).len()).collect();
+        assert_eq!(sizes.iter().sum::<usize>(), 480 * 8);
+        assert!(sizes.iter().all(|size| (100..190).contains(size)), "{sizes:?}");
+        let (before, after) = (share("vm-0", &peers[..27]), share("vm-0", &peers));
+        let kept = before.iter().filter(|listing| after.contains(listing)).count();
+        assert!(kept * 100 >= before.len() * 90, "{kept} of {}", before.len());
+    };
+}
--- /dev/null
+++ b/examples/reference_tables.rs
@@ -0,0 +1,51 @@
+//! Prints the tables of result codes and settings keys as the docs have them.
+//!
+//! `cargo run --example reference_tables codes` or `... settings`.
+
+use borageshore::{
+    base::ResultCode,
+    settings::{Inheritance, SCHEMA, ValueSpec},
+};
+
+fn main() {
+    match std::env::args().nth(1).as_deref() {
+        Some("codes") => codes(),
+        Some("settings") => settings(),
+        _ => eprintln!("say codes or settings"),
+    }
+}
+
+fn codes() {
+    println!("| code | HTTP | meaning |\n|---|---|---|");
+    for code in ResultCode::ALL {
+        println!("| {code} | {} | {} |", code.http_status(), code.meaning());
+    }
+}
+
+fn settings() {
+    println!("| key | values | default | where | meaning |\n|---|---|---|---|---|");
+    for spec in SCHEMA {
+        let values = match spec.values {
+            ValueSpec::Integer {
+                least,
+                most: u64::MAX,
+            } => format!("{least} or more"),
+            ValueSpec::Integer { least, most } => format!("{least} to {most}"),
+            ValueSpec::Choice(words) => words.join(", "),
+            ValueSpec::Text { most_bytes } => format!("text, up to {most_bytes} bytes"),
+            ValueSpec::NodeName => "a node".into(),
+            ValueSpec::ServiceName => "a service node".into(),
+        };
+        let place = match spec.inheritance {
+            Inheritance::Inherited => "any node, inherited",
+            Inheritance::Own => "its own node",
+            Inheritance::RootOnly => "root only",
+        };
+        println!(
+            "| `{}` | {values} | {} | {place} | {} |",
+            spec.name,
+            spec.default.unwrap_or("none"),
+            spec.meaning
+        );
+    }
+}
--- /dev/null
+++ b/tests/tidy.rs
@@ -0,0 +1,157 @@
+//! House rules that no other tool checks.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
+use borageshore::base::ResultCode;
+
+/// Longer files are split.
+const MOST_LINES: usize = 560;
+const GENERATED: &str = "generated.rs";
+
+fn root() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+}
+
+fn files_below(folder: &Path, ending: &str) -> Vec<PathBuf> {
+    let mut found = Vec::new();
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            found.extend(files_below(&path, ending));
+        } else if path.to_string_lossy().ends_with(ending) {
+            found.push(path);
+        }
+    }
+    found.sort();
+    found
+}
+
+/// Our sources: path and text.
+fn sources() -> Vec<(PathBuf, String)> {
+    let mut files = files_below(&root().join("crates"), ".rs");
+    files.extend(files_below(&root().join("src"), ".rs"));
+    files.retain(|path| !path.ends_with(GENERATED));
+    let read = |path: PathBuf| {
+        let text = fs::read_to_string(&path).unwrap();
+        (path, text)
+    };
+    files.into_iter().map(read).collect()
+}
+
+fn is_shipped(path: &Path) -> bool {
+    let path = path.to_string_lossy();
+    let is_beside = [
+        "/tests/",
+        "/benches/",
+        "borageshore_standins",
+        "borageshore_scenarios",
+        "borageshore_bench",
+    ];
+    !is_beside.iter().any(|part| path.contains(part))
+}
+
+macro_rules! rules {
+    ($($name:ident: |$path:ident, $text:ident| $check:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                for ($path, $text) in sources() {
+                    assert!($check, "{}", $path.display());
+                }
+            }
+        )*
+    };
+}
+
+rules! {
+    files_open_with_their_purpose: |path, text| text.starts_with("//! ");
+    files_are_small: |path, text| text.lines().count() <= MOST_LINES;
+    debug_is_derived_first: |path, text| {
+        // A type that hides a secret writes its own `Debug`.
+        let own = text.matches("impl fmt::Debug for").count();
+        let derives = text.lines().map(str::trim).filter(|line| line.starts_with("#[derive("));
+        derives.filter(|line| !line.starts_with("#[derive(Debug")).count() <= own
+    };
+    no_process_is_started: |path, text| !is_shipped(&path) || !text.contains("process::Command");
+    no_thread_is_started: |path, text| !is_shipped(&path) || !text.contains("thread::spawn");
+    no_dyn_on_the_request_path: |path, text| {
+        let is_request_path = path.to_string_lossy().contains("borageshore_daemon/src") || path.to_string_lossy().contains("borageshore_routing/src");
+        !is_request_path || !text.contains("dyn ")
+    };
+    one_use_statement_a_crate: |path, text| {
+        let mut crates: Vec<&str> = text
+            .lines()
+            .filter_map(|line| line.strip_prefix("use "))
+            .filter_map(|line| line.split([':', ';']).next())
+            .collect();
+        let count = crates.len();
+        crates.sort_unstable();
+        crates.dedup();
+        crates.len() == count
+    };
+    core_has_no_clock_or_socket: |path, text| {
+        let core = ["base", "chart", "log", "settings", "lease", "membership", "routing", "rollout"];
+        let is_core = core.iter().any(|name| path.to_string_lossy().contains(&format!("borageshore_{name}/src")));
+        !is_core || !["std::time", "std::net", "SystemTime", "monoio"].iter().any(|word| text.contains(word))
+    };
+    no_banner: |path, text| !text.to_lowercase().contains("copyright");
+}
+
+#[test]
+fn crates_have_a_runnable_example() {
+    for (path, text) in sources() {
+        let is_crate = path.ends_with("src/lib.rs");
+        assert!(
+            !is_crate || text.contains("//! ```\n"),
+            "{}",
+            path.display()
+        );
+    }
+}
+
+#[test]
+fn io_uring_is_not_even_built() {
+    let lock = fs::read_to_string(root().join("Cargo.lock")).unwrap();
+    assert!(!lock.contains("name = \"io-uring\""));
+}
+
+#[test]
+fn result_codes_are_documented() {
+    let page = fs::read_to_string(root().join("docs/RESULT-CODES.md")).unwrap();
+    for code in ResultCode::ALL {
+        let row = format!("| {code} | {} | {} |", code.http_status(), code.meaning());
+        assert!(page.contains(&row), "{row}");
+    }
+    assert_eq!(page.matches("| BS-").count(), ResultCode::ALL.len());
+}
+
+#[test]
+fn settings_keys_are_documented() {
+    let page = fs::read_to_string(root().join("docs/operators/settings.md")).unwrap();
+    for spec in borageshore::settings::SCHEMA {
+        assert!(
+            page.contains(&format!("| `{}` |", spec.name)),
+            "{}",
+            spec.name
+        );
+    }
+}
+
+#[test]
+fn index_names_every_page() {
+    let index = fs::read_to_string(root().join("docs/README.md")).unwrap();
+    for path in files_below(&root().join("docs"), ".md") {
+        let name = path
+            .strip_prefix(root().join("docs"))
+            .unwrap()
+            .to_string_lossy()
+            .into_owned();
+        assert!(
+            name == "README.md" || index.contains(&format!("({name})")),
+            "{name}"
+        );
+    }
+}
