--- a/crates/borageshore_scenarios/tests/scenarios.rs
+++ b/crates/borageshore_scenarios/tests/scenarios.rs
@@ -107,7 +107,7 @@
     }
 }
 
-#[derive(PartialEq, Eq)]
+#[derive(Debug, PartialEq, Eq)]
 enum Taken {
     Yes,
     No,
