Groups are placed by load; swaps are followed closely

Theory: hashing gave one daemon five of eight groups and the step waited for it, and the loop that orders swaps looked only every 250 ms while waves wait for each other.

Change: a new group goes to the daemon with the fewest samples under way, a second attempt elsewhere; swaps are read back every 20 ms while replicas are behind.

--- a/crates/borageshore_daemon/src/jobs.rs
+++ b/crates/borageshore_daemon/src/jobs.rs
@@ -6,12 +6,12 @@
     sync::Arc,
 };
 
-use borageshore_base::{Fault, ResultCode, rank_by_rendezvous};
+use borageshore_base::{Fault, ResultCode};
 use borageshore_membership::Health;
 use borageshore_net::sleep_ms;
 use borageshore_rollout::{
-    Delivery, Freshness, JobController, JobPlan, Ledger, LedgerRecord, PullDecision, PullView,
-    Sample, SampleOrder,
+    Delivery, Freshness, JobController, JobPlan, Ledger, LedgerRecord, Placement, PullDecision,
+    PullView, Sample, SampleOrder,
 };
 use borageshore_settings::NodeKind;
 use borageshore_wire::{PeerReply, PeerRequest, PullReply, PullRequest, SampleRequest};
@@ -40,6 +40,7 @@
     job: Arc<str>,
     ledger: Rc<SharedStream<Ledger>>,
     controller: RefCell<JobController>,
+    placement: RefCell<Placement>,
     has_opened_ledger: Cell<bool>,
     is_closed: Cell<bool>,
 }
@@ -99,6 +100,7 @@
         job: job.clone(),
         ledger: ledger.clone(),
         controller: RefCell::new(JobController::open(job.clone(), epoch)),
+        placement: RefCell::default(),
         has_opened_ledger: Cell::new(false),
         is_closed: Cell::new(false),
     });
@@ -159,13 +161,12 @@
     })
 }
 
-/// Has a sample made, by the daemon that the group's prompt belongs to, so that the samples of a
-/// group meet the same cached prefix; a second attempt goes elsewhere.
+/// Has a sample made by the daemon that its group is placed with.
 async fn carry_out(daemon: Rc<Daemon>, runtime: Rc<JobRuntime>, order: SampleOrder) {
     let started_at_ms = daemon.now_ms();
     let job = sample_job(&daemon, &runtime, &order);
     let prompt = job.prompt.clone();
-    let made = place(&daemon, &job, &order).await;
+    let made = place(&daemon, &runtime, &job, &order).await;
     if runtime.is_closed.get() {
         return;
     }
@@ -213,23 +214,43 @@
 
 async fn place(
     daemon: &Rc<Daemon>,
+    runtime: &JobRuntime,
     job: &SampleJob,
     order: &SampleOrder,
 ) -> Result<MadeSample, Fault> {
-    let worker = {
-        let membership = daemon.membership.borrow();
-        let names = membership.usable(daemon.now_ms()).map(|entry| &*entry.name);
-        let ranked = rank_by_rendezvous(&format!("{}/{}", job.job, order.group), names);
-        let chosen = ranked
-            .get(order.attempt as usize % ranked.len().max(1))
-            .copied();
-        chosen
-            .and_then(|name| membership.entry(name))
-            .map(|e| (e.name.clone(), e.peer_address.clone()))
-    };
-    let Some((name, address)) = worker.filter(|(name, _)| *name != daemon.config.name) else {
+    let Some((name, address)) = choose_worker(daemon, runtime, order) else {
         return make_sample(daemon, job).await;
     };
+    let made = if name == daemon.config.name {
+        make_sample(daemon, job).await
+    } else {
+        make_at_peer(daemon, job, &name, &address).await
+    };
+    runtime.placement.borrow_mut().on_end(&name);
+    made
+}
+
+fn choose_worker(
+    daemon: &Daemon,
+    runtime: &JobRuntime,
+    order: &SampleOrder,
+) -> Option<(Arc<str>, Arc<str>)> {
+    let membership = daemon.membership.borrow();
+    let usable = membership.usable(daemon.now_ms());
+    let names: Vec<&str> = usable.map(|entry| &*entry.name).collect();
+    let mut placement = runtime.placement.borrow_mut();
+    placement.forget_below(runtime.controller.borrow().oldest_group());
+    let name = placement.place(order.group, order.attempt, &names)?;
+    let address = membership.entry(&name)?.peer_address.clone();
+    Some((name, address))
+}
+
+async fn make_at_peer(
+    daemon: &Rc<Daemon>,
+    job: &SampleJob,
+    name: &str,
+    address: &str,
+) -> Result<MadeSample, Fault> {
     let request = PeerRequest::Sample(SampleRequest {
         job: job.job.to_string(),
         sample_id: job.sample_id.to_string(),
@@ -239,11 +260,11 @@
     });
     match daemon
         .peers
-        .call(&address, &request, SAMPLE_DEADLINE_MS + PEER_SLACK_MS)
+        .call(address, &request, SAMPLE_DEADLINE_MS + PEER_SLACK_MS)
         .await
     {
         Ok(PeerReply::Sample(reply)) => from_reply(reply),
-        Ok(_) => Err(Fault::new(ResultCode::PeerUnavailable, &*name)),
+        Ok(_) => Err(Fault::new(ResultCode::PeerUnavailable, name)),
         Err(error) => Err(Fault::new(
             ResultCode::PeerUnavailable,
             format!("{name}: {error}"),
--- a/crates/borageshore_daemon/src/swaps.rs
+++ b/crates/borageshore_daemon/src/swaps.rs
@@ -11,8 +11,11 @@
     platform::engine::{Engine, EngineOrder, EngineReport, OrderAnswer},
 };
 
-/// The pace of read-back and orders.
-const SWAP_TICK_MS: u64 = 250;
+/// The pace of read-back while all replicas are at their versions.
+const SETTLED_TICK_MS: u64 = 250;
+/// The pace while some are behind: each wave waits for the read-back of the one before, and samples of
+/// replicas that are behind are soon too old.
+const SWAPPING_TICK_MS: u64 = 20;
 
 /// The shard that the owner of a service's weights holds.
 pub(crate) fn shard_of(service: &str) -> Arc<str> {
@@ -38,10 +41,16 @@
 /// Brings engines to the versions in force, for the services whose weights this daemon owns.
 pub(crate) async fn swap_loop(daemon: Rc<Daemon>) {
     loop {
+        let mut progress = Progress::Settled;
         for service in owned_services(&daemon) {
-            swap_service(&daemon, &service).await;
+            if swap_service(&daemon, &service).await == Progress::Swapping {
+                progress = Progress::Swapping;
+            }
+        }
+        match progress {
+            Progress::Settled => sleep_ms(SETTLED_TICK_MS).await,
+            Progress::Swapping => sleep_ms(SWAPPING_TICK_MS).await,
         }
-        sleep_ms(SWAP_TICK_MS).await;
     }
 }
 
@@ -84,17 +93,31 @@
     })
 }
 
-async fn swap_service(daemon: &Rc<Daemon>, service: &Arc<str>) {
+/// Whether all replicas that answer are at their versions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    Settled,
+    Swapping,
+}
+
+async fn swap_service(daemon: &Rc<Daemon>, service: &Arc<str>) -> Progress {
     let targets = targets(daemon, service);
     if targets.is_empty() {
-        return;
+        return Progress::Settled;
     }
+    let mut progress = Progress::Settled;
     let replicas = read_back(daemon, service).await;
     for target in targets {
         let views: Vec<ReplicaView> = replicas
             .iter()
             .map(|replica| view(replica, &target.job))
             .collect();
+        if views
+            .iter()
+            .any(|view| view.version.is_some_and(|version| version < target.version))
+        {
+            progress = Progress::Swapping;
+        }
         for name in plan_swaps(&views, target.version, target.limits) {
             let Some(replica) = replicas.iter().find(|replica| replica.name == name) else {
                 continue;
@@ -102,6 +125,7 @@
             give_order(daemon, service, replica, &target).await;
         }
     }
+    progress
 }
 
 async fn read_back(daemon: &Rc<Daemon>, service: &Arc<str>) -> Vec<Replica> {
--- a/crates/borageshore_rollout/src/controller.rs
+++ b/crates/borageshore_rollout/src/controller.rs
@@ -143,6 +143,15 @@
         self.counts
     }
 
+    /// The oldest group that is not numbered yet.
+    pub fn oldest_group(&self) -> u64 {
+        self.groups
+            .keys()
+            .next()
+            .copied()
+            .unwrap_or(self.next_group)
+    }
+
     /// Finished samples that wait for a pull or its confirmation.
     pub fn buffered(&self) -> usize {
         let finished = |group: &Group| {
--- a/crates/borageshore_rollout/src/lib.rs
+++ b/crates/borageshore_rollout/src/lib.rs
@@ -14,12 +14,14 @@
 
 mod controller;
 mod ledger;
+mod placement;
 mod sample;
 mod swap;
 
 pub use self::{
     controller::{JobController, JobCounts, JobPlan, PullDecision, PullView, SampleOrder},
     ledger::{Ledger, LedgerRecord, LedgerSnapshot},
+    placement::Placement,
     sample::{Delivery, Freshness, Sample, Segment},
     swap::{ReplicaView, SwapLimits, plan_swaps},
 };
--- a/crates/borageshore_rollout/tests/rollout.rs
+++ b/crates/borageshore_rollout/tests/rollout.rs
@@ -1,8 +1,8 @@
 //! Stragglers, back-pressure and weight swaps.
 
 use borageshore_rollout::{
-    Freshness, JobController, JobPlan, ReplicaView, Sample, SampleOrder, Segment, SwapLimits,
-    plan_swaps,
+    Freshness, JobController, JobPlan, Placement, ReplicaView, Sample, SampleOrder, Segment,
+    SwapLimits, plan_swaps,
 };
 
 macro_rules! stories {
@@ -129,4 +129,29 @@
         replicas[0].version = None;
         assert_eq!(plan_swaps(&replicas, 2, limits(2, 50)), ["e1".into()]);
     };
+
+    // Eight groups of four over three daemons. Hashing gave one daemon five groups, and every step
+    // waited for it; placed by load, no daemon has more than one group above another.
+    groups_are_spread_evenly: {
+        let mut placement = Placement::default();
+        let mut counts = [0; 3];
+        for group in 0..8 {
+            for _ in 0..4 {
+                let chosen = placement.place(group, 0, &["a", "b", "c"]).unwrap();
+                counts["abc".find(&*chosen).unwrap()] += 1;
+            }
+        }
+        counts.sort_unstable();
+        assert_eq!(counts, [8, 12, 12]);
+        assert_ne!(placement.place(0, 1, &["a", "b", "c"]), placement.place(0, 0, &["a", "b", "c"]));
+    };
+
+    // The daemon that a group was placed with has died. The group moves.
+    group_moves_with_the_loss_of_its_daemon: {
+        let mut placement = Placement::default();
+        let home = placement.place(0, 0, &["a", "b"]).unwrap();
+        let left = if &*home == "a" { "b" } else { "a" };
+        assert_eq!(placement.place(0, 0, &[left]).as_deref(), Some(left));
+        assert_eq!(placement.place(0, 0, &[]), None);
+    };
 }
