Samples that will be too old at their step are made again early

Cause: a third of all samples was given up as stale, at the pull, so that the trainer waited for the whole step. They were made ahead, before the engines had the newest weights; within the bound then, not at their own step.

Change: the controller learns how many steps lie between two publications and gives up early what the next ones will make stale, once a newer version was seen.

--- a/crates/borageshore_bench/benches/slopes.rs
+++ b/crates/borageshore_bench/benches/slopes.rs
@@ -450,9 +450,9 @@
         let mut controller = JobController::open("job".into(), 1);
         let mut ledger = Ledger::default();
         ledger.apply(0, 0, &envelope(1, LedgerRecord::Open { epoch: 1 }));
-        let orders = controller.tick(&plan, 0);
+        let orders = controller.tick(&plan, 1, 0);
         report.time("jobs", "idle_tick_ns", size, 10, |_| {
-            black_box(controller.tick(&plan, 1));
+            black_box(controller.tick(&plan, 1, 1));
         });
         let started = Instant::now();
         let count = orders.len();
--- a/crates/borageshore_daemon/src/jobs.rs
+++ b/crates/borageshore_daemon/src/jobs.rs
@@ -133,7 +133,12 @@
     runtime
         .ledger
         .with_fold(|ledger| controller.on_ledger(ledger));
-    let orders = controller.tick(&plan_of(daemon, &runtime.job), daemon.now_ms());
+    let target_version = daemon.setting(&runtime.job, "weights_version");
+    let orders = controller.tick(
+        &plan_of(daemon, &runtime.job),
+        target_version,
+        daemon.now_ms(),
+    );
     drop(controller);
     for order in orders {
         monoio::spawn(carry_out(daemon.clone(), runtime.clone(), order));
@@ -179,6 +184,9 @@
             score,
         }) => {
             let (id, group) = (order.id, order.group);
+            let versions: Vec<u64> = segments.iter().map(|segment| segment.version).collect();
+            let took_ms = now_ms - started_at_ms;
+            log::debug!("sample {id} took {took_ms} ms, versions {versions:?}");
             let sample = Sample {
                 id,
                 group,
--- a/crates/borageshore_rollout/src/controller.rs
+++ b/crates/borageshore_rollout/src/controller.rs
@@ -115,6 +115,9 @@
     assigning: SortedMap<Arc<str>, FinishedSample>,
     durations_ms: Histogram<u64>,
     counts: JobCounts,
+    cadence: Cadence,
+    /// The newest version that made a token of this job.
+    newest_seen: u64,
 }
 
 impl JobController {
@@ -130,6 +133,8 @@
             durations_ms: Histogram::new_with_max(LONGEST_DURATION_MS, 2)
                 .expect("two significant digits are supported"),
             counts: JobCounts::default(),
+            cadence: Cadence::default(),
+            newest_seen: 0,
         }
     }
 
@@ -165,8 +170,10 @@
     }
 
     /// Says what to generate now.
-    pub fn tick(&mut self, plan: &JobPlan, now_ms: u64) -> Vec<SampleOrder> {
+    pub fn tick(&mut self, plan: &JobPlan, target_version: u64, now_ms: u64) -> Vec<SampleOrder> {
+        self.cadence.on_target(target_version, plan);
         self.open_groups(plan, now_ms);
+        self.drop_doomed(plan, target_version, now_ms);
         let straggler_ms = self.straggler_ms();
         let mut orders = Vec::new();
         for (group, state) in self.groups.iter_mut() {
@@ -237,6 +244,8 @@
 
     /// Takes in a finished sample; the first attempt to finish wins.
     pub fn on_sample(&mut self, sample: Sample, started_at_ms: u64, now_ms: u64) {
+        let versions = sample.segments.iter().map(|segment| segment.version);
+        let newest = versions.max().unwrap_or(0);
         let Some(slot) = self.slot_mut(sample.group, &sample.id) else {
             self.counts.repeated += 1;
             return;
@@ -250,6 +259,7 @@
             sample,
             started_at_ms,
         });
+        self.newest_seen = self.newest_seen.max(newest);
         self.counts.generated += 1;
         self.durations_ms
             .saturating_record(now_ms.saturating_sub(started_at_ms).max(1));
@@ -375,6 +385,7 @@
                     .insert(slot.id, slot.done.expect("the group is complete"));
             }
         }
+        self.cadence.on_numbered(sample_ids.len() as u64);
         PullDecision::Append(LedgerRecord::Assign {
             epoch: self.epoch,
             confirmed: pull.cursor,
@@ -383,6 +394,35 @@
         })
     }
 
+    /// Generates anew what will be stale by the time the trainer asks for it.
+    ///
+    /// Guards against a step that is given up whole: samples made ahead with the version before last
+    /// are within the bound now, but not after the publication that comes before their step; found out
+    /// at the pull, the trainer would wait for all of them. A sample is dropped early only when an
+    /// engine has shown a newer version, so that making it again helps.
+    fn drop_doomed(&mut self, plan: &JobPlan, target_version: u64, now_ms: u64) {
+        let newest_seen = self.newest_seen;
+        let mut dropped = 0;
+        for (place, (_, group)) in self.groups.iter_mut().enumerate() {
+            let steps_before = place as u64 / plan.groups_per_step;
+            let version_then = target_version + self.cadence.publications_before(steps_before);
+            for slot in &mut group.slots {
+                let is_doomed = slot.done.as_ref().is_some_and(|done| {
+                    let age_ms = now_ms.saturating_sub(done.started_at_ms);
+                    let segments = &done.sample.segments;
+                    let oldest = segments.iter().map(|segment| segment.version).min();
+                    oldest < Some(newest_seen)
+                        && !plan.freshness.permits(segments, age_ms, version_then)
+                });
+                if is_doomed {
+                    slot.done = None;
+                    dropped += 1;
+                }
+            }
+        }
+        self.counts.stale += dropped;
+    }
+
     /// Generates anew what has grown stale before it was numbered.
     fn drop_stale(&mut self, plan: &JobPlan, target_version: u64, now_ms: u64) {
         let mut dropped = 0;
@@ -404,6 +444,40 @@
     }
 }
 
+/// How many steps the trainer makes between two publications of weights, as it did last.
+#[derive(Debug, Default)]
+struct Cadence {
+    target_version: u64,
+    samples_since: u64,
+    steps_since: u64,
+    steps_per_publication: Option<u64>,
+}
+
+impl Cadence {
+    fn on_target(&mut self, target_version: u64, plan: &JobPlan) {
+        let samples_per_step = plan.groups_per_step * plan.samples_per_group;
+        self.steps_since = self.samples_since / samples_per_step;
+        if target_version > self.target_version {
+            self.target_version = target_version;
+            self.steps_per_publication = Some(self.steps_since.max(1));
+            self.samples_since = 0;
+            self.steps_since = 0;
+        }
+    }
+
+    fn on_numbered(&mut self, samples: u64) {
+        self.samples_since += samples;
+    }
+
+    /// The publications to expect before a step that has so many before it.
+    fn publications_before(&self, steps_before: u64) -> u64 {
+        match self.steps_per_publication {
+            Some(steps) => (self.steps_since + steps_before) / steps,
+            None => 0,
+        }
+    }
+}
+
 /// What a trainer's pull says.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PullView {
--- a/crates/borageshore_rollout/tests/rollout.rs
+++ b/crates/borageshore_rollout/tests/rollout.rs
@@ -59,23 +59,23 @@
     // were once recorded as 2 ms, so that every sample counted as a straggler after a second.)
     only_stragglers_are_placed_twice: {
         let mut controller = JobController::open("job".into(), 1);
-        let orders = controller.tick(&plan(), 0);
+        let orders = controller.tick(&plan(), 1, 0);
         assert_eq!(orders.len(), 40);
         for order in &orders[..39] {
             controller.on_sample(sample(order), 0, 5_000);
         }
-        assert_eq!(controller.tick(&plan(), 6_000), []);
-        let again = controller.tick(&plan(), 11_000);
+        assert_eq!(controller.tick(&plan(), 1, 6_000), []);
+        let again = controller.tick(&plan(), 1, 11_000);
         assert_eq!(again.len(), 1);
         assert_eq!((&again[0].id, again[0].attempt), (&orders[39].id, 1));
-        assert_eq!(controller.tick(&plan(), 30_000), []);
+        assert_eq!(controller.tick(&plan(), 1, 30_000), []);
         assert_eq!(controller.counts().replaced, 1);
     };
 
     // Both attempts of a straggler finish. One sample comes of it.
     second_finish_is_dropped: {
         let mut controller = JobController::open("job".into(), 1);
-        let orders = controller.tick(&plan(), 0);
+        let orders = controller.tick(&plan(), 1, 0);
         controller.on_sample(sample(&orders[0]), 0, 10);
         controller.on_sample(sample(&orders[0]), 0, 20);
         assert_eq!((controller.counts().generated, controller.counts().repeated), (1, 1));
@@ -84,20 +84,20 @@
     // The trainer stops pulling. Generation stops with it instead of filling memory.
     generation_waits_for_the_trainer: {
         let mut controller = JobController::open("job".into(), 1);
-        for order in controller.tick(&plan(), 0) {
+        for order in controller.tick(&plan(), 1, 0) {
             controller.on_sample(sample(&order), 0, 10);
         }
-        assert_eq!(controller.tick(&plan(), 1_000), []);
+        assert_eq!(controller.tick(&plan(), 1, 1_000), []);
         assert_eq!(controller.buffered(), 40);
     };
 
     // An attempt fails. It is tried again after a pause, not at once.
     failed_attempt_is_repeated_after_a_pause: {
         let mut controller = JobController::open("job".into(), 1);
-        let orders = controller.tick(&plan(), 0);
+        let orders = controller.tick(&plan(), 1, 0);
         controller.on_failure(orders[0].group, &orders[0].id, 100);
-        assert_eq!(controller.tick(&plan(), 200), []);
-        assert_eq!(controller.tick(&plan(), 300).len(), 1);
+        assert_eq!(controller.tick(&plan(), 1, 200), []);
+        assert_eq!(controller.tick(&plan(), 1, 300).len(), 1);
     };
 
     // New weights for eight replicas, two at a time, half must serve. Those furthest behind go first.
@@ -154,4 +154,28 @@
         assert_eq!(placement.place(0, 0, &[left]).as_deref(), Some(left));
         assert_eq!(placement.place(0, 0, &[]), None);
     };
+
+    // The trainer publishes after every step, and the bound is one version. Samples made ahead with
+    // the version before last would be too old at their own step: once an engine has shown the newer
+    // version they are made again at once, while the trainer computes, not when it asks.
+    doomed_samples_are_made_again_early: {
+        let ahead = JobPlan { groups_per_step: 1, steps_ahead: 2, ..plan() };
+        let mut controller = JobController::open("job".into(), 1);
+        let finish = |controller: &mut JobController, orders: &[SampleOrder], version: u64| {
+            for order in orders {
+                let segments = vec![Segment { version, token_count: 1 }];
+                controller.on_sample(Sample { segments, ..sample(order) }, 0, 1);
+            }
+        };
+        let orders = controller.tick(&ahead, 1, 0);
+        finish(&mut controller, &orders[..4], 1);
+        // Two publications, a step apart: from now on one is expected before each further step.
+        assert_eq!(controller.tick(&ahead, 2, 1), []);
+        finish(&mut controller, &orders[4..7], 1);
+        assert_eq!(controller.tick(&ahead, 2, 2), [], "nothing newer was seen");
+        finish(&mut controller, &orders[7..], 2);
+        let again = controller.tick(&ahead, 2, 3);
+        assert_eq!(again.len(), 3, "the second step's old samples, not the first step's");
+        assert!(again.iter().all(|order| order.group == 1));
+    };
 }
--- a/crates/borageshore_scenarios/src/world.rs
+++ b/crates/borageshore_scenarios/src/world.rs
@@ -308,6 +308,7 @@
     /// Generates everything that the owner of the job wants, with the engine's present weights.
     pub fn generate(&mut self, name: &str) -> usize {
         let (true_ms, version) = (self.now_ms, self.engine_version);
+        let target_version = self.target_version;
         let Some(member) = self.running(name) else {
             return 0;
         };
@@ -315,7 +316,7 @@
         let Some((_, controller)) = &mut member.job else {
             return 0;
         };
-        let orders = controller.tick(&plan(), now_ms);
+        let orders = controller.tick(&plan(), target_version, now_ms);
         let count = orders.len();
         for order in orders {
             let sample = Sample {
