Engine connections are used again after a stream

Cause: a trace of system calls showed 622 connects in 5 s of load; each stream opened a connection, for its sender was dropped with the head of the answer.

Change: the connection is kept once the body was read to its end.

--- a/crates/borageshore_daemon/src/generation.rs
+++ b/crates/borageshore_daemon/src/generation.rs
@@ -267,6 +267,7 @@
                 if let Some(end) = on_chunk(daemon, generation, chunk, produced, sink).await {
                     if matches!(end, AttemptEnd::Finished) {
                         attempt.on(AttemptEvent::Answered);
+                        chunks.release();
                     }
                     return end;
                 }
--- a/crates/borageshore_daemon/src/platform/engine.rs
+++ b/crates/borageshore_daemon/src/platform/engine.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, future::Future, sync::Arc};
 
-use borageshore_net::{CallError, HttpClient, Timeouts, within_ms};
+use borageshore_net::{CallError, Connection, HttpClient, Timeouts, within_ms};
 use borageshore_routing::LoadReport;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -15,6 +15,8 @@
 
 /// The longest line of a stream.
 const LINE_BYTES: usize = 1024 * 1024;
+/// How long the end of a body may take after its last chunk.
+const RELEASE_MS: u64 = 1_000;
 const ORDER_TIMEOUTS: Timeouts = Timeouts {
     connect_ms: 1_000,
     first_byte_ms: 3_000,
@@ -99,6 +101,9 @@
         &mut self,
         timeout_ms: u64,
     ) -> impl Future<Output = Result<Option<EngineChunk>, CallError>>;
+
+    /// Gives the connection back after the last chunk, if the body ends there.
+    fn release(self);
 }
 
 /// A model engine at an address.
@@ -166,6 +171,9 @@
         }
         let report = load_report(response.headers());
         let chunks = HttpChunks {
+            http: self.http.clone(),
+            address: address.into(),
+            sender,
             body: response.into_body(),
             buffer: Vec::new(),
             lines: VecDeque::new(),
@@ -209,6 +217,10 @@
 /// JSON lines of a body.
 #[derive(Debug)]
 pub struct HttpChunks {
+    http: HttpClient,
+    address: Arc<str>,
+    /// Kept for the next request once the body was read to its end.
+    sender: Connection,
     body: Incoming,
     buffer: Vec<u8>,
     lines: VecDeque<EngineChunk>,
@@ -239,6 +251,14 @@
 }
 
 impl ChunkStream for HttpChunks {
+    fn release(mut self) {
+        monoio::spawn(async move {
+            if let Some(None) = within_ms(RELEASE_MS, self.body.frame()).await {
+                self.http.keep(&self.address, self.sender);
+            }
+        });
+    }
+
     async fn next_chunk(&mut self, timeout_ms: u64) -> Result<Option<EngineChunk>, CallError> {
         loop {
             if let Some(chunk) = self.lines.pop_front() {
--- a/crates/borageshore_net/src/client.rs
+++ b/crates/borageshore_net/src/client.rs
@@ -51,7 +51,9 @@
     pub first_byte_ms: u64,
 }
 
-type Sender = SendRequest<Full<Bytes>>;
+/// A connection that takes one request after the other.
+pub type Connection = SendRequest<Full<Bytes>>;
+type Sender = Connection;
 
 /// A client with a pool of idle connections by address.
 ///
--- a/crates/borageshore_net/src/lib.rs
+++ b/crates/borageshore_net/src/lib.rs
@@ -11,7 +11,7 @@
 mod server;
 
 pub use self::{
-    client::{CallError, HttpClient, Timeouts},
+    client::{CallError, Connection, HttpClient, Timeouts},
     event_loop::{Clock, run_event_loop, sleep_ms, within_ms},
     frame::{FrameError, read_frame, write_frame},
     server::{
