Streams under crossed chunks and stalled engines, as tests

Cause: the promise of a whole answer to one's own request had no test that crosses answers or silences a connection.

Change: three stories against a daemon and two engine stand-ins on ephemeral ports. The stand-in's crossed chunks carry a token of their own.

--- /dev/null
+++ b/crates/borageshore_daemon/tests/streams.rs
@@ -0,0 +1,150 @@
+//! Answers stay whole when engines cross chunks, stall, or vanish in the middle.
+
+mod support;
+
+use borageshore_net::{HttpClient, HttpServer, Timeouts, run_event_loop, sleep_ms};
+use borageshore_standins::{
+    engine::{EngineOptions, EngineStandin, EngineSwitches},
+    expected_token,
+    vm_list::{Vm, VmState},
+};
+use serde_json::{Value, json};
+
+const TOKENS: u64 = 30;
+const TIMEOUTS: Timeouts = Timeouts {
+    connect_ms: 1_000,
+    first_byte_ms: 20_000,
+};
+
+/// A daemon before two engines.
+struct Setting {
+    daemon: String,
+    engines: Vec<HttpServer>,
+    http: HttpClient,
+}
+
+impl Setting {
+    async fn open() -> Self {
+        let options = EngineOptions {
+            step_ms: 2,
+            ..EngineOptions::default()
+        };
+        let engines: Vec<HttpServer> = (0..2)
+            .map(|_| EngineStandin::bind("127.0.0.1:0", options.clone()).unwrap())
+            .collect();
+        let vms = engines.iter().enumerate().map(|(number, engine)| Vm {
+            name: format!("engine-{number}").into(),
+            service: "llm".into(),
+            zone: "suva-hall".into(),
+            address: engine.address().to_string().into(),
+            state: VmState::Live,
+        });
+        let daemon = support::open_daemon(vms.collect()).await;
+        let setting = Self {
+            daemon,
+            engines,
+            http: HttpClient::open(),
+        };
+        setting.configure().await;
+        setting
+    }
+
+    async fn configure(&self) {
+        let edit = |key: &str, value: Value| json!({"node": "llm", "key": key, "value": value, "based_on": 0});
+        let edits = [
+            edit("parent", json!("root")),
+            edit("kind", json!("service")),
+            edit("chunk_timeout_ms", json!(200)),
+            edit("first_byte_timeout_ms", json!(500)),
+        ];
+        let change = json!({"actor": "test", "reason": "test", "edits": edits});
+        let request = support::operator_request("/v1/admin/settings", &change);
+        let (status, body) = self
+            .http
+            .call(&self.daemon, request, TIMEOUTS)
+            .await
+            .unwrap();
+        assert_eq!(status, 200, "{body:?}");
+        while self.generate("warm up").await.is_none() {
+            // The VM list has not been read yet.
+            sleep_ms(20).await;
+        }
+    }
+
+    async fn switch(&self, engine: usize, switches: EngineSwitches) {
+        let address = self.engines[engine].address().to_string();
+        let answer =
+            self.http
+                .call_json::<_, Value>(&address, "POST", "/switches", &switches, TIMEOUTS);
+        answer.await.unwrap();
+    }
+
+    /// The tokens of a whole answer.
+    async fn generate(&self, prompt: &str) -> Option<Vec<String>> {
+        let body = json!({"prompt": prompt, "max_tokens": TOKENS});
+        let answer = self
+            .http
+            .call_json::<_, Value>(
+                &self.daemon,
+                "POST",
+                "/v1/services/llm/generate",
+                &body,
+                TIMEOUTS,
+            )
+            .await;
+        let (status, answer) = answer.unwrap();
+        (status == 200).then(|| serde_json::from_value(answer["tokens"].clone()).unwrap())
+    }
+
+    async fn assert_whole(&self, prompt: &str) {
+        let expected: Vec<String> = (0..TOKENS)
+            .map(|index| expected_token(prompt, index))
+            .collect();
+        assert_eq!(self.generate(prompt).await, Some(expected), "{prompt}");
+    }
+}
+
+macro_rules! stories {
+    ($($name:ident: |$setting:ident| $story:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                run_event_loop(async {
+                    let $setting = Setting::open().await;
+                    $story
+                });
+            }
+        )*
+    };
+}
+
+stories! {
+    // An engine sends chunks of another request into a caller's stream. They are dropped; the caller
+    // gets its own answer, every token in its place.
+    crossed_chunks_are_dropped: |setting| {
+        for engine in 0..2 {
+            setting.switch(engine, EngineSwitches { cross_chunks: 8, ..EngineSwitches::default() }).await;
+        }
+        for number in 0..4 {
+            setting.assert_whole(&format!("crossed {number}")).await;
+        }
+    };
+
+    // An engine goes silent while its connections stay open. The progress deadline finds it, and the
+    // answer is made whole by the other engine, from the last good token on.
+    stalled_engine_is_left: |setting| {
+        setting.switch(0, EngineSwitches { stall_ms: 60_000, ..EngineSwitches::default() }).await;
+        for number in 0..6 {
+            setting.assert_whole(&format!("stalled {number}")).await;
+        }
+    };
+
+    // Both engines stall for a moment in the middle of answers, longer than the progress deadline of
+    // one attempt. Retries come out of a budget, and the answers are whole.
+    short_stalls_are_survived: |setting| {
+        for engine in 0..2 {
+            setting.switch(engine, EngineSwitches { stall_ms: 100, ..EngineSwitches::default() }).await;
+        }
+        setting.assert_whole("short stall").await;
+    };
+}
--- a/crates/borageshore_standins/src/engine.rs
+++ b/crates/borageshore_standins/src/engine.rs
@@ -307,7 +307,8 @@
     } else {
         active.request.request_id.clone()
     };
-    let token = (!is_last).then(|| expected_token(&active.request.prompt, index));
+    let own_token = (!is_last).then(|| expected_token(&active.request.prompt, index));
+    let token = if is_crossed { Some("crossed".into()) } else { own_token };
     let chunk = EngineChunk {
         request_id,
         index,
