Work ahead waits for engines that load new weights

Cause: trainer idle time. The owner of the weights also noticed a publication up to 250 ms late. Ruled out: slots (33 for 32 samples), placement, failed attempts.

Change: the owner of a job watches how far its engines are behind a new target and holds back what they would make in vain; a pull tells the cadence of a new target first; the swap loop wakes with the settings stream.

--- a/crates/borageshore_daemon/src/jobs.rs
+++ b/crates/borageshore_daemon/src/jobs.rs
@@ -11,7 +11,7 @@
 use borageshore_net::sleep_ms;
 use borageshore_rollout::{
     Delivery, Freshness, JobController, JobPlan, Ledger, LedgerRecord, Placement, PullDecision,
-    PullView, Sample, SampleOrder,
+    PullView, Sample, SampleOrder, Versions,
 };
 use borageshore_settings::NodeKind;
 use borageshore_wire::{PeerReply, PeerRequest, PullReply, PullRequest, SampleRequest};
@@ -21,6 +21,7 @@
     peer_server::failed_pull,
     samples::{MadeSample, SampleJob, from_reply, make_sample},
     stream::{SharedStream, Source, append_proposals, follow},
+    swaps,
 };
 
 /// The longest time that a sample may take.
@@ -41,6 +42,7 @@
     ledger: Rc<SharedStream<Ledger>>,
     controller: RefCell<JobController>,
     placement: RefCell<Placement>,
+    versions: Cell<Versions>,
     has_opened_ledger: Cell<bool>,
     is_closed: Cell<bool>,
 }
@@ -101,6 +103,10 @@
         ledger: ledger.clone(),
         controller: RefCell::new(JobController::open(job.clone(), epoch)),
         placement: RefCell::default(),
+        versions: Cell::new(Versions {
+            target: 0,
+            floor: 0,
+        }),
         has_opened_ledger: Cell::new(false),
         is_closed: Cell::new(false),
     });
@@ -133,12 +139,8 @@
     runtime
         .ledger
         .with_fold(|ledger| controller.on_ledger(ledger));
-    let target_version = daemon.setting(&runtime.job, "weights_version");
-    let orders = controller.tick(
-        &plan_of(daemon, &runtime.job),
-        target_version,
-        daemon.now_ms(),
-    );
+    let versions = watched_versions(daemon, runtime);
+    let orders = controller.tick(&plan_of(daemon, &runtime.job), versions, daemon.now_ms());
     drop(controller);
     for order in orders {
         monoio::spawn(carry_out(daemon.clone(), runtime.clone(), order));
@@ -151,6 +153,27 @@
         });
 }
 
+/// The versions in force; a new target begins to be watched.
+fn watched_versions(daemon: &Rc<Daemon>, runtime: &Rc<JobRuntime>) -> Versions {
+    let target = daemon.setting(&runtime.job, "weights_version");
+    let before = runtime.versions.get();
+    if target > before.target {
+        runtime.versions.set(Versions { target, ..before });
+        let (daemon, runtime) = (daemon.clone(), runtime.clone());
+        monoio::spawn(async move {
+            let report = |floor| {
+                let known = runtime.versions.get();
+                // An older watch says nothing of a newer target.
+                if known.target == target {
+                    runtime.versions.set(Versions { floor, ..known });
+                }
+            };
+            swaps::watch_floor(&daemon, &runtime.job, target, report).await;
+        });
+    }
+    runtime.versions.get()
+}
+
 fn plan_of(daemon: &Daemon, job: &str) -> JobPlan {
     daemon.settings.with_fold(|fold| {
         let number = |key: &str| fold.tree().integer(job, key);
--- a/crates/borageshore_daemon/src/swaps.rs
+++ b/crates/borageshore_daemon/src/swaps.rs
@@ -17,6 +17,11 @@
 /// replicas that are behind are soon too old.
 const SWAPPING_TICK_MS: u64 = 20;
 
+/// The pace at which the owner of a job watches its engines load.
+const WATCH_TICK_MS: u64 = 50;
+/// Work ahead is held back for loading engines no longer than this.
+const WATCH_MS: u64 = 5_000;
+
 /// The shard that the owner of a service's weights holds.
 pub(crate) fn shard_of(service: &str) -> Arc<str> {
     format!("weights/{service}").into()
@@ -48,7 +53,8 @@
             }
         }
         match progress {
-            Progress::Settled => sleep_ms(SETTLED_TICK_MS).await,
+            // A new version comes as a settings change.
+            Progress::Settled => daemon.settings.wait_progress(SETTLED_TICK_MS).await,
             Progress::Swapping => sleep_ms(SWAPPING_TICK_MS).await,
         }
     }
@@ -159,6 +165,35 @@
     replicas
 }
 
+/// Watches how far the engines of a job are behind a new target, and calls `report` with the oldest
+/// version that one still serves, until none is behind or it has taken too long to wait for.
+pub(crate) async fn watch_floor<Report>(
+    daemon: &Rc<Daemon>,
+    job: &Arc<str>,
+    target: u64,
+    report: Report,
+) where
+    Report: Fn(u64),
+{
+    let until_ms = daemon.now_ms() + WATCH_MS;
+    let service = daemon.setting_text(job, "service");
+    while let Some(service) = &service
+        && daemon.now_ms() < until_ms
+    {
+        let replicas = read_back(daemon, service).await;
+        let versions = replicas
+            .iter()
+            .filter_map(|replica| view(replica, job).version);
+        let floor = versions.min().unwrap_or(target);
+        report(floor);
+        if floor >= target {
+            return;
+        }
+        sleep_ms(WATCH_TICK_MS).await;
+    }
+    report(target);
+}
+
 /// How a replica stands with one job's weights. An engine that does not know an adapter yet serves
 /// the base model, version 0; one that lost its weights in a failed swap reports no version and is
 /// ordered again like one far behind.
--- a/crates/borageshore_rollout/src/controller.rs
+++ b/crates/borageshore_rollout/src/controller.rs
@@ -36,6 +36,15 @@
     pub freshness: Freshness,
 }
 
+/// Weight versions that matter to a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Versions {
+    /// The newest one in force.
+    pub target: u64,
+    /// The oldest one that an engine still serves, as far as is known.
+    pub floor: u64,
+}
+
 /// A sample to generate.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SampleOrder {
@@ -170,13 +179,21 @@
     }
 
     /// Says what to generate now.
-    pub fn tick(&mut self, plan: &JobPlan, target_version: u64, now_ms: u64) -> Vec<SampleOrder> {
-        self.cadence.on_target(target_version, plan);
+    pub fn tick(&mut self, plan: &JobPlan, versions: Versions, now_ms: u64) -> Vec<SampleOrder> {
+        self.cadence.on_target(versions.target, plan);
         self.open_groups(plan, now_ms);
-        self.drop_doomed(plan, target_version, now_ms);
+        self.drop_doomed(plan, versions.target, now_ms);
         let straggler_ms = self.straggler_ms();
         let mut orders = Vec::new();
-        for (group, state) in self.groups.iter_mut() {
+        for (place, (group, state)) in self.groups.iter_mut().enumerate() {
+            let steps_before = place as u64 / plan.groups_per_step;
+            let version_then = versions.target + self.cadence.publications_before(steps_before);
+            let would_be_doomed = versions.floor < versions.target
+                && versions.floor + plan.freshness.versions < version_then;
+            if would_be_doomed {
+                // Engines load the target now; what they begin before is made in vain.
+                continue;
+            }
             for slot in state.slots.iter_mut().filter(|slot| slot.done.is_none()) {
                 let is_due = slot.running == 0 && now_ms >= slot.retry_at_ms;
                 let is_straggler = slot.running > 0
@@ -298,6 +315,8 @@
         pull: PullView,
         now_ms: u64,
     ) -> PullDecision {
+        // A pull often follows a publication at once; what it numbers counts after it.
+        self.cadence.on_target(pull.target_version, plan);
         if pull.seen_epoch > self.epoch {
             return PullDecision::Refuse(ResultCode::StaleEpoch);
         }
--- a/crates/borageshore_rollout/src/lib.rs
+++ b/crates/borageshore_rollout/src/lib.rs
@@ -19,7 +19,9 @@
 mod swap;
 
 pub use self::{
-    controller::{JobController, JobCounts, JobPlan, PullDecision, PullView, SampleOrder},
+    controller::{
+        JobController, JobCounts, JobPlan, PullDecision, PullView, SampleOrder, Versions,
+    },
     ledger::{Ledger, LedgerRecord, LedgerSnapshot},
     placement::Placement,
     sample::{Delivery, Freshness, Sample, Segment},
--- a/crates/borageshore_scenarios/src/world.rs
+++ b/crates/borageshore_scenarios/src/world.rs
@@ -4,7 +4,9 @@
 
 use borageshore_base::{ResultCode, SortedMap};
 use borageshore_log::Fold;
-use borageshore_rollout::{Delivery, Freshness, JobPlan, PullDecision, PullView, Sample, Segment};
+use borageshore_rollout::{
+    Delivery, Freshness, JobPlan, PullDecision, PullView, Sample, Segment, Versions,
+};
 use borageshore_routing::{Attempt, AttemptEvent, KeyDecision, KeyPrefix, Outcome, StoredAnswer};
 use borageshore_settings::{Edit, SettingValue, SettingsChange, SettingsRecord};
 
@@ -308,7 +310,10 @@
     /// Generates everything that the owner of the job wants, with the engine's present weights.
     pub fn generate(&mut self, name: &str) -> usize {
         let (true_ms, version) = (self.now_ms, self.engine_version);
-        let target_version = self.target_version;
+        let versions = Versions {
+            target: self.target_version,
+            floor: self.engine_version,
+        };
         let Some(member) = self.running(name) else {
             return 0;
         };
@@ -316,7 +321,7 @@
         let Some((_, controller)) = &mut member.job else {
             return 0;
         };
-        let orders = controller.tick(&plan(), target_version, now_ms);
+        let orders = controller.tick(&plan(), versions, now_ms);
         let count = orders.len();
         for order in orders {
             let sample = Sample {
--- a/crates/borageshore_standins/src/engine.rs
+++ b/crates/borageshore_standins/src/engine.rs
@@ -308,7 +308,11 @@
         active.request.request_id.clone()
     };
     let own_token = (!is_last).then(|| expected_token(&active.request.prompt, index));
-    let token = if is_crossed { Some("crossed".into()) } else { own_token };
+    let token = if is_crossed {
+        Some("crossed".into())
+    } else {
+        own_token
+    };
     let chunk = EngineChunk {
         request_id,
         index,
