--- a/crates/borageshore_cli/src/run.rs
+++ b/crates/borageshore_cli/src/run.rs
@@ -49,7 +49,10 @@
     match command {
         Command::CheckConfig { file } => {
             load_config(&file)?;
-            Ok(format!("{}: no faults", file.display()))
+            Ok(show::sentence(
+                connection,
+                format!("{}: no faults", file.display()),
+            ))
         }
         Command::Settings(command) => settings::run(connection, command).await,
         Command::Audit { hours } => {
@@ -66,7 +69,10 @@
             let status: Status = get(connection, "/v1/admin/status").await?;
             Ok(show::either(connection, &status, show::jobs))
         }
-        Command::Drain => post(connection, "/v1/admin/drain", &()).await,
+        Command::Drain => {
+            let answer: String = post(connection, "/v1/admin/drain", &()).await?;
+            Ok(show::sentence(connection, answer))
+        }
         Command::Handover { hours } => handover::run(connection, hours).await,
         Command::Daemon { .. } | Command::Completions { .. } => {
             unreachable!("handled by the caller")
--- a/crates/borageshore_cli/src/settings.rs
+++ b/crates/borageshore_cli/src/settings.rs
@@ -46,10 +46,9 @@
             let name = file.display().to_string();
             let settings =
                 check_settings_file(&name, &read_file(&file)?).map_err(CommandError::Files)?;
-            Ok(format!(
-                "{}: {} settings, no faults",
-                file.display(),
-                settings.len()
+            Ok(show::sentence(
+                connection,
+                format!("{name}: {} settings, no faults", settings.len()),
             ))
         }
         SettingsCommand::Apply { file, who } => apply(connection, &file, who).await,
@@ -180,7 +179,7 @@
 ) -> Result<String, CommandError> {
     let edits = edits_of(connection, file).await?;
     if edits.is_empty() {
-        return Ok("nothing to change".into());
+        return Ok(show::sentence(connection, "nothing to change".into()));
     }
     propose(
         connection,
--- a/crates/borageshore_cli/src/show.rs
+++ b/crates/borageshore_cli/src/show.rs
@@ -24,6 +24,14 @@
     show(content)
 }
 
+/// A plain sentence; in JSON an object with it.
+pub(crate) fn sentence(connection: &Connection, text: String) -> String {
+    if connection.json {
+        return serde_json::json!({ "message": text }).to_string();
+    }
+    text
+}
+
 /// A time of the log's clock.
 pub(crate) fn time(at_ms: u64) -> String {
     jiff::Timestamp::from_millisecond(at_ms as i64)
