A job's owner keeps its job while its lease has run out

When a lease ran out and nobody else claimed (an outage of the log, a long pause), the owner closed the job and opened it anew under the same epoch. Sequences began at 1 under the same writer name, so the fold took its records for repeated ones and the job stood still for good; sample names came twice. No test had a job that went through an outage.

Change: a job is closed when the log says that it is another's; while the lease has run out it only waits. Each opening has a writer and sample names of its own, for a job that is removed and comes back. A draining daemon opens no job.

The scenario job_through_outage: nothing after the outage -> samples 5 to 8.

--- a/crates/borageshore_daemon/src/daemon.rs
+++ b/crates/borageshore_daemon/src/daemon.rs
@@ -67,6 +67,8 @@
     pub(crate) keys_answered: tokio::sync::Notify,
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) jobs: RefCell<SortedMap<Arc<str>, Rc<JobRuntime>>>,
+    /// How often a job was opened, so that each opening has names of its own.
+    pub(crate) job_openings: Cell<u64>,
     pub(crate) http: HttpClient,
     pub(crate) engine: HttpEngine,
     pub(crate) peers: PeerClient,
@@ -136,6 +138,7 @@
             keys_answered: tokio::sync::Notify::new(),
             retry_budget: RefCell::new(RetryBudget::open(20)),
             jobs: RefCell::default(),
+            job_openings: Cell::new(0),
             engine: HttpEngine::open(http.clone()),
             peers: PeerClient::open(config.peer_token.clone(), metrics.clone()),
             log: HttpLog::open(config.log_address.clone(), http.clone(), metrics.clone()),
--- a/crates/borageshore_daemon/src/jobs.rs
+++ b/crates/borageshore_daemon/src/jobs.rs
@@ -17,7 +17,7 @@
 use borageshore_wire::{PeerReply, PeerRequest, PullReply, PullRequest, SampleRequest};
 
 use crate::{
-    daemon::Daemon,
+    daemon::{Daemon, Life},
     peer_server::failed_pull,
     samples::{MadeSample, SampleJob, from_reply, make_sample},
     stream::{SharedStream, Source, append_proposals, follow},
@@ -54,15 +54,22 @@
 
 /// Opens jobs that were won, closes jobs that were lost, and orders what is to be generated.
 pub(crate) fn tick(daemon: &Rc<Daemon>) {
+    if daemon.life() == Life::Draining {
+        // All jobs were given up; until the log knows it, they still look like ours.
+        return;
+    }
     let jobs: Vec<Arc<str>> = daemon
         .settings
         .with_fold(|fold| fold.tree().nodes_of_kind(NodeKind::Job).cloned().collect());
     for job in &jobs {
-        let epoch = own_epoch(daemon, job);
+        let owned = owned_epoch(daemon, job);
         let known = daemon.jobs.borrow().get(job).cloned();
-        match (epoch, known) {
+        match (owned, known) {
             (Some(epoch), Some(runtime)) if runtime.controller.borrow().epoch() == epoch => {
-                tick_job(daemon, &runtime);
+                // A lease that has run out may be renewed yet: the job waits with all that it has.
+                if own_epoch(daemon, job).is_some() {
+                    tick_job(daemon, &runtime);
+                }
             }
             (Some(epoch), _) => open_job(daemon, job, epoch),
             (None, Some(_)) => close_job(daemon, job),
@@ -81,6 +88,15 @@
     }
 }
 
+/// The epoch under which the log says that a job is ours, whether or not we may act now.
+fn owned_epoch(daemon: &Daemon, job: &str) -> Option<u64> {
+    let agent = daemon.lease_agent.borrow();
+    daemon
+        .leases
+        .with_fold(|table| agent.owned_epoch(table, &shard_of(job)))
+}
+
+/// The epoch under which we may act for a job now.
 fn own_epoch(daemon: &Daemon, job: &str) -> Option<u64> {
     let agent = daemon.lease_agent.borrow();
     daemon
@@ -91,8 +107,13 @@
 fn open_job(daemon: &Rc<Daemon>, job: &Arc<str>, epoch: u64) {
     close_job(daemon, job);
     log::info!("job {job} is owned under epoch {epoch}");
-    // A writer name of its own for each epoch: sequences of a stream start with its proposer.
-    let writer: Arc<str> = format!("{}/{epoch}", daemon.session).into();
+    // A job that is removed and comes back is opened again under the same epoch. Sequences start anew
+    // with a proposer, so without a writer name of its own the fold would take all its records for
+    // repeated ones; sample names must not come twice either.
+    let opening = daemon.job_openings.get() + 1;
+    daemon.job_openings.set(opening);
+    let writer: Arc<str> = format!("{}/{epoch}/{opening}", daemon.session).into();
+    let id_prefix: Arc<str> = format!("{job}.{opening}").into();
     let ledger = Rc::new(SharedStream::open(
         format!("ledger-{job}").into(),
         writer,
@@ -101,7 +122,7 @@
     let runtime = Rc::new(JobRuntime {
         job: job.clone(),
         ledger: ledger.clone(),
-        controller: RefCell::new(JobController::open(job.clone(), epoch)),
+        controller: RefCell::new(JobController::open(id_prefix, epoch)),
         placement: RefCell::default(),
         versions: Cell::new(Versions {
             target: 0,
--- a/crates/borageshore_lease/src/agent.rs
+++ b/crates/borageshore_lease/src/agent.rs
@@ -113,11 +113,18 @@
         &self.session
     }
 
-    /// The epoch of a shard if this daemon may act on it at `now_ms`.
-    pub fn epoch(&self, table: &LeaseTable, shard: &str, now_ms: u64) -> Option<u64> {
+    /// The epoch of a shard that the log says is this daemon's. Its lease may have run out meanwhile:
+    /// whoever wants to act asks [`LeaseAgent::epoch`].
+    pub fn owned_epoch(&self, table: &LeaseTable, shard: &str) -> Option<u64> {
         let found = table.shard(shard)?;
         let is_owner = found.owner.as_ref() == Some(&self.session);
-        (is_owner && now_ms < self.valid_until_ms).then_some(found.epoch)
+        is_owner.then_some(found.epoch)
+    }
+
+    /// The epoch of a shard if this daemon may act on it at `now_ms`.
+    pub fn epoch(&self, table: &LeaseTable, shard: &str, now_ms: u64) -> Option<u64> {
+        self.owned_epoch(table, shard)
+            .filter(|_| now_ms < self.valid_until_ms)
     }
 
     /// Notes that a renewal was handed to the proposer under `sequence` at `now_ms`.
--- a/crates/borageshore_rollout/src/controller.rs
+++ b/crates/borageshore_rollout/src/controller.rs
@@ -114,7 +114,7 @@
 /// One job under one epoch of ownership.
 #[derive(Debug)]
 pub struct JobController {
-    job: Arc<str>,
+    id_prefix: Arc<str>,
     epoch: u64,
     next_group: u64,
     groups: SortedMap<u64, Group>,
@@ -130,10 +130,11 @@
 }
 
 impl JobController {
-    /// Opens a controller for an accepted claim.
-    pub fn open(job: Arc<str>, epoch: u64) -> Self {
+    /// Opens a controller for an accepted claim; sample names begin with `id_prefix` and the epoch,
+    /// which together must be new.
+    pub fn open(id_prefix: Arc<str>, epoch: u64) -> Self {
         Self {
-            job,
+            id_prefix,
             epoch,
             next_group: 0,
             groups: SortedMap::default(),
@@ -232,7 +233,7 @@
     }
 
     fn open_slot(&self, group: u64, index: u64, now_ms: u64) -> Slot {
-        let id = format!("{}.{}.{group}.{index}", self.job, self.epoch).into();
+        let id = format!("{}.{}.{group}.{index}", self.id_prefix, self.epoch).into();
         Slot {
             id,
             running: 0,
--- a/crates/borageshore_scenarios/src/member.rs
+++ b/crates/borageshore_scenarios/src/member.rs
@@ -179,9 +179,11 @@
 
     fn tick_job(&mut self, log: &MemoryLog, true_ms: u64) {
         let now_ms = self.local_ms(true_ms);
-        let epoch = self.epoch(&shard_of_job(), true_ms);
-        if self.job.as_ref().map(|(_, controller)| controller.epoch()) != epoch {
-            self.job = epoch.map(|epoch| self.open_job(epoch));
+        let table = self.leases.follower.fold();
+        let owned = self.agent.owned_epoch(table, &shard_of_job());
+        let opened = self.job.as_ref().map(|(_, controller)| controller.epoch());
+        if opened != owned {
+            self.job = owned.map(|epoch| self.open_job(epoch));
         }
         if let Some((ledger, controller)) = &mut self.job {
             ledger.read(log, now_ms, |_, _| {});
--- a/crates/borageshore_scenarios/src/world.rs
+++ b/crates/borageshore_scenarios/src/world.rs
@@ -318,7 +318,8 @@
             return 0;
         };
         let now_ms = member.local_ms(true_ms);
-        let Some((_, controller)) = &mut member.job else {
+        let may_act = member.epoch(&shard_of_job(), true_ms).is_some();
+        let Some((_, controller)) = member.job.as_mut().filter(|_| may_act) else {
             return 0;
         };
         let orders = controller.tick(&plan(), versions, now_ms);
@@ -355,7 +356,8 @@
             return PullReply::Nothing;
         };
         let now_ms = member.local_ms(true_ms);
-        let Some((ledger, controller)) = &mut member.job else {
+        let may_act = member.epoch(&shard_of_job(), true_ms).is_some();
+        let Some((ledger, controller)) = member.job.as_mut().filter(|_| may_act) else {
             return PullReply::Refused(ResultCode::NotOwner);
         };
         match controller.on_pull(ledger.follower.fold(), &plan(), view, now_ms) {
--- a/crates/borageshore_scenarios/tests/scenarios.rs
+++ b/crates/borageshore_scenarios/tests/scenarios.rs
@@ -30,6 +30,7 @@
     delayed_append
     retention
     log_outage
+    job_through_outage
     lease_takeover
     paused_holder
     slow_clock
