A daemon is listed only once it is ready

Cause: a repeat of tools/run-rolling-stop with 4 daemons ended with one refused stream (code 4001). A restarted daemon told its zone at once that it was live, but has its settings some 100 ms later; a caller that asked for addresses in between was sent there. Ruled out: a cut by the stop itself (0 cut), old lists (a stop outlasts them).

Change: a daemon opens its membership as leaving and enters when it is ready.

Before: 1 of 982 streams refused in that run; earlier runs had met no such moment.

--- a/crates/borageshore_daemon/src/control.rs
+++ b/crates/borageshore_daemon/src/control.rs
@@ -213,6 +213,7 @@
     }
     if daemon.settings.is_caught_up() && daemon.leases.is_caught_up() {
         daemon.life.set(Life::Ready);
+        daemon.membership.borrow_mut().enter();
         log::info!("daemon {} is ready", daemon.session);
     }
 }
--- a/crates/borageshore_daemon/src/daemon.rs
+++ b/crates/borageshore_daemon/src/daemon.rs
@@ -237,7 +237,8 @@
         http_address: config.http_address.clone(),
         peer_address: config.peer_address.clone(),
         gossip_address: config.gossip_address.clone(),
-        state: MemberState::Live,
+        // Not listed before it is ready.
+        state: MemberState::Leaving,
     }
 }
 
--- a/crates/borageshore_membership/src/entry.rs
+++ b/crates/borageshore_membership/src/entry.rs
@@ -10,7 +10,7 @@
 pub enum MemberState {
     /// Serves and takes new work.
     Live,
-    /// Serves what it has and takes no new callers.
+    /// Takes no new callers: it serves what it has and goes, or it has just started.
     Leaving,
     /// Stopped, or silent for longer than the detector allows.
     Dead,
--- a/crates/borageshore_membership/src/members.rs
+++ b/crates/borageshore_membership/src/members.rs
@@ -68,6 +68,15 @@
         &self.own
     }
 
+    /// Announces that this daemon takes callers from now on.
+    ///
+    /// Guards against callers sent to a daemon that has just started and has no settings yet: it opens
+    /// its membership as [`MemberState::Leaving`], so nobody lists it before this.
+    pub fn enter(&mut self) {
+        self.own.state = MemberState::Live;
+        self.own.counter += 1;
+    }
+
     /// Announces that this daemon leaves.
     pub fn leave(&mut self) {
         self.own.state = MemberState::Leaving;
--- a/crates/borageshore_membership/tests/detector.rs
+++ b/crates/borageshore_membership/tests/detector.rs
@@ -192,4 +192,19 @@
         firsts.dedup();
         assert_eq!(firsts.len(), 4, "the zone's four daemons share the callers: {firsts:?}");
     };
+
+    // A daemon is stopped and started anew. Its zone hears of the new incarnation at once, before it
+    // has any settings; a caller sent there then would be refused. It is listed only once it is ready.
+    starting_daemon_is_not_listed: {
+        let mut zone = Zone::open(&["a", "a", "a"]);
+        zone.run(20);
+        zone.start(1, "a", 2);
+        zone.daemons.get_mut("d1").unwrap().leave();
+        zone.run(10);
+        let listed = |zone: &Zone| zone.daemons.get("d0").unwrap().address_list("caller", 9).len();
+        assert_eq!(listed(&zone), 2);
+        zone.daemons.get_mut("d1").unwrap().enter();
+        zone.run(10);
+        assert_eq!(listed(&zone), 3);
+    };
 }
