All submissions of a trainer go to one daemon

Ruled out: connections that are not reused within a step (a step's own second round of items did reuse them).

Change: rendezvous by the trainer's model; a holder still keeps what it runs. Log lines carry fields.

--- a/crates/borageshore_batch/src/submission.rs
+++ b/crates/borageshore_batch/src/submission.rs
@@ -23,6 +23,14 @@
     pub items: Vec<Item>,
 }
 
+impl Submission {
+    /// What decides who runs it: all submissions of a trainer go to one daemon as long as it lives,
+    /// which has open connections to the engines and the texts that an earlier step left unfinished.
+    pub fn work_key(&self) -> &Arc<str> {
+        self.model.as_ref().unwrap_or(&self.id)
+    }
+}
+
 /// One request for tokens.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
--- a/crates/borageshore_daemon/src/logging.rs
+++ b/crates/borageshore_daemon/src/logging.rs
@@ -2,8 +2,12 @@
 
 use std::{io, sync::Arc};
 
-use log::LevelFilter;
+use log::{
+    LevelFilter,
+    kv::{self, Key, Value as FieldValue, VisitSource},
+};
 use serde::Serialize;
+use serde_json::{Map, Value};
 
 #[derive(Debug, Serialize)]
 struct Line<'l> {
@@ -12,6 +16,23 @@
     daemon: &'l str,
     target: &'l str,
     message: String,
+    #[serde(flatten)]
+    fields: Map<String, Value>,
+}
+
+/// Collects the fields of a record.
+#[derive(Debug, Default)]
+struct Fields(Map<String, Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: FieldValue<'kvs>) -> Result<(), kv::Error> {
+        let value = match value.to_u64() {
+            Some(number) => number.into(),
+            None => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
 }
 
 /// Sends log lines to standard error; the settings tree changes the level later on.
@@ -20,12 +41,16 @@
     let dispatch = fern::Dispatch::new()
         .level(LevelFilter::Trace)
         .format(move |out, message, record| {
+            let mut fields = Fields::default();
+            // A field that cannot be shown is left out; the line is worth more than the field.
+            let _ = record.key_values().visit(&mut fields);
             let line = Line {
                 at: jiff::Timestamp::now().to_string(),
                 level: record.level().as_str(),
                 daemon: &daemon,
                 target: record.target(),
                 message: message.to_string(),
+                fields: fields.0,
             };
             let encoded = serde_json::to_string(&line).unwrap_or_default();
             out.finish(format_args!("{encoded}"));
--- a/crates/borageshore_gateway/src/item.rs
+++ b/crates/borageshore_gateway/src/item.rs
@@ -1,6 +1,6 @@
 //! One item from its first token to its result.
 
-use std::{rc::Rc, sync::Arc};
+use std::{cell::Cell, rc::Rc, sync::Arc};
 
 use borageshore_batch::{Item, ItemRank, ItemResult, ItemState, Submission};
 use borageshore_net::{Clock, sleep_ms, within_ms};
@@ -112,11 +112,14 @@
         item,
         rank,
         seen_at_ms,
+        timing: Timing::default(),
     };
     let result = run.finish().await;
     log::info!(
         submission = &*submission.id, item = &*item.id, state:? = result.state,
-        versions:? = result.versions, waited_ms = context.clock.now_ms() - seen_at_ms;
+        versions:? = result.versions, waited_ms = context.clock.now_ms() - seen_at_ms,
+        placed_ms = run.timing.placed_ms.get(), generated_ms = run.timing.generated_ms.get(),
+        stays = run.timing.stays.get(), events = run.timing.events.get();
         "item finished"
     );
     context.writer.write(submission.id.clone(), result);
@@ -128,6 +131,16 @@
     item: &'r Item,
     rank: (u64, ItemRank),
     seen_at_ms: u64,
+    timing: Timing,
+}
+
+/// When an item got its first place and its last event, since the submission was seen.
+#[derive(Debug, Default)]
+struct Timing {
+    placed_ms: Cell<u64>,
+    generated_ms: Cell<u64>,
+    stays: Cell<u64>,
+    events: Cell<u64>,
 }
 
 impl ItemRun<'_> {
@@ -136,6 +149,8 @@
         if !self.generate(&mut text).await {
             return self.given_up();
         }
+        self.timing.generated_ms.set(self.waited_ms());
+        self.timing.events.set(text.last_event());
         let mut score = None;
         if let Some(call) = &self.item.reward {
             match self.context.rewards.score(call).await {
@@ -152,6 +167,10 @@
         }
     }
 
+    fn waited_ms(&self) -> u64 {
+        self.context.clock.now_ms() - self.seen_at_ms
+    }
+
     fn given_up(&self) -> ItemResult {
         ItemResult {
             item: self.item.id.clone(),
@@ -174,6 +193,9 @@
             let request = self.place_request(&route, text, std::mem::take(&mut avoid));
             let place = self.place(request.clone()).await;
             let instance = place.target.instance.clone();
+            if self.timing.stays.replace(self.timing.stays.get() + 1) == 0 {
+                self.timing.placed_ms.set(self.waited_ms());
+            }
             match self.stay(place, &route, &request, text).await {
                 Stay::Complete => return true,
                 Stay::Invalid => return false,
--- a/crates/borageshore_gateway/src/members.rs
+++ b/crates/borageshore_gateway/src/members.rs
@@ -90,8 +90,8 @@
         }
     }
 
-    /// Says whether this daemon runs a piece of work.
-    pub(crate) fn owns(&self, work: &str) -> bool {
+    /// Says whether this daemon runs a piece of work; `key` decides where nobody holds it yet.
+    pub(crate) fn owns(&self, work: &str, key: &str) -> bool {
         let own = self.own.borrow();
         let table = self.table.borrow();
         if own.holds.iter().any(|held| &**held == work) {
@@ -100,7 +100,7 @@
                 .holder_of(work)
                 .is_none_or(|holder| holder >= &*own.name);
         }
-        own.state == PresenceState::Ready && table.owner_of(work) == Some(&own.name)
+        own.state == PresenceState::Ready && table.owner_of(work, key) == Some(&own.name)
     }
 
     /// The names of the daemons that live and take work.
--- a/crates/borageshore_gateway/src/runner.rs
+++ b/crates/borageshore_gateway/src/runner.rs
@@ -8,7 +8,7 @@
 };
 
 use borageshore_base::SortedMap;
-use borageshore_batch::{Ledger, Submission, rank_items};
+use borageshore_batch::{Ledger, Submission, SubmissionState, rank_items};
 use borageshore_net::within_ms;
 use futures_util::future::select;
 use tokio::sync::Notify;
@@ -122,7 +122,11 @@
 
     fn open_submissions(&self, ledger: &Ledger) -> Vec<(Arc<str>, bool)> {
         let open = ledger.iter().filter(|(_, state)| state.is_open());
-        open.map(|(id, _)| (id.clone(), self.members.owns(id)))
+        let is_own = |id: &str, state: &SubmissionState| {
+            let key = state.submission().map_or(id, |known| known.work_key());
+            self.members.owns(id, key)
+        };
+        open.map(|(id, state)| (id.clone(), is_own(id, state)))
             .collect()
     }
 
--- a/crates/borageshore_membership/src/presence.rs
+++ b/crates/borageshore_membership/src/presence.rs
@@ -102,15 +102,15 @@
     }
 
     /// The daemon that runs a piece of work: one that holds it already, else the first by
-    /// rendezvous among those that are ready.
+    /// rendezvous for `key` among those that are ready.
     ///
     /// Two daemons may answer differently for a moment; whoever uses this must bear two owners.
-    pub fn owner_of(&self, work: &str) -> Option<&str> {
+    pub fn owner_of(&self, work: &str, key: &str) -> Option<&str> {
         if let Some(holder) = self.holder_of(work) {
             return Some(holder);
         }
         let ready = self.ready().map(|presence| &*presence.name);
-        rank_by_rendezvous(work, ready).into_iter().next()
+        rank_by_rendezvous(key, ready).into_iter().next()
     }
 
     /// The first live daemon, by name, that says it runs a piece of work.
--- /dev/null
+++ b/crates/borageshore_membership/tests/presence.rs
@@ -0,0 +1,129 @@
+//! Liveness and ownership from heartbeats in a log.
+
+use std::sync::Arc;
+
+use borageshore_membership::{Presence, PresenceState, PresenceTable};
+
+fn presence(name: &str, zone: &str, state: PresenceState) -> Presence {
+    Presence {
+        name: name.into(),
+        incarnation: 1,
+        zone: zone.into(),
+        http_address: format!("{name}:80").into(),
+        state,
+        holds: Vec::new(),
+    }
+}
+
+fn holding(name: &str, work: &str) -> Presence {
+    Presence {
+        holds: vec![work.into()],
+        ..presence(name, "z1", PresenceState::Ready)
+    }
+}
+
+/// A table that has heard of three ready daemons at time 0.
+fn three() -> PresenceTable {
+    let mut table = PresenceTable::default();
+    table.on_read(0);
+    for (name, zone) in [("vm-1", "z1"), ("vm-2", "z1"), ("vm-3", "z2")] {
+        table.on_presence(presence(name, zone, PresenceState::Ready));
+    }
+    table
+}
+
+fn read_until(table: &mut PresenceTable, from_ms: u64, to_ms: u64) {
+    for at_ms in (from_ms..=to_ms).step_by(100) {
+        table.on_read(at_ms);
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[test] fn $name() $body)*
+    };
+}
+
+cases! {
+    silence_while_the_log_is_read_is_death => {
+        let mut table = three();
+        read_until(&mut table, 100, 1_000);
+        table.on_presence(presence("vm-1", "z1", PresenceState::Ready));
+        read_until(&mut table, 1_100, 2_000);
+        let live: Vec<&str> = table.live().map(|known| &*known.name).collect();
+        assert_eq!(live, ["vm-1"]);
+    }
+
+    // Callers hear of one address only, and that daemon starts everybody's work again.
+    // The log is away for half a minute; the first read after it brings no heartbeat yet.
+    // Counted on the wall clock, every other daemon has been silent for too long by then.
+    an_outage_of_the_log_kills_nobody => {
+        let mut table = three();
+        read_until(&mut table, 100, 500);
+        table.on_read(30_000);
+        assert_eq!(table.live().count(), 3);
+    }
+
+    // A daemon starts again and its last heartbeat of the life before is read after its first one.
+    // Taken for news it would make the daemon the owner of work that it has forgotten.
+    a_heartbeat_of_an_earlier_life_is_ignored => {
+        let mut table = three();
+        table.on_presence(Presence { incarnation: 2, ..presence("vm-1", "z1", PresenceState::Starting) });
+        table.on_presence(holding("vm-1", "s1"));
+        assert_eq!(table.holder_of("s1"), None);
+        assert!(table.ready().all(|known| &*known.name != "vm-1"));
+    }
+
+    a_holder_stays_the_owner_whoever_comes_first_by_rendezvous => {
+        let mut table = three();
+        for name in ["vm-1", "vm-2", "vm-3"] {
+            table.on_presence(holding(name, "s1"));
+            assert_eq!(table.owner_of("s1", "model"), Some(name));
+            table.on_presence(presence(name, "z1", PresenceState::Ready));
+        }
+    }
+
+    // Each step of a trainer went to another daemon, which opened its own connections to all engines:
+    // 1,448 new ones a day for 16,000 requests, and prompts' texts left from the step before were elsewhere.
+    steps_of_one_trainer_have_one_owner => {
+        let table = three();
+        let owners: Vec<Option<&str>> = (0..20)
+            .map(|step| table.owner_of(&format!("step-{step}"), "model"))
+            .collect();
+        assert!(owners.windows(2).all(|pair| pair[0] == pair[1]));
+    }
+
+    a_draining_daemon_keeps_what_it_holds_and_gets_nothing_new => {
+        let mut table = three();
+        table.on_presence(Presence { state: PresenceState::Draining, ..holding("vm-1", "s1") });
+        assert_eq!(table.owner_of("s1", "model"), Some("vm-1"));
+        for step in 0..50 {
+            assert_ne!(table.owner_of(&format!("new-{step}"), &format!("key-{step}")), Some("vm-1"));
+        }
+    }
+
+    a_dead_owner_is_followed_by_another => {
+        let mut table = three();
+        let first = table.owner_of("s1", "model").unwrap().to_owned();
+        read_until(&mut table, 100, 1_000);
+        for name in ["vm-1", "vm-2", "vm-3"].into_iter().filter(|name| *name != first) {
+            table.on_presence(presence(name, "z1", PresenceState::Ready));
+        }
+        read_until(&mut table, 1_100, 2_000);
+        let next = table.owner_of("s1", "model").unwrap();
+        assert_ne!(next, first);
+    }
+
+    callers_get_addresses_of_their_zone_if_there_is_a_choice => {
+        let table = three();
+        let near: Vec<Arc<str>> = vec!["vm-1:80".into(), "vm-2:80".into()];
+        assert_eq!(table.addresses_for("z1", 2), near);
+        assert_eq!(table.addresses_for("z2", 2).len(), 3);
+    }
+
+    a_daemon_that_said_goodbye_is_not_listed => {
+        let mut table = three();
+        table.on_goodbye("vm-2");
+        assert_eq!(table.addresses_for("z1", 1), ["vm-1:80".into()]);
+    }
+}
