A daemon follows only the shards of submissions that it has to do with

Cause: every daemon followed every record of every submission. Ruled out: heartbeats (168 appends a second of 1,500).

Change: submissions are spread over 32 shards; a daemon follows the shard of a submission that it runs or is asked for; questions go to the daemon that runs the submission or is its home by rendezvous.

--- a/crates/borageshore_batch/src/ledger.rs
+++ b/crates/borageshore_batch/src/ledger.rs
@@ -102,14 +102,13 @@
     }
 }
 
-/// The submissions that this daemon has heard of.
+/// The submissions that this daemon has to do with.
 ///
 /// The first result of an item counts, by the order of the store; whoever else made one, made it in
 /// vain. So it does no harm when two daemons run the same item.
 ///
-/// A daemon reads new records as they come and the records of older submissions when it needs them:
-/// if all daemons that start together read everything, the store is busy with it for longer than a
-/// caller waits, and reads that were given up are asked for again.
+/// A daemon knows the submissions that it runs or is asked for, not all: with every record read by
+/// every daemon, the store's reads grow with their number squared.
 #[derive(Debug, Default)]
 pub struct Ledger {
     submissions: SortedMap<Arc<str>, SubmissionState>,
@@ -117,22 +116,21 @@
 }
 
 impl Ledger {
-    /// Takes over a new record; records of one partition come in the order of their offsets.
-    ///
-    /// `begins` says whether an accepting record that is seen first is the first there is: it may be
-    /// the repetition of one from before this daemon began to read.
-    pub fn apply(&mut self, entry: LedgerEntry, begins: bool, now_ms: u64) {
-        let Some((id, kind)) = entry_key(&entry.1) else {
-            return;
-        };
-        let is_first = begins && kind == KeyKind::Accept;
-        let state = self
-            .submissions
-            .get_or_insert_with(id.into(), || SubmissionState {
-                is_loaded: is_first,
+    /// Begins to keep new records of a submission, for the time until its older ones are loaded.
+    pub fn begin(&mut self, id: &Arc<str>, now_ms: u64) {
+        self.submissions
+            .get_or_insert_with(id.clone(), || SubmissionState {
                 seen_at_ms: now_ms,
                 ..SubmissionState::default()
             });
+    }
+
+    /// Takes over a new record; records of one partition come in the order of their offsets.
+    pub fn apply(&mut self, entry: LedgerEntry) {
+        let state = entry_key(&entry.1).and_then(|(id, _)| self.submissions.get_mut(id));
+        let Some(state) = state else {
+            return;
+        };
         if state.is_loaded {
             state.apply(&mut self.pieces, &entry);
         } else {
@@ -140,26 +138,14 @@
         }
     }
 
-    /// Removes a submission whose records were removed.
-    pub fn remove(&mut self, key: &str) {
-        if let Some((id, KeyKind::Accept)) = entry_key(key) {
-            self.submissions.remove(id);
-        }
-    }
-
-    /// Takes over all records of a submission that the store had at `end`, which must not lie before
-    /// the first offset that was ever given to [`Ledger::apply`]. Later records are left out: a read
-    /// in pages may have missed others before them, and they come by `apply`.
-    pub fn load(&mut self, id: &str, entries: Vec<LedgerEntry>, end: u64, now_ms: u64) {
-        let state = self
-            .submissions
-            .get_or_insert_with(id.into(), || SubmissionState {
-                seen_at_ms: now_ms,
-                ..SubmissionState::default()
-            });
-        if state.is_loaded {
+    /// Takes over all records of a submission that the store had at `end`; `end` was taken after
+    /// [`Ledger::begin`]. Later records are left out: a read in pages may have missed others before
+    /// them, and they come by [`Ledger::apply`].
+    pub fn load(&mut self, id: &str, entries: Vec<LedgerEntry>, end: u64) {
+        let state = self.submissions.get_mut(id);
+        let Some(state) = state.filter(|state| !state.is_loaded) else {
             return;
-        }
+        };
         let pending = std::mem::take(&mut state.pending);
         let before_end = entries.into_iter().filter(|(offset, ..)| *offset < end);
         let after_end = pending.into_iter().filter(|(offset, ..)| *offset >= end);
@@ -171,21 +157,13 @@
         state.is_loaded = true;
     }
 
-    /// Forgets what is known of the submissions for which `is_lost` holds: some of their records were
-    /// missed, so they have to be loaded again.
-    pub fn unload<Lost>(&mut self, is_lost: Lost)
+    /// Forgets the submissions for which `is_lost` holds: their records are no longer followed, or
+    /// some were missed.
+    pub fn forget<Lost>(&mut self, is_lost: Lost)
     where
         Lost: Fn(&str) -> bool,
     {
-        for (id, state) in self.submissions.iter_mut() {
-            if is_lost(id) {
-                let seen_at_ms = state.seen_at_ms;
-                *state = SubmissionState {
-                    seen_at_ms,
-                    ..SubmissionState::default()
-                };
-            }
-        }
+        self.submissions.retain(|id, _| !is_lost(id));
     }
 
     /// A submission.
@@ -213,25 +191,6 @@
         let mut listed = states.filter(|state| state.is_listed(&item.id));
         listed.find_map(fits)
     }
-
-    /// The expected tokens of a model's newest submission, for sharing engines among models.
-    pub fn demand_tokens(&self, model: &str) -> u64 {
-        let of_model = self.submissions.values().filter(|state| {
-            let submission = state.submission.as_ref();
-            submission.is_some_and(|known| known.model.as_deref() == Some(model))
-        });
-        let newest = of_model.max_by_key(|state| state.seen_at_ms);
-        let submission = newest.and_then(|state| state.submission.as_ref());
-        submission.map_or(0, |submission| {
-            let hints = submission.items.iter().map(|item| item.length_hint_tokens);
-            hints.map(|hint| hint.unwrap_or(1)).sum()
-        })
-    }
-
-    /// All submissions by id.
-    pub fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &SubmissionState)> {
-        self.submissions.iter()
-    }
 }
 
 /// The submission and the kind of record that a key of the store names.
--- a/crates/borageshore_batch/src/open.rs
+++ b/crates/borageshore_batch/src/open.rs
@@ -9,4 +9,6 @@
 pub struct OpenSubmission {
     /// Decides which daemon runs it.
     pub work_key: Arc<str>,
+    /// The tokens that its items are expected to make, for sharing engines among models.
+    pub expected_tokens: u64,
 }
--- a/crates/borageshore_batch/src/submission.rs
+++ b/crates/borageshore_batch/src/submission.rs
@@ -29,6 +29,12 @@
     pub fn work_key(&self) -> &Arc<str> {
         self.model.as_ref().unwrap_or(&self.id)
     }
+
+    /// The tokens that its items are expected to make; an item without a hint counts as one.
+    pub fn expected_tokens(&self) -> u64 {
+        let hints = self.items.iter().map(|item| item.length_hint_tokens);
+        hints.map(|hint| hint.unwrap_or(1)).sum()
+    }
 }
 
 /// One request for tokens.
--- a/crates/borageshore_batch/tests/ledger.rs
+++ b/crates/borageshore_batch/tests/ledger.rs
@@ -86,12 +86,29 @@
     }
 }
 
-fn follow(ledger: &mut Ledger, entries: &[LedgerEntry], begins: bool) {
+fn follow(ledger: &mut Ledger, entries: &[LedgerEntry]) {
     for entry in entries {
-        ledger.apply(entry.clone(), begins, 0);
+        ledger.apply(entry.clone());
     }
 }
 
+/// A ledger that has followed the partition from its first record on.
+fn followed(partition: &Partition) -> Ledger {
+    let mut ledger = Ledger::default();
+    ledger.begin(&"s1".into(), 0);
+    ledger.load("s1", Vec::new(), 0);
+    follow(&mut ledger, &partition.entries);
+    ledger
+}
+
+/// A ledger that has read what the store had at its end.
+fn loaded(partition: &Partition) -> Ledger {
+    let mut ledger = Ledger::default();
+    ledger.begin(&"s1".into(), 0);
+    ledger.load("s1", partition.newest(), partition.end());
+    ledger
+}
+
 fn outputs(ledger: &Ledger) -> Vec<String> {
     let state = ledger.get("s1").unwrap();
     assert!(state.is_loaded());
@@ -119,8 +136,7 @@
         {
             partition.append(&record, attempt);
         }
-        let mut ledger = Ledger::default();
-        follow(&mut ledger, &partition.entries, true);
+        let ledger = followed(&partition);
         assert_eq!(outputs(&ledger), ["first", "b"]);
     }
 
@@ -133,9 +149,8 @@
         partition.append(&result("a", "a"), "x.1");
         partition.append(&result("b", "b"), "x.2");
         partition.append(&result("a", "a"), "x.3");
-        let mut started_later = Ledger::default();
-        started_later.load("s1", partition.newest(), partition.end(), 0);
-        assert_eq!(outputs(&started_later), ["a", "b"]);
+        assert_eq!(outputs(&followed(&partition)), ["a", "b"]);
+        assert_eq!(outputs(&loaded(&partition)), ["a", "b"]);
     }
 
     // A read in pages is no snapshot: it brought the record at offset 4 and missed the one at 3.
@@ -151,37 +166,45 @@
         let mut torn = partition.newest();
         torn.remove(2);
         let mut ledger = Ledger::default();
-        follow(&mut ledger, &partition.entries[2..], false);
-        ledger.load("s1", torn, end, 0);
+        ledger.begin(&"s1".into(), 0);
+        follow(&mut ledger, &partition.entries[2..]);
+        assert!(!ledger.get("s1").unwrap().is_loaded());
+        ledger.load("s1", torn, end);
         assert_eq!(outputs(&ledger), ["c", "a", "b"]);
     }
 
-    // A daemon starts and tells a reader that nothing stands at a position that was read elsewhere.
-    // The trainer had sent its submission twice; the daemon began between the two records, took the
-    // second for the first, and thought that it had seen everything.
-    a_repeated_acceptance_soon_after_the_start_is_not_the_beginning => {
+    // A trainer hears of a result that another daemon has not: that one began to follow while the
+    // records before were being read, and the follower was ahead of the read.
+    records_that_come_while_older_ones_are_read_are_kept => {
         let mut partition = Partition::default();
-        partition.append(&accept(&["a"]), "");
+        partition.append(&accept(&["a", "b"]), "");
+        let (newest, end) = (partition.newest(), partition.end());
+        let mut ledger = Ledger::default();
+        ledger.begin(&"s1".into(), 0);
         partition.append(&result("a", "a"), "x.1");
-        let began_at = partition.entries.len();
+        follow(&mut ledger, &partition.entries[1..]);
+        ledger.load("s1", newest, end);
+        partition.append(&result("b", "b"), "x.2");
+        follow(&mut ledger, &partition.entries[2..]);
+        assert_eq!(outputs(&ledger), ["a", "b"]);
+    }
+
+    records_of_other_submissions_are_not_kept => {
+        let mut partition = Partition::default();
         partition.append(&accept(&["a"]), "");
         let mut ledger = Ledger::default();
-        follow(&mut ledger, &partition.entries[began_at..], false);
-        assert!(!ledger.get("s1").unwrap().is_loaded());
-        ledger.load("s1", partition.newest(), partition.end(), 0);
-        assert_eq!(outputs(&ledger), ["a"]);
+        follow(&mut ledger, &partition.entries);
+        assert!(ledger.get("s1").is_none());
     }
 
-    after_a_gap_a_submission_is_loaded_again => {
+    after_a_gap_a_submission_is_read_again => {
         let mut partition = Partition::default();
         partition.append(&accept(&["a", "b"]), "");
-        let mut ledger = Ledger::default();
-        follow(&mut ledger, &partition.entries, true);
+        let mut ledger = followed(&partition);
         partition.append(&result("a", "missed"), "x.1");
-        ledger.unload(|id| id == "s1");
-        assert!(!ledger.get("s1").unwrap().is_loaded());
-        ledger.load("s1", partition.newest(), partition.end(), 0);
-        assert_eq!(outputs(&ledger), ["missed"]);
+        ledger.forget(|id| id == "s1");
+        assert!(ledger.get("s1").is_none());
+        assert_eq!(outputs(&loaded(&partition)), ["missed"]);
     }
 
     a_submission_larger_than_a_record_comes_back_whole => {
@@ -191,21 +214,19 @@
         partition.append(&accept(&ids), "");
         assert!(partition.entries.len() > 2);
         assert!(partition.entries.iter().all(|(.., value)| value.len() <= 250_000));
-        let mut ledger = Ledger::default();
-        follow(&mut ledger, &partition.entries, true);
+        let ledger = followed(&partition);
         assert_eq!(ledger.get("s1").unwrap().submission().unwrap().items.len(), 3_000);
     }
 
     a_submission_is_open_until_all_is_listed_or_it_is_ended => {
         let mut partition = Partition::default();
-        let mut ledger = Ledger::default();
         partition.append(&accept(&["a", "b"]), "");
         partition.append(&result("a", "a"), "x.1");
-        follow(&mut ledger, &partition.entries, true);
+        let mut ledger = followed(&partition);
         assert!(ledger.get("s1").unwrap().is_open());
         let mut ended = Partition::default();
         ended.append(&end(), "");
-        follow(&mut ledger, &ended.entries, true);
+        follow(&mut ledger, &ended.entries);
         assert!(!ledger.get("s1").unwrap().is_open());
     }
 
@@ -213,8 +234,7 @@
         let mut partition = Partition::default();
         partition.append(&accept(&["a"]), "");
         partition.append(&result("a", "a"), "x.1");
-        let mut ledger = Ledger::default();
-        follow(&mut ledger, &partition.entries, true);
+        let ledger = followed(&partition);
         let again = item("a", "a");
         assert!(ledger.earlier_result(&again, 3).is_some());
         assert!(ledger.earlier_result(&again, 4).is_none(), "made under an older version");
--- a/crates/borageshore_gateway/src/follow.rs
+++ b/crates/borageshore_gateway/src/follow.rs
@@ -49,6 +49,7 @@
     next: Cell<Option<u64>>,
     fresh_at_ms: Cell<Option<u64>>,
     is_lost: Cell<bool>,
+    is_stopped: Cell<bool>,
     fold: Rc<Folded>,
 }
 
@@ -76,6 +77,7 @@
             next: Cell::new(None),
             fresh_at_ms: Cell::new(None),
             is_lost: Cell::new(false),
+            is_stopped: Cell::new(false),
             fold,
         });
         monoio::spawn(follow.clone().run());
@@ -87,11 +89,6 @@
         self.next.get()
     }
 
-    /// What folds the records.
-    pub(crate) fn fold(&self) -> &Folded {
-        &self.fold
-    }
-
     /// How long ago the view was known to be whole; `None` before the first read.
     pub(crate) fn age_ms(&self) -> Option<u64> {
         Some(self.clock.now_ms() - self.fresh_at_ms.get()?)
@@ -105,8 +102,13 @@
         self.read(0).await.is_ok()
     }
 
+    /// Ends the following once the present read is over.
+    pub(crate) fn stop(&self) {
+        self.is_stopped.set(true);
+    }
+
     async fn run(self: Rc<Self>) {
-        loop {
+        while !self.is_stopped.get() {
             let read = match self.next.get() {
                 None => self.load().await,
                 Some(_) => self.read(WAIT_MS).await,
@@ -151,6 +153,9 @@
 
     /// Applies what is new: two reads may bring the same records.
     fn take(&self, page: Page, from: u64) -> usize {
+        if self.is_stopped.get() {
+            return 0;
+        }
         let applied = self.next.get().unwrap_or(0);
         let new = page
             .records
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -18,7 +18,9 @@
     ledger_view::LedgerView,
     life::{self, Life, Signals},
     members::Members,
+    open_index::OpenIndex,
     orderer::{Orderer, OrdererParts, Rounds},
+    peers::Peers,
     rewards::Rewards,
     routes::Routes,
     runner::Runner,
@@ -31,6 +33,8 @@
 const AT_ONCE_MS: u64 = 0;
 /// Heartbeats of many daemons are read together; a death shows after seconds anyway.
 const MEMBERS_PAUSE_MS: u64 = 100;
+/// Two records a submission.
+const OPEN_PAUSE_MS: u64 = 10;
 /// Records of rounds come one at a time.
 const ORDERS_PAUSE_MS: u64 = 10;
 
@@ -45,7 +49,7 @@
     members: Rc<Members>,
     routes: Rc<Routes>,
     endpoints: Rc<Endpoints>,
-    view: Rc<LedgerView>,
+    open: Rc<Follow<OpenIndex>>,
     runner: Rc<Runner>,
     writer: Rc<Writer>,
     servers: Vec<HttpServer>,
@@ -66,7 +70,14 @@
         let author = format!("{}.{incarnation}", config.name);
         let partitions = config.store_partitions;
         let view = LedgerView::spawn(store.clone(), partitions, clock);
-        let submissions = Submissions::open(store.clone(), partitions, clock, view.clone());
+        let index = OpenIndex::open(store.clone());
+        let submissions = Submissions::open(
+            store.clone(),
+            partitions,
+            clock,
+            view.clone(),
+            index.clone(),
+        );
         let writer = Writer::spawn(store.clone(), author, partitions);
         let context = ItemContext {
             clock,
@@ -79,15 +90,30 @@
             view: view.clone(),
             texts: Rc::default(),
         };
-        let runner = Runner::spawn(view.clone(), members.clone(), Rc::new(context));
-        follow_shared(&store, clock, &routes, &endpoints, &members);
+        let runner = Runner::spawn(
+            view.clone(),
+            index.clone(),
+            members.clone(),
+            Rc::new(context),
+        );
+        let pause_ms = AT_ONCE_MS;
+        follow_newest(&store, Topic::Operator, clock, pause_ms, routes.clone());
+        follow_newest(&store, Topic::Endpoints, clock, pause_ms, endpoints.clone());
+        follow_newest(
+            &store,
+            Topic::Members,
+            clock,
+            MEMBERS_PAUSE_MS,
+            members.clone(),
+        );
+        let open = follow_newest(&store, Topic::Open, clock, OPEN_PAUSE_MS, index.clone());
         spawn_orderer(OrdererParts {
             store: store.clone(),
             clock,
             endpoints: endpoints.clone(),
             routes: routes.clone(),
             members: members.clone(),
-            view: view.clone(),
+            index: index.clone(),
             client: client.clone(),
             limits: SwapLimits {
                 parallel: config.parallel_loads,
@@ -102,6 +128,7 @@
             routes: routes.clone(),
             members: members.clone(),
             calls: Calls::open(endpoints.clone(), client, clock),
+            peers: Rc::new(Peers::open(clock)),
             submissions,
             address_ttl_s: config.address_ttl_s,
         };
@@ -125,7 +152,7 @@
             members,
             routes,
             endpoints,
-            view,
+            open,
             runner,
             writer,
             servers,
@@ -146,7 +173,9 @@
     /// Becomes ready once routes, endpoints and submissions are known, and stays so: an outage of
     /// the store leaves a view that is good enough to serve by.
     pub(crate) fn follow_readiness(&self) {
-        let is_known = self.routes.is_known() && self.endpoints.is_known() && self.view.is_known();
+        let is_known = self.routes.is_known()
+            && self.endpoints.is_known()
+            && self.open.next_offset().is_some();
         if is_known && self.life.state() == PresenceState::Starting {
             self.life.enter(PresenceState::Ready, &self.members);
         }
@@ -193,30 +222,6 @@
     }
 }
 
-fn follow_shared(
-    store: &Store,
-    clock: Clock,
-    routes: &Rc<Routes>,
-    endpoints: &Rc<Endpoints>,
-    members: &Rc<Members>,
-) {
-    follow_newest(store, Topic::Operator, clock, AT_ONCE_MS, routes.clone());
-    follow_newest(
-        store,
-        Topic::Endpoints,
-        clock,
-        AT_ONCE_MS,
-        endpoints.clone(),
-    );
-    follow_newest(
-        store,
-        Topic::Members,
-        clock,
-        MEMBERS_PAUSE_MS,
-        members.clone(),
-    );
-}
-
 /// Follows a topic of which only one partition is used.
 fn follow_newest<Folded>(
     store: &Store,
--- a/crates/borageshore_gateway/src/ledger_view.rs
+++ b/crates/borageshore_gateway/src/ledger_view.rs
@@ -1,4 +1,4 @@
-//! This daemon's view of the submissions: new records as they come, older ones when they are needed.
+//! This daemon's view of the submissions that it runs or is asked for.
 
 use std::{
     cell::{Cell, RefCell},
@@ -7,23 +7,69 @@
 };
 
 use borageshore_base::{SortedMap, rendezvous_weight};
-use borageshore_batch::{Ledger, LedgerRecord, OpenSubmission, Submission, SubmissionState};
-use borageshore_net::Clock;
+use borageshore_batch::{Ledger, LedgerRecord, SubmissionState};
+use borageshore_net::{Clock, sleep_ms, within_ms};
 use borageshore_platform::{KeyedRecord, Store, Topic};
 use bytes::Bytes;
 use tokio::sync::Notify;
 
-use crate::follow::{Begin, Fold, Follow, ONLY_PARTITION};
+use crate::follow::{Begin, Fold, Follow};
 
 /// Records of results come in bursts; reading them together saves most of the reads.
 const FOLLOW_PAUSE_MS: u64 = 25;
-/// A trainer repeats a submission within seconds. A record that accepts one, read later than this
-/// after the view began, is the first of it; before that it may be the second.
-const REPEATED_WITHIN_MS: u64 = 10_000;
+/// The topics over whose partitions submissions are spread. With 8 partitions each, a daemon that
+/// follows one submission reads a 32nd of the others.
+const BATCH_TOPICS: u64 = 4;
+/// A shard that nobody asked for is followed for this long; trainers read twice a second.
+const IDLE_MS: u64 = 15_000;
+/// The pace at which idle shards are looked for.
+const IDLE_CHECK_MS: u64 = 2_000;
+/// A shard's first read takes some ms; a slow store answers in 200.
+const BEGIN_MS: u64 = 1_500;
 
-/// The partition of a submission's records.
-pub(crate) fn partition_of(submission: &str, partitions: u64) -> u64 {
-    rendezvous_weight("partition", submission) % partitions.max(1)
+/// Where a submission's records are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Shard {
+    number: u64,
+    partitions: u64,
+}
+
+impl Shard {
+    /// The shard of a submission, where a topic has so many partitions.
+    pub(crate) fn of(submission: &str, partitions: u64) -> Self {
+        let partitions = partitions.max(1);
+        Self {
+            number: rendezvous_weight("shard", submission) % (partitions * BATCH_TOPICS),
+            partitions,
+        }
+    }
+
+    /// All shards.
+    pub(crate) fn all(partitions: u64) -> impl Iterator<Item = Self> {
+        let partitions = partitions.max(1);
+        (0..partitions * BATCH_TOPICS).map(move |number| Self { number, partitions })
+    }
+
+    /// Its place among all shards.
+    pub(crate) fn number(self) -> usize {
+        self.number as usize
+    }
+
+    /// Its topic.
+    pub(crate) fn topic(self) -> Topic {
+        Topic::Batch(self.number / self.partitions)
+    }
+
+    /// Its partition of the topic.
+    pub(crate) fn partition(self) -> u64 {
+        self.number % self.partitions
+    }
+}
+
+#[derive(Debug)]
+struct Followed {
+    follow: Rc<Follow<ShardFold>>,
+    used_at_ms: Cell<u64>,
 }
 
 /// The submissions as this daemon knows them.
@@ -33,68 +79,28 @@
     clock: Clock,
     partitions: u64,
     ledger: RefCell<Ledger>,
-    open: RefCell<SortedMap<Arc<str>, OpenSubmission>>,
     loading: RefCell<Vec<Arc<str>>>,
-    follows: RefCell<Vec<Rc<Follow<PartitionFold>>>>,
-    open_follow: RefCell<Option<Rc<Follow<OpenFold>>>>,
+    shards: RefCell<SortedMap<Shard, Followed>>,
     /// Told when anything changed.
     pub(crate) changed: Notify,
 }
 
 impl LedgerView {
-    /// Follows all partitions on the present event loop.
+    /// Opens a view without any submission.
     pub(crate) fn spawn(store: Store, partitions: u64, clock: Clock) -> Rc<Self> {
         let view = Rc::new(Self {
-            store: store.clone(),
+            store,
             clock,
             partitions,
             ledger: RefCell::default(),
-            open: RefCell::default(),
             loading: RefCell::default(),
-            follows: RefCell::default(),
-            open_follow: RefCell::default(),
+            shards: RefCell::default(),
             changed: Notify::new(),
         });
-        let follow = |partition| {
-            let fold = PartitionFold {
-                view: view.clone(),
-                partition,
-                began_at_ms: Cell::new(None),
-            };
-            Follow::spawn(
-                store.clone(),
-                Topic::Batch,
-                partition,
-                Begin::End,
-                clock,
-                FOLLOW_PAUSE_MS,
-                Rc::new(fold),
-            )
-        };
-        *view.follows.borrow_mut() = (0..partitions).map(follow).collect();
-        let open_follow = Follow::spawn(
-            store,
-            Topic::Open,
-            ONLY_PARTITION,
-            Begin::Newest,
-            clock,
-            FOLLOW_PAUSE_MS,
-            Rc::new(OpenFold { view: view.clone() }),
-        );
-        *view.open_follow.borrow_mut() = Some(open_follow);
+        monoio::spawn(view.clone().release_idle_shards());
         view
     }
 
-    /// Says whether every partition is being followed.
-    pub(crate) fn is_known(&self) -> bool {
-        let follows = self.follows.borrow();
-        let open_follow = self.open_follow.borrow();
-        let is_open_known = open_follow
-            .as_ref()
-            .is_some_and(|follow| follow.next_offset().is_some());
-        is_open_known && follows.iter().all(|follow| follow.next_offset().is_some())
-    }
-
     /// Runs a function on the ledger.
     pub(crate) fn with<Use, Made>(&self, make: Use) -> Made
     where
@@ -113,28 +119,22 @@
         Some(make(state))
     }
 
-    /// The submissions that are not ended, with what decides who runs them.
-    pub(crate) fn open(&self) -> Vec<(Arc<str>, Arc<str>)> {
-        let open = self.open.borrow();
-        open.iter()
-            .map(|(id, entry)| (id.clone(), entry.work_key.clone()))
-            .collect()
-    }
-
-    /// Says whether an earlier acceptance of a submission would be known here.
-    pub(crate) fn is_settled(&self, id: &str) -> bool {
-        let follows = self.follows.borrow();
-        follows[self.partition_of(id) as usize].fold().is_settled()
+    /// Keeps a submission's shard followed.
+    pub(crate) fn touch(&self, id: &str) {
+        if let Some(followed) = self.shards.borrow().get(&self.shard_of(id)) {
+            followed.used_at_ms.set(self.clock.now_ms());
+        }
     }
 
-    /// Makes sure that the view of a submission's partition is no older than `age_ms`.
-    pub(crate) async fn confirm(&self, id: &str, age_ms: u64) -> bool {
-        let follow = self.follows.borrow()[self.partition_of(id) as usize].clone();
+    /// Makes sure that the view of a submission is no older than `age_ms`.
+    pub(crate) async fn confirm(self: &Rc<Self>, id: &str, age_ms: u64) -> bool {
+        let follow = self.follow(self.shard_of(id));
         follow.confirm(age_ms).await
     }
 
     /// Reads the records of a submission unless they are here; says whether they are now.
-    pub(crate) async fn load(&self, id: &Arc<str>) -> bool {
+    pub(crate) async fn load(self: &Rc<Self>, id: &Arc<str>) -> bool {
+        let follow = self.follow(self.shard_of(id));
         loop {
             let changed = self.changed.notified();
             if self.with_loaded(id, |_| ()).is_some() {
@@ -147,24 +147,38 @@
         }
         self.loading.borrow_mut().push(id.clone());
         let _loading = Loading { view: self, id };
-        self.load_now(id).await
+        self.has_begun(&follow).await && self.load_now(id).await
+    }
+
+    /// Waits until a shard is being followed: what is loaded must reach to where that began.
+    async fn has_begun(&self, follow: &Follow<ShardFold>) -> bool {
+        let begun = async {
+            loop {
+                let changed = self.changed.notified();
+                if follow.next_offset().is_some() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        within_ms(BEGIN_MS, begun).await.is_some()
     }
 
     async fn load_now(&self, id: &Arc<str>) -> bool {
-        let partition = self.partition_of(id);
-        let follow = self.follows.borrow()[partition as usize].clone();
-        // What is read now must reach to where the follower began, so it has to have begun.
-        if follow.next_offset().is_none() {
-            return false;
-        }
+        let shard = self.shard_of(id);
+        let now_ms = self.clock.now_ms();
+        self.ledger.borrow_mut().begin(id, now_ms);
         let prefix = LedgerRecord::key_prefix(id);
-        match self.store.newest(Topic::Batch, partition, &prefix).await {
+        let newest = self
+            .store
+            .newest(shard.topic(), shard.partition(), &prefix)
+            .await;
+        match newest {
             Ok(page) => {
                 let entries = page.records.into_iter().filter_map(entry).collect();
-                let now_ms = self.clock.now_ms();
-                self.ledger.borrow_mut().load(id, entries, page.end, now_ms);
-                log::info!(submission = &**id, end = page.end; "submission loaded");
-                true
+                self.ledger.borrow_mut().load(id, entries, page.end);
+                log::info!(submission = &**id, end = page.end, took_ms = self.clock.now_ms() - now_ms; "submission loaded");
+                self.with_loaded(id, |_| ()).is_some()
             }
             Err(error) => {
                 log::warn!(submission = &**id, error:% = error; "submission not loaded");
@@ -173,29 +187,60 @@
         }
     }
 
-    /// The records that tell the index of an accepted and of an ended submission.
-    pub(crate) fn open_record(submission: &Submission) -> (Arc<str>, Bytes) {
-        let entry = OpenSubmission {
-            work_key: submission.work_key().clone(),
-        };
-        let value = serde_json::to_vec(&entry).expect("plain data");
-        (submission.id.clone(), value.into())
+    /// Follows a shard from its end on.
+    fn follow(self: &Rc<Self>, shard: Shard) -> Rc<Follow<ShardFold>> {
+        let now_ms = self.clock.now_ms();
+        let mut shards = self.shards.borrow_mut();
+        let followed = shards.get_or_insert_with(shard, || {
+            let fold = ShardFold {
+                view: self.clone(),
+                shard,
+            };
+            let follow = Follow::spawn(
+                self.store.clone(),
+                shard.topic(),
+                shard.partition(),
+                Begin::End,
+                self.clock,
+                FOLLOW_PAUSE_MS,
+                Rc::new(fold),
+            );
+            Followed {
+                follow,
+                used_at_ms: Cell::new(now_ms),
+            }
+        });
+        followed.used_at_ms.set(now_ms);
+        followed.follow.clone()
     }
 
-    /// Takes a submission out of the index; left in, it costs its owner a look.
-    pub(crate) async fn close(&self, id: &Arc<str>) {
-        let record = [(id.clone(), Bytes::new())];
-        let closed = self
-            .store
-            .append(Topic::Open, ONLY_PARTITION, &record, None)
-            .await;
-        if let Err(error) = closed {
-            log::info!(submission = &**id, error:% = error; "submission stays in the index for now");
+    async fn release_idle_shards(self: Rc<Self>) {
+        loop {
+            sleep_ms(IDLE_CHECK_MS).await;
+            let now_ms = self.clock.now_ms();
+            let mut released = Vec::new();
+            self.shards.borrow_mut().retain(|shard, followed| {
+                let is_used = now_ms < followed.used_at_ms.get() + IDLE_MS;
+                if !is_used {
+                    followed.follow.stop();
+                    released.push(*shard);
+                }
+                is_used
+            });
+            for shard in released {
+                self.forget(shard);
+            }
         }
     }
 
-    fn partition_of(&self, id: &str) -> u64 {
-        partition_of(id, self.partitions)
+    fn forget(&self, shard: Shard) {
+        let is_of_shard = |id: &str| self.shard_of(id) == shard;
+        self.ledger.borrow_mut().forget(is_of_shard);
+        self.changed.notify_waiters();
+    }
+
+    fn shard_of(&self, id: &str) -> Shard {
+        Shard::of(id, self.partitions)
     }
 }
 
@@ -219,79 +264,28 @@
     Some((record.offset, record.key, record.value?))
 }
 
-/// Folds one partition of the submissions' records.
+/// Folds one shard.
 #[derive(Debug)]
-pub(crate) struct PartitionFold {
+pub(crate) struct ShardFold {
     view: Rc<LedgerView>,
-    partition: u64,
-    began_at_ms: Cell<Option<u64>>,
+    shard: Shard,
 }
 
-impl PartitionFold {
-    fn is_settled(&self) -> bool {
-        let began_at_ms = self.began_at_ms.get();
-        began_at_ms.is_some_and(|began| self.view.clock.now_ms() >= began + REPEATED_WITHIN_MS)
-    }
-}
-
-impl Fold for PartitionFold {
+impl Fold for ShardFold {
     fn apply(&self, records: &[KeyedRecord]) {
-        let now_ms = self.view.clock.now_ms();
-        let begins = self.is_settled();
         let mut ledger = self.view.ledger.borrow_mut();
-        for record in records {
-            match entry(record.clone()) {
-                Some(entry) => ledger.apply(entry, begins, now_ms),
-                None => ledger.remove(&record.key),
-            }
+        for entry in records.iter().cloned().filter_map(entry) {
+            ledger.apply(entry);
         }
         drop(ledger);
         self.view.changed.notify_waiters();
     }
 
     fn on_fresh(&self) {
-        if self.began_at_ms.get().is_none() {
-            self.began_at_ms.set(Some(self.view.clock.now_ms()));
-        }
-    }
-
-    fn on_gap(&self) {
-        self.began_at_ms.set(None);
-        let (partition, partitions) = (self.partition, self.view.partitions);
-        let is_lost = |id: &str| partition_of(id, partitions) == partition;
-        self.view.ledger.borrow_mut().unload(is_lost);
-        self.view.changed.notify_waiters();
-    }
-}
-
-/// Folds the index of open submissions.
-#[derive(Debug)]
-struct OpenFold {
-    view: Rc<LedgerView>,
-}
-
-impl Fold for OpenFold {
-    fn apply(&self, records: &[KeyedRecord]) {
-        let mut open = self.view.open.borrow_mut();
-        for record in records {
-            let Some(value) = &record.value else {
-                open.remove(&record.key);
-                continue;
-            };
-            match serde_json::from_slice(value) {
-                Ok(entry) => {
-                    open.insert(record.key.clone(), entry);
-                }
-                Err(error) => {
-                    log::error!(submission = &*record.key, error:% = error; "an entry of the index cannot be read");
-                }
-            }
-        }
-        drop(open);
         self.view.changed.notify_waiters();
     }
 
     fn on_gap(&self) {
-        self.view.open.borrow_mut().retain(|_, _| false);
+        self.view.forget(self.shard);
     }
 }
--- a/crates/borageshore_gateway/src/members.rs
+++ b/crates/borageshore_gateway/src/members.rs
@@ -101,6 +101,17 @@
         own.state == PresenceState::Ready && table.owner_of(work, key) == Some(&own.name)
     }
 
+    /// Where the daemon is asked that has a submission's records: the one that runs it, else one for
+    /// all readers; `None` if that is this one.
+    pub(crate) fn home_of(&self, submission: &str) -> Option<Arc<str>> {
+        let table = self.table.borrow();
+        let home = table.owner_of(submission, submission)?;
+        if home == &*self.own.borrow().name {
+            return None;
+        }
+        table.address_of(home)
+    }
+
     /// The names of the daemons that live and take work.
     pub(crate) fn ready_names(&self) -> Vec<Arc<str>> {
         let table = self.table.borrow();
--- a/crates/borageshore_gateway/src/orderer.rs
+++ b/crates/borageshore_gateway/src/orderer.rs
@@ -23,8 +23,8 @@
 use crate::{
     endpoints::Endpoints,
     follow::{Fold, Follow, ONLY_PARTITION},
-    ledger_view::LedgerView,
     members::Members,
+    open_index::OpenIndex,
     routes::Routes,
 };
 
@@ -107,7 +107,7 @@
     pub(crate) endpoints: Rc<Endpoints>,
     pub(crate) routes: Rc<Routes>,
     pub(crate) members: Rc<Members>,
-    pub(crate) view: Rc<LedgerView>,
+    pub(crate) index: Rc<OpenIndex>,
     pub(crate) client: EndpointClient,
     pub(crate) limits: SwapLimits,
     /// The least time between orders of two holders to one engine.
@@ -230,7 +230,7 @@
         let target = |model: Arc<str>| {
             let version = named.iter().find(|named| named.model == model);
             ModelTarget {
-                demand_tokens: self.parts.view.with(|ledger| ledger.demand_tokens(&model)),
+                demand_tokens: self.parts.index.demand_tokens(&model),
                 named: version
                     .cloned()
                     .unwrap_or(NamedVersion { model, version: 0 }),
--- a/crates/borageshore_gateway/src/runner.rs
+++ b/crates/borageshore_gateway/src/runner.rs
@@ -17,6 +17,7 @@
     item::{ItemContext, run_item},
     ledger_view::LedgerView,
     members::Members,
+    open_index::OpenIndex,
 };
 
 /// While submissions are open, owners are looked at again after this time: a daemon dies without a
@@ -55,6 +56,7 @@
 #[derive(Debug)]
 pub(crate) struct Runner {
     view: Rc<LedgerView>,
+    index: Rc<OpenIndex>,
     members: Rc<Members>,
     context: Rc<ItemContext>,
     running: RefCell<SortedMap<Arc<str>, Rc<Cancel>>>,
@@ -70,11 +72,13 @@
 impl Runner {
     pub(crate) fn spawn(
         view: Rc<LedgerView>,
+        index: Rc<OpenIndex>,
         members: Rc<Members>,
         context: Rc<ItemContext>,
     ) -> Rc<Self> {
         let runner = Rc::new(Self {
             view,
+            index,
             members,
             context,
             running: RefCell::default(),
@@ -92,9 +96,11 @@
     async fn run(self: Rc<Self>) {
         loop {
             let ledger_changed = pin!(self.view.changed.notified());
+            let index_changed = pin!(self.index.changed.notified());
             let members_changed = pin!(self.members.changed.notified());
             let has_open = self.reconcile();
-            let changed = select(ledger_changed, members_changed);
+            let records_changed = select(ledger_changed, index_changed);
+            let changed = select(records_changed, members_changed);
             if has_open {
                 within_ms(RECHECK_MS, changed).await;
             } else {
@@ -106,7 +112,7 @@
     /// Starts what this daemon owns by now, stops what it does not; says whether any submission is
     /// open.
     fn reconcile(self: &Rc<Self>) -> bool {
-        let open = self.view.open();
+        let open = self.index.list();
         let own = open.iter().filter(|(id, key)| self.members.owns(id, key));
         let own: Vec<&Arc<str>> = own.map(|(id, _)| id).collect();
         self.running.borrow_mut().retain(|id, cancel| {
@@ -120,6 +126,7 @@
             stays
         });
         for id in own {
+            self.view.touch(id);
             if !self.running.borrow().contains_key(id) {
                 self.take_over(id);
             }
@@ -137,8 +144,8 @@
         match step {
             NextStep::Run => self.start(id),
             NextStep::Close => {
-                let (view, id) = (self.view.clone(), id.clone());
-                monoio::spawn(async move { view.close(&id).await });
+                let (index, id) = (self.index.clone(), id.clone());
+                monoio::spawn(async move { index.close(&id).await });
             }
             NextStep::Nothing => {}
         }
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -10,9 +10,19 @@
 };
 use borageshore_routing::RouteKind;
 use bytes::Bytes;
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{
+    header::{CONNECTION, HeaderValue},
+    http::request::Parts,
+};
 
-use crate::{calls::Calls, life::Life, members::Members, routes::Routes, submissions::Submissions};
+use crate::{
+    calls::Calls,
+    life::Life,
+    members::Members,
+    peers::{PASSED_ON, Peers},
+    routes::Routes,
+    submissions::Submissions,
+};
 
 /// Callers that come too early come back after this time: routes arrive within a second of a start.
 const NOT_READY_AGAIN_MS: u64 = 300;
@@ -39,6 +49,7 @@
     pub(crate) members: Rc<Members>,
     pub(crate) calls: Rc<Calls>,
     pub(crate) submissions: Rc<Submissions>,
+    pub(crate) peers: Rc<Peers>,
     pub(crate) address_ttl_s: u64,
 }
 
@@ -62,6 +73,9 @@
             Ok(decoded) => decoded,
             Err(fault) => return refusal(&fault, None),
         };
+        if let Some(answer) = self.ask_home(&decoded, &head).await {
+            return answer;
+        }
         match decoded {
             CallerRequest::Ready => self.ready(),
             CallerRequest::Addresses { zone } => self.addresses(&zone),
@@ -81,6 +95,27 @@
         }
     }
 
+    /// Passes a question about a submission on to the daemon that has its records. Where that one
+    /// has no sure answer, this daemon reads the records itself.
+    async fn ask_home(&self, request: &CallerRequest, head: &Parts) -> Option<EdgeResponse> {
+        let (submission, wait_ms) = match request {
+            CallerRequest::Results {
+                submission,
+                wait_ms,
+                ..
+            } => (submission, *wait_ms),
+            CallerRequest::Body { submission, .. } | CallerRequest::End { submission } => {
+                (submission, 0)
+            }
+            _ => return None,
+        };
+        if head.headers.contains_key(PASSED_ON) {
+            return None;
+        }
+        let home = self.members.home_of(submission)?;
+        self.peers.ask(&home, head, wait_ms).await
+    }
+
     fn ready(&self) -> EdgeResponse {
         match self.life.state() {
             PresenceState::Ready => ended(),
--- a/crates/borageshore_gateway/src/submissions.rs
+++ b/crates/borageshore_gateway/src/submissions.rs
@@ -6,13 +6,13 @@
 use borageshore_batch::{LedgerRecord, Submission, SubmissionState};
 use borageshore_net::{Clock, EdgeResponse, within_ms};
 use borageshore_platform::{
-    Store, StoreError, Topic, accepted, body_answer, ended, refusal, results_page,
+    Store, StoreError, accepted, body_answer, ended, refusal, results_page,
 };
 use bytes::Bytes;
 
 use crate::{
-    follow::ONLY_PARTITION,
-    ledger_view::{LedgerView, partition_of},
+    ledger_view::{LedgerView, Shard},
+    open_index::OpenIndex,
 };
 
 /// Readers are told that there is nothing only by a view that is no older. A result that one daemon
@@ -35,6 +35,7 @@
     clock: Clock,
     partitions: u64,
     view: Rc<LedgerView>,
+    index: Rc<OpenIndex>,
 }
 
 impl Submissions {
@@ -43,34 +44,33 @@
         partitions: u64,
         clock: Clock,
         view: Rc<LedgerView>,
+        index: Rc<OpenIndex>,
     ) -> Rc<Self> {
         Rc::new(Self {
             store,
             clock,
             partitions,
             view,
+            index,
         })
     }
 
-    /// Accepts a submission: it is in the store, whole, before the trainer hears so.
+    /// Accepts a submission: it is in the store, whole, before the trainer hears so. Accepting it
+    /// twice writes the same records twice, which changes nothing.
     ///
     /// The index comes first: a submission without its entry would be accepted and run by nobody,
     /// an entry without its submission costs its owner a look.
     pub(crate) async fn accept(&self, submission: Submission) -> EdgeResponse {
         let id = submission.id.clone();
-        if self.is_accepted_before(&id).await {
+        if self.is_accepted(&id) {
             log::info!(submission = &*id; "submission accepted before");
             return accepted();
         }
         let items = submission.items.len();
-        let index = [LedgerView::open_record(&submission)];
+        let entered = self.index.enter(&submission).await;
         let record = LedgerRecord::Accept(Arc::new(submission));
-        let indexed = self
-            .store
-            .append(Topic::Open, ONLY_PARTITION, &index, None)
-            .await;
-        let appended = match indexed {
-            Ok(_) => self.append(&record).await,
+        let appended = match entered {
+            Ok(()) => self.append(&record).await,
             Err(error) => Err(error),
         };
         match appended {
@@ -82,14 +82,6 @@
         }
     }
 
-    async fn is_accepted_before(&self, id: &Arc<str>) -> bool {
-        if !self.view.is_settled(id) {
-            // If the store cannot be asked, accepting fails as well.
-            self.view.load(id).await;
-        }
-        self.is_accepted(id)
-    }
-
     fn not_accepted(&self, id: &str, error: &StoreError) -> EdgeResponse {
         if self.is_accepted(id) {
             return accepted();
@@ -115,24 +107,29 @@
     /// Appends a record whose repetition changes nothing. Only the last append, which completes it,
     /// may stay uncertain.
     async fn append(&self, record: &LedgerRecord) -> Result<(), StoreError> {
-        let partition = partition_of(record.submission(), self.partitions);
+        let shard = Shard::of(record.submission(), self.partitions);
         let mut batch: Vec<(Arc<str>, Bytes)> = Vec::new();
         let mut bytes = 0;
         for piece in record.encode("") {
             if bytes + piece.1.len() > APPEND_BYTES {
                 let full = std::mem::take(&mut batch);
-                self.store
-                    .append(Topic::Batch, partition, &full, None)
-                    .await?;
+                self.append_pieces(shard, &full).await?;
                 bytes = 0;
             }
             bytes += piece.1.len();
             batch.push(piece);
         }
-        self.store
-            .append(Topic::Batch, partition, &batch, None)
-            .await?;
-        Ok(())
+        self.append_pieces(shard, &batch).await
+    }
+
+    async fn append_pieces(
+        &self,
+        shard: Shard,
+        pieces: &[(Arc<str>, Bytes)],
+    ) -> Result<(), StoreError> {
+        let (topic, partition) = (shard.topic(), shard.partition());
+        let appended = self.store.append(topic, partition, pieces, None).await;
+        appended.map(|_| ())
     }
 
     /// Answers with the results from a position on, waiting for the first one.
@@ -218,7 +215,7 @@
         match self.append(&record).await {
             Ok(()) => {
                 log::info!(submission = &**id; "submission ended");
-                self.view.close(id).await;
+                self.index.close(id).await;
                 ended()
             }
             Err(error) => {
--- a/crates/borageshore_gateway/src/writer.rs
+++ b/crates/borageshore_gateway/src/writer.rs
@@ -4,11 +4,11 @@
 
 use borageshore_batch::{ItemResult, LedgerRecord};
 use borageshore_net::sleep_ms;
-use borageshore_platform::{Store, Topic};
+use borageshore_platform::Store;
 use bytes::Bytes;
 use tokio::sync::Notify;
 
-use crate::ledger_view::partition_of;
+use crate::ledger_view::Shard;
 
 /// Results that end within this time go into one append. A trainer reads twice a second.
 const GATHER_MS: u64 = 15;
@@ -17,13 +17,14 @@
 /// The most bytes of one append; the store takes 2 MiB.
 const APPEND_BYTES: usize = 1_500_000;
 
-/// Appends results, partition by partition, until the store has them.
+/// Appends results, shard by shard, until the store has them.
 #[derive(Debug)]
 pub(crate) struct Writer {
     store: Store,
     /// Names this process among all that ever wrote.
     author: String,
     queues: Vec<Queue>,
+    partitions: u64,
     attempts: RefCell<u64>,
 }
 
@@ -39,19 +40,20 @@
         let writer = Rc::new(Self {
             store,
             author,
-            queues: (0..partitions).map(|_| Queue::default()).collect(),
+            queues: Shard::all(partitions).map(|_| Queue::default()).collect(),
+            partitions,
             attempts: RefCell::default(),
         });
-        for partition in 0..partitions {
-            monoio::spawn(writer.clone().run(partition));
+        for shard in Shard::all(partitions) {
+            monoio::spawn(writer.clone().run(shard));
         }
         writer
     }
 
     /// Hands a result over.
     pub(crate) fn write(&self, submission: Arc<str>, result: ItemResult) {
-        let partition = partition_of(&submission, self.queues.len() as u64);
-        let queue = &self.queues[partition as usize];
+        let shard = Shard::of(&submission, self.partitions);
+        let queue = &self.queues[shard.number()];
         queue.waiting.borrow_mut().push(LedgerRecord::Result {
             submission,
             result: Arc::new(result),
@@ -65,8 +67,8 @@
         self.queues.iter().map(of_queue).sum()
     }
 
-    async fn run(self: Rc<Self>, partition: u64) {
-        let queue = &self.queues[partition as usize];
+    async fn run(self: Rc<Self>, shard: Shard) {
+        let queue = &self.queues[shard.number()];
         loop {
             if queue.waiting.borrow().is_empty() {
                 queue.added.notified().await;
@@ -74,7 +76,7 @@
             }
             let records = queue.waiting.take();
             *queue.in_append.borrow_mut() = records.len();
-            self.append(partition, records).await;
+            self.append(shard, records).await;
             *queue.in_append.borrow_mut() = 0;
         }
     }
@@ -83,20 +85,20 @@
     ///
     /// An append without an answer may have been done, or be done later. It is repeated under a key
     /// of its own all the same: the fold takes the first result of an item and ignores the other.
-    async fn append(&self, partition: u64, records: Vec<LedgerRecord>) {
+    async fn append(&self, shard: Shard, records: Vec<LedgerRecord>) {
         let mut next = 0;
         let mut is_lost = false;
         while next < records.len() {
             let (count, batch) = self.encode(&records[next..]);
             match self
                 .store
-                .append(Topic::Batch, partition, &batch, None)
+                .append(shard.topic(), shard.partition(), &batch, None)
                 .await
             {
                 Ok(_) => next += count,
                 Err(error) => {
                     if !std::mem::replace(&mut is_lost, true) {
-                        log::warn!(partition, results = records.len(), error:% = error; "results wait for the store");
+                        log::warn!(shard = shard.number(), results = records.len(), error:% = error; "results wait for the store");
                     }
                     sleep_ms(RETRY_MS).await;
                 }
--- a/crates/borageshore_membership/src/presence.rs
+++ b/crates/borageshore_membership/src/presence.rs
@@ -119,6 +119,12 @@
         self.live().find(holds).map(|holder| &*holder.name)
     }
 
+    /// Where a daemon is reached.
+    pub fn address_of(&self, name: &str) -> Option<Arc<str>> {
+        let seen = self.seen.get(name)?;
+        Some(seen.presence.http_address.clone())
+    }
+
     /// The addresses for a caller in an availability zone: those of its own zone if at least `least`
     /// are ready there, else all.
     pub fn addresses_for(&self, zone: &str, least: usize) -> Vec<Arc<str>> {
