Heartbeats slow down with the number of daemons; small VMs run no steps; loads at once grow with the engines

Cause: at 84 VMs two heartbeats a second each fill two thirds of one partition; owners by rendezvous were VMs with an eighth of a core; two engines of 38 loaded at once where eight may.

--- a/crates/borageshore_batch/src/swaps.rs
+++ b/crates/borageshore_batch/src/swaps.rs
@@ -52,11 +52,14 @@
     }
 }
 
+/// So many engines load at once in any case.
+const LEAST_PARALLEL: usize = 2;
+
 /// Bounds on loading.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SwapLimits {
-    /// Engines that load at once without slowing each other.
-    pub parallel: usize,
+    /// The share of all engines that load at once; two at least. Loads slow each other beyond it.
+    pub parallel_percent: usize,
     /// The share of a model's engines that move with each version.
     pub share_percent: usize,
 }
@@ -101,7 +104,8 @@
     limits: SwapLimits,
 ) -> Vec<(Arc<str>, NamedVersion)> {
     let loading = engines.iter().filter(|engine| engine.is_loading).count();
-    let room = limits.parallel.saturating_sub(loading);
+    let parallel = (engines.len() * limits.parallel_percent / 100).max(LEAST_PARALLEL);
+    let room = parallel.saturating_sub(loading);
     let mut wanted = Vec::new();
     let mut rest = engines;
     for (count, model) in homes(engines.len(), models).into_iter().zip(models) {
--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -19,6 +19,8 @@
     pub ready_address: Arc<str>,
     /// Where callers ask which addresses to use.
     pub directory_address: Arc<str>,
+    /// The part of a core that the process may use.
+    pub processor_share: f64,
     /// The platform's store.
     pub store_address: Arc<str>,
     /// The number of partitions of a topic.
@@ -29,8 +31,8 @@
     pub stop_grace_s: u64,
     /// Orders of two holders to one engine are at least this far apart.
     pub order_lease_ms: u64,
-    /// Engines that load weights at once without slowing each other.
-    pub parallel_loads: usize,
+    /// The share of the engines that load weights at once without slowing each other.
+    pub parallel_loads_percent: usize,
     /// The share of a model's engines that load each version.
     pub load_share_percent: usize,
 }
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -90,12 +90,7 @@
             view: view.clone(),
             texts: Rc::default(),
         };
-        let runner = Runner::spawn(
-            view.clone(),
-            index.clone(),
-            members.clone(),
-            Rc::new(context),
-        );
+        let runner = Runner::spawn(view, index.clone(), members.clone(), Rc::new(context));
         let pause_ms = AT_ONCE_MS;
         follow_newest(&store, Topic::Operator, clock, pause_ms, routes.clone());
         follow_newest(&store, Topic::Endpoints, clock, pause_ms, endpoints.clone());
@@ -113,10 +108,10 @@
             endpoints: endpoints.clone(),
             routes: routes.clone(),
             members: members.clone(),
-            index: index.clone(),
+            index,
             client: client.clone(),
             limits: SwapLimits {
-                parallel: config.parallel_loads,
+                parallel_percent: config.parallel_loads_percent,
                 share_percent: config.load_share_percent,
             },
             lease_ms: config.order_lease_ms,
@@ -218,6 +213,7 @@
         zone: config.zone.clone(),
         http_address: config.http_address.clone(),
         state: PresenceState::Starting,
+        capacity_percent: (config.processor_share * 100.0) as u64,
         holds: Vec::new(),
     }
 }
--- a/crates/borageshore_gateway/src/members.rs
+++ b/crates/borageshore_gateway/src/members.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
-use borageshore_membership::{HEARTBEAT_MS, Presence, PresenceState, PresenceTable};
+use borageshore_membership::{Presence, PresenceState, PresenceTable};
 use borageshore_net::{Clock, within_ms};
 use borageshore_platform::{KeyedRecord, Store, Topic};
 use bytes::Bytes;
@@ -53,7 +53,8 @@
                 }
                 Err(_) => {}
             }
-            within_ms(HEARTBEAT_MS, self.beat_at_once.notified()).await;
+            let pause_ms = self.table.borrow().pause_ms();
+            within_ms(pause_ms, self.beat_at_once.notified()).await;
         }
     }
 
@@ -112,10 +113,9 @@
         table.address_of(home)
     }
 
-    /// The names of the daemons that live and take work.
-    pub(crate) fn ready_names(&self) -> Vec<Arc<str>> {
-        let table = self.table.borrow();
-        table.ready().map(|member| member.name.clone()).collect()
+    /// The names of the daemons that take work of others.
+    pub(crate) fn able_names(&self) -> Vec<Arc<str>> {
+        self.table.borrow().able().map(Into::into).collect()
     }
 
     /// The addresses for a caller of a zone.
--- a/crates/borageshore_gateway/src/orderer.rs
+++ b/crates/borageshore_gateway/src/orderer.rs
@@ -161,7 +161,7 @@
 
     /// The last holder goes on as long as it lives; else the first by rendezvous.
     fn is_holder(&self) -> bool {
-        let ready = self.parts.members.ready_names();
+        let ready = self.parts.members.able_names();
         let last = self.rounds.holder.borrow().clone();
         let holder = match &last {
             Some(last) if ready.contains(last) => Some(&**last),
--- a/crates/borageshore_membership/src/lib.rs
+++ b/crates/borageshore_membership/src/lib.rs
@@ -33,6 +33,6 @@
 pub use self::{
     entry::{GossipMessage, Heartbeat, MemberEntry, MemberState},
     members::{Health, Membership, TICK_MS},
-    presence::{HEARTBEAT_MS, Presence, PresenceState, PresenceTable},
+    presence::{Presence, PresenceState, PresenceTable},
     relay::{RelaySource, relay_source},
 };
--- a/crates/borageshore_membership/src/presence.rs
+++ b/crates/borageshore_membership/src/presence.rs
@@ -5,12 +5,16 @@
 use borageshore_base::{SortedMap, rank_by_rendezvous};
 use serde::{Deserialize, Serialize};
 
-/// The pause between two heartbeats of a daemon. Each costs one append of the 800 a second that the
-/// log takes for all daemons together.
-pub const HEARTBEAT_MS: u64 = 500;
-/// Silence after which a daemon is taken for dead: three heartbeats and what a slow append takes.
-/// Too early costs work done twice, too late costs a step the time that its items stand still.
-const DEAD_AFTER_MS: u64 = 1_700;
+/// The shortest pause between two heartbeats of a daemon.
+const LEAST_PAUSE_MS: u64 = 500;
+/// The pause grows by this much for each daemon. The log takes one append in 4 ms, so heartbeats of
+/// any number of daemons take up 40 percent of it at the most, and an append waits for a few ms.
+const PAUSE_PER_DAEMON_MS: u64 = 10;
+/// Heartbeats that a daemon may miss before it is taken for dead. Too early costs work done twice,
+/// too late costs a step the time that its items stand still.
+const MISSED_HEARTBEATS: u64 = 3;
+/// Added for an append that waits and for the pace at which the log is read.
+const LATE_MS: u64 = 300;
 /// The most by which one read moves the clock that silence is counted on.
 const CLOCK_STEP_MS: u64 = 600;
 
@@ -38,6 +42,8 @@
     pub http_address: Arc<str>,
     /// Where it is in its life.
     pub state: PresenceState,
+    /// Its processor, in percent of a core.
+    pub capacity_percent: u64,
     /// The work that it runs; it stays the owner of this work as long as it lives.
     pub holds: Vec<Arc<str>>,
 }
@@ -86,9 +92,15 @@
         self.seen.remove(name);
     }
 
+    /// The pause between two heartbeats of a daemon, by the number of daemons heard of.
+    pub fn pause_ms(&self) -> u64 {
+        LEAST_PAUSE_MS.max(self.seen.len() as u64 * PAUSE_PER_DAEMON_MS)
+    }
+
     /// The daemons that live.
     pub fn live(&self) -> impl Iterator<Item = &Presence> {
-        let is_live = |seen: &&Seen| self.clock_ms < seen.at_ms + DEAD_AFTER_MS;
+        let dead_after_ms = MISSED_HEARTBEATS * self.pause_ms() + LATE_MS;
+        let is_live = move |seen: &&Seen| self.clock_ms < seen.at_ms + dead_after_ms;
         self.seen
             .values()
             .filter(is_live)
@@ -102,15 +114,24 @@
     }
 
     /// The daemon that runs a piece of work: one that holds it already, else the first by
-    /// rendezvous for `key` among those that are ready.
+    /// rendezvous for `key` among those that are able.
     ///
     /// Two daemons may answer differently for a moment; whoever uses this must bear two owners.
     pub fn owner_of(&self, work: &str, key: &str) -> Option<&str> {
         if let Some(holder) = self.holder_of(work) {
             return Some(holder);
         }
-        let ready = self.ready().map(|presence| &*presence.name);
-        rank_by_rendezvous(key, ready).into_iter().next()
+        rank_by_rendezvous(key, self.able()).into_iter().next()
+    }
+
+    /// The names of the daemons that take work of others: those with at least half of the largest
+    /// processor. A small one would run the items of a step at a fraction of the engines' pace.
+    pub fn able(&self) -> impl Iterator<Item = &str> {
+        let largest = self.ready().map(|presence| presence.capacity_percent).max();
+        let least = largest.unwrap_or(0) / 2;
+        self.ready()
+            .filter(move |presence| presence.capacity_percent >= least)
+            .map(|presence| &*presence.name)
     }
 
     /// The first live daemon, by name, that says it runs a piece of work.
