An address is bound by one process only

Cause: the library shares a listening address among processes by default. Two daemons started on one VM would share their callers in the same way, unnoticed. Ruled out: answers crossed within our client (each connection is dropped with its call).

--- a/crates/borageshore_net/src/lib.rs
+++ b/crates/borageshore_net/src/lib.rs
@@ -16,6 +16,6 @@
     frame::{FrameError, read_frame, write_frame},
     server::{
         BodyError, BodyFault, EdgeBody, EdgeRequest, EdgeResponse, Handler, HttpServer,
-        ServerLimits, empty_body, full_body, json_response, read_body, stream_body,
+        ServerLimits, bind_listener, empty_body, full_body, json_response, read_body, stream_body,
     },
 };
--- a/crates/borageshore_net/src/server.rs
+++ b/crates/borageshore_net/src/server.rs
@@ -19,7 +19,7 @@
 };
 use monoio::{
     io::IntoPollIo,
-    net::{TcpListener, TcpStream},
+    net::{ListenerOpts, TcpListener, TcpStream},
 };
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 use serde::Serialize;
@@ -97,7 +97,7 @@
     where
         Service: Handler + 'static,
     {
-        let listener = TcpListener::bind(address)?;
+        let listener = bind_listener(address)?;
         let server = Self {
             address: listener.local_addr()?,
             shared: Rc::default(),
@@ -133,6 +133,14 @@
     }
 }
 
+/// Binds an address for this process alone.
+///
+/// Guards against two processes on one address: by default the library lets them share it, and each
+/// connection goes to either, so that callers of one reach the other without anyone being told.
+pub fn bind_listener(address: &str) -> io::Result<TcpListener> {
+    TcpListener::bind_with_config(address, &ListenerOpts::new().reuse_port(false))
+}
+
 async fn accept_loop<Service>(
     listener: TcpListener,
     limits: ServerLimits,
