--- a/crates/borageshore_cli/src/run.rs
+++ b/crates/borageshore_cli/src/run.rs
@@ -3,7 +3,8 @@
 use std::{io::Write, path::Path, process::ExitCode};
 
 use borageshore_api::Status;
-use borageshore_daemon::{Config, Daemon, install_logger};
+use borageshore_daemon::{Config, Daemon};
+use borageshore_diagnostics::install_logger;
 use borageshore_gateway::{Gateway, GatewayConfig};
 use borageshore_net::run_event_loop;
 use clap::{CommandFactory, Parser};
--- a/crates/borageshore_daemon/src/control.rs
+++ b/crates/borageshore_daemon/src/control.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     daemon::{Daemon, Life},
-    jobs, logging,
+    jobs,
     metrics::Direction,
     platform::{engine::Engine, vm_list::read_vm_list},
     stream::{Source, append_proposals, follow},
@@ -301,7 +301,7 @@
         .borrow_mut()
         .set_window_ms(daemon.root_setting("request_key_window_ms"));
     if let Some(level) = daemon.setting_text(ROOT, "log_level") {
-        logging::set_level(&level);
+        borageshore_diagnostics::set_level(&level);
     }
 }
 
--- a/crates/borageshore_daemon/src/lib.rs
+++ b/crates/borageshore_daemon/src/lib.rs
@@ -23,7 +23,6 @@
 mod generation;
 mod gossip;
 mod jobs;
-mod logging;
 mod metrics;
 mod peer_client;
 mod peer_server;
@@ -35,6 +34,5 @@
 pub use self::{
     config::Config,
     daemon::{Daemon, Life},
-    logging::install_logger,
     platform::engine,
 };
--- a/crates/borageshore_daemon/src/peer_server.rs
+++ b/crates/borageshore_daemon/src/peer_server.rs
@@ -3,7 +3,7 @@
 use std::{io, rc::Rc};
 
 use borageshore_base::{Fault, ResultCode};
-use borageshore_net::{read_frame, sleep_ms, within_ms, write_frame};
+use borageshore_net::{bind_listener, read_frame, sleep_ms, within_ms, write_frame};
 use borageshore_wire::{
     CallReply, FollowReply, MAX_FRAME_BYTES, PeerReply, PeerRequest, PullReply, SampleReply,
     decode, encode,
@@ -19,7 +19,7 @@
 
 /// Accepts peers until the process ends.
 pub(crate) fn bind(daemon: &Rc<Daemon>) -> io::Result<()> {
-    let listener = TcpListener::bind(&*daemon.config.peer_address)?;
+    let listener = bind_listener(&daemon.config.peer_address)?;
     monoio::spawn(accept_loop(daemon.clone(), listener));
     Ok(())
 }
--- /dev/null
+++ b/crates/borageshore_diagnostics/src/bounded.rs
@@ -0,0 +1,65 @@
+//! A bound on the volume of log lines.
+
+/// Lines a second over a longer time: a daemon on a heavy day writes 40, one line a decision.
+const LINES_PER_S: u64 = 200;
+/// Lines that may come at once: the items of two steps.
+const BURST_LINES: u64 = 600;
+
+/// What happens to a line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is written; so many were dropped before it since the last one that was written.
+    Write {
+        /// Lines dropped before this one.
+        dropped_before: u64,
+    },
+    /// It is dropped.
+    Drop,
+}
+
+/// Lets a number of lines a second through and counts the others.
+///
+/// Guards against logs that cost more than the work they tell of: when everything fails at once,
+/// each failure has a line, and a process with an eighth of a core would do little else.
+#[derive(Debug)]
+pub struct LineBudget {
+    /// In thousandths of a line, so that every ms earns some.
+    saved: u64,
+    earned_at_ms: u64,
+    dropped: u64,
+}
+
+impl Default for LineBudget {
+    fn default() -> Self {
+        Self {
+            saved: BURST_LINES * 1_000,
+            earned_at_ms: 0,
+            dropped: 0,
+        }
+    }
+}
+
+impl LineBudget {
+    /// Decides on a line at `now_ms`. Faults have a reserve of their own: an error is written as long
+    /// as a tenth of the burst is left to the others' account.
+    pub fn on_line(&mut self, now_ms: u64, is_fault: bool) -> Verdict {
+        let passed_ms = now_ms.saturating_sub(self.earned_at_ms);
+        self.earned_at_ms = now_ms;
+        let earned = passed_ms.saturating_mul(LINES_PER_S);
+        self.saved = (self.saved + earned).min(BURST_LINES * 1_000);
+        let reserve = if is_fault { 0 } else { BURST_LINES * 100 };
+        if self.saved < reserve + 1_000 {
+            self.on_dropped();
+            return Verdict::Drop;
+        }
+        self.saved -= 1_000;
+        Verdict::Write {
+            dropped_before: std::mem::take(&mut self.dropped),
+        }
+    }
+
+    /// Counts a line that could not be written.
+    pub fn on_dropped(&mut self) {
+        self.dropped += 1;
+    }
+}
--- /dev/null
+++ b/crates/borageshore_diagnostics/src/instruments.rs
@@ -0,0 +1,78 @@
+//! Counters and histograms by opentelemetry, read as Prometheus text.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of the buckets of durations, in ms: from an answer of the store to a step's time limit.
+const DURATION_BOUNDS_MS: [f64; 14] = [
+    2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 150.0, 250.0, 500.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0,
+    12_000.0,
+];
+
+/// The instruments of a daemon.
+#[derive(Debug)]
+pub struct Instruments {
+    registry: Registry,
+    // Dropping the provider would stop the instruments.
+    _provider: SdkMeterProvider,
+    events: Counter<u64>,
+    durations_ms: Histogram<f64>,
+    state: Gauge<u64>,
+}
+
+impl Instruments {
+    /// Opens the instruments.
+    pub fn open() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .expect("a fresh registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter: Meter = provider.meter("borageshore");
+        Self {
+            registry,
+            events: meter.u64_counter("borageshore_events").build(),
+            durations_ms: meter
+                .f64_histogram("borageshore_duration_ms")
+                .with_boundaries(DURATION_BOUNDS_MS.to_vec())
+                .build(),
+            state: meter.u64_gauge("borageshore_state").build(),
+            _provider: provider,
+        }
+    }
+
+    /// Counts something that happened, with its outcome.
+    pub fn count(&self, what: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("what", what),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.events.add(1, &labels);
+    }
+
+    /// Records how long something took.
+    pub fn record_ms(&self, what: &'static str, duration_ms: u64) {
+        let labels = [KeyValue::new("what", what)];
+        self.durations_ms.record(duration_ms as f64, &labels);
+    }
+
+    /// Sets a gauge.
+    pub fn set(&self, what: &'static str, value: u64) {
+        self.state.record(value, &[KeyValue::new("what", what)]);
+    }
+
+    /// All instruments as Prometheus text.
+    pub fn to_text(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!(error:% = error; "metrics cannot be encoded");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
--- a/crates/borageshore_diagnostics/src/logging.rs
+++ b/crates/borageshore_diagnostics/src/logging.rs
@@ -1,14 +1,23 @@
-//! Logs as JSON lines.
+//! Logs as JSON lines on standard output, bounded, and never waited for.
 
-use std::{io, sync::Arc};
+use std::{cell::RefCell, sync::Arc, time::Instant};
 
 use log::{
-    LevelFilter,
+    Level, LevelFilter, Record,
     kv::{self, Key, Value as FieldValue, VisitSource},
 };
+use rustix::{
+    fs::{OFlags, fcntl_getfl, fcntl_setfl},
+    stdio,
+};
 use serde::Serialize;
 use serde_json::{Map, Value};
 
+use crate::bounded::{LineBudget, Verdict};
+
+/// A pipe takes a line up to this length whole or not at all.
+const LINE_BYTES: usize = 4_000;
+
 #[derive(Debug, Serialize)]
 struct Line<'l> {
     at: String,
@@ -16,10 +25,16 @@
     daemon: &'l str,
     target: &'l str,
     message: String,
+    #[serde(skip_serializing_if = "is_zero")]
+    dropped_before: u64,
     #[serde(flatten)]
     fields: Map<String, Value>,
 }
 
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 /// Collects the fields of a record.
 #[derive(Debug, Default)]
 struct Fields(Map<String, Value>);
@@ -35,34 +50,67 @@
     }
 }
 
-/// Sends log lines to standard error; the settings tree changes the level later on.
+thread_local! {
+    // All lines of a daemon come from its one thread.
+    static BUDGET: RefCell<LineBudget> = RefCell::default();
+}
+
+/// Sends log lines to standard output; a line that cannot be written at once is dropped and counted.
+///
+/// Guards against a reader of the logs that stands still: a full pipe would stop the one loop of the
+/// process, and with it every request.
 pub fn install_logger(daemon: &Arc<str>) -> Result<(), log::SetLoggerError> {
     let daemon = daemon.clone();
+    let started = Instant::now();
+    // Where standard output cannot be switched, it is a file, which is always ready.
+    if let Ok(flags) = fcntl_getfl(stdio::stdout()) {
+        let _ = fcntl_setfl(stdio::stdout(), flags | OFlags::NONBLOCK);
+    }
+    let write = move |record: &Record<'_>| {
+        let now_ms = started.elapsed().as_millis() as u64;
+        let is_fault = record.level() <= Level::Warn;
+        let verdict = BUDGET.with_borrow_mut(|budget| budget.on_line(now_ms, is_fault));
+        if let Verdict::Write { dropped_before } = verdict {
+            let line = encode(&daemon, record, dropped_before);
+            if write_whole(&line).is_err() {
+                BUDGET.with_borrow_mut(LineBudget::on_dropped);
+            }
+        }
+    };
     let dispatch = fern::Dispatch::new()
         .level(LevelFilter::Trace)
-        .format(move |out, message, record| {
-            let mut fields = Fields::default();
-            // A field that cannot be shown is left out; the line is worth more than the field.
-            let _ = record.key_values().visit(&mut fields);
-            let line = Line {
-                at: jiff::Timestamp::now().to_string(),
-                level: record.level().as_str(),
-                daemon: &daemon,
-                target: record.target(),
-                message: message.to_string(),
-                fields: fields.0,
-            };
-            let encoded = serde_json::to_string(&line).unwrap_or_default();
-            out.finish(format_args!("{encoded}"));
-        })
-        .chain(io::stderr());
+        .chain(fern::Output::call(write));
     dispatch.apply()?;
     log::set_max_level(LevelFilter::Info);
     Ok(())
 }
 
+fn encode(daemon: &str, record: &Record<'_>, dropped_before: u64) -> Vec<u8> {
+    let mut fields = Fields::default();
+    // A field that cannot be shown is left out; the line is worth more than the field.
+    let _ = record.key_values().visit(&mut fields);
+    let line = Line {
+        at: jiff::Timestamp::now().to_string(),
+        level: record.level().as_str(),
+        daemon,
+        target: record.target(),
+        message: record.args().to_string(),
+        dropped_before,
+        fields: fields.0,
+    };
+    let mut encoded = serde_json::to_vec(&line).unwrap_or_default();
+    encoded.truncate(LINE_BYTES);
+    encoded.push(b'\n');
+    encoded
+}
+
+/// Writes a line at once; a pipe that is full takes none of it.
+fn write_whole(line: &[u8]) -> rustix::io::Result<()> {
+    rustix::io::write(stdio::stdout(), line).map(|_| ())
+}
+
 /// Follows the level in the settings tree.
-pub(crate) fn set_level(name: &str) {
+pub fn set_level(name: &str) {
     let level = name.parse().unwrap_or(LevelFilter::Info);
     if log::max_level() != level {
         log::set_max_level(level);
--- /dev/null
+++ b/crates/borageshore_diagnostics/tests/bounded.rs
@@ -0,0 +1,31 @@
+//! The bound on log lines.
+
+use borageshore_diagnostics::{LineBudget, Verdict};
+
+fn written(budget: &mut LineBudget, now_ms: u64, count: usize, is_fault: bool) -> usize {
+    (0..count)
+        .filter(|_| budget.on_line(now_ms, is_fault) != Verdict::Drop)
+        .count()
+}
+
+// A daemon with an eighth of a core answers nothing for seconds: every one of thousands of failed
+// attempts has a line. The volume is bounded, and the next line says how many are missing.
+#[test]
+fn a_flood_is_cut_and_counted() {
+    let mut budget = LineBudget::default();
+    let first = written(&mut budget, 0, 5_000, false);
+    assert_eq!(first, 540);
+    let Verdict::Write { dropped_before } = budget.on_line(1_000, false) else {
+        panic!("a second later there is room again");
+    };
+    assert_eq!(dropped_before, 5_000 - 540);
+    let per_second = written(&mut budget, 1_000, 5_000, false);
+    assert!((150..=200).contains(&per_second), "{per_second}");
+}
+
+#[test]
+fn faults_are_written_when_the_rest_is_cut() {
+    let mut budget = LineBudget::default();
+    written(&mut budget, 0, 5_000, false);
+    assert_eq!(written(&mut budget, 0, 10, true), 10);
+}
--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, future::Future, rc::Rc, sync::Arc};
 
 use borageshore_base::{Fault, ResultCode};
+use borageshore_diagnostics::Instruments;
 use borageshore_net::{Clock, EdgeResponse, within_ms};
 use borageshore_platform::{
     Answer, AttemptError, CallHead, EndpointClient, Outbound, answer, refusal,
@@ -31,6 +32,7 @@
     client: EndpointClient,
     clock: Clock,
     hedges: RefCell<RetryBudget>,
+    instruments: Rc<Instruments>,
 }
 
 /// What the attempts of a call came to so far.
@@ -44,12 +46,18 @@
 }
 
 impl Calls {
-    pub(crate) fn open(endpoints: Rc<Endpoints>, client: EndpointClient, clock: Clock) -> Rc<Self> {
+    pub(crate) fn open(
+        endpoints: Rc<Endpoints>,
+        client: EndpointClient,
+        clock: Clock,
+        instruments: Rc<Instruments>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             endpoints,
             client,
             clock,
             hedges: RefCell::new(RetryBudget::open(HEDGE_BUDGET_PERCENT)),
+            instruments,
         })
     }
 
@@ -72,17 +80,21 @@
         };
         let mut outcome = Outcome::default();
         let attempts = self.attempts(route, service, &outbound, until_ms, &mut outcome);
-        let answered = attempts.await;
+        let answered = attempts.await.or(outcome.failure.take());
+        let took_ms = self.clock.now_ms() - started_ms;
+        self.instruments.record_ms("call", took_ms);
+        let response = match answered {
+            Some(whole) => answer(whole),
+            None => self.give_up(&outcome, until_ms),
+        };
+        let status = response.status().as_u16();
+        self.instruments.count("call", outcome_of(status));
         log::info!(
-            request = &*outbound.id, route = &*route.name, endpoints = outcome.tried.len(),
-            status = answered.as_ref().map_or(0, |answer| answer.status.as_u16()),
-            took_ms = self.clock.now_ms() - started_ms;
+            request = &*outbound.id, route = &*route.name, status, took_ms, wait_ms,
+            tried:? = outcome.tried, may_have_run = outcome.may_have_run;
             "call answered"
         );
-        match answered.or(outcome.failure.take()) {
-            Some(whole) => answer(whole),
-            None => self.give_up(&outcome, until_ms),
-        }
+        response
     }
 
     /// The final answer where no endpoint gave one.
@@ -181,6 +193,14 @@
     }
 }
 
+fn outcome_of(status: u16) -> &'static str {
+    match status {
+        200..=299 => "done",
+        429 | 503 => "not_run",
+        _ => "failed",
+    }
+}
+
 /// Takes an attempt's end over; returns the answer for the caller if there is one.
 fn note(
     ended: Result<Answer, AttemptError>,
--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -19,6 +19,8 @@
     pub ready_address: Arc<str>,
     /// Where callers ask which addresses to use.
     pub directory_address: Arc<str>,
+    /// Where counters and histograms are served as text.
+    pub metrics_address: Arc<str>,
     /// The part of a core that the process may use.
     pub processor_share: f64,
     /// The platform's store.
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 
 use borageshore_base::rendezvous_weight;
 use borageshore_batch::SwapLimits;
+use borageshore_diagnostics::Instruments;
 use borageshore_membership::{Presence, PresenceState};
 use borageshore_net::{Clock, HttpServer};
 use borageshore_platform::{EndpointClient, Store, Topic};
@@ -24,7 +25,7 @@
     rewards::Rewards,
     routes::Routes,
     runner::Runner,
-    server::{Server, server_limits},
+    server::{MetricsPage, Server, server_limits},
     submissions::Submissions,
     writer::Writer,
 };
@@ -53,12 +54,14 @@
     runner: Rc<Runner>,
     writer: Rc<Writer>,
     servers: Vec<HttpServer>,
+    _metrics: HttpServer,
 }
 
 impl Gateway {
     /// Binds the addresses of a configuration and starts a daemon on the present event loop.
     pub fn spawn(config: GatewayConfig, config_file: PathBuf) -> io::Result<Self> {
         let clock = Clock::start();
+        let instruments = Rc::new(Instruments::open());
         // Rises with every start, as long as the VM's clock is not set back by more than a life.
         let incarnation = jiff::Timestamp::now().as_millisecond() as u64;
         let store = Store::open(config.store_address.clone());
@@ -77,6 +80,7 @@
             clock,
             view.clone(),
             index.clone(),
+            instruments.clone(),
         );
         let writer = Writer::spawn(store.clone(), author, partitions);
         let context = ItemContext {
@@ -89,6 +93,7 @@
             writer: writer.clone(),
             view: view.clone(),
             texts: Rc::default(),
+            instruments: instruments.clone(),
         };
         let runner = Runner::spawn(view, index.clone(), members.clone(), Rc::new(context));
         let pause_ms = AT_ONCE_MS;
@@ -122,7 +127,7 @@
             life: life.clone(),
             routes: routes.clone(),
             members: members.clone(),
-            calls: Calls::open(endpoints.clone(), client, clock),
+            calls: Calls::open(endpoints.clone(), client, clock, instruments.clone()),
             peers: Rc::new(Peers::open(clock)),
             submissions,
             address_ttl_s: config.address_ttl_s,
@@ -137,6 +142,11 @@
             .into_iter()
             .map(|address| bind(address))
             .collect::<io::Result<Vec<HttpServer>>>()?;
+        let metrics_page = MetricsPage {
+            instruments,
+            life: life.clone(),
+        };
+        let metrics = HttpServer::bind(&config.metrics_address, server_limits(), metrics_page)?;
         log::info!(zone = &*config.zone, http_address = &*config.http_address, incarnation; "daemon started");
         Ok(Self {
             config,
@@ -151,6 +161,7 @@
             runner,
             writer,
             servers,
+            _metrics: metrics,
         })
     }
 
--- a/crates/borageshore_gateway/src/item.rs
+++ b/crates/borageshore_gateway/src/item.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, rc::Rc, sync::Arc};
 
 use borageshore_batch::{Item, ItemRank, ItemResult, ItemState, Submission, Text};
+use borageshore_diagnostics::Instruments;
 use borageshore_net::{Clock, sleep_ms, within_ms};
 use borageshore_platform::{
     AttemptError, EndpointClient, GeneratedEvent, Generation, GenerationError, GenerationRequest,
@@ -46,6 +47,7 @@
     pub(crate) rewards: Rc<Rewards>,
     pub(crate) view: Rc<LedgerView>,
     pub(crate) texts: Rc<Texts>,
+    pub(crate) instruments: Rc<Instruments>,
     pub(crate) writer: Rc<Writer>,
 }
 
@@ -80,6 +82,12 @@
         timing: Timing::default(),
     };
     let result = run.finish().await;
+    let outcome = match result.state {
+        ItemState::Done => "done",
+        ItemState::GivenUp => "given_up",
+    };
+    context.instruments.count("item", outcome);
+    context.instruments.record_ms("item", run.waited_ms());
     log::info!(
         submission = &*submission.id, item = &*item.id, state:? = result.state,
         versions:? = result.versions, waited_ms = context.clock.now_ms() - seen_at_ms,
@@ -299,6 +307,7 @@
     }
 
     fn lose(&self, place: Place, error: &AttemptError) -> Stay {
+        self.context.instruments.count("item", "goes_on_elsewhere");
         log::info!(item = &*self.item.id, instance = &*place.target.instance, error:% = error; "item goes on elsewhere");
         match error {
             AttemptError::Refused { status: 421, .. } => {
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -3,14 +3,18 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use borageshore_base::{Fault, ResultCode};
+use borageshore_diagnostics::Instruments;
 use borageshore_membership::PresenceState;
-use borageshore_net::{BodyFault, EdgeRequest, EdgeResponse, Handler, ServerLimits, read_body};
+use borageshore_net::{
+    BodyFault, EdgeRequest, EdgeResponse, Handler, ServerLimits, full_body, read_body,
+};
 use borageshore_platform::{
     CallHead, CallerRequest, addresses, decode_caller, decode_submission, ended, refusal,
 };
 use borageshore_routing::RouteKind;
 use bytes::Bytes;
 use hyper::{
+    Response,
     header::{CONNECTION, HeaderValue},
     http::request::Parts,
 };
@@ -41,6 +45,21 @@
     }
 }
 
+/// Serves counters and histograms as text, at any path.
+#[derive(Debug)]
+pub(crate) struct MetricsPage {
+    pub(crate) instruments: Rc<Instruments>,
+    pub(crate) life: Rc<Life>,
+}
+
+impl Handler for MetricsPage {
+    async fn handle(&self, _request: EdgeRequest, _remote: SocketAddr) -> EdgeResponse {
+        self.instruments
+            .set("requests_in_flight", self.life.in_flight() as u64);
+        Response::new(full_body(self.instruments.to_text()))
+    }
+}
+
 /// Decodes requests and hands them to their subjects.
 #[derive(Debug, Clone)]
 pub(crate) struct Server {
--- a/crates/borageshore_gateway/src/submissions.rs
+++ b/crates/borageshore_gateway/src/submissions.rs
@@ -4,6 +4,7 @@
 
 use borageshore_base::{Fault, ResultCode};
 use borageshore_batch::{LedgerRecord, Submission, SubmissionState};
+use borageshore_diagnostics::Instruments;
 use borageshore_net::{Clock, EdgeResponse, within_ms};
 use borageshore_platform::{
     Store, StoreError, accepted, body_answer, ended, refusal, results_page,
@@ -36,6 +37,7 @@
     partitions: u64,
     view: Rc<LedgerView>,
     index: Rc<OpenIndex>,
+    instruments: Rc<Instruments>,
 }
 
 impl Submissions {
@@ -45,6 +47,7 @@
         clock: Clock,
         view: Rc<LedgerView>,
         index: Rc<OpenIndex>,
+        instruments: Rc<Instruments>,
     ) -> Rc<Self> {
         Rc::new(Self {
             store,
@@ -52,6 +55,7 @@
             partitions,
             view,
             index,
+            instruments,
         })
     }
 
@@ -66,6 +70,7 @@
             log::info!(submission = &*id; "submission accepted before");
             return accepted();
         }
+        let started_ms = self.clock.now_ms();
         let items = submission.items.len();
         let entered = self.index.enter(&submission).await;
         let record = LedgerRecord::Accept(Arc::new(submission));
@@ -75,7 +80,10 @@
         };
         match appended {
             Ok(()) => {
-                log::info!(submission = &*id, items; "submission accepted");
+                let took_ms = self.clock.now_ms() - started_ms;
+                self.instruments.count("submission", "accepted");
+                self.instruments.record_ms("accept", took_ms);
+                log::info!(submission = &*id, items, took_ms; "submission accepted");
                 accepted()
             }
             Err(error) => self.not_accepted(&id, &error),
@@ -87,6 +95,7 @@
             return accepted();
         }
         log::warn!(submission = id, error:% = error; "submission not accepted");
+        self.instruments.count("submission", "not_accepted");
         match error {
             StoreError::Uncertain(why) => {
                 let fault = Fault::new(ResultCode::AcceptanceUnknown, why.clone());
--- /dev/null
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -0,0 +1,133 @@
+//! The daemons: processes that are started, signalled and started again.
+
+use std::{
+    cell::RefCell,
+    fs::File,
+    io,
+    net::{SocketAddr, TcpListener},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
+};
+
+use borageshore_standins::platform::Proxy;
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::SoakOptions;
+
+const FIRST_PORT: u16 = 11_000;
+const PORTS_PER_PROCESS: u16 = 100;
+const PORT_SLOTS: u32 = 200;
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
+/// How long the daemons have from SIGTERM to SIGKILL.
+pub(crate) const GRACE_S: u64 = 4;
+
+/// One daemon with its addresses, which stay the same over its lives.
+#[derive(Debug)]
+pub(crate) struct DaemonProcess {
+    /// Its name.
+    pub(crate) name: String,
+    /// Where callers connect.
+    pub(crate) front: SocketAddr,
+    /// Where callers ask for addresses.
+    pub(crate) directory: SocketAddr,
+    /// Its way to the store.
+    pub(crate) store: Proxy,
+    config: std::path::PathBuf,
+    log: std::path::PathBuf,
+    program: std::path::PathBuf,
+    child: RefCell<Option<Child>>,
+}
+
+impl DaemonProcess {
+    /// Writes its settings; it is not started yet.
+    pub(crate) fn open(options: &SoakOptions, number: usize, store: Proxy) -> io::Result<Self> {
+        let name = format!("vm-{number}");
+        let (front, ready, directory) = (free_address()?, free_address()?, free_address()?);
+        let metrics = free_address()?;
+        let config = options.folder.join(format!("{name}.yaml"));
+        let text = format!(
+            "name: {name}\nzone: z1\nhttp_address: {front}\nready_address: {ready}\n\
+             directory_address: {directory}\nmetrics_address: {metrics}\nprocessor_share: 0.5\nstore_address: {}\n\
+             store_partitions: 2\naddress_ttl_s: 1\nstop_grace_s: {GRACE_S}\norder_lease_ms: 3000\n\
+             parallel_loads_percent: 50\nload_share_percent: 50\n",
+            store.address()
+        );
+        std::fs::write(&config, text)?;
+        Ok(Self {
+            log: options.folder.join(format!("{name}.log")),
+            program: options.program.clone(),
+            name,
+            front,
+            directory,
+            store,
+            config,
+            child: RefCell::new(None),
+        })
+    }
+
+    /// Starts the process unless it runs.
+    pub(crate) fn start(&self) -> io::Result<()> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .arg("gateway")
+            .arg("--config")
+            .arg(&self.config)
+            .stdout(Stdio::from(log.try_clone()?))
+            .stderr(Stdio::from(log))
+            .spawn()?;
+        *self.child.borrow_mut() = Some(child);
+        Ok(())
+    }
+
+    /// Says whether the process runs.
+    pub(crate) fn is_running(&self) -> bool {
+        let mut child = self.child.borrow_mut();
+        let Some(running) = child.as_mut() else {
+            return false;
+        };
+        match running.try_wait() {
+            Ok(None) => true,
+            _ => {
+                *child = None;
+                false
+            }
+        }
+    }
+
+    /// Sends the process a signal; only a process that was started here gets one.
+    pub(crate) fn signal(&self, signal: Signal) {
+        if !self.is_running() {
+            return;
+        }
+        let pid = self.child.borrow().as_ref().map(Child::id);
+        if let Some(pid) = pid.and_then(|id| Pid::from_raw(id as i32)) {
+            // It may have ended just now.
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.borrow_mut().take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// A loopback address that is free now. Ports below those that the system gives out by itself, and
+/// others for each process, so that runs beside each other do not take one another's.
+fn free_address() -> io::Result<SocketAddr> {
+    let offset = NEXT_PORT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_PROCESS;
+    let slot = (std::process::id() % PORT_SLOTS) as u16;
+    let port = FIRST_PORT + slot * PORTS_PER_PROCESS + offset;
+    match TcpListener::bind(("127.0.0.1", port)) {
+        Ok(listener) => listener.local_addr(),
+        Err(_) => free_address(),
+    }
+}
--- /dev/null
+++ b/crates/borageshore_soak/src/faults.rs
@@ -0,0 +1,290 @@
+//! Faults from the outside, drawn from the seed, in overlapping series.
+
+use std::{cell::RefCell, rc::Rc};
+
+use borageshore_net::{Clock, sleep_ms};
+use borageshore_standins::platform::{
+    EngineSwitches, PlainSwitches, PlatformEngine, PlatformService, PlatformStore, Proxy,
+    ProxyMode, StoreMode,
+};
+use rand_core::Rng;
+use rand_pcg::Pcg64Mcg;
+use rustix::process::Signal;
+use serde::Deserialize;
+
+use crate::{Moment, daemons::DaemonProcess, oracle::Oracle};
+
+/// A daemon that was killed starts again after this time.
+const RESTART_MS: u64 = 1_000;
+/// The pace at which a daemon is looked for that runs a submission.
+const HOLDER_POLL_MS: u64 = 20;
+
+/// What the soak reads of a heartbeat.
+#[derive(Debug, Default, Deserialize)]
+struct Heartbeat {
+    holds: Vec<String>,
+}
+
+/// Everything that can be harmed.
+#[derive(Debug)]
+pub(crate) struct Targets {
+    pub(crate) clock: Clock,
+    pub(crate) oracle: Rc<Oracle>,
+    pub(crate) store: PlatformStore,
+    pub(crate) daemons: Vec<DaemonProcess>,
+    pub(crate) engines: Vec<(PlatformEngine, Proxy)>,
+    pub(crate) services: Vec<(PlatformService, Proxy)>,
+    pub(crate) begun: RefCell<Vec<String>>,
+}
+
+/// One fault; it ends by itself after its time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    Kill(usize),
+    KillAll,
+    Pause(usize),
+    Stop(usize),
+    Reload(usize),
+    Store(StoreMode),
+    ForgetHistory,
+    StoreLink(usize, ProxyMode),
+    SilentConnections(usize),
+    EngineLink(usize, ProxyMode),
+    EngineGone(usize),
+    EngineSlow(usize),
+    EngineCuts(usize),
+    EngineLateOrders(usize),
+    ServiceLoses(usize),
+    ServiceCrosses(usize),
+    ServiceLink(usize, ProxyMode),
+}
+
+impl Targets {
+    /// Lets faults come until `until_ms`, each for one to three seconds.
+    pub(crate) async fn harm(self: Rc<Self>, count: usize, until_ms: u64, mut random: Pcg64Mcg) {
+        let pause_ms = until_ms.saturating_sub(self.clock.now_ms()) / count.max(1) as u64;
+        for _ in 0..count {
+            let fault = self.draw(&mut random);
+            let length_ms = 800 + random.next_u64() % 2_200;
+            let at_ms = self.clock.now_ms();
+            self.begun
+                .borrow_mut()
+                .push(format!("{at_ms} ms: {fault:?} for {length_ms} ms"));
+            monoio::spawn(self.clone().carry_out(fault, length_ms));
+            sleep_ms(pause_ms / 2 + random.next_u64() % pause_ms.max(1)).await;
+        }
+    }
+
+    /// Plays faults at set times.
+    pub(crate) async fn play(self: Rc<Self>, moments: &[(u64, Moment)]) {
+        let began_ms = self.clock.now_ms();
+        for (at_ms, moment) in moments {
+            sleep_ms((began_ms + at_ms).saturating_sub(self.clock.now_ms())).await;
+            let fault = match moment {
+                Moment::KillHolder => Fault::Kill(self.holder().await),
+                Moment::StopOne => Fault::Stop(0),
+            };
+            self.begun
+                .borrow_mut()
+                .push(format!("{at_ms} ms: {fault:?}"));
+            monoio::spawn(self.clone().carry_out(fault, RESTART_MS));
+        }
+    }
+
+    /// The daemon that says in its heartbeat that it runs a submission.
+    async fn holder(&self) -> usize {
+        loop {
+            for (name, value) in self.store.newest("keyed.members") {
+                let heartbeat: Heartbeat = serde_json::from_slice(&value).unwrap_or_default();
+                let number = self.daemons.iter().position(|daemon| daemon.name == name);
+                match number {
+                    Some(number) if !heartbeat.holds.is_empty() => return number,
+                    _ => {}
+                }
+            }
+            sleep_ms(HOLDER_POLL_MS).await;
+        }
+    }
+
+    fn draw(&self, random: &mut Pcg64Mcg) -> Fault {
+        let kind = random.next_u64() % 17;
+        let mut below = |count: usize| (random.next_u64() % count.max(1) as u64) as usize;
+        let daemon = below(self.daemons.len());
+        let engine = below(self.engines.len());
+        let service = below(self.services.len());
+        let link = [
+            ProxyMode::Delay(150),
+            ProxyMode::Silent,
+            ProxyMode::AnswersHeld,
+            ProxyMode::Reset,
+        ][below(4)];
+        let store = [
+            StoreMode::Busy,
+            StoreMode::Silent,
+            StoreMode::Slow(120),
+            StoreMode::LostAnswers,
+            StoreMode::Late(1_500),
+        ][below(5)];
+        match kind {
+            0 | 1 => Fault::Kill(daemon),
+            2 => Fault::KillAll,
+            3 => Fault::Pause(daemon),
+            4 => Fault::Stop(daemon),
+            5 => Fault::Reload(daemon),
+            6 | 7 => Fault::Store(store),
+            8 => Fault::ForgetHistory,
+            9 => Fault::StoreLink(daemon, link),
+            10 => Fault::SilentConnections(daemon),
+            11 => Fault::EngineLink(engine, link),
+            12 => Fault::EngineGone(engine),
+            13 => Fault::EngineSlow(engine),
+            14 => match below(2) {
+                0 => Fault::EngineCuts(engine),
+                _ => Fault::EngineLateOrders(engine),
+            },
+            15 => match below(2) {
+                0 => Fault::ServiceLoses(service),
+                _ => Fault::ServiceCrosses(service),
+            },
+            _ => Fault::ServiceLink(service, link),
+        }
+    }
+
+    async fn carry_out(self: Rc<Self>, fault: Fault, length_ms: u64) {
+        match fault {
+            Fault::Kill(number) => self.kill(&[number], length_ms).await,
+            Fault::KillAll => {
+                let all: Vec<usize> = (0..self.daemons.len()).collect();
+                self.kill(&all, 300).await;
+            }
+            Fault::Pause(number) => self.pause(number, length_ms).await,
+            Fault::Stop(number) => self.stop(number).await,
+            Fault::Reload(number) => self.daemons[number].signal(Signal::HUP),
+            Fault::Store(mode) => {
+                self.store.set_mode(mode);
+                sleep_ms(length_ms).await;
+                self.store.set_mode(StoreMode::Up);
+            }
+            Fault::ForgetHistory => self.store.forget_history(),
+            Fault::StoreLink(number, mode) => {
+                harm_link(&self.daemons[number].store, mode, length_ms).await;
+            }
+            Fault::SilentConnections(number) => {
+                self.daemons[number].store.forget_open_connections()
+            }
+            Fault::EngineLink(number, mode) => {
+                harm_link(&self.engines[number].1, mode, length_ms).await;
+            }
+            Fault::EngineGone(number) => self.take_away(number, length_ms).await,
+            Fault::EngineSlow(number) => {
+                self.switch(number, length_ms, |s| s.event_ms *= 5).await;
+            }
+            Fault::EngineCuts(number) => {
+                self.switch(number, length_ms, |s| s.cut_every = 3).await;
+            }
+            Fault::EngineLateOrders(number) => {
+                self.switch(number, length_ms, |s| s.late_orders_ms = 1_500)
+                    .await;
+            }
+            Fault::ServiceLoses(number) => {
+                self.switch_service(number, length_ms, |s| s.lose_every = 5)
+                    .await;
+            }
+            Fault::ServiceCrosses(number) => {
+                self.switch_service(number, length_ms, |s| s.cross_every = 5)
+                    .await;
+            }
+            Fault::ServiceLink(number, mode) => {
+                harm_link(&self.services[number].1, mode, length_ms).await;
+            }
+        }
+    }
+
+    async fn kill(&self, numbers: &[usize], length_ms: u64) {
+        for number in numbers {
+            self.daemons[*number].signal(Signal::KILL);
+        }
+        sleep_ms(length_ms).await;
+        for number in numbers {
+            self.start(*number);
+        }
+    }
+
+    async fn pause(&self, number: usize, length_ms: u64) {
+        let daemon = &self.daemons[number];
+        daemon.signal(Signal::STOP);
+        sleep_ms(length_ms).await;
+        daemon.signal(Signal::CONT);
+        let resumed = (daemon.name.clone(), self.clock.now_ms());
+        self.oracle.resumed_at_ms.borrow_mut().push(resumed);
+    }
+
+    async fn stop(&self, number: usize) {
+        let daemon = &self.daemons[number];
+        daemon.signal(Signal::TERM);
+        let kill_at_ms = self.clock.now_ms() + crate::daemons::GRACE_S * 1_000;
+        while daemon.is_running() && self.clock.now_ms() < kill_at_ms {
+            sleep_ms(50).await;
+        }
+        daemon.signal(Signal::KILL);
+        sleep_ms(100).await;
+        self.start(number);
+    }
+
+    fn start(&self, number: usize) {
+        if let Err(error) = self.daemons[number].start() {
+            self.oracle
+                .broken(format!("vm-{number} does not start: {error}"));
+        }
+    }
+
+    /// An engine announces that it leaves, goes, and comes back.
+    async fn take_away(&self, number: usize, length_ms: u64) {
+        let (engine, proxy) = &self.engines[number];
+        let address = proxy.address().to_string();
+        engine.list(&self.store, &address, "draining");
+        sleep_ms(length_ms).await;
+        engine.list(&self.store, &address, "ready");
+    }
+
+    async fn switch<Change>(&self, number: usize, length_ms: u64, change: Change)
+    where
+        Change: FnOnce(&mut EngineSwitches),
+    {
+        let engine = &self.engines[number].0;
+        let usual = engine.switches();
+        let mut switches = usual;
+        change(&mut switches);
+        engine.set_switches(switches);
+        sleep_ms(length_ms).await;
+        engine.set_switches(EngineSwitches {
+            event_ms: 15,
+            cut_every: 0,
+            late_orders_ms: 0,
+            ..usual
+        });
+    }
+
+    async fn switch_service<Change>(&self, number: usize, length_ms: u64, change: Change)
+    where
+        Change: FnOnce(&mut PlainSwitches),
+    {
+        let usual = PlainSwitches {
+            work_ms: 5,
+            lose_every: 0,
+            cross_every: 0,
+        };
+        let mut switches = usual;
+        change(&mut switches);
+        let service = &self.services[number].0;
+        service.set_switches(switches);
+        sleep_ms(length_ms).await;
+        service.set_switches(usual);
+    }
+}
+
+async fn harm_link(proxy: &Proxy, mode: ProxyMode, length_ms: u64) {
+    proxy.set_mode(mode);
+    sleep_ms(length_ms).await;
+    proxy.set_mode(ProxyMode::Pass);
+}
--- /dev/null
+++ b/crates/borageshore_soak/src/lib.rs
@@ -0,0 +1,105 @@
+//! A fault soak: real daemons as processes of their own, stand-ins for the platform, faults from the
+//! outside, and the promises checked from what callers, trainers and endpoints see.
+//!
+//! A run follows from its seed, as far as processes on a machine do: the same faults come at the same
+//! moments. [`run_seed`] plays one; the program `soak` plays many.
+//!
+//! ```
+//! use borageshore_soak::SoakOptions;
+//!
+//! let options = SoakOptions::new("target/release/borageshore".into(), 7);
+//! assert_eq!(options.seed, 7);
+//! ```
+
+mod daemons;
+mod faults;
+mod oracle;
+mod traffic;
+mod world;
+
+use std::path::PathBuf;
+
+use borageshore_net::run_event_loop;
+
+/// The faults of a run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Script {
+    /// So many, drawn from the seed.
+    Random(usize),
+    /// These, each at its time after traffic began.
+    Moments(Vec<(u64, Moment)>),
+}
+
+/// A fault at a set time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Moment {
+    /// The daemon that runs a submission is killed and starts again a second later.
+    KillHolder,
+    /// A daemon gets SIGTERM and starts again when it has ended.
+    StopOne,
+}
+
+/// What to play.
+#[derive(Debug, Clone)]
+pub struct SoakOptions {
+    /// The program of the daemons.
+    pub program: PathBuf,
+    /// Decides everything that is drawn.
+    pub seed: u64,
+    /// Daemons.
+    pub daemons: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Endpoints of the plain service.
+    pub services: usize,
+    /// How long traffic and faults go on.
+    pub duration_ms: u64,
+    /// The faults.
+    pub script: Script,
+    /// Where the daemons' logs go.
+    pub folder: PathBuf,
+}
+
+impl SoakOptions {
+    /// The usual size: four daemons for fifteen seconds.
+    pub fn new(program: PathBuf, seed: u64) -> Self {
+        Self {
+            program,
+            seed,
+            daemons: 4,
+            engines: 4,
+            services: 2,
+            duration_ms: 15_000,
+            script: Script::Random(8),
+            folder: std::env::temp_dir()
+                .join(format!("borageshore-soak-{}-{seed}", std::process::id())),
+        }
+    }
+}
+
+/// What came of a run.
+#[derive(Debug, Clone, Default)]
+pub struct SoakReport {
+    /// The faults, with when they began.
+    pub faults: Vec<String>,
+    /// Calls that were answered with success.
+    pub calls_answered: usize,
+    /// Calls made.
+    pub calls: usize,
+    /// Submissions accepted.
+    pub submissions: usize,
+    /// Results read, each once.
+    pub results: usize,
+    /// Broken promises.
+    pub violations: Vec<String>,
+}
+
+/// Plays one seed; the daemons' logs stay in the folder if a promise was broken.
+pub fn run_seed(options: &SoakOptions) -> std::io::Result<SoakReport> {
+    std::fs::create_dir_all(&options.folder)?;
+    let report = run_event_loop(world::play(options))?;
+    if report.violations.is_empty() {
+        std::fs::remove_dir_all(&options.folder)?;
+    }
+    Ok(report)
+}
--- /dev/null
+++ b/crates/borageshore_soak/src/main.rs
@@ -0,0 +1,79 @@
+//! The fault soak as a program: plays seeds one after the other and fails on a broken promise.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use borageshore_soak::{Script, SoakOptions, run_seed};
+use clap::Parser;
+
+#[derive(Debug, Parser)]
+#[command(about = "Plays seeded faults against real daemons and checks the promises")]
+struct Arguments {
+    /// The program of the daemons.
+    #[arg(long, default_value = "target/release/borageshore")]
+    program: PathBuf,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    first: u64,
+    /// How many seeds.
+    #[arg(long, default_value_t = 50)]
+    seeds: u64,
+    /// Daemons.
+    #[arg(long, default_value_t = 4)]
+    daemons: usize,
+    /// Engines.
+    #[arg(long, default_value_t = 4)]
+    engines: usize,
+    /// Time of traffic and faults.
+    #[arg(long, default_value_t = 15_000)]
+    duration_ms: u64,
+    /// Faults in this time.
+    #[arg(long, default_value_t = 8)]
+    faults: usize,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let mut failed = 0;
+    for seed in arguments.first..arguments.first + arguments.seeds {
+        let options = SoakOptions {
+            daemons: arguments.daemons,
+            engines: arguments.engines,
+            duration_ms: arguments.duration_ms,
+            script: Script::Random(arguments.faults),
+            ..SoakOptions::new(arguments.program.clone(), seed)
+        };
+        failed += u64::from(!play(&options));
+    }
+    println!("{} passed, {failed} failed", arguments.seeds - failed);
+    ExitCode::from(u8::from(failed > 0))
+}
+
+fn play(options: &SoakOptions) -> bool {
+    let report = match run_seed(options) {
+        Ok(report) => report,
+        Err(error) => {
+            println!("seed {}: cannot be played: {error}", options.seed);
+            return false;
+        }
+    };
+    println!(
+        "seed {}: {} of {} calls answered, {} submissions, {} results, {} broken",
+        options.seed,
+        report.calls_answered,
+        report.calls,
+        report.submissions,
+        report.results,
+        report.violations.len()
+    );
+    if report.violations.is_empty() {
+        return true;
+    }
+    for fault in &report.faults {
+        println!("  fault at {fault}");
+    }
+    for violation in &report.violations {
+        println!("  BROKEN {violation}");
+    }
+    println!("  logs in {}", options.folder.display());
+    false
+}
--- /dev/null
+++ b/crates/borageshore_soak/src/oracle.rs
@@ -0,0 +1,217 @@
+//! What was seen from the outside, and which promises it breaks.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    fmt::Write as _,
+};
+
+use borageshore_standins::platform::{
+    PlatformEngine, PlatformService, SeenRun, event_text, events_of,
+};
+use serde::Deserialize;
+
+/// Orders of two holders to one engine are at least this far apart.
+const LEASE_MS: u64 = 3_000;
+/// Orders that leave a process within this time after it went on do not count.
+const THAW_SLACK_MS: u64 = 300;
+
+/// A result as a trainer reads it.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub(crate) struct ReadResult {
+    pub(crate) id: String,
+    pub(crate) state: String,
+    pub(crate) output: String,
+    pub(crate) versions: Vec<u64>,
+    pub(crate) score: Option<String>,
+}
+
+/// A submission as its trainer knows it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct KnownSubmission {
+    pub(crate) items: Vec<String>,
+    pub(crate) min_version: u64,
+    pub(crate) is_accepted: bool,
+    /// Whether every answer so far said that nothing of it runs.
+    pub(crate) is_refused: bool,
+    pub(crate) results: BTreeMap<usize, ReadResult>,
+}
+
+/// Collects what is seen and checks what must hold.
+#[derive(Debug, Default)]
+pub(crate) struct Oracle {
+    pub(crate) submissions: RefCell<BTreeMap<String, KnownSubmission>>,
+    /// Calls that may run once at the most, with whether they were said not to have run.
+    pub(crate) single_calls: RefCell<BTreeMap<String, bool>>,
+    /// When paused processes went on.
+    pub(crate) resumed_at_ms: RefCell<Vec<(String, u64)>>,
+    violations: RefCell<BTreeSet<String>>,
+}
+
+impl Oracle {
+    pub(crate) fn broken(&self, what: String) {
+        self.violations.borrow_mut().insert(what);
+    }
+
+    pub(crate) fn violations(&self) -> Vec<String> {
+        self.violations.borrow().iter().cloned().collect()
+    }
+
+    /// Takes over a page of results that a daemon gave.
+    pub(crate) fn on_results(&self, id: &str, after: usize, total: usize, page: Vec<ReadResult>) {
+        let mut submissions = self.submissions.borrow_mut();
+        let known = submissions.entry(id.into()).or_default();
+        if total != known.items.len() {
+            self.broken(format!("{id}: total {total} of {}", known.items.len()));
+        }
+        for (offset, result) in page.into_iter().enumerate() {
+            let position = after + offset;
+            self.check_result(id, known, &result);
+            match known.results.get(&position) {
+                Some(before) if *before != result => self.broken(format!(
+                    "{id}: position {position} holds {} and held {}",
+                    result.id, before.id
+                )),
+                Some(_) => {}
+                None => {
+                    let twice = known.results.values().any(|other| other.id == result.id);
+                    if twice {
+                        self.broken(format!("{id}: item {} stands twice", result.id));
+                    }
+                    known.results.insert(position, result);
+                }
+            }
+        }
+    }
+
+    fn check_result(&self, id: &str, known: &KnownSubmission, result: &ReadResult) {
+        if !known.items.contains(&result.id) {
+            self.broken(format!(
+                "{id}: names item {} of another submission",
+                result.id
+            ));
+        }
+        if result.state != "done" {
+            return;
+        }
+        let events: Vec<String> = (1..=events_of(&result.id))
+            .map(|event| event_text(&result.id, event))
+            .collect();
+        if result.output != events.join("\n") {
+            self.broken(format!("{id}: the text of {} is not whole", result.id));
+        }
+        if result
+            .versions
+            .iter()
+            .any(|version| *version < known.min_version)
+        {
+            self.broken(format!(
+                "{id}: {} made under {:?}",
+                result.id, result.versions
+            ));
+        }
+        let stamp = PlatformService::stamp(&reward_id(&result.id));
+        if result.score.as_deref() != Some(&stamp) {
+            self.broken(format!("{id}: {} has the score of another call", result.id));
+        }
+    }
+
+    /// Checks what the endpoints saw over the whole run.
+    pub(crate) fn check_endpoints(&self, engines: &[PlatformEngine], services: &[PlatformService]) {
+        let runs: Vec<SeenRun> = engines.iter().flat_map(PlatformEngine::runs).collect();
+        self.check_refused(&runs);
+        self.check_versions(&runs);
+        self.check_single_calls(services);
+        for (number, engine) in engines.iter().enumerate() {
+            self.check_orders(number, engine);
+        }
+    }
+
+    fn check_refused(&self, runs: &[SeenRun]) {
+        for (id, known) in self.submissions.borrow().iter() {
+            let has_run = |item: &String| runs.iter().any(|run| run.item == *item);
+            if known.is_refused && !known.is_accepted && known.items.iter().any(has_run) {
+                self.broken(format!("{id}: was refused and ran"));
+            }
+        }
+    }
+
+    /// The versions of a result are those of events that were made; nothing else can be told from
+    /// outside where several runs made the same event.
+    fn check_versions(&self, runs: &[SeenRun]) {
+        for (id, known) in self.submissions.borrow().iter() {
+            for result in known
+                .results
+                .values()
+                .filter(|result| result.state == "done")
+            {
+                let made = runs.iter().filter(|run| run.item == result.id);
+                let made: BTreeSet<u64> = made
+                    .flat_map(|run| run.events.iter().map(|(_, version)| *version))
+                    .collect();
+                if result.versions.is_empty() || result.versions.iter().any(|v| !made.contains(v)) {
+                    let text = format!(
+                        "{id}: {} says {:?}, made {made:?}",
+                        result.id, result.versions
+                    );
+                    self.broken(text);
+                }
+            }
+        }
+    }
+
+    fn check_single_calls(&self, services: &[PlatformService]) {
+        let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+        for service in services {
+            for (id, at) in service.runs() {
+                *runs.entry(id).or_default() += at.len();
+            }
+        }
+        for (id, said_not_run) in self.single_calls.borrow().iter() {
+            let count = runs.get(id).copied().unwrap_or(0);
+            if count > 1 {
+                self.broken(format!("call {id} may run once and ran {count} times"));
+            }
+            if *said_not_run && count > 0 {
+                self.broken(format!("call {id} was said not to have run, and ran"));
+            }
+        }
+    }
+
+    fn check_orders(&self, number: usize, engine: &PlatformEngine) {
+        let resumed = self.resumed_at_ms.borrow();
+        let counts = |at_ms: u64, holder: &str| {
+            !resumed.iter().any(|(name, resumed_ms)| {
+                name == holder && (*resumed_ms..resumed_ms + THAW_SLACK_MS).contains(&at_ms)
+            })
+        };
+        let orders = engine.orders();
+        let orders: Vec<_> = orders
+            .iter()
+            .filter(|order| counts(order.at_ms, &order.holder))
+            .collect();
+        for pair in orders.windows(2) {
+            let [first, second] = pair else { continue };
+            let mut fault = String::new();
+            if first.holder != second.holder && second.at_ms < first.at_ms + LEASE_MS {
+                let _ = write!(fault, "{} ms apart", second.at_ms - first.at_ms);
+            }
+            if second.epoch < first.epoch
+                || (second.epoch == first.epoch && second.holder != first.holder)
+            {
+                let _ = write!(fault, " epoch {} after {}", second.epoch, first.epoch);
+            }
+            if !fault.is_empty() {
+                self.broken(format!(
+                    "engine {number}: orders of {} and {}: {fault}",
+                    first.holder, second.holder
+                ));
+            }
+        }
+    }
+}
+
+/// The id of an item's reward call.
+pub(crate) fn reward_id(item: &str) -> String {
+    format!("reward-{item}")
+}
--- /dev/null
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -0,0 +1,296 @@
+//! Callers and a trainer, who check every answer.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
+
+use base64::{Engine as _, prelude::BASE64_STANDARD};
+use borageshore_net::{Clock, HttpClient, Timeouts, sleep_ms};
+use borageshore_standins::platform::{PlatformService, PlatformStore};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use rand_core::Rng;
+use rand_pcg::Pcg64Mcg;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::oracle::{KnownSubmission, Oracle, ReadResult, reward_id};
+
+/// The host of all routes.
+pub(crate) const HOST: &str = "soak.example";
+/// The model that is trained.
+pub(crate) const MODEL: &str = "m0";
+/// The pause between two calls of a caller.
+const CALL_PAUSE_MS: u64 = 40;
+/// Groups of a step, the items of each, and how many groups the trainer waits for.
+const STEP: (usize, usize, usize) = (6, 3, 5);
+/// The trainer gives a step up after this time.
+const STEP_MS: u64 = 8_000;
+const TIMEOUTS: Timeouts = Timeouts {
+    connect_ms: 1_000,
+    first_byte_ms: 2_500,
+};
+
+/// What traffic needs of the rest.
+#[derive(Debug)]
+pub(crate) struct Traffic {
+    pub(crate) clock: Clock,
+    pub(crate) fronts: Vec<SocketAddr>,
+    pub(crate) directories: Vec<SocketAddr>,
+    pub(crate) store: PlatformStore,
+    pub(crate) oracle: Rc<Oracle>,
+    pub(crate) until_ms: u64,
+    pub(crate) calls: Cell<usize>,
+    pub(crate) calls_answered: Cell<usize>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Addresses {
+    addresses: Vec<SocketAddr>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ResultsPage {
+    total: usize,
+    results: Vec<ReadResult>,
+}
+
+impl Traffic {
+    fn is_over(&self) -> bool {
+        self.clock.now_ms() >= self.until_ms
+    }
+
+    /// One of the addresses that a daemon gives out, or any where none answers.
+    async fn address(&self, random: &mut Pcg64Mcg) -> SocketAddr {
+        let directory = pick(&self.directories, random);
+        let request = Request::get("/api/resolve?name=soak.example&region=r&zone=z1");
+        let request = request.body(Full::<Bytes>::default()).expect("plain text");
+        let answer = HttpClient::open()
+            .call(&directory.to_string(), request, TIMEOUTS)
+            .await;
+        let listed = answer.ok().filter(|(status, _)| *status == StatusCode::OK);
+        let listed: Option<Addresses> =
+            listed.and_then(|(_, body)| serde_json::from_slice(&body).ok());
+        match listed {
+            Some(listed) if !listed.addresses.is_empty() => pick(&listed.addresses, random),
+            _ => pick(&self.fronts, random),
+        }
+    }
+
+    /// Makes a request on a connection of its own.
+    async fn ask(
+        &self,
+        front: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Option<(StatusCode, Bytes)> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", HOST);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(body)).expect("plain text");
+        let client = HttpClient::open();
+        let mut connection = client.connect(&front.to_string(), TIMEOUTS).await.ok()?;
+        let response = client.send(&mut connection, request, TIMEOUTS).await.ok()?;
+        let (head, body) = response.into_parts();
+        let collecting = http_body_util::BodyExt::collect(body);
+        let body = borageshore_net::within_ms(TIMEOUTS.first_byte_ms, collecting).await?;
+        if method == "POST" && head.status == StatusCode::OK {
+            self.check_answer(headers, &head.headers);
+        }
+        Some((head.status, body.ok()?.to_bytes()))
+    }
+
+    fn check_answer(&self, asked: &[(&str, &str)], answered: &hyper::HeaderMap) {
+        let id = asked.iter().find(|(name, _)| *name == "x-request-id");
+        let id = id.map_or("", |(_, id)| *id);
+        let header = |name: &str| answered.get(name).and_then(|value| value.to_str().ok());
+        if header("x-request-id") != Some(id) {
+            self.oracle
+                .broken(format!("call {id} got the answer to another one"));
+        }
+        if header("x-server-stamp") != Some(&PlatformService::stamp(id)) {
+            self.oracle
+                .broken(format!("call {id} got a success without its signature"));
+        }
+    }
+
+    /// Makes calls, every other one of a kind that may run once at the most.
+    pub(crate) async fn call(self: Rc<Self>, name: String, mut random: Pcg64Mcg) {
+        let mut number = 0;
+        while !self.is_over() {
+            number += 1;
+            let id = format!("{name}-{number}");
+            let is_single = number % 2 == 0;
+            let path = if is_single { "/once/x" } else { "/safe/x" };
+            let front = self.address(&mut random).await;
+            let headers = [("x-request-id", id.as_str()), ("x-deadline-ms", "2000")];
+            let answer = self
+                .ask(front, "POST", path, &headers, Bytes::from("body"))
+                .await;
+            self.calls.set(self.calls.get() + 1);
+            let status = answer.as_ref().map_or(0, |(status, _)| status.as_u16());
+            if status == 200 {
+                self.calls_answered.set(self.calls_answered.get() + 1);
+                let (_, body) = answer.expect("a status came with it");
+                if body != format!("answer to {id}") {
+                    self.oracle
+                        .broken(format!("call {id} got a body that is not whole"));
+                }
+            }
+            if status == 404 || status == 400 {
+                self.oracle
+                    .broken(format!("call {id} was denied with {status}"));
+            }
+            if is_single {
+                let said_not_run = matches!(status, 408 | 421 | 429 | 503);
+                self.oracle
+                    .single_calls
+                    .borrow_mut()
+                    .insert(id, said_not_run);
+            }
+            sleep_ms(CALL_PAUSE_MS).await;
+        }
+    }
+
+    /// Trains: submits a step, reads it, ends it, names the next version.
+    pub(crate) async fn train(self: Rc<Self>, mut random: Pcg64Mcg) {
+        let mut step = 1;
+        while !self.is_over() {
+            let id = format!("step-{step}");
+            if self.submit(&id, step, &mut random).await {
+                self.read_step(&id, &mut random).await;
+                self.end(&id, &mut random).await;
+            }
+            step += 1;
+            let version = json!({ "model": MODEL, "version": step });
+            let key = format!("version/{MODEL}");
+            self.store
+                .put("keyed.op", &key, version.to_string().as_bytes());
+        }
+    }
+
+    async fn submit(&self, id: &str, step: u64, random: &mut Pcg64Mcg) -> bool {
+        let (groups, size, wanted) = STEP;
+        let mut items = Vec::new();
+        for number in 0..groups * size {
+            let item = format!("{id}-item-{number}");
+            let reward =
+                json!({ "id": reward_id(&item), "host": HOST, "path": "/safe/reward", "body": "" });
+            items.push(json!({
+                "id": item, "path": "/batch/x", "headers": { "X-Model": MODEL, "X-Token-Count": "10,10" },
+                "body": BASE64_STANDARD.encode(&item), "num_tokens": 20,
+                "group": format!("{id}-{}", number / size), "scorer": reward,
+            }));
+        }
+        let names = |item: &Value| item["id"].as_str().map(str::to_owned);
+        let known = KnownSubmission {
+            items: items.iter().filter_map(names).collect(),
+            min_version: step.saturating_sub(1).max(1),
+            is_refused: true,
+            ..KnownSubmission::default()
+        };
+        self.oracle
+            .submissions
+            .borrow_mut()
+            .insert(id.into(), known);
+        let body = json!({
+            "step": step, "model": MODEL, "min_version": step.saturating_sub(1).max(1),
+            "target_groups": wanted, "items": items,
+        });
+        let body = Bytes::from(body.to_string());
+        while !self.is_over() {
+            let front = self.address(random).await;
+            let headers = [("x-request-id", id)];
+            let answer = self
+                .ask(front, "POST", "/batch/x", &headers, body.clone())
+                .await;
+            let status = answer.map_or(0, |(status, _)| status.as_u16());
+            let mut submissions = self.oracle.submissions.borrow_mut();
+            let known = submissions.get_mut(id).expect("entered above");
+            known.is_refused &= matches!(status, 429 | 503);
+            if status == 202 {
+                known.is_accepted = true;
+                return true;
+            }
+            drop(submissions);
+            sleep_ms(100).await;
+        }
+        false
+    }
+
+    async fn read_step(&self, id: &str, random: &mut Pcg64Mcg) {
+        let give_up_ms = self.clock.now_ms() + STEP_MS;
+        let (groups, size, wanted) = STEP;
+        let mut after = 0;
+        while self.clock.now_ms() < give_up_ms && !self.is_over() {
+            let front = self.address(random).await;
+            match self.read(id, after, front, 500).await {
+                Some(count) => after += count,
+                None => sleep_ms(100).await,
+            }
+            // A reader goes back now and then, and must find what it has read.
+            if random.next_u64().is_multiple_of(4) {
+                self.read(id, after / 2, front, 0).await;
+            }
+            if after >= groups * size || self.complete_groups(id) >= wanted {
+                return;
+            }
+        }
+    }
+
+    fn complete_groups(&self, id: &str) -> usize {
+        let (groups, size, _) = STEP;
+        let submissions = self.oracle.submissions.borrow();
+        let listed: Vec<&String> = submissions[id].results.values().map(|r| &r.id).collect();
+        let is_complete = |group: &usize| {
+            let mut items = (group * size..(group + 1) * size).map(|n| format!("{id}-item-{n}"));
+            items.all(|item| listed.contains(&&item))
+        };
+        (0..groups).filter(is_complete).count()
+    }
+
+    /// Reads results from a position on; returns how many came.
+    pub(crate) async fn read(
+        &self,
+        id: &str,
+        after: usize,
+        front: SocketAddr,
+        wait_ms: u64,
+    ) -> Option<usize> {
+        let path = format!("/api/lots/{id}?after={after}");
+        let wait = wait_ms.to_string();
+        let headers = [("x-wait-ms", wait.as_str())];
+        let (status, body) = self
+            .ask(front, "GET", &path, &headers, Bytes::new())
+            .await?;
+        if status == StatusCode::NOT_FOUND {
+            self.oracle
+                .broken(format!("{id}: accepted and not found at {front}"));
+        }
+        let page: ResultsPage = serde_json::from_slice(&body).ok()?;
+        let count = page.results.len();
+        self.oracle.on_results(id, after, page.total, page.results);
+        Some(count)
+    }
+
+    async fn end(&self, id: &str, random: &mut Pcg64Mcg) {
+        while !self.is_over() {
+            let front = self.address(random).await;
+            let path = format!("/api/lots/{id}");
+            let answer = self.ask(front, "DELETE", &path, &[], Bytes::new()).await;
+            if answer.is_some_and(|(status, _)| status == StatusCode::OK) {
+                return;
+            }
+            sleep_ms(100).await;
+        }
+    }
+}
+
+fn pick(addresses: &[SocketAddr], random: &mut Pcg64Mcg) -> SocketAddr {
+    addresses[(random.next_u64() % addresses.len() as u64) as usize]
+}
--- /dev/null
+++ b/crates/borageshore_soak/src/world.rs
@@ -0,0 +1,183 @@
+//! One run: stand-ins, daemons, traffic, faults, and the checks at the end.
+
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc};
+
+use borageshore_net::{Clock, sleep_ms};
+use borageshore_standins::platform::{PlatformEngine, PlatformService, PlatformStore, Proxy};
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rustix::process::Signal;
+use serde_json::json;
+
+use crate::{
+    Script, SoakOptions, SoakReport,
+    daemons::DaemonProcess,
+    faults::Targets,
+    oracle::Oracle,
+    traffic::{HOST, MODEL, Traffic},
+};
+
+/// Daemons are up by then.
+const START_MS: u64 = 1_500;
+/// Faults end this long before traffic does, so that the end shows what recovered.
+const CALM_MS: u64 = 4_000;
+/// After traffic and faults, before the last reads.
+const SETTLE_MS: u64 = 2_500;
+/// A daemon that cannot be sure is asked again this often.
+const READ_AGAIN: usize = 20;
+const CALLERS: usize = 3;
+
+pub(crate) async fn play(options: &SoakOptions) -> io::Result<SoakReport> {
+    let clock = Clock::start();
+    let mut random = Pcg64Mcg::seed_from_u64(options.seed);
+    let oracle = Rc::new(Oracle::default());
+    let targets = Rc::new(build(options, clock, &oracle)?);
+    for daemon in &targets.daemons {
+        daemon.start()?;
+    }
+    sleep_ms(START_MS).await;
+    let until_ms = clock.now_ms() + options.duration_ms;
+    let traffic = Rc::new(Traffic {
+        clock,
+        fronts: targets.daemons.iter().map(|daemon| daemon.front).collect(),
+        directories: targets
+            .daemons
+            .iter()
+            .map(|daemon| daemon.directory)
+            .collect(),
+        store: targets.store.clone(),
+        oracle: oracle.clone(),
+        until_ms,
+        calls: Cell::new(0),
+        calls_answered: Cell::new(0),
+    });
+    let mut fork = || Pcg64Mcg::seed_from_u64(random.next_u64());
+    for number in 0..CALLERS {
+        monoio::spawn(traffic.clone().call(format!("caller-{number}"), fork()));
+    }
+    monoio::spawn(traffic.clone().train(fork()));
+    let faults_until_ms = until_ms.saturating_sub(CALM_MS);
+    match &options.script {
+        Script::Random(count) => targets.clone().harm(*count, faults_until_ms, fork()).await,
+        Script::Moments(moments) => targets.clone().play(moments).await,
+    }
+    sleep_ms(until_ms.saturating_sub(clock.now_ms()) + SETTLE_MS).await;
+    read_everything(&traffic).await;
+    let engines: Vec<PlatformEngine> = targets.engines.iter().map(|(e, _)| e.clone()).collect();
+    let services: Vec<PlatformService> = targets.services.iter().map(|(s, _)| s.clone()).collect();
+    oracle.check_endpoints(&engines, &services);
+    for daemon in &targets.daemons {
+        daemon.signal(Signal::KILL);
+    }
+    Ok(report(&traffic, &targets, &oracle))
+}
+
+fn build(options: &SoakOptions, clock: Clock, oracle: &Rc<Oracle>) -> io::Result<Targets> {
+    let store = PlatformStore::bind("127.0.0.1:0")?;
+    store.put("keyed.op", "config", routes().to_string().as_bytes());
+    let mut engines = Vec::new();
+    for number in 0..options.engines {
+        let instance = format!("e-{number}");
+        let engine = PlatformEngine::bind("llm", &instance, MODEL, 1, clock)?;
+        let proxy = Proxy::bind(engine.address())?;
+        engine.list(&store, &proxy.address().to_string(), "ready");
+        engines.push((engine, proxy));
+    }
+    let mut services = Vec::new();
+    for number in 0..options.services {
+        let service = PlatformService::bind("app", &format!("s-{number}"), clock)?;
+        let proxy = Proxy::bind(service.address())?;
+        service.list(&store, &proxy.address().to_string(), "ready");
+        services.push((service, proxy));
+    }
+    let mut daemons = Vec::new();
+    for number in 0..options.daemons {
+        let proxy = Proxy::bind(store.address())?;
+        daemons.push(DaemonProcess::open(options, number, proxy)?);
+    }
+    Ok(Targets {
+        clock,
+        oracle: oracle.clone(),
+        store,
+        daemons,
+        engines,
+        services,
+        begun: Vec::new().into(),
+    })
+}
+
+fn routes() -> serde_json::Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 2_000, "target_latency_ms": 200, "priority": 1, "max_attempts": 3,
+            "service": service, "result_due_ms": 7_500, "retention_s": 60,
+        })
+    };
+    json!({
+        "version": 1,
+        "routes": [
+            route("safe", "safe", "app"), route("once", "unsafe", "app"),
+            route("batch", "rollout", "llm"),
+        ],
+        "services": [], "limits": {},
+    })
+}
+
+/// Reads every accepted submission from its start at every daemon: whatever was read must come
+/// again, and no daemon may have forgotten it.
+async fn read_everything(traffic: &Traffic) {
+    let accepted: Vec<String> = {
+        let submissions = traffic.oracle.submissions.borrow();
+        let accepted = submissions.iter().filter(|(_, known)| known.is_accepted);
+        accepted.map(|(id, _)| id.clone()).collect()
+    };
+    for id in accepted {
+        for front in &traffic.fronts {
+            read_from_start(traffic, &id, *front).await;
+        }
+    }
+}
+
+async fn read_from_start(traffic: &Traffic, id: &str, front: SocketAddr) {
+    let mut after = 0;
+    for _ in 0..READ_AGAIN {
+        match traffic.read(id, after, front, 0).await {
+            Some(0) => {
+                let seen = traffic.oracle.submissions.borrow()[id].results.len();
+                if after < seen {
+                    let text =
+                        format!("{id}: {front} has {after} of {seen} results that were read");
+                    traffic.oracle.broken(text);
+                }
+                return;
+            }
+            Some(count) => after += count,
+            None => sleep_ms(100).await,
+        }
+    }
+    traffic
+        .oracle
+        .broken(format!("{id}: cannot be read at {front} at the end"));
+}
+
+fn report(traffic: &Traffic, targets: &Targets, oracle: &Oracle) -> SoakReport {
+    let submissions = oracle.submissions.borrow();
+    let accepted = submissions.values().filter(|known| known.is_accepted);
+    let results: usize = accepted.clone().map(|known| known.results.len()).sum();
+    let mut violations = oracle.violations();
+    if results == 0 {
+        violations.push("no result was ever read".into());
+    }
+    if traffic.calls_answered.get() * 2 < traffic.calls.get() {
+        violations.push("less than half of the calls were answered".into());
+    }
+    SoakReport {
+        faults: targets.begun.borrow().clone(),
+        calls_answered: traffic.calls_answered.get(),
+        calls: traffic.calls.get(),
+        submissions: accepted.count(),
+        results,
+        violations,
+    }
+}
--- a/crates/borageshore_standins/src/lib.rs
+++ b/crates/borageshore_standins/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod engine;
 pub mod log;
 pub mod plain;
+pub mod platform;
 pub mod trainer;
 pub mod vm_list;
 pub mod weight_store;
--- /dev/null
+++ b/crates/borageshore_standins/src/platform/engine.rs
@@ -0,0 +1,338 @@
+//! An engine of the platform: resumable streams, versions of weights, orders.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use borageshore_net::{
+    Clock, EdgeRequest, EdgeResponse, Handler, HttpServer, json_response, read_body, sleep_ms,
+    stream_body,
+};
+use bytes::Bytes;
+use hyper::Response;
+use serde::Deserialize;
+use serde_json::json;
+
+use super::{header, mixed, store::PlatformStore};
+use crate::http::{limits, status};
+
+/// The most events of a text.
+const MOST_EVENTS: u64 = 12;
+
+/// How many events the text of an item has.
+pub fn events_of(item: &str) -> u64 {
+    1 + mixed(item) % MOST_EVENTS
+}
+
+/// The data of an event.
+pub fn event_text(item: &str, event: u64) -> String {
+    format!(
+        "{item} event {event} {:016x}",
+        mixed(&format!("{item}/{event}"))
+    )
+}
+
+/// How the engine behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineSwitches {
+    /// Time of one event.
+    pub event_ms: u64,
+    /// Time of a load of weights.
+    pub load_ms: u64,
+    /// Every so many runs are cut in the middle of an event; 0 for none.
+    pub cut_every: u64,
+    /// Orders get no answer and are carried out this much later; 0 for at once.
+    pub late_orders_ms: u64,
+    /// It accepts connections and answers nothing.
+    pub is_dark: bool,
+}
+
+/// A run of an item, as the engine saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeenRun {
+    /// The item.
+    pub item: String,
+    /// When it reached the engine.
+    pub at_ms: u64,
+    /// The event after which it was asked to begin.
+    pub after_event: u64,
+    /// The events that it made, with the version of the weights.
+    pub events: Vec<(u64, u64)>,
+}
+
+/// An order, as the engine saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GivenOrder {
+    /// When it arrived.
+    pub at_ms: u64,
+    /// Who gave it.
+    pub holder: String,
+    /// Its epoch.
+    pub epoch: u64,
+    /// The version that it asks for.
+    pub version: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    clock: Clock,
+    instance: String,
+    model: String,
+    version: Cell<u64>,
+    is_loading: Cell<bool>,
+    orders_accepted: Cell<u64>,
+    running: Cell<u64>,
+    slots: u64,
+    switches: Cell<EngineSwitches>,
+    runs: RefCell<Vec<SeenRun>>,
+    orders: RefCell<Vec<GivenOrder>>,
+}
+
+/// A running engine.
+#[derive(Debug, Clone)]
+pub struct PlatformEngine {
+    shared: Rc<Shared>,
+    server: HttpServer,
+    service: String,
+}
+
+#[derive(Debug, Clone)]
+struct Endpoint(Rc<Shared>);
+
+#[derive(Debug, Deserialize)]
+struct Order {
+    version: u64,
+    holder: String,
+    fence: u64,
+    expect: u64,
+}
+
+impl PlatformEngine {
+    /// Binds an address and serves it with weights of a version; it is not listed yet.
+    pub fn bind(
+        service: &str,
+        instance: &str,
+        model: &str,
+        version: u64,
+        clock: Clock,
+    ) -> io::Result<Self> {
+        let shared = Rc::new(Shared {
+            clock,
+            instance: instance.into(),
+            model: model.into(),
+            version: Cell::new(version),
+            is_loading: Cell::new(false),
+            orders_accepted: Cell::new(0),
+            running: Cell::new(0),
+            slots: 8,
+            switches: Cell::new(EngineSwitches {
+                event_ms: 15,
+                load_ms: 150,
+                cut_every: 0,
+                late_orders_ms: 0,
+                is_dark: false,
+            }),
+            runs: RefCell::default(),
+            orders: RefCell::default(),
+        });
+        let server = HttpServer::bind("127.0.0.1:0", limits(), Endpoint(shared.clone()))?;
+        Ok(Self {
+            shared,
+            server,
+            service: service.into(),
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Lists it in the store under an address, which may be that of a proxy.
+    pub fn list(&self, store: &PlatformStore, address: &str, state: &str) {
+        let shared = &self.shared;
+        let models =
+            json!([{ "name": shared.model, "version": shared.version.get(), "adapters": [] }]);
+        let entry = json!({
+            "service": self.service, "address": address, "zone": "z1", "version": "v1",
+            "slots": shared.slots, "state": state, "cold_left_ms": 0, "seq": 1,
+            "stage": "both", "models": models,
+        });
+        store.put(
+            "keyed.servers",
+            &shared.instance,
+            entry.to_string().as_bytes(),
+        );
+    }
+
+    /// Changes its behaviour.
+    pub fn set_switches(&self, switches: EngineSwitches) {
+        self.shared.switches.set(switches);
+    }
+
+    /// Its behaviour.
+    pub fn switches(&self) -> EngineSwitches {
+        self.shared.switches.get()
+    }
+
+    /// The version of its weights.
+    pub fn version(&self) -> u64 {
+        self.shared.version.get()
+    }
+
+    /// The runs that it saw.
+    pub fn runs(&self) -> Vec<SeenRun> {
+        self.shared.runs.borrow().clone()
+    }
+
+    /// The orders that it saw.
+    pub fn orders(&self) -> Vec<GivenOrder> {
+        self.shared.orders.borrow().clone()
+    }
+}
+
+impl Handler for Endpoint {
+    async fn handle(&self, request: EdgeRequest, _remote: SocketAddr) -> EdgeResponse {
+        if self.0.switches.get().is_dark {
+            return std::future::pending().await;
+        }
+        match request.uri().path() {
+            "/api/report" => self.0.report(),
+            "/api/order" => self.0.clone().on_order(request).await,
+            _ => self.0.clone().on_generate(request).await,
+        }
+    }
+}
+
+impl Shared {
+    fn report(&self) -> EdgeResponse {
+        let body = json!({
+            "stage": "both", "busy": self.is_loading.get(), "seq": self.orders_accepted.get(),
+            "models": [{ "name": self.model, "version": self.version.get(), "adapters": [] }],
+            "num_waiting": 0, "num_running": self.running.get(), "kv_used": 0, "kv_total": 1,
+            "handles": 0,
+        });
+        json_response(200, &body)
+    }
+
+    async fn on_order(self: Rc<Self>, request: EdgeRequest) -> EdgeResponse {
+        let Ok(body) = read_body(request.into_body(), limits()).await else {
+            return status(400);
+        };
+        let Ok(order) = serde_json::from_slice::<Order>(&body) else {
+            return status(400);
+        };
+        self.orders.borrow_mut().push(GivenOrder {
+            at_ms: self.clock.now_ms(),
+            holder: order.holder.clone(),
+            epoch: order.fence,
+            version: order.version,
+        });
+        let late_ms = self.switches.get().late_orders_ms;
+        if late_ms > 0 {
+            monoio::spawn(async move {
+                sleep_ms(late_ms).await;
+                self.carry_out(&order);
+            });
+            return std::future::pending().await;
+        }
+        self.carry_out(&order)
+    }
+
+    fn carry_out(self: &Rc<Self>, order: &Order) -> EdgeResponse {
+        if self.is_loading.get() || order.expect != self.orders_accepted.get() {
+            return status(409);
+        }
+        if order.version <= self.version.get() {
+            return status(200);
+        }
+        self.orders_accepted.set(self.orders_accepted.get() + 1);
+        self.is_loading.set(true);
+        let (shared, version) = (self.clone(), order.version);
+        monoio::spawn(async move {
+            sleep_ms(shared.switches.get().load_ms).await;
+            shared.version.set(version);
+            shared.is_loading.set(false);
+        });
+        status(202)
+    }
+
+    async fn on_generate(self: Rc<Self>, request: EdgeRequest) -> EdgeResponse {
+        let headers = request.headers();
+        if header(headers, "x-expect-instance") != Some(&self.instance) {
+            return status(421);
+        }
+        if self.is_loading.get() || self.running.get() >= self.slots {
+            let mut response = status(503);
+            let not_run = "1".parse().expect("plain text");
+            response.headers_mut().insert("x-not-executed", not_run);
+            return response;
+        }
+        let item = header(headers, "x-request-id")
+            .unwrap_or_default()
+            .to_owned();
+        let after = header(headers, "last-event-id").and_then(|id| id.parse().ok());
+        let after_event = after.unwrap_or(0);
+        let (sender, body) = stream_body();
+        let mut response = Response::new(body);
+        let shown = response.headers_mut();
+        shown.insert("x-request-id", item.parse().expect("plain text"));
+        let load = format!("{},0,{}", self.running.get() + 1, self.slots);
+        shown.insert("x-server-load", load.parse().expect("plain text"));
+        // With nothing left to make, an engine names no version.
+        if after_event < events_of(&item) {
+            shown.insert("x-weight-versions", self.version.get().into());
+        }
+        monoio::spawn(self.generate(item, after_event, sender));
+        response
+    }
+
+    async fn generate(
+        self: Rc<Self>,
+        item: String,
+        after_event: u64,
+        mut sender: http_body_util::channel::Sender<Bytes, io::Error>,
+    ) {
+        self.running.set(self.running.get() + 1);
+        let number = self.runs.borrow().len();
+        self.runs.borrow_mut().push(SeenRun {
+            item: item.clone(),
+            at_ms: self.clock.now_ms(),
+            after_event,
+            events: Vec::new(),
+        });
+        let cut_every = self.switches.get().cut_every;
+        let is_cut = cut_every > 0 && (number as u64 + 1).is_multiple_of(cut_every);
+        let mut shown_version = self.version.get();
+        for event in after_event + 1..=events_of(&item) {
+            while self.is_loading.get() {
+                sleep_ms(5).await;
+            }
+            sleep_ms(self.switches.get().event_ms).await;
+            let version = self.version.get();
+            let change = match std::mem::replace(&mut shown_version, version) != version {
+                true => format!("x-weight-versions: {version}\n"),
+                false => String::new(),
+            };
+            let text = format!(
+                "{change}id: {event}\ndata: {}\n\n",
+                event_text(&item, event)
+            );
+            if is_cut {
+                let half = text.as_bytes()[..text.len() / 2].to_vec();
+                let _ = sender.send_data(half.into()).await;
+                sender.abort(io::Error::other("cut"));
+                self.running.set(self.running.get() - 1);
+                return;
+            }
+            self.runs.borrow_mut()[number].events.push((event, version));
+            if sender.send_data(text.into()).await.is_err() {
+                break;
+            }
+        }
+        self.running.set(self.running.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/borageshore_standins/src/platform/plain.rs
@@ -0,0 +1,166 @@
+//! A plain service of the platform: answers calls with a signature and counts their runs.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    future::pending,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use borageshore_net::{
+    Clock, EdgeRequest, EdgeResponse, Handler, HttpServer, full_body, read_body, sleep_ms,
+};
+use hyper::Response;
+use serde_json::json;
+
+use super::{header, mixed, store::PlatformStore};
+use crate::http::{limits, status};
+
+/// How the service behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlainSwitches {
+    /// Time of one call.
+    pub work_ms: u64,
+    /// Every so many calls run and are never answered; 0 for none.
+    pub lose_every: u64,
+    /// Every so many answers bear the id of another call; 0 for none.
+    pub cross_every: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    clock: Clock,
+    instance: String,
+    switches: Cell<PlainSwitches>,
+    running: Cell<u64>,
+    calls: Cell<u64>,
+    /// When each call ran, by its id.
+    runs: RefCell<BTreeMap<String, Vec<u64>>>,
+}
+
+/// A running endpoint of a plain service.
+#[derive(Debug, Clone)]
+pub struct PlatformService {
+    shared: Rc<Shared>,
+    server: HttpServer,
+    service: String,
+}
+
+#[derive(Debug, Clone)]
+struct Endpoint(Rc<Shared>);
+
+impl PlatformService {
+    /// Binds an address and serves it; it is not listed yet.
+    pub fn bind(service: &str, instance: &str, clock: Clock) -> io::Result<Self> {
+        let shared = Rc::new(Shared {
+            clock,
+            instance: instance.into(),
+            switches: Cell::new(PlainSwitches {
+                work_ms: 5,
+                lose_every: 0,
+                cross_every: 0,
+            }),
+            running: Cell::new(0),
+            calls: Cell::new(0),
+            runs: RefCell::default(),
+        });
+        let server = HttpServer::bind("127.0.0.1:0", limits(), Endpoint(shared.clone()))?;
+        Ok(Self {
+            shared,
+            server,
+            service: service.into(),
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Lists it in the store under an address, which may be that of a proxy.
+    pub fn list(&self, store: &PlatformStore, address: &str, state: &str) {
+        let entry = json!({
+            "service": self.service, "address": address, "zone": "z1", "version": "v1",
+            "slots": 6, "state": state, "cold_left_ms": 0, "seq": 1,
+        });
+        store.put(
+            "keyed.servers",
+            &self.shared.instance,
+            entry.to_string().as_bytes(),
+        );
+    }
+
+    /// Changes its behaviour.
+    pub fn set_switches(&self, switches: PlainSwitches) {
+        self.shared.switches.set(switches);
+    }
+
+    /// When each call ran, by its id.
+    pub fn runs(&self) -> BTreeMap<String, Vec<u64>> {
+        self.shared.runs.borrow().clone()
+    }
+
+    /// The signature of this service under the answer to a call.
+    pub fn stamp(id: &str) -> String {
+        format!("stamp-{:016x}", mixed(id))
+    }
+}
+
+impl Handler for Endpoint {
+    async fn handle(&self, request: EdgeRequest, _remote: SocketAddr) -> EdgeResponse {
+        let shared = &self.0;
+        let id = header(request.headers(), "x-request-id")
+            .unwrap_or_default()
+            .to_owned();
+        let expected = header(request.headers(), "x-expect-instance").unwrap_or_default();
+        if expected != shared.instance {
+            return status(421);
+        }
+        if read_body(request.into_body(), limits()).await.is_err() {
+            return status(400);
+        }
+        let count = shared.calls.get() + 1;
+        shared.calls.set(count);
+        let switches = shared.switches.get();
+        let now_ms = shared.clock.now_ms();
+        shared
+            .runs
+            .borrow_mut()
+            .entry(id.clone())
+            .or_default()
+            .push(now_ms);
+        shared.running.set(shared.running.get() + 1);
+        let _running = Running(shared);
+        sleep_ms(switches.work_ms).await;
+        if is_nth(count, switches.lose_every) {
+            return pending().await;
+        }
+        let is_crossed = is_nth(count, switches.cross_every);
+        let echoed = if is_crossed { "another" } else { &id };
+        let mut response = Response::new(full_body(format!("answer to {id}")));
+        let headers = response.headers_mut();
+        let load = format!("{},0,6", shared.running.get());
+        for (name, value) in [
+            ("x-request-id", echoed.to_owned()),
+            ("x-server-stamp", PlatformService::stamp(&id)),
+            ("x-server-load", load),
+        ] {
+            headers.insert(name, value.parse().expect("plain text"));
+        }
+        response
+    }
+}
+
+fn is_nth(count: u64, every: u64) -> bool {
+    every > 0 && count.is_multiple_of(every)
+}
+
+struct Running<'s>(&'s Shared);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/borageshore_standins/src/platform/proxy.rs
@@ -0,0 +1,157 @@
+//! A loopback proxy that delays, resets, silences or cuts connections.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use borageshore_net::{bind_listener, sleep_ms};
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt, Splitable},
+    net::{TcpListener, TcpStream},
+};
+
+/// The most bytes that are passed on at once.
+const CHUNK_BYTES: usize = 16 * 1024;
+/// The pace at which a silent connection looks whether it may go on.
+const HELD_MS: u64 = 20;
+
+/// What happens to connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProxyMode {
+    /// Bytes pass.
+    Pass,
+    /// Bytes pass after so many ms.
+    Delay(u64),
+    /// Nothing passes, either way; what is held passes later.
+    Silent,
+    /// Requests pass, answers are held.
+    AnswersHeld,
+    /// Open connections end, new ones end at once.
+    Reset,
+}
+
+#[derive(Debug)]
+struct Shared {
+    target: RefCell<SocketAddr>,
+    mode: Cell<ProxyMode>,
+    /// Connections of an earlier generation stay silent for good.
+    generation: Cell<u64>,
+}
+
+/// A running proxy.
+#[derive(Debug, Clone)]
+pub struct Proxy {
+    address: SocketAddr,
+    shared: Rc<Shared>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Request,
+    Answer,
+}
+
+impl Proxy {
+    /// Opens a proxy before a target.
+    pub fn bind(target: SocketAddr) -> io::Result<Self> {
+        let listener = bind_listener("127.0.0.1:0")?;
+        let shared = Rc::new(Shared {
+            target: RefCell::new(target),
+            mode: Cell::new(ProxyMode::Pass),
+            generation: Cell::new(0),
+        });
+        let proxy = Self {
+            address: listener.local_addr()?,
+            shared: shared.clone(),
+        };
+        monoio::spawn(accept(listener, shared));
+        Ok(proxy)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what happens to connections.
+    pub fn set_mode(&self, mode: ProxyMode) {
+        self.shared.mode.set(mode);
+    }
+
+    /// Silences all open connections for good; new ones work.
+    pub fn forget_open_connections(&self) {
+        self.shared.generation.set(self.shared.generation.get() + 1);
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Rc<Shared>) {
+    loop {
+        let Ok((caller, _)) = listener.accept().await else {
+            sleep_ms(HELD_MS).await;
+            continue;
+        };
+        if shared.mode.get() == ProxyMode::Reset {
+            continue;
+        }
+        let target = *shared.target.borrow();
+        let shared = shared.clone();
+        monoio::spawn(async move {
+            if let Ok(target) = TcpStream::connect_addr(target).await {
+                join(caller, target, shared).await;
+            }
+        });
+    }
+}
+
+async fn join(caller: TcpStream, target: TcpStream, shared: Rc<Shared>) {
+    let _ = (caller.set_nodelay(true), target.set_nodelay(true));
+    let generation = shared.generation.get();
+    let (from_caller, to_caller) = caller.into_split();
+    let (from_target, to_target) = target.into_split();
+    let answers = pass(
+        from_target,
+        to_caller,
+        Way::Answer,
+        shared.clone(),
+        generation,
+    );
+    monoio::spawn(answers);
+    pass(from_caller, to_target, Way::Request, shared, generation).await;
+}
+
+async fn pass<From, To>(mut from: From, mut to: To, way: Way, shared: Rc<Shared>, generation: u64)
+where
+    From: AsyncReadRent,
+    To: AsyncWriteRentExt + monoio::io::AsyncWriteRent,
+{
+    loop {
+        let (read, buffer) = from.read(vec![0_u8; CHUNK_BYTES]).await;
+        let Ok(count) = read else { break };
+        loop {
+            let is_forgotten = shared.generation.get() != generation;
+            match shared.mode.get() {
+                ProxyMode::Reset => return,
+                ProxyMode::Delay(ms) if !is_forgotten => {
+                    sleep_ms(ms).await;
+                    break;
+                }
+                ProxyMode::Pass if !is_forgotten => break,
+                ProxyMode::AnswersHeld if way == Way::Request && !is_forgotten => break,
+                _ => sleep_ms(HELD_MS).await,
+            }
+        }
+        if count == 0 {
+            break;
+        }
+        let mut buffer = buffer;
+        buffer.truncate(count);
+        let (written, _) = to.write_all(buffer).await;
+        if written.is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown().await;
+}
--- /dev/null
+++ b/crates/borageshore_standins/src/platform/store.rs
@@ -0,0 +1,310 @@
+//! The platform's store: partitioned logs, keyed topics, long polls, and switches that make it fail.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    future::pending,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use borageshore_net::{
+    Clock, EdgeRequest, EdgeResponse, Handler, HttpServer, full_body, json_response, read_body,
+    sleep_ms, within_ms,
+};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use hyper::Response;
+use serde_json::json;
+use tokio::sync::Notify;
+
+use super::query;
+use crate::http::{limits, status};
+
+/// The most bytes of one read, as the platform has it by default.
+const READ_BYTES: usize = 1_024 * 1_024;
+
+/// How the store behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreMode {
+    /// It answers.
+    Up,
+    /// It answers every call with 503.
+    Busy,
+    /// It answers nothing.
+    Silent,
+    /// It answers after so many ms.
+    Slow(u64),
+    /// It does what it is asked and answers no append.
+    LostAnswers,
+    /// It answers no append and does it after so many ms, if its condition still holds.
+    Late(u64),
+}
+
+#[derive(Debug, Clone)]
+struct Record {
+    offset: u64,
+    bytes: Bytes,
+}
+
+#[derive(Debug, Default)]
+struct Partition {
+    end: u64,
+    records: Vec<Record>,
+    /// The newest record of each key, for keyed topics.
+    newest: BTreeMap<String, Record>,
+}
+
+impl Partition {
+    fn first(&self) -> u64 {
+        self.records
+            .first()
+            .map_or(self.end, |record| record.offset)
+    }
+
+    fn push(&mut self, bytes: Bytes) {
+        let record = Record {
+            offset: self.end,
+            bytes,
+        };
+        self.end += 1;
+        if let Some((key, value)) = split_keyed(&record.bytes) {
+            if value.is_empty() {
+                self.newest.remove(&key);
+            } else {
+                self.newest.insert(key, record.clone());
+            }
+        }
+        self.records.push(record);
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    clock: Clock,
+    mode: Cell<StoreMode>,
+    partitions: RefCell<BTreeMap<(String, u64), Partition>>,
+    appended: Notify,
+    calls: Cell<u64>,
+}
+
+/// A running store.
+#[derive(Debug, Clone)]
+pub struct PlatformStore {
+    shared: Rc<Shared>,
+    server: HttpServer,
+}
+
+#[derive(Debug, Clone)]
+struct Service(Rc<Shared>);
+
+impl PlatformStore {
+    /// Binds an address and serves it.
+    pub fn bind(address: &str) -> io::Result<Self> {
+        let shared = Rc::new(Shared {
+            clock: Clock::start(),
+            mode: Cell::new(StoreMode::Up),
+            partitions: RefCell::default(),
+            appended: Notify::new(),
+            calls: Cell::new(0),
+        });
+        let server = HttpServer::bind(address, limits(), Service(shared.clone()))?;
+        Ok(Self { shared, server })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes its behaviour for calls from now on.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.shared.mode.set(mode);
+    }
+
+    /// How many calls it got.
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.get()
+    }
+
+    /// Writes a record under a key as the operator or an endpoint does, whatever the mode.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut record = BytesMut::new();
+        record.put_u8(key.len() as u8);
+        record.put_slice(key.as_bytes());
+        record.put_slice(value);
+        self.shared.append(topic, 0, vec![record.freeze()]);
+    }
+
+    /// The newest record of each key of a topic's first partition.
+    pub fn newest(&self, topic: &str) -> Vec<(String, Bytes)> {
+        let partitions = self.shared.partitions.borrow();
+        let partition = partitions.get(&(topic.to_owned(), 0));
+        let records = partition
+            .into_iter()
+            .flat_map(|partition| partition.newest.values());
+        records
+            .filter_map(|record| split_keyed(&record.bytes))
+            .collect()
+    }
+
+    /// Drops the history of all topics; the newest records of keyed topics stay.
+    pub fn forget_history(&self) {
+        for partition in self.shared.partitions.borrow_mut().values_mut() {
+            partition.records.clear();
+        }
+    }
+}
+
+impl Handler for Service {
+    async fn handle(&self, request: EdgeRequest, _remote: SocketAddr) -> EdgeResponse {
+        let shared = &self.0;
+        shared.calls.set(shared.calls.get() + 1);
+        match shared.mode.get() {
+            StoreMode::Busy => return status(503),
+            StoreMode::Silent => return pending().await,
+            StoreMode::Slow(ms) => sleep_ms(ms).await,
+            StoreMode::Up | StoreMode::LostAnswers | StoreMode::Late(_) => {}
+        }
+        let path = request.uri().path().to_owned();
+        let asked = request.uri().query().unwrap_or_default().to_owned();
+        match path.as_str() {
+            "/api/log-append" => shared.on_append(&asked, request).await,
+            "/api/log-read" => shared.on_read(&asked).await,
+            "/api/log-newest" => shared.on_newest(&asked),
+            _ => status(404),
+        }
+    }
+}
+
+impl Shared {
+    async fn on_append(&self, asked: &str, request: EdgeRequest) -> EdgeResponse {
+        let Ok(body) = read_body(request.into_body(), limits()).await else {
+            return status(400);
+        };
+        let (topic, partition) = place(asked);
+        let at = query(asked, "at").and_then(|at| at.parse().ok());
+        let mode = self.mode.get();
+        if let StoreMode::Late(ms) = mode {
+            sleep_ms(ms).await;
+        }
+        let end = self.end(&topic, partition);
+        if at.is_some_and(|at: u64| at != end) {
+            return json_response(412, &json!({ "end": end }));
+        }
+        let offset = self.append(&topic, partition, records(body));
+        if matches!(mode, StoreMode::LostAnswers | StoreMode::Late(_)) {
+            return pending().await;
+        }
+        let end = self.end(&topic, partition);
+        json_response(200, &json!({ "offset": offset, "end": end }))
+    }
+
+    fn append(&self, topic: &str, partition: u64, records: Vec<Bytes>) -> u64 {
+        let mut partitions = self.partitions.borrow_mut();
+        let partition = partitions.entry((topic.to_owned(), partition)).or_default();
+        let offset = partition.end;
+        for record in records {
+            partition.push(record);
+        }
+        drop(partitions);
+        self.appended.notify_waiters();
+        offset
+    }
+
+    fn end(&self, topic: &str, partition: u64) -> u64 {
+        let partitions = self.partitions.borrow();
+        let partition = partitions.get(&(topic.to_owned(), partition));
+        partition.map_or(0, |partition| partition.end)
+    }
+
+    async fn on_read(&self, asked: &str) -> EdgeResponse {
+        let (topic, partition) = place(asked);
+        let number = |name| query(asked, name).and_then(|value| value.parse::<u64>().ok());
+        let from = number("from").unwrap_or(0);
+        let until_ms = self.clock.now_ms() + number("wait_ms").unwrap_or(0);
+        loop {
+            let appended = self.appended.notified();
+            let left_ms = until_ms.saturating_sub(self.clock.now_ms());
+            if self.end(&topic, partition) > from || left_ms == 0 {
+                break;
+            }
+            within_ms(left_ms, appended).await;
+        }
+        let mut partitions = self.partitions.borrow_mut();
+        let partition = partitions.entry((topic, partition)).or_default();
+        if from < partition.first() {
+            return json_response(410, &json!({ "first": partition.first() }));
+        }
+        let mut body = BytesMut::new();
+        body.put_u64(partition.end);
+        body.put_u64(partition.first());
+        for record in partition
+            .records
+            .iter()
+            .filter(|record| record.offset >= from)
+        {
+            if body.len() > READ_BYTES {
+                break;
+            }
+            body.put_u32(record.bytes.len() as u32);
+            body.put_slice(&record.bytes);
+        }
+        Response::new(full_body(body.freeze()))
+    }
+
+    fn on_newest(&self, asked: &str) -> EdgeResponse {
+        let (topic, partition) = place(asked);
+        let after = query(asked, "after").unwrap_or_default().to_owned();
+        let mut partitions = self.partitions.borrow_mut();
+        let partition = partitions.entry((topic, partition)).or_default();
+        let mut items = Vec::new();
+        let mut bytes = 0;
+        let mut has_more = false;
+        for (key, record) in partition.newest.range(after.clone()..) {
+            if *key <= after && !after.is_empty() {
+                continue;
+            }
+            if items.len() == 500 || bytes > READ_BYTES {
+                has_more = true;
+                break;
+            }
+            let (_, value) = split_keyed(&record.bytes).unwrap_or_default();
+            bytes += value.len();
+            let value = base64(&value);
+            items.push(json!({ "key": key, "value": value, "offset": record.offset }));
+        }
+        let end = partition.end;
+        json_response(
+            200,
+            &json!({ "items": items, "has_more": has_more, "end": end }),
+        )
+    }
+}
+
+fn place(asked: &str) -> (String, u64) {
+    let topic = query(asked, "topic").unwrap_or_default().to_owned();
+    let partition = query(asked, "part").and_then(|part| part.parse().ok());
+    (topic, partition.unwrap_or(0))
+}
+
+fn records(mut body: Bytes) -> Vec<Bytes> {
+    let mut records = Vec::new();
+    while body.len() >= 4 {
+        let length = body.get_u32() as usize;
+        records.push(body.split_to(length.min(body.len())));
+    }
+    records
+}
+
+fn split_keyed(record: &Bytes) -> Option<(String, Bytes)> {
+    let length = *record.first()? as usize;
+    let key = record.get(1..1 + length)?;
+    let key = std::str::from_utf8(key).ok()?.to_owned();
+    Some((key, record.slice(1 + length..)))
+}
+
+fn base64(bytes: &[u8]) -> String {
+    use base64::{Engine as _, prelude::BASE64_STANDARD};
+    BASE64_STANDARD.encode(bytes)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub use borageshore_chart as chart;
 pub use borageshore_cli as cli;
 pub use borageshore_daemon as daemon;
+pub use borageshore_diagnostics as diagnostics;
 pub use borageshore_gateway as gateway;
 pub use borageshore_lease as lease;
 pub use borageshore_log as log;
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,62 @@
+//! The daemon on the platform as real processes, against stand-ins, with faults from the outside.
+//!
+//! Every seed that ever failed stays here as a case, with a line on its cause.
+
+use std::path::PathBuf;
+
+use borageshore_soak::{Moment, Script, SoakOptions, SoakReport, run_seed};
+
+fn options(seed: u64, script: Script) -> SoakOptions {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_borageshore"));
+    SoakOptions {
+        duration_ms: 8_000,
+        daemons: 3,
+        script,
+        ..SoakOptions::new(program, seed)
+    }
+}
+
+fn play(options: &SoakOptions) -> SoakReport {
+    let report = run_seed(options).unwrap();
+    let text = report.violations.join("\n");
+    assert!(report.violations.is_empty(), "{:?}\n{text}", report.faults);
+    report
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[test] fn $name() $body)*
+    };
+}
+
+cases! {
+    calls_and_submissions_are_served => {
+        let report = play(&options(1, Script::Moments(Vec::new())));
+        assert_eq!(report.calls_answered, report.calls);
+        assert!(report.submissions >= 3, "{}", report.submissions);
+        assert!(report.results >= 3 * 15, "{}", report.results);
+    }
+
+    // A trainer waits for a step whose daemon is gone.
+    // The daemon that runs the items is killed while some are listed, some run and some wait; another
+    // one sees its silence, reads the submission from the store and runs what is not listed.
+    the_daemon_that_runs_a_step_is_killed => {
+        let script = vec![(1_500, Moment::KillHolder), (4_500, Moment::KillHolder)];
+        let report = play(&options(2, Script::Moments(script)));
+        assert!(report.submissions >= 2, "{}", report.submissions);
+        assert_eq!(report.faults.len(), 2);
+    }
+
+    // Callers lose answers when a VM is stopped for maintenance.
+    // SIGTERM takes it off the lists at once; callers whose list still has it are served until the
+    // grace is nearly over, and connections end between two requests.
+    a_daemon_is_stopped_under_load_and_nothing_is_cut => {
+        let script = vec![(1_000, Moment::StopOne)];
+        let report = play(&options(3, Script::Moments(script)));
+        assert_eq!(report.calls_answered, report.calls);
+    }
+
+    seeded_faults_break_no_promise => {
+        play(&options(4, Script::Random(4)));
+    }
+}
