--- a/tests/tidy.rs
+++ b/tests/tidy.rs
@@ -33,6 +33,7 @@
 fn sources() -> Vec<(PathBuf, String)> {
     let mut files = files_below(&root().join("crates"), ".rs");
     files.extend(files_below(&root().join("src"), ".rs"));
+    files.extend(files_below(&root().join("platform"), ".rs"));
     files.retain(|path| !path.ends_with(GENERATED));
     let read = |path: PathBuf| {
         let text = fs::read_to_string(&path).unwrap();
@@ -48,6 +49,7 @@
         "/benches/",
         "borageshore_standins",
         "borageshore_scenarios",
+        "borageshore_soak",
         "borageshore_bench",
     ];
     !is_beside.iter().any(|part| path.contains(part))
@@ -78,7 +80,8 @@
     no_process_is_started: |path, text| !is_shipped(&path) || !text.contains("process::Command");
     no_thread_is_started: |path, text| !is_shipped(&path) || !text.contains("thread::spawn");
     no_dyn_on_the_request_path: |path, text| {
-        let is_request_path = path.to_string_lossy().contains("borageshore_daemon/src") || path.to_string_lossy().contains("borageshore_routing/src");
+        let folders = ["borageshore_daemon/src", "borageshore_gateway/src", "borageshore_routing/src", "platform/src"];
+        let is_request_path = folders.iter().any(|folder| path.to_string_lossy().contains(folder));
         !is_request_path || !text.contains("dyn ")
     };
     one_use_statement_a_crate: |path, text| {
@@ -93,13 +96,73 @@
         crates.len() == count
     };
     core_has_no_clock_or_socket: |path, text| {
-        let core = ["base", "chart", "log", "settings", "lease", "membership", "routing", "rollout"];
+        let core = ["base", "batch", "chart", "log", "settings", "lease", "membership", "routing", "rollout"];
         let is_core = core.iter().any(|name| path.to_string_lossy().contains(&format!("borageshore_{name}/src")));
         !is_core || !["std::time", "std::net", "SystemTime", "monoio"].iter().any(|word| text.contains(word))
     };
     no_banner: |path, text| !text.to_lowercase().contains("copyright");
 }
 
+/// Names that the platform's protocol uses; only `platform/` knows them.
+const PLATFORM_NAMES: [&str; 14] = [
+    "/api/",
+    "x-request-id",
+    "x-deadline-ms",
+    "x-server-",
+    "x-expect-",
+    "x-not-executed",
+    "x-weight-versions",
+    "x-instance-id",
+    "last-event-id",
+    "log-append",
+    "log-read",
+    "log-newest",
+    "keyed.",
+    "dead_lettered",
+];
+/// Names that the product's own interface, which is older, has as well.
+const OWN_NAMES: [&str; 2] = ["x-request-id", "x-deadline-ms"];
+/// The largest that the adapter may become.
+const ADAPTER_LINES: usize = 4_000;
+
+#[test]
+fn the_platforms_names_stand_in_its_adapter_only() {
+    for (path, text) in sources() {
+        let is_adapter = path.starts_with(root().join("platform"));
+        if is_adapter || !is_shipped(&path) {
+            continue;
+        }
+        let text = text.to_lowercase();
+        let is_own_interface = path.to_string_lossy().contains("borageshore_daemon/src/edge");
+        for name in PLATFORM_NAMES {
+            if is_own_interface && OWN_NAMES.contains(&name) {
+                continue;
+            }
+            assert!(!text.contains(name), "{name} in {}", path.display());
+        }
+    }
+}
+
+#[test]
+fn the_adapter_is_small() {
+    let files = files_below(&root().join("platform"), ".rs");
+    let lines = |path: &PathBuf| fs::read_to_string(path).unwrap().lines().count();
+    assert!(files.iter().map(lines).sum::<usize>() <= ADAPTER_LINES);
+}
+
+#[test]
+fn the_soak_is_under_a_tenth_of_the_code() {
+    let lines = |folder: &str| -> usize {
+        let files = files_below(&root().join(folder), ".rs");
+        files
+            .iter()
+            .map(|path| fs::read_to_string(path).unwrap().lines().count())
+            .sum()
+    };
+    let soak = lines("crates/borageshore_soak");
+    assert!(soak * 10 <= lines("crates") + lines("platform"), "{soak}");
+}
+
 #[test]
 fn crates_have_a_runnable_example() {
     for (path, text) in sources() {
