--- a/crates/borageshore_gateway/src/life.rs
+++ b/crates/borageshore_gateway/src/life.rs
@@ -11,7 +11,7 @@
 };
 
 use borageshore_membership::PresenceState;
-use borageshore_net::{HttpServer, sleep_ms};
+use borageshore_net::{HttpServer, sleep_ms, within_ms};
 
 use crate::{gateway::Gateway, members::Members};
 
@@ -20,6 +20,11 @@
 const POLL_MS: u64 = 100;
 /// The part of the grace that is left for the last answers after connections were closed.
 const CLOSING_MS: u64 = 1_500;
+/// The part of the grace that is left for the goodbye and the end of the process.
+const LAST_MS: u64 = 900;
+/// A goodbye that takes longer is not worth the kill at the end of the grace: others learn of the end
+/// by silence as well.
+const GOODBYE_MS: u64 = 300;
 
 /// Where this daemon is in its life.
 #[derive(Debug)]
@@ -117,10 +122,10 @@
     for server in servers {
         server.stop_gracefully();
     }
-    let end_ms = started_ms + grace_ms.saturating_sub(CLOSING_MS / 3);
+    let end_ms = started_ms + grace_ms.saturating_sub(LAST_MS);
     while gateway.now_ms() < end_ms && !gateway.is_idle() {
         sleep_ms(POLL_MS).await;
     }
-    gateway.say_goodbye().await;
+    within_ms(GOODBYE_MS, gateway.say_goodbye()).await;
     log::info!(took_ms = gateway.now_ms() - started_ms, is_idle = gateway.is_idle(); "daemon stopped");
 }
