--- a/crates/borageshore_daemon/src/metrics.rs
+++ b/crates/borageshore_daemon/src/metrics.rs
@@ -1,19 +1,16 @@
 //! Metrics by opentelemetry, read as Prometheus text.
 
 use borageshore_base::ResultCode;
+use borageshore_diagnostics::Exposition;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Gauge, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
 
 /// The instruments of a daemon.
 #[derive(Debug)]
 pub(crate) struct Metrics {
-    registry: Registry,
-    // Dropping the provider would stop the instruments.
-    _provider: SdkMeterProvider,
+    exposition: Exposition,
     requests: Counter<u64>,
     request_duration_ms: Histogram<u64>,
     retries: Counter<u64>,
@@ -33,16 +30,9 @@
 impl Metrics {
     /// Opens the instruments.
     pub(crate) fn open() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .expect("a fresh registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter: Meter = provider.meter("borageshore");
+        let exposition = Exposition::open();
+        let meter = exposition.meter();
         Self {
-            registry,
             requests: meter.u64_counter("borageshore_requests").build(),
             request_duration_ms: meter
                 .u64_histogram("borageshore_request_duration_ms")
@@ -54,7 +44,7 @@
                 .build(),
             control_bytes: meter.u64_counter("borageshore_control_bytes").build(),
             gauges: meter.u64_gauge("borageshore_state").build(),
-            _provider: provider,
+            exposition,
         }
     }
 
@@ -108,10 +98,6 @@
 
     /// All instruments as Prometheus text.
     pub(crate) fn to_text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::warn!("metrics cannot be encoded: {error}");
-        }
-        text
+        self.exposition.to_text()
     }
 }
--- a/crates/borageshore_diagnostics/src/instruments.rs
+++ b/crates/borageshore_diagnostics/src/instruments.rs
@@ -2,10 +2,10 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Gauge, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::exposition::Exposition;
 
 /// Bounds of the buckets of durations, in ms: from an answer of the store to a step's time limit.
 const DURATION_BOUNDS_MS: [f64; 14] = [
@@ -16,9 +16,7 @@
 /// The instruments of a daemon.
 #[derive(Debug)]
 pub struct Instruments {
-    registry: Registry,
-    // Dropping the provider would stop the instruments.
-    _provider: SdkMeterProvider,
+    exposition: Exposition,
     events: Counter<u64>,
     durations_ms: Histogram<f64>,
     state: Gauge<u64>,
@@ -27,23 +25,16 @@
 impl Instruments {
     /// Opens the instruments.
     pub fn open() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .expect("a fresh registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter: Meter = provider.meter("borageshore");
+        let exposition = Exposition::open();
+        let meter = exposition.meter();
         Self {
-            registry,
             events: meter.u64_counter("borageshore_events").build(),
             durations_ms: meter
                 .f64_histogram("borageshore_duration_ms")
                 .with_boundaries(DURATION_BOUNDS_MS.to_vec())
                 .build(),
             state: meter.u64_gauge("borageshore_state").build(),
-            _provider: provider,
+            exposition,
         }
     }
 
@@ -68,11 +59,7 @@
     }
 
     /// All instruments as Prometheus text.
-    pub fn to_text(&self) -> String {
-        let mut text = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::warn!(error:% = error; "metrics cannot be encoded");
-        }
-        String::from_utf8_lossy(&text).into_owned()
+    pub fn to_text(&self) -> Vec<u8> {
+        self.exposition.to_text()
     }
 }
--- a/crates/borageshore_diagnostics/src/lib.rs
+++ b/crates/borageshore_diagnostics/src/lib.rs
@@ -5,15 +5,18 @@
 //!
 //! let instruments = Instruments::open();
 //! instruments.count("requests", "done");
-//! assert!(instruments.to_text().contains("borageshore_events"));
+//! let text = String::from_utf8(instruments.to_text()).unwrap();
+//! assert!(text.contains("borageshore_events"));
 //! ```
 
 mod bounded;
+mod exposition;
 mod instruments;
 mod logging;
 
 pub use self::{
     bounded::{LineBudget, Verdict},
+    exposition::Exposition,
     instruments::Instruments,
     logging::{install_logger, set_level},
 };
--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -170,7 +170,7 @@
                 harm_link(&self.daemons[number].store, mode, length_ms).await;
             }
             Fault::SilentConnections(number) => {
-                self.daemons[number].store.forget_open_connections()
+                self.daemons[number].store.forget_open_connections();
             }
             Fault::EngineLink(number, mode) => {
                 harm_link(&self.engines[number].1, mode, length_ms).await;
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -210,19 +210,23 @@
                 .ask(front, "POST", "/batch/x", &headers, body.clone())
                 .await;
             let status = answer.map_or(0, |(status, _)| status.as_u16());
-            let mut submissions = self.oracle.submissions.borrow_mut();
-            let known = submissions.get_mut(id).expect("entered above");
-            known.is_refused &= matches!(status, 429 | 503);
-            if status == 202 {
-                known.is_accepted = true;
+            if self.note_submitted(id, status) {
                 return true;
             }
-            drop(submissions);
             sleep_ms(100).await;
         }
         false
     }
 
+    /// Takes over the answer to a submission; says whether it was accepted.
+    fn note_submitted(&self, id: &str, status: u16) -> bool {
+        let mut submissions = self.oracle.submissions.borrow_mut();
+        let known = submissions.get_mut(id).expect("entered before it was sent");
+        known.is_refused &= matches!(status, 429 | 503);
+        known.is_accepted |= status == 202;
+        known.is_accepted
+    }
+
     async fn read_step(&self, id: &str, random: &mut Pcg64Mcg) {
         let give_up_ms = self.clock.now_ms() + STEP_MS;
         let (groups, size, wanted) = STEP;
