Leases of orders are counted for each engine

Cause: a daemon that took over the orders waited out the lease for every engine, 3.8 s, though the one before it had ordered a few of them lately; steps meanwhile had only engines with old weights. Ruled out: shortening the wait (orders of two holders to one engine would come within the lease).

Change: the lease is counted for each engine from the rounds; a round also says what others had ordered, so that a holder that starts again knows. Pure, with tests for both.

--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -18,6 +18,7 @@
 mod ledger;
 mod open;
 mod order;
+mod order_lease;
 mod pieces;
 mod placement;
 mod record;
@@ -29,6 +30,7 @@
     ledger::{Ledger, LedgerEntry, SubmissionState},
     open::OpenSubmission,
     order::{ItemRank, rank_items},
+    order_lease::OrderLeases,
     placement::{EngineView, PlacementRequest, choose_engine},
     record::LedgerRecord,
     submission::{Item, ItemResult, ItemState, NamedVersion, RewardCall, Submission},
--- a/crates/borageshore_batch/src/swaps.rs
+++ b/crates/borageshore_batch/src/swaps.rs
@@ -19,6 +19,9 @@
     pub orders: Vec<(Arc<str>, Arc<str>, u64)>,
     /// Orders of earlier rounds that are carried out.
     pub done: Vec<(Arc<str>, Arc<str>, u64)>,
+    /// Engines that other holders ordered within the lease before this round.
+    #[serde(default)]
+    pub others_ordered: Vec<Arc<str>>,
 }
 
 /// The versions that engines are known to have. Versions of one instance only rise, so the newest
@@ -71,6 +74,8 @@
     pub instance: Arc<str>,
     /// Whether it is loading weights.
     pub is_loading: bool,
+    /// Whether another holder may have ordered it within the lease.
+    pub is_leased: bool,
     /// Requests that it runs; they stand still while it loads.
     pub running: u64,
 }
@@ -116,7 +121,7 @@
     wanted.sort_by_key(|lag| (std::cmp::Reverse(lag.versions), lag.engine.running));
     wanted
         .into_iter()
-        .filter(|lag| !lag.engine.is_loading)
+        .filter(|lag| !lag.engine.is_loading && !lag.engine.is_leased)
         .take(room)
         .map(|lag| (lag.engine.instance.clone(), lag.target.clone()))
         .collect()
--- /dev/null
+++ b/crates/borageshore_batch/tests/order_lease.rs
@@ -0,0 +1,79 @@
+//! Orders of two holders to one engine are a lease apart.
+
+use borageshore_batch::{OrderLeases, SwapRound};
+
+const WAIT_MS: u64 = 3_800;
+
+fn round(holder: &str, engines: &[&str], others_ordered: &[&str]) -> SwapRound {
+    SwapRound {
+        holder: holder.into(),
+        orders: engines
+            .iter()
+            .map(|engine| ((*engine).into(), "m".into(), 2))
+            .collect(),
+        done: Vec::new(),
+        others_ordered: others_ordered
+            .iter()
+            .map(|engine| (*engine).into())
+            .collect(),
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[test] fn $name() $body)*
+    };
+}
+
+cases! {
+    // Weights stand still for four seconds whenever the daemon that orders them is lost.
+    // Its successor waited out the lease for every engine, though most were not ordered lately.
+    a_new_holder_waits_for_the_engines_just_ordered_only => {
+        let mut leases = OrderLeases::open(0, WAIT_MS);
+        leases.on_round(&round("vm-1", &["e0", "e1"], &[]), 10_000);
+        assert!(!leases.may_order("vm-2", "e0", 13_799));
+        assert!(leases.may_order("vm-2", "e0", 13_800));
+        assert!(leases.may_order("vm-2", "e2", 10_001));
+        assert!(leases.may_order("vm-1", "e0", 10_001));
+    }
+
+    a_process_that_just_began_may_have_missed_orders => {
+        let mut leases = OrderLeases::open(10_000, WAIT_MS);
+        assert!(!leases.may_order("vm-2", "e0", 13_799));
+        assert!(leases.may_order("vm-2", "e0", 13_800));
+        leases.on_round(&round("vm-1", &["e1"], &[]), 10_001);
+        assert!(!leases.may_order("vm-2", "e0", 13_799), "the newest round is another holder's");
+    }
+
+    a_holder_that_starts_again_goes_on_at_once => {
+        let mut leases = OrderLeases::open(10_000, WAIT_MS);
+        leases.on_round(&round("vm-1", &["e1"], &[]), 10_001);
+        assert!(leases.may_order("vm-1", "e0", 10_002));
+    }
+
+    // Two VMs order one engine within a second.
+    // vm-1 orders e0 and is lost; vm-2 takes over with e1, is lost as well and starts again. The
+    // newest round is its own and does not order e0, so it took e0 for free.
+    a_holder_that_starts_again_remembers_what_others_had_ordered => {
+        let mut before = OrderLeases::open(0, WAIT_MS);
+        before.on_round(&round("vm-1", &["e0"], &[]), 10_000);
+        let others = before.ordered_by_others("vm-2", 10_100);
+        assert_eq!(others, ["e0".into()]);
+        let own = round("vm-2", &["e1"], &["e0"]);
+        let mut after = OrderLeases::open(10_500, WAIT_MS);
+        after.on_round(&own, 10_501);
+        assert!(!after.may_order("vm-2", "e0", 10_502));
+        assert!(after.may_order("vm-2", "e2", 10_502));
+        assert_eq!(after.ordered_by_others("vm-2", 10_502), ["e0".into()]);
+        assert!(after.may_order("vm-2", "e0", 14_300));
+        assert!(after.ordered_by_others("vm-2", 14_300).is_empty());
+    }
+
+    after_a_gap_every_engine_of_another_holder_waits => {
+        let mut leases = OrderLeases::open(0, WAIT_MS);
+        leases.on_round(&round("vm-1", &["e1"], &[]), 10_000);
+        leases.begin_again(12_000);
+        assert!(!leases.may_order("vm-2", "e0", 15_799));
+        assert!(leases.may_order("vm-2", "e0", 15_800));
+    }
+}
--- a/crates/borageshore_batch/tests/swaps.rs
+++ b/crates/borageshore_batch/tests/swaps.rs
@@ -15,6 +15,7 @@
     let engine = |number| EngineState {
         instance: format!("e{number}").into(),
         is_loading: false,
+        is_leased: false,
         running: 0,
     };
     (0..count).map(engine).collect()
@@ -154,3 +155,13 @@
     assert_eq!(count(engines(9)), 2);
     assert_eq!(count(engines(38)), 8);
 }
+
+#[test]
+fn an_engine_that_another_holder_ordered_waits_and_takes_no_place() {
+    let mut engines = engines(4);
+    engines[0].is_leased = true;
+    let models = [target("m", 2, 1)];
+    let round = plan_round(&engines, &EngineVersions::default(), &models, LIMITS);
+    let names: Vec<&str> = round.iter().map(|(engine, _)| &**engine).collect();
+    assert_eq!(names, ["e1", "e2"]);
+}
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -253,7 +253,7 @@
 }
 
 fn spawn_orderer(parts: OrdererParts) {
-    let rounds = Rounds::open(parts.endpoints.clone());
+    let rounds = Rounds::open(parts.endpoints.clone(), parts.lease_ms);
     let follow = follow_newest(
         &parts.store,
         Topic::Orders,
--- a/crates/borageshore_gateway/src/orderer.rs
+++ b/crates/borageshore_gateway/src/orderer.rs
@@ -1,15 +1,10 @@
 //! Orders to engines: one daemon at a time brings them to the versions that trainers name.
 
-use std::{
-    cell::{Cell, RefCell},
-    pin::pin,
-    rc::Rc,
-    sync::Arc,
-};
+use std::{cell::RefCell, pin::pin, rc::Rc, sync::Arc};
 
 use borageshore_base::{SortedMap, rank_by_rendezvous};
 use borageshore_batch::{
-    EngineState, ModelTarget, NamedVersion, SwapLimits, SwapRound, plan_round,
+    EngineState, ModelTarget, NamedVersion, OrderLeases, SwapLimits, SwapRound, plan_round,
 };
 use borageshore_net::{Clock, boot_time_ms, sleep_ms, within_ms};
 use borageshore_platform::{
@@ -48,19 +43,18 @@
 #[derive(Debug)]
 pub(crate) struct Rounds {
     endpoints: Rc<Endpoints>,
-    holder: RefCell<Option<Arc<str>>>,
-    /// When the newest round with orders was seen, by the clock that counts suspensions.
-    orders_seen_at_ms: Cell<u64>,
+    leases: RefCell<OrderLeases>,
     changed: Notify,
 }
 
 impl Rounds {
-    pub(crate) fn open(endpoints: Rc<Endpoints>) -> Rc<Self> {
+    /// Opens a view without rounds; `lease_ms` is the least time between orders of two holders to one
+    /// engine.
+    pub(crate) fn open(endpoints: Rc<Endpoints>, lease_ms: u64) -> Rc<Self> {
+        let wait_ms = lease_ms + ORDER_WITHIN_MS + LEASE_MARGIN_MS;
         Rc::new(Self {
             endpoints,
-            holder: RefCell::default(),
-            // Rounds may have been forgotten with the log's history: a start counts as one.
-            orders_seen_at_ms: Cell::new(boot_time_ms()),
+            leases: RefCell::new(OrderLeases::open(boot_time_ms(), wait_ms)),
             changed: Notify::new(),
         })
     }
@@ -73,10 +67,8 @@
         for (instance, ..) in &round.orders {
             self.endpoints.on_load_ordered(instance);
         }
-        if !round.orders.is_empty() {
-            self.orders_seen_at_ms.set(boot_time_ms());
-        }
-        *self.holder.borrow_mut() = Some(round.holder);
+        let mut leases = self.leases.borrow_mut();
+        leases.on_round(&round, boot_time_ms());
     }
 }
 
@@ -91,6 +83,10 @@
         }
         self.changed.notify_waiters();
     }
+
+    fn on_gap(&self) {
+        self.leases.borrow_mut().begin_again(boot_time_ms());
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -120,8 +116,8 @@
 /// appended before its orders are sent, on the condition that nothing was appended since this daemon
 /// read the partition; so a holder that was replaced while it stood still cannot announce a round.
 /// It might have announced one just before: its orders leave within [`ORDER_WITHIN_MS`] of the
-/// append or not at all, by a clock that counts suspensions, and a new holder lets the lease pass
-/// after the last round it saw.
+/// append or not at all, by a clock that counts suspensions, and a new holder lets the lease of each
+/// engine pass ([`OrderLeases`]).
 #[derive(Debug)]
 pub(crate) struct Orderer {
     parts: OrdererParts,
@@ -162,7 +158,7 @@
     /// The last holder goes on as long as it lives; else the first by rendezvous.
     fn is_holder(&self) -> bool {
         let ready = self.parts.members.able_names();
-        let last = self.rounds.holder.borrow().clone();
+        let last = self.rounds.leases.borrow().newest_holder().cloned();
         let holder = match &last {
             Some(last) if ready.contains(last) => Some(&**last),
             _ => {
@@ -185,9 +181,6 @@
         if planned.is_empty() && done.is_empty() {
             return !self.under_way.borrow().is_empty();
         }
-        if !self.lease_has_passed() {
-            return true;
-        }
         let order = |(instance, version): (Arc<str>, NamedVersion)| {
             let reported = reports
                 .iter()
@@ -206,6 +199,9 @@
         targets: &[Target],
         reports: &[(Target, EngineReport)],
     ) -> Vec<(Arc<str>, NamedVersion)> {
+        let own = self.parts.members.own_name();
+        let leases = self.rounds.leases.borrow();
+        let now_ms = boot_time_ms();
         let under_way = self.under_way.borrow();
         let state = |target: &Target| {
             let report = reports.iter().find(|(asked, _)| asked == target);
@@ -214,6 +210,7 @@
                 is_loading: under_way.contains_key(&target.instance)
                     || self.parts.endpoints.is_loading(&target.instance)
                     || report.is_some_and(|(_, report)| report.is_busy),
+                is_leased: !leases.may_order(&own, &target.instance, now_ms),
                 running: report.map_or(0, |(_, report)| report.running),
             }
         };
@@ -260,16 +257,6 @@
         reports
     }
 
-    /// Says whether no other holder can have given an order within the lease.
-    fn lease_has_passed(&self) -> bool {
-        let own = self.parts.members.own_name();
-        if self.rounds.holder.borrow().as_ref() == Some(&own) {
-            return true;
-        }
-        let wait_ms = self.parts.lease_ms + ORDER_WITHIN_MS + LEASE_MARGIN_MS;
-        boot_time_ms() >= self.rounds.orders_seen_at_ms.get() + wait_ms
-    }
-
     fn learn(&self, instance: &Arc<str>, report: &EngineReport) {
         for (model, version) in &report.models {
             self.parts.endpoints.on_version(instance, model, *version);
@@ -297,6 +284,10 @@
             holder: holder.clone(),
             orders: orders.iter().map(order).collect(),
             done,
+            others_ordered: {
+                let leases = self.rounds.leases.borrow();
+                leases.ordered_by_others(&holder, boot_time_ms())
+            },
         };
         let value = serde_json::to_vec(&round).expect("plain data");
         let record = [(Arc::from(ROUND_KEY), Bytes::from(value))];
--- a/tests/tidy.rs
+++ b/tests/tidy.rs
@@ -133,7 +133,9 @@
             continue;
         }
         let text = text.to_lowercase();
-        let is_own_interface = path.to_string_lossy().contains("borageshore_daemon/src/edge");
+        let is_own_interface = path
+            .to_string_lossy()
+            .contains("borageshore_daemon/src/edge");
         for name in PLATFORM_NAMES {
             if is_own_interface && OWN_NAMES.contains(&name) {
                 continue;
