A submission is handed on where the store turns this VM away

Cause: while the store turns a third of the VMs away, a submission that reached one of them was refused though the store worked. Ruled out: trying the store again (it answers 503 for seconds).

--- a/crates/borageshore_gateway/src/members.rs
+++ b/crates/borageshore_gateway/src/members.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
+use borageshore_base::rank_by_rendezvous;
 use borageshore_membership::{Presence, PresenceState, PresenceTable};
 use borageshore_net::{Clock, within_ms};
 use borageshore_platform::{KeyedRecord, Store, Topic};
@@ -113,6 +114,17 @@
         table.address_of(home)
     }
 
+    /// Where some other daemons are that take work, each time others.
+    pub(crate) fn some_peers(&self, count: usize) -> Vec<Arc<str>> {
+        let own_name = self.own_name();
+        let table = self.table.borrow();
+        let turn = self.clock.now_ms().to_string();
+        let others = table.able().filter(|name| *name != &*own_name);
+        let ranked = rank_by_rendezvous(&turn, others);
+        let chosen = ranked.into_iter().take(count);
+        chosen.filter_map(|name| table.address_of(name)).collect()
+    }
+
     /// The names of the daemons that take work of others.
     pub(crate) fn able_names(&self) -> Vec<Arc<str>> {
         self.table.borrow().able().map(Into::into).collect()
--- a/crates/borageshore_gateway/src/peers.rs
+++ b/crates/borageshore_gateway/src/peers.rs
@@ -1,12 +1,17 @@
-//! Questions about a submission, passed on to the daemon that knows it.
+//! Requests passed on to other daemons: questions to the one that has the answer, submissions to one
+//! that reaches the store.
 
 use std::{cell::RefCell, sync::Arc};
 
 use borageshore_base::SortedMap;
-use borageshore_net::{Clock, EdgeResponse, HttpClient, Timeouts, full_body};
+use borageshore_net::{CallError, Clock, EdgeResponse, HttpClient, Timeouts, full_body};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode, http::request::Parts};
+use hyper::{
+    Request, Response, StatusCode,
+    header::{CONNECTION, CONTENT_LENGTH, HeaderName, TRANSFER_ENCODING},
+    http::request::Parts,
+};
 
 /// Marks a request that a peer has passed on, so that it is not passed on again.
 pub(crate) const PASSED_ON: &str = "borageshore-passed-on";
@@ -17,6 +22,20 @@
 /// A peer that did not answer is not asked for this long; others see its death in about two seconds.
 const AVOID_MS: u64 = 2_000;
 
+/// What a peer may take to write a submission to the store.
+const SUBMIT_MS: u64 = 1_000;
+
+/// What came of a submission that was passed on.
+#[derive(Debug)]
+pub(crate) enum HandedOn {
+    /// A peer has accepted it.
+    Accepted(EdgeResponse),
+    /// A peer may have accepted it.
+    Unknown,
+    /// No peer has taken anything of it.
+    Nowhere,
+}
+
 /// The client of peers.
 #[derive(Debug)]
 pub(crate) struct Peers {
@@ -34,47 +53,83 @@
         }
     }
 
-    /// Passes a request without a body on; `None` if the peer has no sure answer.
+    /// Passes a question on; `None` if the peer has no sure answer.
     pub(crate) async fn ask(
         &self,
         address: &Arc<str>,
         head: &Parts,
         wait_ms: u64,
     ) -> Option<EdgeResponse> {
+        match self.pass_on(address, head, Bytes::new(), wait_ms).await {
+            Ok((StatusCode::OK | StatusCode::NOT_FOUND, response)) => Some(response),
+            Ok((status, _)) => {
+                log::info!(peer = &**address, status = status.as_u16(); "peer is not sure");
+                None
+            }
+            Err(_) => None,
+        }
+    }
+
+    /// Passes a submission on to the first peer that accepts it.
+    pub(crate) async fn hand_on(
+        &self,
+        addresses: &[Arc<str>],
+        head: &Parts,
+        body: &Bytes,
+    ) -> HandedOn {
+        for address in addresses {
+            match self.pass_on(address, head, body.clone(), SUBMIT_MS).await {
+                Ok((StatusCode::ACCEPTED, response)) => return HandedOn::Accepted(response),
+                // The peer says the same as this daemon: nothing of it runs.
+                Ok((StatusCode::SERVICE_UNAVAILABLE, _)) | Err(CallError::NotSent(_)) => {}
+                Ok(_) | Err(CallError::NoAnswer(_)) => return HandedOn::Unknown,
+            }
+        }
+        HandedOn::Nowhere
+    }
+
+    async fn pass_on(
+        &self,
+        address: &Arc<str>,
+        head: &Parts,
+        body: Bytes,
+        wait_ms: u64,
+    ) -> Result<(StatusCode, EdgeResponse), CallError> {
         if self.is_avoided(address) {
-            return None;
+            return Err(CallError::NotSent("did not answer lately".into()));
         }
+        let target = head
+            .uri
+            .path_and_query()
+            .map_or("/", |target| target.as_str());
         let mut request = Request::builder()
             .method(head.method.clone())
-            .uri(head.uri.path_and_query()?.as_str())
-            .header(PASSED_ON, "1")
-            .body(Full::<Bytes>::default())
-            .ok()?;
-        for (name, value) in &head.headers {
-            request.headers_mut().insert(name, value.clone());
+            .uri(target)
+            .body(Full::new(body))
+            .map_err(|error| CallError::NotSent(error.to_string()))?;
+        *request.headers_mut() = head.headers.clone();
+        // The body goes on whole, whatever way it came.
+        for framing in [CONTENT_LENGTH, TRANSFER_ENCODING, CONNECTION] {
+            request.headers_mut().remove(framing);
         }
+        let passed_on = HeaderName::from_static(PASSED_ON);
+        request.headers_mut().insert(passed_on, 1.into());
         let timeouts = Timeouts {
             connect_ms: CONNECT_MS,
             first_byte_ms: wait_ms + ANSWER_SLACK_MS,
         };
-        match self.http.call(address, request, timeouts).await {
-            Ok((status, body)) if is_sure(status) => {
-                let mut response = Response::new(full_body(body));
-                *response.status_mut() = status;
-                Some(response)
-            }
-            Ok((status, _)) => {
-                log::info!(peer = &**address, status = status.as_u16(); "peer is not sure");
-                None
-            }
-            Err(error) => {
-                log::info!(peer = &**address, error:% = error; "peer does not answer");
-                let until_ms = self.clock.now_ms() + AVOID_MS;
-                let mut avoided = self.avoided_until_ms.borrow_mut();
-                avoided.insert(address.clone(), until_ms);
-                None
-            }
-        }
+        let called = self.http.call(address, request, timeouts).await;
+        let (status, body) = called.inspect_err(|error| self.avoid(address, error))?;
+        let mut response = Response::new(full_body(body));
+        *response.status_mut() = status;
+        Ok((status, response))
+    }
+
+    fn avoid(&self, address: &Arc<str>, error: &CallError) {
+        log::info!(peer = &**address, error:% = error; "peer does not answer");
+        let until_ms = self.clock.now_ms() + AVOID_MS;
+        let mut avoided = self.avoided_until_ms.borrow_mut();
+        avoided.insert(address.clone(), until_ms);
     }
 
     fn is_avoided(&self, address: &Arc<str>) -> bool {
@@ -83,7 +138,3 @@
         until_ms.is_some_and(|until_ms| self.clock.now_ms() < *until_ms)
     }
 }
-
-fn is_sure(status: StatusCode) -> bool {
-    matches!(status, StatusCode::OK | StatusCode::NOT_FOUND)
-}
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use borageshore_base::{Fault, ResultCode};
+use borageshore_batch::Submission;
 use borageshore_diagnostics::Instruments;
 use borageshore_membership::PresenceState;
 use borageshore_net::{
@@ -14,7 +15,7 @@
 use borageshore_routing::RouteKind;
 use bytes::Bytes;
 use hyper::{
-    Response,
+    Response, StatusCode,
     header::{CONNECTION, HeaderValue},
     http::request::Parts,
 };
@@ -23,7 +24,7 @@
     calls::Calls,
     life::Life,
     members::Members,
-    peers::{PASSED_ON, Peers},
+    peers::{HandedOn, PASSED_ON, Peers},
     routes::Routes,
     submissions::Submissions,
 };
@@ -36,6 +37,9 @@
 /// The platform's largest body.
 const BODY_BYTES: usize = 32 * 1024 * 1024;
 
+/// How many peers are asked to take a submission: a store that turns some VMs away turns away a third.
+const PEERS_ASKED: usize = 2;
+
 /// Bounds on what callers send.
 pub(crate) fn server_limits() -> ServerLimits {
     ServerLimits {
@@ -107,8 +111,8 @@
                 self.submissions.body(&submission, &item).await
             }
             CallerRequest::End { submission } => self.submissions.end(&submission).await,
-            CallerRequest::Call(head) => match read_body(body, server_limits()).await {
-                Ok(body) => self.call(head, body).await,
+            CallerRequest::Call(call) => match read_body(body, server_limits()).await {
+                Ok(body) => self.call(call, &head, body).await,
                 Err(fault) => refusal(&body_fault(fault), None),
             },
         }
@@ -151,23 +155,45 @@
         addresses(&listed, self.address_ttl_s)
     }
 
-    async fn call(&self, head: CallHead, body: Bytes) -> EdgeResponse {
+    async fn call(&self, call: CallHead, head: &Parts, body: Bytes) -> EdgeResponse {
         if !self.routes.is_known() {
             return not_ready();
         }
-        let Some(route) = self.routes.find(&head.host, &head.path) else {
-            let fault = Fault::new(ResultCode::UnknownRoute, &*head.path);
+        let Some(route) = self.routes.find(&call.host, &call.path) else {
+            let fault = Fault::new(ResultCode::UnknownRoute, &*call.path);
             return refusal(&fault, None);
         };
         if route.kind != RouteKind::Batch {
-            return self.calls.forward(head, &route, body).await;
+            return self.calls.forward(call, &route, body).await;
         }
-        match decode_submission(&head.id, &head.host, &head.path, &body) {
-            Ok(submission) => self.submissions.accept(submission).await,
+        match decode_submission(&call.id, &call.host, &call.path, &body) {
+            Ok(submission) => self.submit(submission, head, &body).await,
             Err(fault) => {
-                log::info!(submission = &*head.id, fault:% = fault; "malformed submission");
+                log::info!(submission = &*call.id, fault:% = fault; "malformed submission");
+                refusal(&fault, None)
+            }
+        }
+    }
+
+    /// Accepts a submission here, or at a peer where the store does not take it from this VM.
+    async fn submit(&self, submission: Submission, head: &Parts, body: &Bytes) -> EdgeResponse {
+        let id = submission.id.clone();
+        let response = self.submissions.accept(submission).await;
+        let is_refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        if !is_refused || head.headers.contains_key(PASSED_ON) {
+            return response;
+        }
+        let peers = self.members.some_peers(PEERS_ASKED);
+        match self.peers.hand_on(&peers, head, body).await {
+            HandedOn::Accepted(accepted) => {
+                log::info!(submission = &*id; "submission accepted by a peer");
+                accepted
+            }
+            HandedOn::Unknown => {
+                let fault = Fault::new(ResultCode::AcceptanceUnknown, "a peer did not answer");
                 refusal(&fault, None)
             }
+            HandedOn::Nowhere => response,
         }
     }
 }
--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -14,8 +14,8 @@
 
 use crate::{Moment, daemons::DaemonProcess, oracle::Oracle};
 
-/// A daemon that was killed starts again after this time.
-const RESTART_MS: u64 = 1_000;
+/// How long a fault at a set time lasts; a daemon that was killed starts again after it.
+const MOMENT_MS: u64 = 1_500;
 /// The pace at which a daemon is looked for that runs a submission.
 const HOLDER_POLL_MS: u64 = 20;
 
@@ -48,6 +48,8 @@
     Store(StoreMode),
     ForgetHistory,
     StoreLink(usize, ProxyMode),
+    /// The store turns the daemons from this one on away.
+    TurnAway(usize),
     SilentConnections(usize),
     EngineLink(usize, ProxyMode),
     EngineGone(usize),
@@ -83,11 +85,12 @@
             let fault = match moment {
                 Moment::KillHolder => Fault::Kill(self.holder().await),
                 Moment::StopOne => Fault::Stop(0),
+                Moment::TurnAwayAllButOne => Fault::TurnAway(1),
             };
             self.begun
                 .borrow_mut()
                 .push(format!("{at_ms} ms: {fault:?}"));
-            monoio::spawn(self.clone().carry_out(fault, RESTART_MS));
+            monoio::spawn(self.clone().carry_out(fault, MOMENT_MS));
         }
     }
 
@@ -107,7 +110,7 @@
     }
 
     fn draw(&self, random: &mut Pcg64Mcg) -> Fault {
-        let kind = random.next_u64() % 17;
+        let kind = random.next_u64() % 18;
         let mut below = |count: usize| (random.next_u64() % count.max(1) as u64) as usize;
         let daemon = below(self.daemons.len());
         let engine = below(self.engines.len());
@@ -146,7 +149,8 @@
                 0 => Fault::ServiceLoses(service),
                 _ => Fault::ServiceCrosses(service),
             },
-            _ => Fault::ServiceLink(service, link),
+            16 => Fault::ServiceLink(service, link),
+            _ => Fault::TurnAway(daemon),
         }
     }
 
@@ -169,6 +173,7 @@
             Fault::StoreLink(number, mode) => {
                 harm_link(&self.daemons[number].store, mode, length_ms).await;
             }
+            Fault::TurnAway(first) => self.turn_away(first, length_ms).await,
             Fault::SilentConnections(number) => {
                 self.daemons[number].store.forget_open_connections();
             }
@@ -210,6 +215,16 @@
         }
     }
 
+    async fn turn_away(&self, first: usize, length_ms: u64) {
+        for daemon in &self.daemons[first..] {
+            daemon.store.set_mode(ProxyMode::Busy);
+        }
+        sleep_ms(length_ms).await;
+        for daemon in &self.daemons[first..] {
+            daemon.store.set_mode(ProxyMode::Pass);
+        }
+    }
+
     async fn pause(&self, number: usize, length_ms: u64) {
         let daemon = &self.daemons[number];
         daemon.signal(Signal::STOP);
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -37,6 +37,8 @@
     KillHolder,
     /// A daemon gets SIGTERM and starts again when it has ended.
     StopOne,
+    /// The store turns all daemons but one away for two seconds.
+    TurnAwayAllButOne,
 }
 
 /// What to play.
@@ -86,8 +88,12 @@
     pub calls_answered: usize,
     /// Calls made.
     pub calls: usize,
+    /// The calls that were not, with the daemon, the status (0 for no answer) and the time.
+    pub unanswered: Vec<String>,
     /// Submissions accepted.
     pub submissions: usize,
+    /// Submissions that were answered with a refusal, each time.
+    pub refusals: usize,
     /// Results read, each once.
     pub results: usize,
     /// Broken promises.
--- a/crates/borageshore_soak/src/oracle.rs
+++ b/crates/borageshore_soak/src/oracle.rs
@@ -1,7 +1,7 @@
 //! What was seen from the outside, and which promises it breaks.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     fmt::Write as _,
 };
@@ -45,6 +45,8 @@
     pub(crate) single_calls: RefCell<BTreeMap<String, bool>>,
     /// When paused processes went on.
     pub(crate) resumed_at_ms: RefCell<Vec<(String, u64)>>,
+    /// Submissions answered with a refusal.
+    pub(crate) refusals: Cell<usize>,
     violations: RefCell<BTreeSet<String>>,
 }
 
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -1,6 +1,10 @@
 //! Callers and a trainer, who check every answer.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use base64::{Engine as _, prelude::BASE64_STANDARD};
 use borageshore_net::{Clock, HttpClient, Timeouts, sleep_ms};
@@ -19,6 +23,8 @@
 pub(crate) const HOST: &str = "soak.example";
 /// The model that is trained.
 pub(crate) const MODEL: &str = "m0";
+/// How many daemons a caller asks for addresses before it takes any.
+const DIRECTORIES_ASKED: usize = 3;
 /// The pause between two calls of a caller.
 const CALL_PAUSE_MS: u64 = 40;
 /// Groups of a step, the items of each, and how many groups the trainer waits for.
@@ -41,6 +47,8 @@
     pub(crate) until_ms: u64,
     pub(crate) calls: Cell<usize>,
     pub(crate) calls_answered: Cell<usize>,
+    /// Calls without success; status 0 stands for no answer.
+    pub(crate) unanswered: RefCell<Vec<String>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -59,21 +67,27 @@
         self.clock.now_ms() >= self.until_ms
     }
 
-    /// One of the addresses that a daemon gives out, or any where none answers.
+    /// One of the addresses that a daemon gives out, after asking three of them at the most; any where
+    /// none answers.
     async fn address(&self, random: &mut Pcg64Mcg) -> SocketAddr {
-        let directory = pick(&self.directories, random);
+        for _ in 0..DIRECTORIES_ASKED {
+            let directory = pick(&self.directories, random);
+            match self.listed(directory).await {
+                Some(listed) if !listed.is_empty() => return pick(&listed, random),
+                _ => {}
+            }
+        }
+        pick(&self.fronts, random)
+    }
+
+    async fn listed(&self, directory: SocketAddr) -> Option<Vec<SocketAddr>> {
         let request = Request::get("/api/resolve?name=soak.example&region=r&zone=z1");
         let request = request.body(Full::<Bytes>::default()).expect("plain text");
-        let answer = HttpClient::open()
-            .call(&directory.to_string(), request, TIMEOUTS)
-            .await;
-        let listed = answer.ok().filter(|(status, _)| *status == StatusCode::OK);
-        let listed: Option<Addresses> =
-            listed.and_then(|(_, body)| serde_json::from_slice(&body).ok());
-        match listed {
-            Some(listed) if !listed.addresses.is_empty() => pick(&listed.addresses, random),
-            _ => pick(&self.fronts, random),
-        }
+        let client = HttpClient::open();
+        let answer = client.call(&directory.to_string(), request, TIMEOUTS).await;
+        let (status, body) = answer.ok()?;
+        let listed: Addresses = serde_json::from_slice(&body).ok()?;
+        (status == StatusCode::OK).then_some(listed.addresses)
     }
 
     /// Makes a request on a connection of its own.
@@ -142,6 +156,11 @@
                         .broken(format!("call {id} got a body that is not whole"));
                 }
             }
+            if status != 200 {
+                let at_ms = self.clock.now_ms();
+                let text = format!("{id} at {front}: status {status} by {at_ms} ms");
+                self.unanswered.borrow_mut().push(text);
+            }
             if status == 404 || status == 400 {
                 self.oracle
                     .broken(format!("call {id} was denied with {status}"));
@@ -222,7 +241,11 @@
     fn note_submitted(&self, id: &str, status: u16) -> bool {
         let mut submissions = self.oracle.submissions.borrow_mut();
         let known = submissions.get_mut(id).expect("entered before it was sent");
-        known.is_refused &= matches!(status, 429 | 503);
+        let is_refusal = matches!(status, 429 | 503);
+        self.oracle
+            .refusals
+            .set(self.oracle.refusals.get() + usize::from(is_refusal));
+        known.is_refused &= is_refusal;
         known.is_accepted |= status == 202;
         known.is_accepted
     }
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -1,6 +1,11 @@
 //! One run: stand-ins, daemons, traffic, faults, and the checks at the end.
 
-use std::{cell::Cell, io, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use borageshore_net::{Clock, sleep_ms};
 use borageshore_standins::platform::{PlatformEngine, PlatformService, PlatformStore, Proxy};
@@ -50,6 +55,7 @@
         until_ms,
         calls: Cell::new(0),
         calls_answered: Cell::new(0),
+        unanswered: RefCell::default(),
     });
     let mut fork = || Pcg64Mcg::seed_from_u64(random.next_u64());
     for number in 0..CALLERS {
@@ -177,6 +183,8 @@
         calls_answered: traffic.calls_answered.get(),
         calls: traffic.calls.get(),
         submissions: accepted.count(),
+        unanswered: traffic.unanswered.borrow().clone(),
+        refusals: oracle.refusals.get(),
         results,
         violations,
     }
--- a/crates/borageshore_standins/src/platform/proxy.rs
+++ b/crates/borageshore_standins/src/platform/proxy.rs
@@ -18,6 +18,9 @@
 /// The pace at which a silent connection looks whether it may go on.
 const HELD_MS: u64 = 20;
 
+const TURNED_AWAY: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
 /// What happens to connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProxyMode {
@@ -31,6 +34,8 @@
     AnswersHeld,
     /// Open connections end, new ones end at once.
     Reset,
+    /// Open connections end; on new ones every request is answered with 503.
+    Busy,
 }
 
 #[derive(Debug)]
@@ -96,6 +101,10 @@
         if shared.mode.get() == ProxyMode::Reset {
             continue;
         }
+        if shared.mode.get() == ProxyMode::Busy {
+            monoio::spawn(turn_away(caller));
+            continue;
+        }
         let target = *shared.target.borrow();
         let shared = shared.clone();
         monoio::spawn(async move {
@@ -106,6 +115,13 @@
     }
 }
 
+async fn turn_away(mut caller: TcpStream) {
+    let (read, _) = caller.read(vec![0_u8; CHUNK_BYTES]).await;
+    if read.is_ok_and(|count| count > 0) {
+        let (_, _) = caller.write_all(TURNED_AWAY).await;
+    }
+}
+
 async fn join(caller: TcpStream, target: TcpStream, shared: Rc<Shared>) {
     let _ = (caller.set_nodelay(true), target.set_nodelay(true));
     let generation = shared.generation.get();
@@ -133,7 +149,7 @@
         loop {
             let is_forgotten = shared.generation.get() != generation;
             match shared.mode.get() {
-                ProxyMode::Reset => return,
+                ProxyMode::Reset | ProxyMode::Busy => return,
                 ProxyMode::Delay(ms) if !is_forgotten => {
                     sleep_ms(ms).await;
                     break;
