Four faults found by reading, each with a test that fails without its change

A submission that was handed on named the peer's address as its host, found no route there and got 504. After a gap in the history an endpoint that had left meanwhile stayed known for good: the newest records do not show what was removed. A clock that was ahead at the last start: the present life's heartbeats were taken for late ones of an earlier life, and the VM got no callers and no work.

The soak also checks that every running daemon is given out by all others at the end.

--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -28,7 +28,7 @@
 
 pub use self::{
     ledger::{Ledger, LedgerEntry, SubmissionState},
-    open::OpenSubmission,
+    open::IndexEntry,
     order::{ItemRank, rank_items},
     order_lease::OrderLeases,
     placement::{EngineView, PlacementRequest, choose_engine},
--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -31,6 +31,8 @@
     pub address_ttl_s: u64,
     /// The time from SIGTERM to SIGKILL.
     pub stop_grace_s: u64,
+    /// How long after its submission a result can be read.
+    pub results_kept_s: u64,
     /// Orders of two holders to one engine are at least this far apart.
     pub order_lease_ms: u64,
     /// The share of the engines that load weights at once without slowing each other.
--- a/crates/borageshore_gateway/src/endpoints.rs
+++ b/crates/borageshore_gateway/src/endpoints.rs
@@ -47,6 +47,8 @@
     clock: Clock,
     zone: Arc<str>,
     entries: RefCell<SortedMap<Arc<str>, EndpointEntry>>,
+    /// After a gap: endpoints that were known before and have not been listed since.
+    unconfirmed: RefCell<Option<Vec<Arc<str>>>>,
     /// Entries that lapsed during or right after an outage, with when they count as gone.
     lapsed: RefCell<SortedMap<Arc<str>, u64>>,
     table: RefCell<EndpointTable>,
@@ -66,6 +68,7 @@
             clock,
             zone,
             entries: RefCell::default(),
+            unconfirmed: RefCell::default(),
             lapsed: RefCell::default(),
             table: RefCell::default(),
             versions: RefCell::default(),
@@ -299,6 +302,17 @@
         }
     }
 
+    /// After a gap the newest records come all at once; what is not among them was removed meanwhile.
+    fn remove_unconfirmed(&self, newest: &[KeyedRecord]) {
+        let unconfirmed = self.unconfirmed.take().unwrap_or_default();
+        let is_listed = |instance: &Arc<str>| newest.iter().any(|record| record.key == *instance);
+        for instance in unconfirmed {
+            if !is_listed(&instance) {
+                self.on_removed(&instance);
+            }
+        }
+    }
+
     /// Removes the entries whose grace is over.
     pub(crate) fn expire_lapsed(&self) {
         let now_ms = self.clock.now_ms();
@@ -343,6 +357,13 @@
                 }
             }
         }
+        self.remove_unconfirmed(records);
+    }
+
+    /// The removal of an entry may be among the records that were missed.
+    fn on_gap(&self) {
+        let known = self.entries.borrow().keys().cloned().collect();
+        *self.unconfirmed.borrow_mut() = Some(known);
     }
 
     fn on_fresh(&self) {
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -6,11 +6,12 @@
 use borageshore_batch::SwapLimits;
 use borageshore_diagnostics::Instruments;
 use borageshore_membership::{Presence, PresenceState};
-use borageshore_net::{Clock, HttpServer};
+use borageshore_net::{Clock, HttpServer, boot_time_ms};
 use borageshore_platform::{EndpointClient, Store, Topic};
 
 use crate::{
     calls::Calls,
+    cleaner::Cleaner,
     config::GatewayConfig,
     dispatch::Dispatch,
     endpoints::Endpoints,
@@ -19,13 +20,13 @@
     ledger_view::LedgerView,
     life::{self, Life, Signals},
     members::Members,
-    open_index::OpenIndex,
     orderer::{Orderer, OrdererParts, Rounds},
     peers::Peers,
     rewards::Rewards,
     routes::Routes,
     runner::Runner,
     server::{MetricsPage, Server, server_limits},
+    submission_index::SubmissionIndex,
     submissions::Submissions,
     writer::Writer,
 };
@@ -50,7 +51,7 @@
     members: Rc<Members>,
     routes: Rc<Routes>,
     endpoints: Rc<Endpoints>,
-    open: Rc<Follow<OpenIndex>>,
+    open: Rc<Follow<SubmissionIndex>>,
     runner: Rc<Runner>,
     writer: Rc<Writer>,
     servers: Vec<HttpServer>,
@@ -70,10 +71,11 @@
         let endpoints = Endpoints::open(config.zone.clone(), seed, clock);
         let routes = Rc::new(Routes::default());
         let members = Members::open(own_presence(&config, incarnation), clock);
-        let author = format!("{}.{incarnation}", config.name);
+        // The boot clock tells two lives apart whose clock shows the same time.
+        let author = format!("{}.{incarnation}.{}", config.name, boot_time_ms());
         let partitions = config.store_partitions;
         let view = LedgerView::spawn(store.clone(), partitions, clock);
-        let index = OpenIndex::open(store.clone());
+        let index = SubmissionIndex::open(store.clone());
         let submissions = Submissions::open(
             store.clone(),
             partitions,
@@ -106,14 +108,14 @@
             MEMBERS_PAUSE_MS,
             members.clone(),
         );
-        let open = follow_newest(&store, Topic::Open, clock, OPEN_PAUSE_MS, index.clone());
+        let open = follow_newest(&store, Topic::Index, clock, OPEN_PAUSE_MS, index.clone());
         spawn_orderer(OrdererParts {
             store: store.clone(),
             clock,
             endpoints: endpoints.clone(),
             routes: routes.clone(),
             members: members.clone(),
-            index,
+            index: index.clone(),
             client: client.clone(),
             limits: SwapLimits {
                 parallel_percent: config.parallel_loads_percent,
@@ -121,6 +123,14 @@
             },
             lease_ms: config.order_lease_ms,
         });
+        let cleaner = Cleaner {
+            store: store.clone(),
+            partitions,
+            index,
+            members: members.clone(),
+            kept_ms: config.results_kept_s * 1_000,
+        };
+        monoio::spawn(cleaner.run());
         monoio::spawn(members.clone().beat(store.clone()));
         let life = Life::open();
         let server = Server {
--- a/crates/borageshore_gateway/src/lib.rs
+++ b/crates/borageshore_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 mod calls;
+mod cleaner;
 mod config;
 mod dispatch;
 mod endpoints;
@@ -20,13 +21,13 @@
 mod ledger_view;
 mod life;
 mod members;
-mod open_index;
 mod orderer;
 mod peers;
 mod rewards;
 mod routes;
 mod runner;
 mod server;
+mod submission_index;
 mod submissions;
 mod texts;
 mod writer;
--- a/crates/borageshore_gateway/src/members.rs
+++ b/crates/borageshore_gateway/src/members.rs
@@ -59,6 +59,26 @@
         }
     }
 
+    /// Raises this daemon's incarnation over that of an earlier life.
+    ///
+    /// Guards against a clock that was set back between two starts: all daemons would take the
+    /// heartbeats of the present life for late ones of an earlier life, and this one for dead.
+    fn outlive(&self, record: &KeyedRecord) {
+        let mut own = self.own.borrow_mut();
+        if record.key != own.name {
+            return;
+        }
+        let value = record.value.as_deref().unwrap_or_default();
+        let earlier = serde_json::from_slice::<Presence>(value);
+        if let Ok(earlier) = earlier
+            && earlier.incarnation > own.incarnation
+        {
+            log::warn!(earlier = earlier.incarnation, own = own.incarnation; "the clock was set back between two starts");
+            own.incarnation = earlier.incarnation + 1;
+            self.beat_at_once.notify_one();
+        }
+    }
+
     /// Removes this daemon's heartbeat; a heartbeat on its way may still come after it.
     pub(crate) async fn say_goodbye(&self, store: &Store) {
         let record = [(self.own_name(), Bytes::new())];
@@ -148,6 +168,7 @@
     fn apply(&self, records: &[KeyedRecord]) {
         let mut table = self.table.borrow_mut();
         for record in records {
+            self.outlive(record);
             let Some(value) = &record.value else {
                 table.on_goodbye(&record.key);
                 continue;
--- a/crates/borageshore_gateway/src/orderer.rs
+++ b/crates/borageshore_gateway/src/orderer.rs
@@ -19,8 +19,8 @@
     endpoints::Endpoints,
     follow::{Fold, Follow, ONLY_PARTITION},
     members::Members,
-    open_index::OpenIndex,
     routes::Routes,
+    submission_index::SubmissionIndex,
 };
 
 /// The key of rounds; readers that start late need the newest only.
@@ -103,7 +103,7 @@
     pub(crate) endpoints: Rc<Endpoints>,
     pub(crate) routes: Rc<Routes>,
     pub(crate) members: Rc<Members>,
-    pub(crate) index: Rc<OpenIndex>,
+    pub(crate) index: Rc<SubmissionIndex>,
     pub(crate) client: EndpointClient,
     pub(crate) limits: SwapLimits,
     /// The least time between orders of two holders to one engine.
--- a/crates/borageshore_gateway/src/runner.rs
+++ b/crates/borageshore_gateway/src/runner.rs
@@ -17,7 +17,7 @@
     item::{ItemContext, run_item},
     ledger_view::LedgerView,
     members::Members,
-    open_index::OpenIndex,
+    submission_index::SubmissionIndex,
 };
 
 /// While submissions are open, owners are looked at again after this time: a daemon dies without a
@@ -56,7 +56,7 @@
 #[derive(Debug)]
 pub(crate) struct Runner {
     view: Rc<LedgerView>,
-    index: Rc<OpenIndex>,
+    index: Rc<SubmissionIndex>,
     members: Rc<Members>,
     context: Rc<ItemContext>,
     running: RefCell<SortedMap<Arc<str>, Rc<Cancel>>>,
@@ -72,7 +72,7 @@
 impl Runner {
     pub(crate) fn spawn(
         view: Rc<LedgerView>,
-        index: Rc<OpenIndex>,
+        index: Rc<SubmissionIndex>,
         members: Rc<Members>,
         context: Rc<ItemContext>,
     ) -> Rc<Self> {
@@ -112,7 +112,7 @@
     /// Starts what this daemon owns by now, stops what it does not; says whether any submission is
     /// open.
     fn reconcile(self: &Rc<Self>) -> bool {
-        let open = self.index.list();
+        let open = self.index.open_submissions();
         let own = open.iter().filter(|(id, key)| self.members.owns(id, key));
         let own: Vec<&Arc<str>> = own.map(|(id, _)| id).collect();
         self.running.borrow_mut().retain(|id, cancel| {
--- /dev/null
+++ b/crates/borageshore_gateway/src/submission_index.rs
@@ -0,0 +1,128 @@
+//! The index of submissions whose records are kept: small, and read by every daemon.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use borageshore_base::SortedMap;
+use borageshore_batch::{IndexEntry, Submission};
+use borageshore_platform::{KeyedRecord, Store, StoreError, Topic};
+use bytes::Bytes;
+use tokio::sync::Notify;
+
+use crate::follow::{Fold, ONLY_PARTITION};
+
+/// The submissions by id.
+#[derive(Debug)]
+pub(crate) struct SubmissionIndex {
+    store: Store,
+    entries: RefCell<SortedMap<Arc<str>, IndexEntry>>,
+    /// The expected tokens of the newest submission by work key.
+    demand: RefCell<SortedMap<Arc<str>, u64>>,
+    /// Told when the index changed.
+    pub(crate) changed: Notify,
+}
+
+impl SubmissionIndex {
+    pub(crate) fn open(store: Store) -> Rc<Self> {
+        Rc::new(Self {
+            store,
+            entries: RefCell::default(),
+            demand: RefCell::default(),
+            changed: Notify::new(),
+        })
+    }
+
+    /// The submissions that are not ended, with what decides who runs them.
+    pub(crate) fn open_submissions(&self) -> Vec<(Arc<str>, Arc<str>)> {
+        let entries = self.entries.borrow();
+        let open = entries.iter().filter(|(_, entry)| !entry.is_ended);
+        open.map(|(id, entry)| (id.clone(), entry.work_key.clone()))
+            .collect()
+    }
+
+    /// The submissions whose records may be removed.
+    pub(crate) fn expired(&self, kept_ms: u64, slack_ms: u64) -> Vec<Arc<str>> {
+        let now_ms = time_of_day_ms();
+        let entries = self.entries.borrow();
+        let expired = entries
+            .iter()
+            .filter(|(_, entry)| entry.is_expired(kept_ms, slack_ms, now_ms));
+        expired.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// The tokens that the newest submission of a work key is expected to make.
+    pub(crate) fn demand_tokens(&self, work_key: &str) -> u64 {
+        self.demand.borrow().get(work_key).copied().unwrap_or(0)
+    }
+
+    /// Enters a submission.
+    pub(crate) async fn enter(&self, submission: &Submission) -> Result<(), StoreError> {
+        let entry = IndexEntry {
+            work_key: submission.work_key().clone(),
+            expected_tokens: submission.expected_tokens(),
+            entered_at_ms: time_of_day_ms(),
+            is_ended: false,
+        };
+        self.write(&submission.id, Some(&entry)).await
+    }
+
+    /// Marks a submission as ended; left open, it costs its owner a look.
+    pub(crate) async fn close(&self, id: &Arc<str>) {
+        let entry = self.entries.borrow().get(id).cloned();
+        let Some(entry) = entry else {
+            return;
+        };
+        let ended = IndexEntry {
+            is_ended: true,
+            ..entry
+        };
+        if let Err(error) = self.write(id, Some(&ended)).await {
+            log::info!(submission = &**id, error:% = error; "submission stays open in the index for now");
+        }
+    }
+
+    /// Takes a submission out.
+    pub(crate) async fn remove(&self, id: &Arc<str>) -> Result<(), StoreError> {
+        self.write(id, None).await
+    }
+
+    async fn write(&self, id: &Arc<str>, entry: Option<&IndexEntry>) -> Result<(), StoreError> {
+        let value = entry.map(|entry| serde_json::to_vec(entry).expect("plain data"));
+        let record = [(id.clone(), Bytes::from(value.unwrap_or_default()))];
+        self.store
+            .append(Topic::Index, ONLY_PARTITION, &record, None)
+            .await
+            .map(|_| ())
+    }
+}
+
+fn time_of_day_ms() -> u64 {
+    jiff::Timestamp::now().as_millisecond() as u64
+}
+
+impl Fold for SubmissionIndex {
+    fn apply(&self, records: &[KeyedRecord]) {
+        for record in records {
+            let Some(value) = &record.value else {
+                self.entries.borrow_mut().remove(&record.key);
+                continue;
+            };
+            match serde_json::from_slice::<IndexEntry>(value) {
+                Ok(entry) => {
+                    if !entry.is_ended {
+                        let mut demand = self.demand.borrow_mut();
+                        demand.insert(entry.work_key.clone(), entry.expected_tokens);
+                    }
+                    self.entries.borrow_mut().insert(record.key.clone(), entry);
+                }
+                Err(error) => {
+                    log::error!(submission = &*record.key, error:% = error; "an entry of the index cannot be read");
+                }
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
+    fn on_gap(&self) {
+        self.entries.borrow_mut().retain(|_, _| false);
+    }
+}
--- a/crates/borageshore_gateway/src/submissions.rs
+++ b/crates/borageshore_gateway/src/submissions.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     ledger_view::{LedgerView, Shard},
-    open_index::OpenIndex,
+    submission_index::SubmissionIndex,
 };
 
 /// Readers are told that there is nothing only by a view that is no older. A result that one daemon
@@ -36,7 +36,7 @@
     clock: Clock,
     partitions: u64,
     view: Rc<LedgerView>,
-    index: Rc<OpenIndex>,
+    index: Rc<SubmissionIndex>,
     instruments: Rc<Instruments>,
 }
 
@@ -46,7 +46,7 @@
         partitions: u64,
         clock: Clock,
         view: Rc<LedgerView>,
-        index: Rc<OpenIndex>,
+        index: Rc<SubmissionIndex>,
         instruments: Rc<Instruments>,
     ) -> Rc<Self> {
         Rc::new(Self {
--- a/crates/borageshore_net/src/client.rs
+++ b/crates/borageshore_net/src/client.rs
@@ -225,9 +225,10 @@
     }
 }
 
+/// Names the address as the host unless the request names one.
 fn set_host(request: &mut Request<Full<Bytes>>, address: &str) {
     if let Ok(host) = address.parse() {
-        request.headers_mut().insert(HOST, host);
+        request.headers_mut().entry(HOST).or_insert(host);
     }
 }
 
--- a/crates/borageshore_soak/src/daemons.rs
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -49,9 +49,10 @@
         let text = format!(
             "name: {name}\nzone: z1\nhttp_address: {front}\nready_address: {ready}\n\
              directory_address: {directory}\nmetrics_address: {metrics}\nprocessor_share: 0.5\nstore_address: {}\n\
-             store_partitions: 2\naddress_ttl_s: 1\nstop_grace_s: {GRACE_S}\norder_lease_ms: 3000\n\
+             store_partitions: 2\naddress_ttl_s: 1\nstop_grace_s: {GRACE_S}\nresults_kept_s: {}\norder_lease_ms: 3000\n\
              parallel_loads_percent: 50\nload_share_percent: 50\n",
-            store.address()
+            store.address(),
+            options.results_kept_s
         );
         std::fs::write(&config, text)?;
         Ok(Self {
--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -11,6 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
 use serde::Deserialize;
+use serde_json::json;
 
 use crate::{Moment, daemons::DaemonProcess, oracle::Oracle};
 
@@ -50,6 +51,10 @@
     StoreLink(usize, ProxyMode),
     /// The store turns the daemons from this one on away.
     TurnAway(usize),
+    /// An endpoint leaves the list while nobody sees it.
+    UnlistUnseen,
+    /// A heartbeat of an earlier life with a clock far ahead.
+    HeartbeatFromAhead,
     SilentConnections(usize),
     EngineLink(usize, ProxyMode),
     EngineGone(usize),
@@ -86,6 +91,8 @@
                 Moment::KillHolder => Fault::Kill(self.holder().await),
                 Moment::StopOne => Fault::Stop(0),
                 Moment::TurnAwayAllButOne => Fault::TurnAway(1),
+                Moment::UnlistUnseen => Fault::UnlistUnseen,
+                Moment::HeartbeatFromAhead => Fault::HeartbeatFromAhead,
             };
             self.begun
                 .borrow_mut()
@@ -173,6 +180,8 @@
             Fault::StoreLink(number, mode) => {
                 harm_link(&self.daemons[number].store, mode, length_ms).await;
             }
+            Fault::HeartbeatFromAhead => self.put_heartbeat_from_ahead(),
+            Fault::UnlistUnseen => self.unlist_unseen(length_ms).await,
             Fault::TurnAway(first) => self.turn_away(first, length_ms).await,
             Fault::SilentConnections(number) => {
                 self.daemons[number].store.forget_open_connections();
@@ -215,6 +224,30 @@
         }
     }
 
+    fn put_heartbeat_from_ahead(&self) {
+        let name = &self.daemons[0].name;
+        let heartbeat = json!({
+            "name": name, "incarnation": u64::MAX / 2, "zone": "z1", "http_address": "127.0.0.1:1",
+            "state": "Draining", "capacity_percent": 50, "holds": [],
+        });
+        self.store
+            .put("keyed.members", name, heartbeat.to_string().as_bytes());
+    }
+
+    async fn unlist_unseen(&self, length_ms: u64) {
+        for daemon in &self.daemons {
+            daemon.store.set_mode(ProxyMode::Silent);
+        }
+        sleep_ms(length_ms).await;
+        self.store.put("keyed.servers", "s-0", b"");
+        self.store.forget_history();
+        self.oracle.unlisted_at_ms.set(Some(self.clock.now_ms()));
+        for daemon in &self.daemons {
+            daemon.store.forget_open_connections();
+            daemon.store.set_mode(ProxyMode::Pass);
+        }
+    }
+
     async fn turn_away(&self, first: usize, length_ms: u64) {
         for daemon in &self.daemons[first..] {
             daemon.store.set_mode(ProxyMode::Busy);
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -39,6 +39,11 @@
     StopOne,
     /// The store turns all daemons but one away for two seconds.
     TurnAwayAllButOne,
+    /// The first endpoint of the plain service leaves the list in a part of the history that no daemon
+    /// sees, and goes on serving.
+    UnlistUnseen,
+    /// The store holds a heartbeat of a daemon's earlier life, when its clock was far ahead.
+    HeartbeatFromAhead,
 }
 
 /// What to play.
@@ -56,6 +61,10 @@
     pub services: usize,
     /// How long traffic and faults go on.
     pub duration_ms: u64,
+    /// How long results can be read; they are not read at the end if it is shorter than the run.
+    pub results_kept_s: u64,
+    /// The daemon that gets all submissions; any if there is none.
+    pub submit_at: Option<usize>,
     /// The faults.
     pub script: Script,
     /// Where the daemons' logs go.
@@ -72,6 +81,8 @@
             engines: 4,
             services: 2,
             duration_ms: 15_000,
+            results_kept_s: 120,
+            submit_at: None,
             script: Script::Random(8),
             folder: std::env::temp_dir()
                 .join(format!("borageshore-soak-{}-{seed}", std::process::id())),
@@ -92,8 +103,10 @@
     pub unanswered: Vec<String>,
     /// Submissions accepted.
     pub submissions: usize,
-    /// Submissions that were answered with a refusal, each time.
-    pub refusals: usize,
+    /// Submissions that were answered otherwise than with an acceptance, each time.
+    pub not_accepted: usize,
+    /// Records of submissions that the store holds at the end.
+    pub kept_records: usize,
     /// Results read, each once.
     pub results: usize,
     /// Broken promises.
--- a/crates/borageshore_soak/src/oracle.rs
+++ b/crates/borageshore_soak/src/oracle.rs
@@ -16,6 +16,10 @@
 /// Orders that leave a process within this time after it went on do not count.
 const THAW_SLACK_MS: u64 = 300;
 
+/// Entries that lapse around an outage of the store are kept for 2.3 s, and the store's silence is
+/// noticed within 2 s.
+const UNLISTED_MS: u64 = 4_500;
+
 /// A result as a trainer reads it.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub(crate) struct ReadResult {
@@ -45,8 +49,10 @@
     pub(crate) single_calls: RefCell<BTreeMap<String, bool>>,
     /// When paused processes went on.
     pub(crate) resumed_at_ms: RefCell<Vec<(String, u64)>>,
-    /// Submissions answered with a refusal.
-    pub(crate) refusals: Cell<usize>,
+    /// Submissions answered otherwise than with an acceptance.
+    pub(crate) not_accepted: Cell<usize>,
+    /// When the first endpoint of the plain service left the list.
+    pub(crate) unlisted_at_ms: Cell<Option<u64>>,
     violations: RefCell<BTreeSet<String>>,
 }
 
@@ -124,6 +130,7 @@
         self.check_refused(&runs);
         self.check_versions(&runs);
         self.check_single_calls(services);
+        self.check_unlisted(services);
         for (number, engine) in engines.iter().enumerate() {
             self.check_orders(number, engine);
         }
@@ -180,6 +187,23 @@
         }
     }
 
+    /// An endpoint that left the list gets nothing new after a while.
+    fn check_unlisted(&self, services: &[PlatformService]) {
+        let Some(unlisted_at_ms) = self.unlisted_at_ms.get() else {
+            return;
+        };
+        for (id, runs) in services[0].runs() {
+            if runs
+                .iter()
+                .any(|at_ms| *at_ms > unlisted_at_ms + UNLISTED_MS)
+            {
+                self.broken(format!(
+                    "call {id} reached an endpoint that had left the list"
+                ));
+            }
+        }
+    }
+
     fn check_orders(&self, number: usize, engine: &PlatformEngine) {
         let resumed = self.resumed_at_ms.borrow();
         let counts = |at_ms: u64, holder: &str| {
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -42,6 +42,7 @@
     pub(crate) clock: Clock,
     pub(crate) fronts: Vec<SocketAddr>,
     pub(crate) directories: Vec<SocketAddr>,
+    pub(crate) submit_at: Option<SocketAddr>,
     pub(crate) store: PlatformStore,
     pub(crate) oracle: Rc<Oracle>,
     pub(crate) until_ms: u64,
@@ -80,7 +81,8 @@
         pick(&self.fronts, random)
     }
 
-    async fn listed(&self, directory: SocketAddr) -> Option<Vec<SocketAddr>> {
+    /// The addresses that a daemon gives out.
+    pub(crate) async fn listed(&self, directory: SocketAddr) -> Option<Vec<SocketAddr>> {
         let request = Request::get("/api/resolve?name=soak.example&region=r&zone=z1");
         let request = request.body(Full::<Bytes>::default()).expect("plain text");
         let client = HttpClient::open();
@@ -223,7 +225,10 @@
         });
         let body = Bytes::from(body.to_string());
         while !self.is_over() {
-            let front = self.address(random).await;
+            let front = match self.submit_at {
+                Some(front) => front,
+                None => self.address(random).await,
+            };
             let headers = [("x-request-id", id)];
             let answer = self
                 .ask(front, "POST", "/batch/x", &headers, body.clone())
@@ -242,9 +247,8 @@
         let mut submissions = self.oracle.submissions.borrow_mut();
         let known = submissions.get_mut(id).expect("entered before it was sent");
         let is_refusal = matches!(status, 429 | 503);
-        self.oracle
-            .refusals
-            .set(self.oracle.refusals.get() + usize::from(is_refusal));
+        let failed = self.oracle.not_accepted.get() + usize::from(status != 202);
+        self.oracle.not_accepted.set(failed);
         known.is_refused &= is_refusal;
         known.is_accepted |= status == 202;
         known.is_accepted
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -50,6 +50,9 @@
             .iter()
             .map(|daemon| daemon.directory)
             .collect(),
+        submit_at: options
+            .submit_at
+            .map(|number| targets.daemons[number].front),
         store: targets.store.clone(),
         oracle: oracle.clone(),
         until_ms,
@@ -68,7 +71,10 @@
         Script::Moments(moments) => targets.clone().play(moments).await,
     }
     sleep_ms(until_ms.saturating_sub(clock.now_ms()) + SETTLE_MS).await;
-    read_everything(&traffic).await;
+    check_listed(&traffic, &targets).await;
+    if options.results_kept_s * 1_000 > options.duration_ms {
+        read_everything(&traffic).await;
+    }
     let engines: Vec<PlatformEngine> = targets.engines.iter().map(|(e, _)| e.clone()).collect();
     let services: Vec<PlatformService> = targets.services.iter().map(|(s, _)| s.clone()).collect();
     oracle.check_endpoints(&engines, &services);
@@ -130,6 +136,19 @@
     })
 }
 
+/// Every daemon that runs is given out by every other one once all is calm.
+async fn check_listed(traffic: &Traffic, targets: &Targets) {
+    for asked in targets.daemons.iter().filter(|daemon| daemon.is_running()) {
+        let listed = traffic.listed(asked.directory).await.unwrap_or_default();
+        for daemon in targets.daemons.iter().filter(|daemon| daemon.is_running()) {
+            if !listed.contains(&daemon.front) {
+                let text = format!("{} is not given out by {}", daemon.name, asked.name);
+                traffic.oracle.broken(text);
+            }
+        }
+    }
+}
+
 /// Reads every accepted submission from its start at every daemon: whatever was read must come
 /// again, and no daemon may have forgotten it.
 async fn read_everything(traffic: &Traffic) {
@@ -184,7 +203,8 @@
         calls: traffic.calls.get(),
         submissions: accepted.count(),
         unanswered: traffic.unanswered.borrow().clone(),
-        refusals: oracle.refusals.get(),
+        not_accepted: oracle.not_accepted.get(),
+        kept_records: targets.store.kept_records("keyed.batch-"),
         results,
         violations,
     }
--- a/crates/borageshore_standins/src/platform/store.rs
+++ b/crates/borageshore_standins/src/platform/store.rs
@@ -148,6 +148,15 @@
             .collect()
     }
 
+    /// How many keys the topics hold whose names begin so.
+    pub fn kept_records(&self, topics: &str) -> usize {
+        let partitions = self.shared.partitions.borrow();
+        let kept = partitions
+            .iter()
+            .filter(|((topic, _), _)| topic.starts_with(topics));
+        kept.map(|(_, partition)| partition.newest.len()).sum()
+    }
+
     /// Drops the history of all topics; the newest records of keyed topics stay.
     pub fn forget_history(&self) {
         for partition in self.shared.partitions.borrow_mut().values_mut() {
