--- /dev/null
+++ b/crates/borageshore_batch/src/index_entry.rs
@@ -0,0 +1,26 @@
+//! The index of submissions whose records are kept.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// An entry of the index, under the submission's id.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IndexEntry {
+    /// Decides which daemon runs it.
+    pub work_key: Arc<str>,
+    /// The tokens that its items are expected to make, for sharing engines among models.
+    pub expected_tokens: u64,
+    /// When it was entered, by the clock of the daemon that did.
+    pub entered_at_ms: u64,
+    /// Whether it was ended.
+    pub is_ended: bool,
+}
+
+impl IndexEntry {
+    /// Says whether its records may be removed: it is ended, and the time for which results are kept
+    /// is over. `slack_ms` covers clocks that differ between VMs.
+    pub fn is_expired(&self, kept_ms: u64, slack_ms: u64, now_ms: u64) -> bool {
+        self.is_ended && now_ms > self.entered_at_ms + kept_ms + slack_ms
+    }
+}
