--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -15,8 +15,8 @@
 //! assert!(ledger.get("s1").unwrap().is_ended());
 //! ```
 
+mod index_entry;
 mod ledger;
-mod open;
 mod order;
 mod order_lease;
 mod pieces;
@@ -27,8 +27,8 @@
 mod text;
 
 pub use self::{
+    index_entry::IndexEntry,
     ledger::{Ledger, LedgerEntry, SubmissionState},
-    open::IndexEntry,
     order::{ItemRank, rank_items},
     order_lease::OrderLeases,
     placement::{EngineView, PlacementRequest, choose_engine},
