What is told of a call follows from all its attempts, those under way too

Cause, found by reading: when a caller's time was over while an attempt was still under way, the attempt counted as none, and the answer was 503, 'not run', for a call that may have run. RequestAttempts makes the decision pure, with the product's chart of an attempt; its test of an attempt under way fails on a count of ended attempts only, as it was.

--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -8,7 +8,9 @@
 use borageshore_platform::{
     Answer, AttemptError, CallHead, EndpointClient, Outbound, answer, refusal,
 };
-use borageshore_routing::{RetryBudget, Route, RouteKind};
+use borageshore_routing::{
+    AttemptEvent, Idempotent, Outcome, RequestAttempts, RetryBudget, Route, RouteKind,
+};
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
@@ -37,10 +39,8 @@
 
 /// What the attempts of a call came to so far.
 #[derive(Debug, Default)]
-struct Outcome {
-    tried: Vec<Arc<str>>,
-    /// Whether an endpoint may have run the call.
-    may_have_run: bool,
+struct CallOutcome {
+    attempts: RequestAttempts,
     /// An endpoint's own failure, to be passed on if nothing better comes.
     failure: Option<Answer>,
 }
@@ -78,7 +78,7 @@
             let fault = Fault::new(ResultCode::NoEndpoint, "the route names no service");
             return refusal(&fault, Some(RETRY_AFTER_MS));
         };
-        let mut outcome = Outcome::default();
+        let mut outcome = CallOutcome::default();
         let attempts = self.attempts(route, service, &outbound, until_ms, &mut outcome);
         let answered = attempts.await.or(outcome.failure.take());
         let took_ms = self.clock.now_ms() - started_ms;
@@ -91,23 +91,23 @@
         self.instruments.count("call", outcome_of(status));
         log::info!(
             request = &*outbound.id, route = &*route.name, status, took_ms, wait_ms,
-            tried:? = outcome.tried, may_have_run = outcome.may_have_run;
+            tried:? = outcome.attempts.tried(), outcome:? = outcome.attempts.outcome();
             "call answered"
         );
         response
     }
 
     /// The final answer where no endpoint gave one.
-    fn give_up(&self, outcome: &Outcome, until_ms: u64) -> EdgeResponse {
-        let code = if !outcome.may_have_run {
-            ResultCode::NoEndpoint
-        } else if self.clock.now_ms() >= until_ms {
-            ResultCode::TimeoutAfterHandover
-        } else {
-            ResultCode::EndpointLost
+    fn give_up(&self, outcome: &CallOutcome, until_ms: u64) -> EdgeResponse {
+        if outcome.attempts.outcome() == Outcome::NotRun {
+            let fault = Fault::new(ResultCode::NoEndpoint, "");
+            return refusal(&fault, Some(RETRY_AFTER_MS));
+        }
+        let code = match self.clock.now_ms() >= until_ms {
+            true => ResultCode::TimeoutAfterHandover,
+            false => ResultCode::EndpointLost,
         };
-        let retry_after_ms = (!outcome.may_have_run).then_some(RETRY_AFTER_MS);
-        refusal(&Fault::new(code, ""), retry_after_ms)
+        refusal(&Fault::new(code, ""), None)
     }
 
     /// Asks one endpoint after the other, and a second one beside a slow one, as the route permits.
@@ -117,20 +117,24 @@
         service: &Arc<str>,
         outbound: &Outbound,
         until_ms: u64,
-        outcome: &mut Outcome,
+        outcome: &mut CallOutcome,
     ) -> Option<Answer> {
-        let is_idempotent = route.kind == RouteKind::Idempotent;
+        let idempotent = match route.kind {
+            RouteKind::Idempotent => Idempotent::Yes,
+            _ => Idempotent::No,
+        };
         let hedge_ms = route.objective_ms * HEDGE_PERCENT / 100;
         self.hedges.borrow_mut().on_request();
+        let may_try =
+            |outcome: &CallOutcome| outcome.attempts.may_try(idempotent, route.max_attempts);
         let mut under_way = FuturesUnordered::new();
-        let mut may_hedge = is_idempotent;
+        let mut may_hedge = idempotent == Idempotent::Yes;
         loop {
             let left_ms = until_ms.saturating_sub(self.clock.now_ms());
             if left_ms == 0 {
                 return None;
             }
-            let may_start = under_way.is_empty() && (is_idempotent || !outcome.may_have_run);
-            if may_start && (outcome.tried.len() as u64) < route.max_attempts {
+            if under_way.is_empty() && may_try(outcome) {
                 match self.start(service, outbound, left_ms, outcome) {
                     Some(attempt) => under_way.push(attempt),
                     None => return None,
@@ -144,9 +148,8 @@
                 left_ms
             };
             let Some(ended) = within_ms(wait_ms, under_way.next()).await else {
-                let has_more = (outcome.tried.len() as u64) < route.max_attempts;
                 if std::mem::take(&mut may_hedge)
-                    && has_more
+                    && may_try(outcome)
                     && self.hedges.borrow_mut().try_retry()
                 {
                     let attempt = self.start(service, outbound, left_ms, outcome);
@@ -154,8 +157,10 @@
                 }
                 continue;
             };
-            let Some(ended) = ended else { continue };
-            if let Some(answer) = note(ended, outbound, outcome) {
+            let Some((number, ended)) = ended else {
+                continue;
+            };
+            if let Some(answer) = note(number, ended, outbound, outcome) {
                 return Some(answer);
             }
         }
@@ -166,15 +171,15 @@
         service: &Arc<str>,
         outbound: &'c Outbound,
         left_ms: u64,
-        outcome: &mut Outcome,
-    ) -> Option<impl Future<Output = Result<Answer, AttemptError>> + use<'c>> {
-        let chosen = self.endpoints.choose(service, &outcome.tried);
+        outcome: &mut CallOutcome,
+    ) -> Option<impl Future<Output = (usize, Result<Answer, AttemptError>)> + use<'c>> {
+        let chosen = self.endpoints.choose(service, outcome.attempts.tried());
         // All were tried: once more any of them.
         let (target, in_flight) = match chosen {
             Some(chosen) => chosen,
             None => self.endpoints.choose(service, &[])?,
         };
-        outcome.tried.push(target.instance.clone());
+        let number = outcome.attempts.hand_over(target.instance.clone());
         Some(async move {
             let called = self.client.call(&target, outbound, left_ms).await;
             match &called {
@@ -188,7 +193,7 @@
                     in_flight.fail();
                 }
             }
-            called
+            (number, called)
         })
     }
 }
@@ -203,29 +208,28 @@
 
 /// Takes an attempt's end over; returns the answer for the caller if there is one.
 fn note(
+    number: usize,
     ended: Result<Answer, AttemptError>,
     outbound: &Outbound,
-    outcome: &mut Outcome,
+    outcome: &mut CallOutcome,
 ) -> Option<Answer> {
-    match ended {
-        Ok(answer) if answer.status.is_server_error() => {
-            outcome.may_have_run = true;
-            // Without a signature it is no answer that the endpoint made.
-            if answer.stamp.is_some() {
-                outcome.failure = Some(answer);
-            }
-            None
-        }
-        Ok(answer) if answer.status.is_success() && answer.stamp.is_none() => {
-            log::warn!(request = &*outbound.id; "a success without a signature is dropped");
-            outcome.may_have_run = true;
-            None
+    let event = match &ended {
+        Ok(_) => AttemptEvent::Answered,
+        Err(AttemptError::Lost(_)) => AttemptEvent::Lost,
+        Err(AttemptError::NotSent(_) | AttemptError::Refused { .. }) => AttemptEvent::Refused,
+    };
+    outcome.attempts.on(number, event);
+    let answer = ended.ok()?;
+    if answer.status.is_server_error() {
+        // Without a signature it is no answer that the endpoint made.
+        if answer.stamp.is_some() {
+            outcome.failure = Some(answer);
         }
-        Ok(answer) => Some(answer),
-        Err(AttemptError::Lost(_)) => {
-            outcome.may_have_run = true;
-            None
-        }
-        Err(_) => None,
+        return None;
+    }
+    if answer.status.is_success() && answer.stamp.is_none() {
+        log::warn!(request = &*outbound.id; "a success without a signature is dropped");
+        return None;
     }
+    Some(answer)
 }
--- a/crates/borageshore_routing/src/lib.rs
+++ b/crates/borageshore_routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod choice;
 mod endpoint;
 mod keys;
+mod request_attempts;
 mod routes;
 mod subset;
 
@@ -25,6 +26,7 @@
     choice::{ChoiceRequest, choose_endpoint},
     endpoint::{Endpoint, EndpointListing, EndpointState, EndpointTable, LoadReport},
     keys::{KeyDecision, KeyPrefix, KeyTable, StoredAnswer},
+    request_attempts::RequestAttempts,
     routes::{Route, RouteKind, RouteTable, RouteTarget},
     subset::subset_of,
 };
--- /dev/null
+++ b/crates/borageshore_routing/tests/request_attempts.rs
@@ -0,0 +1,40 @@
+//! What may be told of a request with several attempts.
+
+use borageshore_routing::{AttemptEvent, Idempotent, Outcome, RequestAttempts};
+
+fn attempts(events: &[Option<AttemptEvent>]) -> RequestAttempts {
+    let mut attempts = RequestAttempts::default();
+    for (place, event) in events.iter().enumerate() {
+        let number = attempts.hand_over(format!("e{place}").into());
+        if let Some(event) = event {
+            attempts.on(number, *event);
+        }
+    }
+    attempts
+}
+
+macro_rules! cases {
+    ($($name:ident: $events:expr => $outcome:ident, $repeats:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let attempts = attempts(&$events);
+                assert_eq!(attempts.outcome(), Outcome::$outcome);
+                assert_eq!(attempts.may_try(Idempotent::No, 9), $repeats);
+                assert!(attempts.may_try(Idempotent::Yes, 9));
+                assert!(!attempts.may_try(Idempotent::Yes, attempts.tried().len() as u64));
+            }
+        )*
+    };
+}
+
+cases! {
+    nothing_was_tried: [] => NotRun, true;
+    every_endpoint_refused: [Some(AttemptEvent::Refused), Some(AttemptEvent::Refused)] => NotRun, true;
+    one_was_lost: [Some(AttemptEvent::Refused), Some(AttemptEvent::Lost)] => Unknown, false;
+    an_endpoint_answered: [Some(AttemptEvent::Answered)] => Done, false;
+    // A grower is paid twice: a call that may run once was answered with "not run", came again, and
+    // had run. Its endpoint was silent; when the caller's time was over, the attempt was still under
+    // way and counted as none.
+    one_is_still_under_way: [Some(AttemptEvent::Refused), None] => Unknown, false;
+}
--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -53,6 +53,8 @@
     TurnAway(usize),
     /// An endpoint leaves the list while nobody sees it.
     UnlistUnseen,
+    /// All plain services lose all answers.
+    LoseAnswers,
     /// A heartbeat of an earlier life with a clock far ahead.
     HeartbeatFromAhead,
     SilentConnections(usize),
@@ -93,6 +95,7 @@
                 Moment::TurnAwayAllButOne => Fault::TurnAway(1),
                 Moment::UnlistUnseen => Fault::UnlistUnseen,
                 Moment::HeartbeatFromAhead => Fault::HeartbeatFromAhead,
+                Moment::LoseAnswers => Fault::LoseAnswers,
             };
             self.begun
                 .borrow_mut()
@@ -180,6 +183,12 @@
             Fault::StoreLink(number, mode) => {
                 harm_link(&self.daemons[number].store, mode, length_ms).await;
             }
+            Fault::LoseAnswers => {
+                for number in 0..self.services.len() {
+                    let lose = self.clone().lose_answers(number, length_ms);
+                    monoio::spawn(lose);
+                }
+            }
             Fault::HeartbeatFromAhead => self.put_heartbeat_from_ahead(),
             Fault::UnlistUnseen => self.unlist_unseen(length_ms).await,
             Fault::TurnAway(first) => self.turn_away(first, length_ms).await,
@@ -224,6 +233,11 @@
         }
     }
 
+    async fn lose_answers(self: Rc<Self>, number: usize, length_ms: u64) {
+        self.switch_service(number, length_ms, |s| s.lose_every = 1)
+            .await;
+    }
+
     fn put_heartbeat_from_ahead(&self) {
         let name = &self.daemons[0].name;
         let heartbeat = json!({
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -44,6 +44,8 @@
     UnlistUnseen,
     /// The store holds a heartbeat of a daemon's earlier life, when its clock was far ahead.
     HeartbeatFromAhead,
+    /// The plain services run every call and answer none.
+    LoseAnswers,
 }
 
 /// What to play.
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -75,6 +75,17 @@
         play(&SoakOptions { duration_ms: 10_000, ..options(6, script) });
     }
 
+    // A grower is paid twice: a call that may run once was answered with "not run", was sent again, and
+    // had run. Its endpoint never answered; when the caller's time was over, the attempt was still under
+    // way and counted as none.
+    calls_without_an_answer_are_never_said_not_to_have_run => {
+        let script = (0..4).map(|turn| (500 + turn * 1_500, Moment::LoseAnswers)).collect();
+        let report = run_seed(&options(9, Script::Moments(script))).unwrap();
+        let is_false = |text: &String| text.contains("said not to have run");
+        assert!(!report.violations.iter().any(is_false), "{:?}", report.violations);
+        assert!(!report.unanswered.is_empty());
+    }
+
     // A VM gets no callers and no work for good, though its daemon runs.
     // Its clock was ahead when its last life began and is right now; the others take the heartbeats of
     // the present life for late ones of an earlier life.
