The ledger against an oracle, by a fuzzer

Readers begin at any moment, load in torn pages, follow, lose their view; two writers append and repeat. The oracle folds the whole log.

--- /dev/null
+++ b/crates/borageshore_batch/tests/ledger_fuzz.rs
@@ -0,0 +1,199 @@
+//! The ledger against an oracle: whoever reads, from whenever on, sees the same positions.
+//!
+//! Two writers append results, repeat appends that got no answer, and the submission is ended; readers
+//! begin at any moment, load in torn pages, and lose their view. The oracle knows the whole log: the
+//! first result of an item holds its position.
+
+use std::sync::Arc;
+
+use bolero::{TypeGenerator, check, produce};
+use borageshore_batch::{
+    Item, ItemResult, ItemState, Ledger, LedgerEntry, LedgerRecord, Submission,
+};
+
+const ITEMS: u8 = 6;
+const READERS: usize = 3;
+const ITERATIONS: usize = 3_000;
+
+/// One step.
+#[derive(Debug, Clone, TypeGenerator)]
+enum Step {
+    /// A writer appends a result of an item, made by its own run.
+    Append {
+        #[generator(0..ITEMS)]
+        item: u8,
+        writer: bool,
+    },
+    /// The last append is repeated: its answer was lost.
+    Repeat,
+    End,
+    /// A reader asks for the store's records of the submission; the answer is under way.
+    Ask(#[generator(0..READERS)] usize),
+    /// The answer comes; some records beyond its end may be missing from it.
+    Load {
+        #[generator(0..READERS)]
+        reader: usize,
+        torn: bool,
+    },
+    /// A reader reads on in the log.
+    Follow(#[generator(0..READERS)] usize),
+    /// A reader's view is lost.
+    Forget(#[generator(0..READERS)] usize),
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    log: Vec<LedgerEntry>,
+    last: Option<LedgerRecord>,
+    appends: u64,
+}
+
+impl Store {
+    fn append(&mut self, record: LedgerRecord) {
+        self.appends += 1;
+        for (key, value) in record.encode(&format!("w.{}", self.appends)) {
+            self.log.push((self.log.len() as u64, key, value));
+        }
+        self.last = Some(record);
+    }
+
+    fn newest(&self) -> Vec<LedgerEntry> {
+        let is_newest = |entry: &&LedgerEntry| {
+            let mut later = self.log.iter().skip(entry.0 as usize + 1);
+            !later.any(|other| other.1 == entry.1)
+        };
+        self.log.iter().filter(is_newest).cloned().collect()
+    }
+
+    /// The outputs by position.
+    fn positions(&self, until: usize) -> Vec<String> {
+        let mut ledger = Ledger::default();
+        ledger.begin(&"s".into(), 0);
+        ledger.load("s", Vec::new(), 0);
+        for entry in &self.log[..until] {
+            ledger.apply(entry.clone());
+        }
+        outputs(&ledger).unwrap_or_default()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Reader {
+    ledger: Ledger,
+    next: usize,
+    /// The end that the store had when it was asked.
+    asked: Option<u64>,
+}
+
+fn outputs(ledger: &Ledger) -> Option<Vec<String>> {
+    let state = ledger.get("s").filter(|state| state.is_loaded())?;
+    let results = state.results().iter();
+    Some(results.map(|result| result.output.clone()).collect())
+}
+
+fn submission() -> LedgerRecord {
+    let item = |number| Item {
+        id: format!("i{number}").into(),
+        group: "g".into(),
+        path: "/p/".into(),
+        headers: Vec::new(),
+        body_base64: "".into(),
+        length_hint_tokens: None,
+        reward: None,
+    };
+    LedgerRecord::Accept(Arc::new(Submission {
+        id: "s".into(),
+        host: "h".into(),
+        path: "/p/".into(),
+        model: None,
+        min_version: 0,
+        target_groups: None,
+        items: (0..ITEMS).map(item).collect(),
+    }))
+}
+
+fn result(item: u8, writer: bool) -> LedgerRecord {
+    LedgerRecord::Result {
+        submission: "s".into(),
+        result: Arc::new(ItemResult {
+            item: format!("i{item}").into(),
+            state: ItemState::Done,
+            output: format!("{item} by {writer}"),
+            versions: vec![1],
+            score: None,
+        }),
+    }
+}
+
+fn play(store: &mut Store, readers: &mut [Reader], step: &Step) {
+    match step {
+        Step::Append { item, writer } => store.append(result(*item, *writer)),
+        Step::Repeat => {
+            if let Some(last) = store.last.clone() {
+                store.append(last);
+            }
+        }
+        Step::End => store.append(LedgerRecord::End {
+            submission: "s".into(),
+        }),
+        Step::Ask(reader) => {
+            let reader = &mut readers[*reader];
+            reader.ledger.begin(&"s".into(), 0);
+            reader.asked = Some(store.log.len() as u64);
+        }
+        Step::Load { reader, torn } => {
+            let reader = &mut readers[*reader];
+            if let Some(end) = reader.asked.take() {
+                let mut newest = store.newest();
+                if *torn {
+                    // Of two records after the end, the earlier one is missed.
+                    let after_end = newest.iter().position(|entry| entry.0 >= end);
+                    after_end.map(|at| newest.remove(at));
+                }
+                reader.ledger.load("s", newest, end);
+            }
+        }
+        Step::Follow(reader) => {
+            let reader = &mut readers[*reader];
+            for entry in &store.log[reader.next..] {
+                reader.ledger.apply(entry.clone());
+            }
+            reader.next = store.log.len();
+        }
+        Step::Forget(reader) => {
+            let reader = &mut readers[*reader];
+            reader.ledger.forget(|_| true);
+            // It goes on at the end of the log.
+            reader.next = store.log.len();
+            reader.asked = None;
+        }
+    }
+}
+
+#[test]
+fn every_reader_sees_the_same_positions() {
+    check!()
+        .with_iterations(ITERATIONS)
+        .with_generator(produce::<Vec<Step>>().with().len(0..40_usize))
+        .for_each(|steps| {
+            let mut store = Store::default();
+            store.append(submission());
+            let mut readers: Vec<Reader> = (0..READERS).map(|_| Reader::default()).collect();
+            for step in steps {
+                play(&mut store, &mut readers, step);
+                let truth = store.positions(store.log.len());
+                for reader in &readers {
+                    let seen = outputs(&reader.ledger).unwrap_or_default();
+                    assert!(truth.starts_with(&seen), "{seen:?} of {truth:?}");
+                }
+            }
+            for reader in &mut readers {
+                for entry in &store.log[reader.next..] {
+                    reader.ledger.apply(entry.clone());
+                }
+                if let Some(seen) = outputs(&reader.ledger) {
+                    assert_eq!(seen, store.positions(store.log.len()));
+                }
+            }
+        });
+}
