The soak runs up to 250 daemons

Cause: a process had 100 ports for four of each daemon; beyond 25 daemons they were given out twice.

--- a/crates/borageshore_soak/src/daemons.rs
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -15,8 +15,8 @@
 use crate::SoakOptions;
 
 const FIRST_PORT: u16 = 11_000;
-const PORTS_PER_PROCESS: u16 = 100;
-const PORT_SLOTS: u32 = 200;
+const PORTS_PER_PROCESS: u16 = 1_000;
+const PORT_SLOTS: u32 = 21;
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
 /// How long the daemons have from SIGTERM to SIGKILL.
