Stand-ins: what nothing uses is gone

Cause, found by reading the change again: the store's count of calls, the engine's version and a proxy's changeable target are used by no test. Removed; behaviour and assertions are as they were.

--- a/crates/borageshore_standins/src/platform/engine.rs
+++ b/crates/borageshore_standins/src/platform/engine.rs
@@ -178,11 +178,6 @@
         self.shared.switches.get()
     }
 
-    /// The version of its weights.
-    pub fn version(&self) -> u64 {
-        self.shared.version.get()
-    }
-
     /// The runs that it saw.
     pub fn runs(&self) -> Vec<SeenRun> {
         self.shared.runs.borrow().clone()
--- a/crates/borageshore_standins/src/platform/proxy.rs
+++ b/crates/borageshore_standins/src/platform/proxy.rs
@@ -1,11 +1,6 @@
 //! A loopback proxy that delays, resets, silences or cuts connections.
 
-use std::{
-    cell::{Cell, RefCell},
-    io,
-    net::SocketAddr,
-    rc::Rc,
-};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc};
 
 use borageshore_net::{bind_listener, sleep_ms};
 use monoio::{
@@ -40,7 +35,7 @@
 
 #[derive(Debug)]
 struct Shared {
-    target: RefCell<SocketAddr>,
+    target: SocketAddr,
     mode: Cell<ProxyMode>,
     /// Connections of an earlier generation stay silent for good.
     generation: Cell<u64>,
@@ -64,7 +59,7 @@
     pub fn bind(target: SocketAddr) -> io::Result<Self> {
         let listener = bind_listener("127.0.0.1:0")?;
         let shared = Rc::new(Shared {
-            target: RefCell::new(target),
+            target,
             mode: Cell::new(ProxyMode::Pass),
             generation: Cell::new(0),
         });
@@ -105,7 +100,7 @@
             monoio::spawn(turn_away(caller));
             continue;
         }
-        let target = *shared.target.borrow();
+        let target = shared.target;
         let shared = shared.clone();
         monoio::spawn(async move {
             if let Ok(target) = TcpStream::connect_addr(target).await {
--- a/crates/borageshore_standins/src/platform/store.rs
+++ b/crates/borageshore_standins/src/platform/store.rs
@@ -85,7 +85,6 @@
     mode: Cell<StoreMode>,
     partitions: RefCell<BTreeMap<(String, u64), Partition>>,
     appended: Notify,
-    calls: Cell<u64>,
 }
 
 /// A running store.
@@ -106,7 +105,6 @@
             mode: Cell::new(StoreMode::Up),
             partitions: RefCell::default(),
             appended: Notify::new(),
-            calls: Cell::new(0),
         });
         let server = HttpServer::bind(address, limits(), Service(shared.clone()))?;
         Ok(Self { shared, server })
@@ -122,11 +120,6 @@
         self.shared.mode.set(mode);
     }
 
-    /// How many calls it got.
-    pub fn calls(&self) -> u64 {
-        self.shared.calls.get()
-    }
-
     /// Writes a record under a key as the operator or an endpoint does, whatever the mode.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = BytesMut::new();
@@ -168,7 +161,6 @@
 impl Handler for Service {
     async fn handle(&self, request: EdgeRequest, _remote: SocketAddr) -> EdgeResponse {
         let shared = &self.0;
-        shared.calls.set(shared.calls.get() + 1);
         match shared.mode.get() {
             StoreMode::Busy => return status(503),
             StoreMode::Silent => return pending().await,
