All trainers of a service are run by one daemon

Cause: each trainer's items were placed by a daemon of its own, which saw the others' items at an engine by reports that are 100 ms old. Change: the key that decides who runs a submission is the service, not the trainer; over 600 slots it is the service and a share of the trainers. The index entry names the trainer beside it.

--- a/crates/borageshore_batch/src/index_entry.rs
+++ b/crates/borageshore_batch/src/index_entry.rs
@@ -9,6 +9,8 @@
 pub struct IndexEntry {
     /// Decides which daemon runs it.
     pub work_key: Arc<str>,
+    /// Who trains with it.
+    pub trainer: Arc<str>,
     /// The tokens that its items are expected to make, for sharing engines among models.
     pub expected_tokens: u64,
     /// When it was entered, by the clock of the daemon that did.
--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -19,6 +19,7 @@
 mod ledger;
 mod order;
 mod order_lease;
+mod ownership;
 mod pieces;
 mod placement;
 mod record;
@@ -31,6 +32,7 @@
     ledger::{Ledger, LedgerEntry, SubmissionState},
     order::{ItemRank, rank_items},
     order_lease::OrderLeases,
+    ownership::work_key,
     placement::{EngineView, PlacementRequest, RunningItem, choose_better_engine, choose_engine},
     record::LedgerRecord,
     submission::{Item, ItemResult, ItemState, NamedVersion, RewardCall, Submission},
--- a/crates/borageshore_batch/src/submission.rs
+++ b/crates/borageshore_batch/src/submission.rs
@@ -24,9 +24,8 @@
 }
 
 impl Submission {
-    /// What decides who runs it: all submissions of a trainer go to one daemon as long as it lives,
-    /// which has open connections to the engines and the texts that an earlier step left unfinished.
-    pub fn work_key(&self) -> &Arc<str> {
+    /// Who trains with it, as far as it says; a submission without a model stands for itself.
+    pub fn trainer(&self) -> &Arc<str> {
         self.model.as_ref().unwrap_or(&self.id)
     }
 
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -82,6 +82,7 @@
             clock,
             view.clone(),
             index.clone(),
+            endpoints.clone(),
             instruments.clone(),
         );
         let writer = Writer::spawn(store.clone(), author, partitions);
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -167,7 +167,10 @@
             return self.calls.forward(call, &route, body).await;
         }
         match decode_submission(&call.id, &call.host, &call.path, &body) {
-            Ok(submission) => self.submit(submission, head, &body).await,
+            Ok(submission) => {
+                let service = route.main_service().cloned().unwrap_or_default();
+                self.submit(submission, &service, head, &body).await
+            }
             Err(fault) => {
                 log::info!(submission = &*call.id, fault:% = fault; "malformed submission");
                 refusal(&fault, None)
@@ -176,9 +179,15 @@
     }
 
     /// Accepts a submission here, or at a peer where the store does not take it from this VM.
-    async fn submit(&self, submission: Submission, head: &Parts, body: &Bytes) -> EdgeResponse {
+    async fn submit(
+        &self,
+        submission: Submission,
+        service: &str,
+        head: &Parts,
+        body: &Bytes,
+    ) -> EdgeResponse {
         let id = submission.id.clone();
-        let response = self.submissions.accept(submission).await;
+        let response = self.submissions.accept(submission, service).await;
         let is_refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
         if !is_refused || head.headers.contains_key(PASSED_ON) {
             return response;
--- a/crates/borageshore_gateway/src/submission_index.rs
+++ b/crates/borageshore_gateway/src/submission_index.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
 use borageshore_base::SortedMap;
-use borageshore_batch::{IndexEntry, Submission};
+use borageshore_batch::{IndexEntry, Submission, work_key};
 use borageshore_platform::{KeyedRecord, Store, StoreError, Topic};
 use bytes::Bytes;
 use tokio::sync::Notify;
@@ -15,7 +15,7 @@
 pub(crate) struct SubmissionIndex {
     store: Store,
     entries: RefCell<SortedMap<Arc<str>, IndexEntry>>,
-    /// The expected tokens of the newest submission by work key.
+    /// The expected tokens of the newest submission of each trainer.
     demand: RefCell<SortedMap<Arc<str>, u64>>,
     /// Told when the index changed.
     pub(crate) changed: Notify,
@@ -49,15 +49,22 @@
         expired.map(|(id, _)| id.clone()).collect()
     }
 
-    /// The tokens that the newest submission of a work key is expected to make.
-    pub(crate) fn demand_tokens(&self, work_key: &str) -> u64 {
-        self.demand.borrow().get(work_key).copied().unwrap_or(0)
+    /// The tokens that the newest submission of a trainer is expected to make.
+    pub(crate) fn demand_tokens(&self, trainer: &str) -> u64 {
+        self.demand.borrow().get(trainer).copied().unwrap_or(0)
     }
 
-    /// Enters a submission.
-    pub(crate) async fn enter(&self, submission: &Submission) -> Result<(), StoreError> {
+    /// Enters a submission whose items run at a service with so many slots.
+    pub(crate) async fn enter(
+        &self,
+        submission: &Submission,
+        service: &str,
+        slots: u64,
+    ) -> Result<(), StoreError> {
+        let trainer = submission.trainer().clone();
         let entry = IndexEntry {
-            work_key: submission.work_key().clone(),
+            work_key: work_key(service, &trainer, slots),
+            trainer,
             expected_tokens: submission.expected_tokens(),
             entered_at_ms: time_of_day_ms(),
             is_ended: false,
@@ -110,7 +117,7 @@
                 Ok(entry) => {
                     if !entry.is_ended {
                         let mut demand = self.demand.borrow_mut();
-                        demand.insert(entry.work_key.clone(), entry.expected_tokens);
+                        demand.insert(entry.trainer.clone(), entry.expected_tokens);
                     }
                     self.entries.borrow_mut().insert(record.key.clone(), entry);
                 }
--- a/crates/borageshore_gateway/src/submissions.rs
+++ b/crates/borageshore_gateway/src/submissions.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 
 use crate::{
+    endpoints::Endpoints,
     ledger_view::{LedgerView, Shard},
     submission_index::SubmissionIndex,
 };
@@ -37,6 +38,7 @@
     partitions: u64,
     view: Rc<LedgerView>,
     index: Rc<SubmissionIndex>,
+    endpoints: Rc<Endpoints>,
     instruments: Rc<Instruments>,
 }
 
@@ -47,6 +49,7 @@
         clock: Clock,
         view: Rc<LedgerView>,
         index: Rc<SubmissionIndex>,
+        endpoints: Rc<Endpoints>,
         instruments: Rc<Instruments>,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -55,6 +58,7 @@
             partitions,
             view,
             index,
+            endpoints,
             instruments,
         })
     }
@@ -64,7 +68,7 @@
     ///
     /// The index comes first: a submission without its entry would be accepted and run by nobody,
     /// an entry without its submission costs its owner a look.
-    pub(crate) async fn accept(&self, submission: Submission) -> EdgeResponse {
+    pub(crate) async fn accept(&self, submission: Submission, service: &str) -> EdgeResponse {
         let id = submission.id.clone();
         if self.is_accepted(&id) {
             log::info!(submission = &*id; "submission accepted before");
@@ -72,7 +76,8 @@
         }
         let started_ms = self.clock.now_ms();
         let items = submission.items.len();
-        let entered = self.index.enter(&submission).await;
+        let slots = self.endpoints.slots_of(service);
+        let entered = self.index.enter(&submission, service, slots).await;
         let record = LedgerRecord::Accept(Arc::new(submission));
         let appended = match entered {
             Ok(()) => self.append(&record).await,
--- a/crates/borageshore_routing/src/routes.rs
+++ b/crates/borageshore_routing/src/routes.rs
@@ -55,6 +55,12 @@
 }
 
 impl Route {
+    /// The service with the largest share of the requests.
+    pub fn main_service(&self) -> Option<&Arc<str>> {
+        let largest = self.targets.iter().max_by_key(|target| target.weight);
+        largest.map(|target| &target.service)
+    }
+
     /// The service for one request; `random` is any number.
     pub fn service_for(&self, random: u64) -> Option<&Arc<str>> {
         let total: u64 = self.targets.iter().map(|target| target.weight).sum();
