A view is confirmed by a page that reaches the end

Cause: a reader was told that a submission had nothing at position 103, over a second after 115 results had been read. Any successful read counted as proof. Ruled out: two owners with different orders (positions follow the store's offsets); an early answer of the asker (it passed the question on to the holder). Change: the place in a partition and its age are a pure type; a confirmation reads on until a page reached the end. Test: tests/view_position.rs; the soak's trainer now goes back to settled positions at any daemon.

--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -27,6 +27,7 @@
 mod submission;
 mod swaps;
 mod text;
+mod view_position;
 
 pub use self::{
     index_entry::IndexEntry,
@@ -42,4 +43,5 @@
     submission::{Item, ItemResult, ItemState, NamedVersion, RewardCall, Submission},
     swaps::{EngineState, EngineVersions, ModelTarget, SwapLimits, SwapRound, plan_round},
     text::{Text, TextFault},
+    view_position::ViewPosition,
 };
--- /dev/null
+++ b/crates/borageshore_batch/src/view_position.rs
@@ -0,0 +1,48 @@
+//! How far a view of a partition reaches.
+
+/// The place of a follower in a partition, and when its view was last known to be whole.
+///
+/// Guards against a page that is taken for the whole: after seconds without the store a read brings only
+/// the first of many records, and a reader would be told that a result which another daemon has
+/// shown is not there. Only a page that reached the end makes a view whole.
+#[derive(Debug, Default)]
+pub struct ViewPosition {
+    next: Option<u64>,
+    whole_at_ms: Option<u64>,
+}
+
+impl ViewPosition {
+    /// The offset after the last applied record; `None` before the first read.
+    pub fn next(&self) -> Option<u64> {
+        self.next
+    }
+
+    /// Begins anew: records may have been missed.
+    pub fn reset(&mut self) {
+        self.next = None;
+    }
+
+    /// Takes over a first read that brought all there was up to `end`.
+    pub fn on_snapshot(&mut self, end: u64, now_ms: u64) {
+        self.next = Some(end);
+        self.whole_at_ms = Some(now_ms);
+    }
+
+    /// Takes over a read from offset `from`: the offset after its last record, and the partition's end
+    /// at that moment. Says whether the view is whole now. An older read changes nothing.
+    pub fn on_page(&mut self, after_last: u64, end: u64, now_ms: u64) -> bool {
+        let applied = self.next.unwrap_or(0);
+        self.next = Some(applied.max(after_last));
+        let is_whole = after_last >= end;
+        if is_whole {
+            self.whole_at_ms = Some(now_ms);
+        }
+        is_whole
+    }
+
+    /// Says whether the view was whole within the last `age_ms`.
+    pub fn is_whole_within(&self, age_ms: u64, now_ms: u64) -> bool {
+        self.whole_at_ms
+            .is_some_and(|whole_at_ms| now_ms <= whole_at_ms + age_ms)
+    }
+}
--- /dev/null
+++ b/crates/borageshore_batch/tests/view_position.rs
@@ -0,0 +1,35 @@
+//! How far a view of a partition reaches.
+
+use borageshore_batch::ViewPosition;
+
+// A trainer reads 115 results of its step; a second later another daemon tells it that there are 103.
+// That daemon had been without the store for seven seconds and confirmed its view by a read; the
+// read brought a page of a megabyte, the first of several.
+#[test]
+fn a_page_that_does_not_reach_the_end_confirms_nothing() {
+    let mut position = ViewPosition::default();
+    position.on_snapshot(100, 1_000);
+    assert!(position.is_whole_within(500, 1_400));
+    assert!(!position.on_page(140, 250, 8_000));
+    assert!(!position.is_whole_within(500, 8_000));
+    assert!(position.on_page(250, 250, 8_050));
+    assert!(position.is_whole_within(500, 8_050));
+    assert!(!position.is_whole_within(500, 8_551));
+}
+
+#[test]
+fn a_read_that_was_overtaken_moves_nothing_back() {
+    let mut position = ViewPosition::default();
+    position.on_snapshot(100, 1_000);
+    position.on_page(140, 140, 1_100);
+    position.on_page(120, 120, 1_110);
+    assert_eq!(position.next(), Some(140));
+}
+
+#[test]
+fn after_a_gap_the_place_is_unknown() {
+    let mut position = ViewPosition::default();
+    position.on_snapshot(100, 1_000);
+    position.reset();
+    assert_eq!(position.next(), None);
+}
--- a/crates/borageshore_gateway/src/follow.rs
+++ b/crates/borageshore_gateway/src/follow.rs
@@ -1,7 +1,11 @@
 //! Following a partition of the store.
 
-use std::{cell::Cell, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
+use borageshore_batch::ViewPosition;
 use borageshore_net::{Clock, sleep_ms};
 use borageshore_platform::{KeyedRecord, Page, Store, StoreError, Topic};
 
@@ -11,6 +15,9 @@
 /// The pause after a failed read.
 const RETRY_MS: u64 = 150;
 
+/// The most reads that confirm a view: pages of a megabyte, and a partition takes 20 MB a second.
+const CONFIRMING_READS: usize = 40;
+
 /// The partition of topics that are read whole by everybody: one read brings all their records, in one
 /// order.
 pub(crate) const ONLY_PARTITION: u64 = 0;
@@ -45,9 +52,7 @@
     clock: Clock,
     /// Records that come close together are read together: the pause before the next read.
     pause_ms: u64,
-    /// The next offset; `None` until the newest records were read.
-    next: Cell<Option<u64>>,
-    fresh_at_ms: Cell<Option<u64>>,
+    position: RefCell<ViewPosition>,
     is_lost: Cell<bool>,
     is_stopped: Cell<bool>,
     fold: Rc<Folded>,
@@ -74,8 +79,7 @@
             begin,
             clock,
             pause_ms,
-            next: Cell::new(None),
-            fresh_at_ms: Cell::new(None),
+            position: RefCell::default(),
             is_lost: Cell::new(false),
             is_stopped: Cell::new(false),
             fold,
@@ -86,20 +90,23 @@
 
     /// The offset after the last applied record; `None` before the first read.
     pub(crate) fn next_offset(&self) -> Option<u64> {
-        self.next.get()
-    }
-
-    /// How long ago the view was known to be whole; `None` before the first read.
-    pub(crate) fn age_ms(&self) -> Option<u64> {
-        Some(self.clock.now_ms() - self.fresh_at_ms.get()?)
+        self.position.borrow().next()
     }
 
-    /// Makes sure that the view is no older than `age_ms`, by a read of its own if need be.
+    /// Makes sure that the view is no older than `age_ms`, by reads of its own if need be.
     pub(crate) async fn confirm(&self, age_ms: u64) -> bool {
-        if self.age_ms().is_some_and(|age| age <= age_ms) {
-            return true;
+        for _ in 0..CONFIRMING_READS {
+            if self.is_whole_within(age_ms) || self.read(0).await.is_err() {
+                break;
+            }
         }
-        self.read(0).await.is_ok()
+        self.is_whole_within(age_ms)
+    }
+
+    /// Says whether the view was whole within the last `age_ms`.
+    pub(crate) fn is_whole_within(&self, age_ms: u64) -> bool {
+        let position = self.position.borrow();
+        position.is_whole_within(age_ms, self.clock.now_ms())
     }
 
     /// Ends the following once the present read is over.
@@ -109,7 +116,7 @@
 
     async fn run(self: Rc<Self>) {
         while !self.is_stopped.get() {
-            let read = match self.next.get() {
+            let read = match self.next_offset() {
                 None => self.load().await,
                 Some(_) => self.read(WAIT_MS).await,
             };
@@ -118,7 +125,7 @@
                 Ok(_) => sleep_ms(self.pause_ms).await,
                 Err(StoreError::Expired { first }) => {
                     log::info!(topic:? = self.topic, partition = self.partition, first; "history is gone, the view begins anew");
-                    self.next.set(None);
+                    self.position.borrow_mut().reset();
                     self.fold.on_gap();
                 }
                 Err(error) => {
@@ -141,7 +148,7 @@
     }
 
     async fn read(&self, wait_ms: u64) -> Result<usize, StoreError> {
-        let Some(from) = self.next.get() else {
+        let Some(from) = self.next_offset() else {
             return Err(StoreError::NotDone("nothing was read yet".into()));
         };
         let page = self
@@ -156,17 +163,13 @@
         if self.is_stopped.get() {
             return 0;
         }
-        let applied = self.next.get().unwrap_or(0);
+        let applied = self.next_offset().unwrap_or(0);
         let new = page
             .records
             .partition_point(|record| record.offset < applied);
         let records = &page.records[new..];
         let after_last = page.records.last().map_or(from, |last| last.offset + 1);
-        let is_snapshot = self.next.get().is_none();
-        let next = if is_snapshot { page.end } else { after_last };
-        self.next.set(Some(applied.max(next)));
-        if after_last >= page.end || is_snapshot {
-            self.fresh_at_ms.set(Some(self.clock.now_ms()));
+        if self.move_to(after_last, page.end) {
             self.fold.on_fresh();
         }
         if self.is_lost.replace(false) {
@@ -178,6 +181,17 @@
         records.len()
     }
 
+    /// Moves to the end of a read; says whether the view is whole now.
+    fn move_to(&self, after_last: u64, end: u64) -> bool {
+        let now_ms = self.clock.now_ms();
+        let mut position = self.position.borrow_mut();
+        if position.next().is_some() {
+            return position.on_page(after_last, end, now_ms);
+        }
+        position.on_snapshot(end, now_ms);
+        true
+    }
+
     fn note_loss(&self, error: &StoreError) {
         if !self.is_lost.replace(true) {
             log::warn!(topic:? = self.topic, partition = self.partition, error:% = error; "store lost");
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -29,6 +29,8 @@
 const CALL_PAUSE_MS: u64 = 40;
 /// Groups of a step, the items of each, and how many groups the trainer waits for.
 const STEP: (usize, usize, usize) = (6, 3, 5);
+/// What one daemon has shown all daemons show after this time; the platform says so.
+const SHOWN_BY_ALL_MS: u64 = 1_000;
 /// The trainer gives a step up after this time.
 const STEP_MS: u64 = 8_000;
 const TIMEOUTS: Timeouts = Timeouts {
@@ -258,15 +260,19 @@
         let give_up_ms = self.clock.now_ms() + STEP_MS;
         let (groups, size, wanted) = STEP;
         let mut after = 0;
+        let mut read = Vec::new();
         while self.clock.now_ms() < give_up_ms && !self.is_over() {
             let front = self.address(random).await;
             match self.read(id, after, front, 500).await {
-                Some(count) => after += count,
+                Some(count) => {
+                    after += count;
+                    read.push((self.clock.now_ms(), after));
+                }
                 None => sleep_ms(100).await,
             }
             // A reader goes back now and then, and must find what it has read.
             if random.next_u64().is_multiple_of(4) {
-                self.read(id, after / 2, front, 0).await;
+                self.read_again(id, &read, random).await;
             }
             if after >= groups * size || self.complete_groups(id) >= wanted {
                 return;
@@ -274,6 +280,24 @@
         }
     }
 
+    /// Asks some daemon for a position that was read over a second ago: none may be without it by then.
+    async fn read_again(&self, id: &str, read: &[(u64, usize)], random: &mut Pcg64Mcg) {
+        let now_ms = self.clock.now_ms();
+        let is_settled = |(at_ms, _): &&(u64, usize)| now_ms > at_ms + SHOWN_BY_ALL_MS;
+        let settled = read
+            .iter()
+            .rev()
+            .find(is_settled)
+            .map_or(0, |(_, count)| *count);
+        let front = self.address(random).await;
+        if settled > 0 && self.read(id, settled - 1, front, 0).await == Some(0) {
+            self.oracle.broken(format!(
+                "{id}: {front} has nothing at {}, which was read",
+                settled - 1
+            ));
+        }
+    }
+
     fn complete_groups(&self, id: &str) -> usize {
         let (groups, size, _) = STEP;
         let submissions = self.oracle.submissions.borrow();
