--- a/crates/borageshore_cli/src/arguments.rs
+++ b/crates/borageshore_cli/src/arguments.rs
@@ -80,6 +80,12 @@
         #[arg(long, default_value_t = 8)]
         hours: u64,
     },
+    /// Shows what each step of the trainers waited for, from daemons' logs.
+    Steps {
+        /// Files with log lines of all daemons, in any order.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Writes a shell completion script.
     Completions {
         /// The shell.
--- a/crates/borageshore_cli/src/lib.rs
+++ b/crates/borageshore_cli/src/lib.rs
@@ -13,8 +13,10 @@
 mod run;
 mod settings;
 mod show;
+mod steps;
 
 pub use self::{
     client::{CommandError, exit_code_of},
     run::run,
+    steps::{LastItem, Step, steps_of},
 };
--- a/crates/borageshore_cli/src/run.rs
+++ b/crates/borageshore_cli/src/run.rs
@@ -13,7 +13,7 @@
 use crate::{
     arguments::{Arguments, Command, Connection},
     client::{CommandError, get, post, read_file},
-    handover, settings, show,
+    handover, settings, show, steps,
 };
 
 /// Runs the command line of this process.
@@ -76,6 +76,12 @@
             let answer: String = post(connection, "/v1/admin/drain", &()).await?;
             Ok(show::sentence(connection, answer))
         }
+        Command::Steps { logs } => {
+            let texts: Result<Vec<String>, CommandError> =
+                logs.iter().map(|file| read_file(file)).collect();
+            let steps = steps::steps_of(&texts?.concat());
+            Ok(show::either(connection, &steps, steps::table))
+        }
         Command::Handover { hours } => handover::run(connection, hours).await,
         Command::Daemon { .. } | Command::Gateway { .. } | Command::Completions { .. } => {
             unreachable!("handled by the caller")
--- /dev/null
+++ b/crates/borageshore_cli/src/steps.rs
@@ -0,0 +1,175 @@
+//! What a trainer's step waited for, from the daemons' logs.
+
+use std::{fmt::Write, sync::Arc};
+
+use borageshore_base::SortedMap;
+use jiff::Timestamp;
+use serde::{Deserialize, Serialize};
+
+/// The fields of log lines that a step's course is read from.
+#[derive(Debug, Deserialize)]
+struct LogLine {
+    at: Timestamp,
+    daemon: Arc<str>,
+    message: String,
+    submission: Option<Arc<str>>,
+    item: Option<Arc<str>>,
+    group: Option<Arc<str>>,
+    #[serde(default)]
+    events: u64,
+    #[serde(default)]
+    stays: u64,
+    #[serde(default)]
+    placed_ms: u64,
+    #[serde(default)]
+    generated_ms: u64,
+    #[serde(default)]
+    waited_ms: u64,
+}
+
+/// The item on which the last complete group of a step waited.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct LastItem {
+    /// The item.
+    pub item: Arc<str>,
+    /// The events of its text.
+    pub events: u64,
+    /// The engines at which it ran.
+    pub stays: u64,
+    /// How long it waited for its first slot.
+    pub placing_ms: u64,
+    /// From its first slot to its last event.
+    pub generating_ms: u64,
+    /// From its last event to its score.
+    pub scoring_ms: u64,
+}
+
+/// The course of a step.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Step {
+    /// Its submission.
+    pub submission: Arc<str>,
+    /// When it was accepted.
+    pub accepted_at: Timestamp,
+    /// From its acceptance to its end; `None` if the logs have no end.
+    pub took_ms: Option<u64>,
+    /// The daemons that ran it, in turn.
+    pub daemons: Vec<Arc<str>>,
+    /// The groups of which an item was finished before the end.
+    pub groups: usize,
+    /// The last item that was finished before the end.
+    pub last: Option<LastItem>,
+    /// From that item's result to the end: the store, the trainer's reads, the trainer itself.
+    pub after_last_ms: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Course {
+    accepted_at: Option<Timestamp>,
+    ended_at: Option<Timestamp>,
+    daemons: Vec<Arc<str>>,
+    finished: Vec<LogLine>,
+}
+
+impl Course {
+    fn take(&mut self, line: LogLine) {
+        match line.message.as_str() {
+            "submission accepted" => {
+                self.accepted_at.get_or_insert(line.at);
+            }
+            "submission ended" => {
+                self.ended_at.get_or_insert(line.at);
+            }
+            "submission taken over" => self.daemons.push(line.daemon),
+            "item finished" => self.finished.push(line),
+            _ => {}
+        }
+    }
+
+    fn to_step(&self, submission: Arc<str>) -> Option<Step> {
+        let accepted_at = self.accepted_at?;
+        let is_in_time = |line: &&LogLine| self.ended_at.is_none_or(|ended| line.at <= ended);
+        let in_time = || self.finished.iter().filter(is_in_time);
+        let last = in_time().max_by_key(|line| line.at);
+        let mut groups: Vec<&Arc<str>> = in_time().filter_map(|line| line.group.as_ref()).collect();
+        groups.sort_unstable();
+        groups.dedup();
+        let since = |from: Timestamp| self.ended_at.map(|ended| between_ms(from, ended));
+        Some(Step {
+            submission,
+            accepted_at,
+            took_ms: since(accepted_at),
+            daemons: self.daemons.clone(),
+            groups: groups.len(),
+            last: last.map(last_item),
+            after_last_ms: last.and_then(|line| since(line.at)),
+        })
+    }
+}
+
+fn last_item(line: &LogLine) -> LastItem {
+    LastItem {
+        item: line.item.clone().unwrap_or_default(),
+        events: line.events,
+        stays: line.stays,
+        placing_ms: line.placed_ms,
+        generating_ms: line.generated_ms.saturating_sub(line.placed_ms),
+        scoring_ms: line.waited_ms.saturating_sub(line.generated_ms),
+    }
+}
+
+fn between_ms(from: Timestamp, to: Timestamp) -> u64 {
+    to.as_millisecond().abs_diff(from.as_millisecond())
+}
+
+/// The steps whose acceptance is in the logs, by that time. Lines may come in any order and have
+/// something before them, as collectors put it there; what is no log line is passed over.
+pub fn steps_of(logs: &str) -> Vec<Step> {
+    let mut courses: SortedMap<Arc<str>, Course> = SortedMap::default();
+    for text in logs.lines() {
+        let text = text.find('{').map_or("", |start| &text[start..]);
+        let Ok(line) = serde_json::from_str::<LogLine>(text) else {
+            continue;
+        };
+        if let Some(submission) = line.submission.clone() {
+            let course = courses.get_or_insert_with(submission, Course::default);
+            course.take(line);
+        }
+    }
+    let steps = courses
+        .iter()
+        .filter_map(|(submission, course)| course.to_step(submission.clone()));
+    let mut steps: Vec<Step> = steps.collect();
+    steps.sort_by_key(|step| step.accepted_at);
+    steps
+}
+
+/// A table of steps for people; times in ms.
+pub(crate) fn table(steps: &Vec<Step>) -> String {
+    let mut text = String::from(
+        "accepted                  submission        took  groups  placing  generating  events  stays  scoring  after  daemons\n",
+    );
+    for step in steps {
+        let took = step.took_ms.map_or("-".into(), |took| took.to_string());
+        let after = step.after_last_ms.map_or("-".into(), |ms| ms.to_string());
+        let (placing, generating, events, stays, scoring) =
+            step.last.as_ref().map_or_else(Default::default, |last| {
+                (
+                    last.placing_ms,
+                    last.generating_ms,
+                    last.events,
+                    last.stays,
+                    last.scoring_ms,
+                )
+            });
+        let _ = writeln!(
+            text,
+            "{:.3}  {:16}  {took:>5}  {:>6}  {placing:>7}  {generating:>10}  {events:>6}  {stays:>5}  {scoring:>7}  {after:>5}  {}",
+            step.accepted_at,
+            step.submission,
+            step.groups,
+            step.daemons.join(" "),
+        );
+    }
+    text
+}
