--- a/crates/borageshore_batch/src/ownership.rs
+++ b/crates/borageshore_batch/src/ownership.rs
@@ -13,7 +13,7 @@
 /// All trainers of a service go to one daemon as long as its engines are few enough: it knows every
 /// item at every engine. Daemons that place items side by side learn of each other's by reports that
 /// are a tenth of a second old; at the start of a step they sent a hundred items to engines that were
-/// full, and the texts there were put back for half a second.
+/// full, and preempted the texts there for half a second.
 ///
 /// More engines are shared by several daemons, trainer by trainer.
 pub fn work_key(service: &str, trainer: &str, slots: u64) -> Arc<str> {
--- a/crates/borageshore_batch/src/placement.rs
+++ b/crates/borageshore_batch/src/placement.rs
@@ -4,7 +4,7 @@
 
 /// How much longer an event takes at a full engine than at an empty one, in thousandths. Measured at
 /// engines of six and eight slots: 80. More than that spreads items over equal engines, since long
-/// texts on one engine run out of its memory and the newest is put back; up to 380 an engine that is
+/// texts on one engine run out of its memory and the newest is preempted; up to 380 an engine that is
 /// full still comes before an empty one that takes 1.3 times as long.
 const FULL_THOUSANDTHS: u64 = 250;
 /// What an item of the same group at an engine makes up for: a shared prompt saves a prefill of a
--- a/crates/borageshore_batch/tests/placement.rs
+++ b/crates/borageshore_batch/tests/placement.rs
@@ -68,7 +68,7 @@
         assert_eq!(place(&mut engines, 14), [6, 6, 2]);
     }
 
-    // Long texts together fill an engine's memory, and one of them is put back.
+    // Long texts together fill an engine's memory, and one of them is preempted.
     equal_engines_share_the_items => {
         let mut engines = [engine("a", 100, 0), engine("b", 98, 0), engine("c", 102, 0)];
         assert!(place(&mut engines, 9).iter().all(|load| (2..=4).contains(load)));
