Soak: a submission must be known a second after its acceptance

Trace (logs of the three daemons): vm-0 loads step-5 at 18.098, when only its entry in the index was written; vm-1 accepts it at 18.102; the trainer's first read goes from vm-1 to vm-0, whose view is younger than 500 ms and has no record of it: 404; vm-0 applies the record and takes the submission over at 18.119. So the answer came within 17 ms of the acceptance. Ruled out: a lost record (it was applied and its results were read), vm-1's own view (it never loaded the submission). No change to what ships.

--- a/crates/borageshore_soak/src/oracle.rs
+++ b/crates/borageshore_soak/src/oracle.rs
@@ -36,6 +36,8 @@
     pub(crate) items: Vec<String>,
     pub(crate) min_version: u64,
     pub(crate) is_accepted: bool,
+    /// When its acceptance was seen.
+    pub(crate) accepted_at_ms: u64,
     /// Whether every answer so far said that nothing of it runs.
     pub(crate) is_refused: bool,
     pub(crate) results: BTreeMap<usize, ReadResult>,
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -252,6 +252,9 @@
         let failed = self.oracle.not_accepted.get() + usize::from(status != 202);
         self.oracle.not_accepted.set(failed);
         known.is_refused &= is_refusal;
+        if status == 202 && !known.is_accepted {
+            known.accepted_at_ms = self.clock.now_ms();
+        }
         known.is_accepted |= status == 202;
         known.is_accepted
     }
@@ -323,7 +326,7 @@
         let (status, body) = self
             .ask(front, "GET", &path, &headers, Bytes::new())
             .await?;
-        if status == StatusCode::NOT_FOUND {
+        if status == StatusCode::NOT_FOUND && self.must_be_known(id) {
             self.oracle
                 .broken(format!("{id}: accepted and not found at {front}"));
         }
@@ -333,6 +336,12 @@
         Some(count)
     }
 
+    /// Says whether every daemon must know a submission by now.
+    fn must_be_known(&self, id: &str) -> bool {
+        let submissions = self.oracle.submissions.borrow();
+        self.clock.now_ms() > submissions[id].accepted_at_ms + SHOWN_BY_ALL_MS
+    }
+
     async fn end(&self, id: &str, random: &mut Pcg64Mcg) {
         while !self.is_over() {
             let front = self.address(random).await;
