--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -4,7 +4,7 @@
 
 use borageshore_base::{Fault, ResultCode};
 use borageshore_diagnostics::Instruments;
-use borageshore_net::{Clock, EdgeResponse, within_ms};
+use borageshore_net::{Clock, Deadline, EdgeResponse, within_ms};
 use borageshore_platform::{
     Answer, AttemptError, CallHead, EndpointClient, Outbound, answer, refusal,
 };
@@ -65,7 +65,7 @@
     pub(crate) async fn forward(&self, head: CallHead, route: &Route, body: Bytes) -> EdgeResponse {
         let started_ms = self.clock.now_ms();
         let wait_ms = head.deadline_ms.min(route.timeout_ms);
-        let until_ms = started_ms + wait_ms.saturating_sub(ANSWER_MARGIN_MS);
+        let deadline = Deadline::after(self.clock, wait_ms.saturating_sub(ANSWER_MARGIN_MS));
         let outbound = Outbound {
             id: head.id,
             host: head.host,
@@ -79,13 +79,13 @@
             return refusal(&fault, Some(RETRY_AFTER_MS));
         };
         let mut outcome = CallOutcome::default();
-        let attempts = self.attempts(route, service, &outbound, until_ms, &mut outcome);
+        let attempts = self.attempts(route, service, &outbound, deadline, &mut outcome);
         let answered = attempts.await.or(outcome.failure.take());
         let took_ms = self.clock.now_ms() - started_ms;
         self.instruments.record_ms("call", took_ms);
         let response = match answered {
             Some(whole) => answer(whole),
-            None => self.give_up(&outcome, until_ms),
+            None => give_up(&outcome, deadline),
         };
         let status = response.status().as_u16();
         self.instruments.count("call", outcome_of(status));
@@ -97,26 +97,13 @@
         response
     }
 
-    /// The final answer where no endpoint gave one.
-    fn give_up(&self, outcome: &CallOutcome, until_ms: u64) -> EdgeResponse {
-        if outcome.attempts.outcome() == Outcome::NotRun {
-            let fault = Fault::new(ResultCode::NoEndpoint, "");
-            return refusal(&fault, Some(RETRY_AFTER_MS));
-        }
-        let code = match self.clock.now_ms() >= until_ms {
-            true => ResultCode::TimeoutAfterHandover,
-            false => ResultCode::EndpointLost,
-        };
-        refusal(&Fault::new(code, ""), None)
-    }
-
     /// Asks one endpoint after the other, and a second one beside a slow one, as the route permits.
     async fn attempts(
         &self,
         route: &Route,
         service: &Arc<str>,
         outbound: &Outbound,
-        until_ms: u64,
+        deadline: Deadline,
         outcome: &mut CallOutcome,
     ) -> Option<Answer> {
         let idempotent = match route.kind {
@@ -130,29 +117,27 @@
         let mut under_way = FuturesUnordered::new();
         let mut may_hedge = idempotent == Idempotent::Yes;
         loop {
-            let left_ms = until_ms.saturating_sub(self.clock.now_ms());
-            if left_ms == 0 {
+            if deadline.is_over() {
                 return None;
             }
             if under_way.is_empty() && may_try(outcome) {
-                match self.start(service, outbound, left_ms, outcome) {
+                match self.start(service, outbound, deadline, outcome) {
                     Some(attempt) => under_way.push(attempt),
                     None => return None,
                 }
             } else if under_way.is_empty() {
                 return None;
             }
-            let wait_ms = if may_hedge {
-                hedge_ms.min(left_ms)
-            } else {
-                left_ms
+            let wait_ms = match may_hedge {
+                true => hedge_ms.min(deadline.left_ms()),
+                false => deadline.left_ms(),
             };
             let Some(ended) = within_ms(wait_ms, under_way.next()).await else {
                 if std::mem::take(&mut may_hedge)
                     && may_try(outcome)
                     && self.hedges.borrow_mut().try_retry()
                 {
-                    let attempt = self.start(service, outbound, left_ms, outcome);
+                    let attempt = self.start(service, outbound, deadline, outcome);
                     under_way.extend(attempt);
                 }
                 continue;
@@ -170,7 +155,7 @@
         &'c self,
         service: &Arc<str>,
         outbound: &'c Outbound,
-        left_ms: u64,
+        deadline: Deadline,
         outcome: &mut CallOutcome,
     ) -> Option<impl Future<Output = (usize, Result<Answer, AttemptError>)> + use<'c>> {
         let chosen = self.endpoints.choose(service, outcome.attempts.tried());
@@ -181,7 +166,7 @@
         };
         let number = outcome.attempts.hand_over(target.instance.clone());
         Some(async move {
-            let called = self.client.call(&target, outbound, left_ms).await;
+            let called = self.client.call(&target, outbound, deadline).await;
             match &called {
                 Ok(answer) => {
                     in_flight.on_load(answer.load);
@@ -198,6 +183,19 @@
     }
 }
 
+/// The final answer where no endpoint gave one.
+fn give_up(outcome: &CallOutcome, deadline: Deadline) -> EdgeResponse {
+    if outcome.attempts.outcome() == Outcome::NotRun {
+        let fault = Fault::new(ResultCode::NoEndpoint, "");
+        return refusal(&fault, Some(RETRY_AFTER_MS));
+    }
+    let code = match deadline.is_over() {
+        true => ResultCode::TimeoutAfterHandover,
+        false => ResultCode::EndpointLost,
+    };
+    refusal(&Fault::new(code, ""), None)
+}
+
 fn outcome_of(status: u16) -> &'static str {
     match status {
         200..=299 => "done",
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -122,7 +122,7 @@
             endpoints: endpoints.clone(),
             dispatch: Dispatch::spawn(endpoints.clone()),
             client: client.clone(),
-            rewards: Rewards::open(endpoints.clone(), routes.clone(), client.clone()),
+            rewards: Rewards::open(endpoints.clone(), routes.clone(), client.clone(), clock),
             writer: writer.clone(),
             view: view.clone(),
             texts: Rc::new(Texts::open(mechanisms.has(Mechanism::KeptTexts))),
--- a/crates/borageshore_gateway/src/rewards.rs
+++ b/crates/borageshore_gateway/src/rewards.rs
@@ -4,7 +4,7 @@
 
 use borageshore_base::SortedMap;
 use borageshore_batch::RewardCall;
-use borageshore_net::sleep_ms;
+use borageshore_net::{Clock, Deadline, sleep_ms};
 use borageshore_platform::{AttemptError, EndpointClient, Outbound};
 use borageshore_routing::Route;
 use tokio::sync::Notify;
@@ -34,6 +34,7 @@
     endpoints: Rc<Endpoints>,
     routes: Rc<Routes>,
     client: EndpointClient,
+    clock: Clock,
     in_flight: RefCell<SortedMap<Arc<str>, u64>>,
     freed: Notify,
 }
@@ -43,11 +44,13 @@
         endpoints: Rc<Endpoints>,
         routes: Rc<Routes>,
         client: EndpointClient,
+        clock: Clock,
     ) -> Rc<Self> {
         Rc::new(Self {
             endpoints,
             routes,
             client,
+            clock,
             in_flight: RefCell::default(),
             freed: Notify::new(),
         })
@@ -91,8 +94,8 @@
         let _slot = self.slot(service).await;
         let tried = last.take();
         let (target, in_flight) = self.endpoints.choose(service, tried.as_slice())?;
-        let timeout_ms = route.timeout_ms.min(TIMEOUT_MS);
-        match self.client.call(&target, outbound, timeout_ms).await {
+        let deadline = Deadline::after(self.clock, route.timeout_ms.min(TIMEOUT_MS));
+        match self.client.call(&target, outbound, deadline).await {
             Ok(answer) => {
                 in_flight.on_load(answer.load);
                 let status = answer.status;
--- a/crates/borageshore_net/src/event_loop.rs
+++ b/crates/borageshore_net/src/event_loop.rs
@@ -60,6 +60,39 @@
     }
 }
 
+/// A point in time by which an answer is wanted.
+///
+/// Guards the time that is handed on with a request. Taken as a number of milliseconds before a wait, it is
+/// too long after it by that wait: a second endpoint, asked 0.55 s later, worked 0.55 s longer than the
+/// caller waited. What is left is worked out at the moment of sending instead.
+#[derive(Debug, Clone, Copy)]
+pub struct Deadline {
+    clock: Clock,
+    at_ms: u64,
+}
+
+impl Deadline {
+    /// A time on a clock.
+    pub fn at(clock: Clock, at_ms: u64) -> Self {
+        Self { clock, at_ms }
+    }
+
+    /// So long from now.
+    pub fn after(clock: Clock, duration_ms: u64) -> Self {
+        Self::at(clock, clock.now_ms() + duration_ms)
+    }
+
+    /// The time until then; 0 once it is over.
+    pub fn left_ms(self) -> u64 {
+        self.at_ms.saturating_sub(self.clock.now_ms())
+    }
+
+    /// Says whether the time is over.
+    pub fn is_over(self) -> bool {
+        self.left_ms() == 0
+    }
+}
+
 /// The time since the VM was started, suspensions included.
 ///
 /// Leases and anything else that others may take over while this process stands still are checked
--- a/crates/borageshore_net/src/lib.rs
+++ b/crates/borageshore_net/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use self::{
     client::{CallError, Connection, HttpClient, Timeouts},
-    event_loop::{Clock, boot_time_ms, run_event_loop, sleep_ms, within_ms},
+    event_loop::{Clock, Deadline, boot_time_ms, run_event_loop, sleep_ms, within_ms},
     frame::{FrameError, read_frame, write_frame},
     server::{
         BodyError, BodyFault, EdgeBody, EdgeRequest, EdgeResponse, Handler, HttpServer,
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -79,6 +79,8 @@
     pub results_kept_s: u64,
     /// The daemon that gets all submissions; any if there is none.
     pub submit_at: Option<usize>,
+    /// Within which time callers want their answers; daemons go by it.
+    pub objective_ms: u64,
     /// Whether all texts are long ones.
     pub long_texts: bool,
     /// The faults.
@@ -99,6 +101,7 @@
             duration_ms: 15_000,
             results_kept_s: 120,
             submit_at: None,
+            objective_ms: 200,
             long_texts: false,
             script: Script::Wider(8),
             folder: std::env::temp_dir()
@@ -135,6 +138,8 @@
     /// Calls that reached the first endpoint of the plain service while another writer's entry stood in
     /// its place and daemons had had time to see it.
     pub calls_by_foreign_entry: usize,
+    /// By how much an endpoint was told to work on a call beyond the time that its caller waits, at the most.
+    pub most_overtime_ms: u64,
     /// Results read, each once.
     pub results: usize,
     /// Broken promises.
--- a/crates/borageshore_soak/src/oracle.rs
+++ b/crates/borageshore_soak/src/oracle.rs
@@ -54,6 +54,8 @@
     pub(crate) submissions: RefCell<BTreeMap<String, KnownSubmission>>,
     /// Calls that may run once at the most, with whether they were said not to have run.
     pub(crate) single_calls: RefCell<BTreeMap<String, bool>>,
+    /// Until when each caller waits for its call.
+    pub(crate) call_ends_ms: RefCell<BTreeMap<String, u64>>,
     /// When paused processes went on.
     pub(crate) resumed_at_ms: RefCell<Vec<(String, u64)>>,
     /// Submissions answered otherwise than with an acceptance.
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -27,6 +27,8 @@
 const DIRECTORIES_ASKED: usize = 3;
 /// The pause between two calls of a caller.
 const CALL_PAUSE_MS: u64 = 40;
+/// How long a caller waits for a call.
+const CALL_WAIT_MS: u64 = 2_000;
 /// Groups of a step, the items of each, and how many groups the trainer waits for.
 const STEP: (usize, usize, usize) = (6, 3, 5);
 /// What one daemon has shown all daemons show after this time; the platform says so.
@@ -148,7 +150,12 @@
             let is_single = number % 2 == 0;
             let path = if is_single { "/once/x" } else { "/safe/x" };
             let front = self.address(&mut random).await;
-            let headers = [("x-request-id", id.as_str()), ("x-deadline-ms", "2000")];
+            let wait = CALL_WAIT_MS.to_string();
+            let headers = [("x-request-id", id.as_str()), ("x-deadline-ms", &wait)];
+            self.oracle
+                .call_ends_ms
+                .borrow_mut()
+                .insert(id.clone(), self.clock.now_ms() + CALL_WAIT_MS);
             let answer = self
                 .ask(front, "POST", path, &headers, Bytes::from("body"))
                 .await;
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -103,7 +103,8 @@
 
 fn build(options: &SoakOptions, clock: Clock, oracle: &Rc<Oracle>) -> io::Result<Targets> {
     let store = PlatformStore::bind("127.0.0.1:0")?;
-    store.put("keyed.op", "config", routes().to_string().as_bytes());
+    let routes = routes(options.objective_ms);
+    store.put("keyed.op", "config", routes.to_string().as_bytes());
     let mut engines = Vec::new();
     for number in 0..options.engines {
         let instance = format!("e-{number}");
@@ -135,11 +136,11 @@
     })
 }
 
-fn routes() -> serde_json::Value {
+fn routes(objective_ms: u64) -> serde_json::Value {
     let route = |name: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
-            "timeout_ms": 2_000, "target_latency_ms": 200, "priority": 1, "max_attempts": 3,
+            "timeout_ms": 2_000, "target_latency_ms": objective_ms, "priority": 1, "max_attempts": 3,
             "service": service, "result_due_ms": 7_500, "retention_s": 60,
         })
     };
@@ -227,6 +228,7 @@
         most_remade: most_remade(targets),
         after_restart: after_restart(&targets.engines[0].0),
         calls_by_foreign_entry: oracle.calls_by_foreign_entry(&targets.services[0].0),
+        most_overtime_ms: most_overtime_ms(targets, oracle),
         results,
         violations,
     }
@@ -264,6 +266,16 @@
     (runs.count(), orders.count())
 }
 
+fn most_overtime_ms(targets: &Targets, oracle: &Oracle) -> u64 {
+    let call_ends_ms = oracle.call_ends_ms.borrow();
+    let runs = targets
+        .services
+        .iter()
+        .flat_map(|(service, _)| service.ends_ms());
+    let overtime = runs.filter_map(|(id, end_ms)| end_ms.checked_sub(*call_ends_ms.get(&id)?));
+    overtime.max().unwrap_or(0)
+}
+
 fn resumed_runs(targets: &Targets) -> usize {
     let runs = targets.engines.iter().flat_map(|(engine, _)| engine.runs());
     runs.filter(|run| run.after_event > 0).count()
--- a/crates/borageshore_standins/src/platform/plain.rs
+++ b/crates/borageshore_standins/src/platform/plain.rs
@@ -38,6 +38,8 @@
     calls: Cell<u64>,
     /// When each call ran, by its id.
     runs: RefCell<BTreeMap<String, Vec<u64>>>,
+    /// Until when each call was said to be waited for, the latest of its runs, by its id.
+    ends: RefCell<BTreeMap<String, u64>>,
 }
 
 /// A running endpoint of a plain service.
@@ -65,6 +67,7 @@
             running: Cell::new(0),
             calls: Cell::new(0),
             runs: RefCell::default(),
+            ends: RefCell::default(),
         });
         let server = HttpServer::bind("127.0.0.1:0", limits(), Endpoint(shared.clone()))?;
         Ok(Self {
@@ -102,6 +105,11 @@
         self.shared.runs.borrow().clone()
     }
 
+    /// Until when each call was said to be waited for, the latest of its runs, by its id.
+    pub fn ends_ms(&self) -> BTreeMap<String, u64> {
+        self.shared.ends.borrow().clone()
+    }
+
     /// The signature of this service under the answer to a call.
     pub fn stamp(id: &str) -> String {
         format!("stamp-{:016x}", mixed(id))
@@ -118,6 +126,8 @@
         if expected != shared.instance {
             return status(421);
         }
+        let time_left_ms =
+            header(request.headers(), "x-deadline-ms").and_then(|ms| ms.parse::<u64>().ok());
         if read_body(request.into_body(), limits()).await.is_err() {
             return status(400);
         }
@@ -131,6 +141,11 @@
             .entry(id.clone())
             .or_default()
             .push(now_ms);
+        if let Some(time_left_ms) = time_left_ms {
+            let mut ends = shared.ends.borrow_mut();
+            let end_ms = ends.entry(id.clone()).or_default();
+            *end_ms = now_ms.saturating_add(time_left_ms).max(*end_ms);
+        }
         shared.running.set(shared.running.get() + 1);
         let _running = Running(shared);
         sleep_ms(switches.work_ms).await;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -150,6 +150,18 @@
         assert!(!report.unanswered.is_empty());
     }
 
+    // An endpoint works on for half a second after the caller has gone, and has a slot less for others.
+    // A call that may be repeated gets no answer at its first endpoint; a second one is asked as well, half
+    // an objective later, and was handed the time that was left before that wait.
+    a_second_endpoint_gets_what_is_left_of_the_callers_time => {
+        let script = Script::Moments(vec![(500, Moment::LoseAnswers), (2_500, Moment::LoseAnswers)]);
+        let options = SoakOptions { objective_ms: 1_000, ..options(16, script) };
+        let report = play(&options);
+        assert_eq!(report.faults.len(), 2);
+        // 525 before.
+        assert!(report.most_overtime_ms < 250, "{}", report.most_overtime_ms);
+    }
+
     // A VM gets no callers and no work for good, though its daemon runs.
     // Its clock was ahead when its last life began and is right now; the others take the heartbeats of
     // the present life for late ones of an earlier life.
