--- a/crates/borageshore_gateway/src/cleaner.rs
+++ b/crates/borageshore_gateway/src/cleaner.rs
@@ -42,6 +42,9 @@
             if !self.is_first() {
                 continue;
             }
+            if let Err(error) = self.members.forget_dead(&self.store).await {
+                log::info!(error:% = error; "records of dead daemons not removed");
+            }
             for id in self.index.expired(self.kept_ms, slack_ms) {
                 match self.remove(&id).await {
                     Ok(()) => log::info!(submission = &*id; "records removed, their time is over"),
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -32,13 +32,15 @@
     submission_index::SubmissionIndex,
     submissions::Submissions,
     texts::Texts,
+    watch::Watch,
     writer::Writer,
 };
 
 /// The operator's and the endpoints' records matter at once.
 const AT_ONCE_MS: u64 = 0;
-/// Heartbeats of many daemons are read together; a death shows after seconds anyway.
-const MEMBERS_PAUSE_MS: u64 = 100;
+/// What many daemons write when they start together is read together; a suspicion waits a fifth of the time
+/// that there is to refute it.
+const MEMBERS_PAUSE_MS: u64 = 50;
 /// Two records a submission.
 const OPEN_PAUSE_MS: u64 = 10;
 /// Records of rounds come one at a time.
@@ -164,7 +166,9 @@
             kept_ms: config.results_kept_s * 1_000,
         };
         monoio::spawn(cleaner.run());
-        monoio::spawn(members.clone().beat(store.clone()));
+        monoio::spawn(members.clone().announce(store.clone()));
+        monoio::spawn(members.clone().note_deaths());
+        Watch::bind(&config.peer_address, members.clone(), store.clone())?;
         let life = Life::open();
         let server = Server {
             life: life.clone(),
@@ -261,9 +265,9 @@
             && self.writer.unwritten() == 0
     }
 
-    /// Takes this daemon's heartbeat out of the store, so that others need not wait for its silence.
-    pub(crate) async fn say_goodbye(&self) {
-        self.members.say_goodbye(&self.store).await;
+    /// Takes this daemon's record out of the store, so that others need not wait for its silence.
+    pub(crate) async fn leave(&self) {
+        self.members.leave(&self.store).await;
     }
 }
 
--- a/crates/borageshore_gateway/src/lib.rs
+++ b/crates/borageshore_gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod submission_index;
 mod submissions;
 mod texts;
+mod watch;
 mod writer;
 
 pub use self::{config::GatewayConfig, gateway::Gateway, mechanisms::Mechanism};
--- a/crates/borageshore_gateway/src/life.rs
+++ b/crates/borageshore_gateway/src/life.rs
@@ -22,11 +22,11 @@
 const STARTING_POLL_MS: u64 = 20;
 /// The part of the grace that is left for the last answers after connections were closed.
 const CLOSING_MS: u64 = 1_500;
-/// The part of the grace that is left for the goodbye and the end of the process.
+/// The part of the grace that is left for the last record and the end of the process.
 const LAST_MS: u64 = 900;
-/// A goodbye that takes longer is not worth the kill at the end of the grace: others learn of the end
+/// A last record that takes longer is not worth the kill at the end of the grace: others learn of the end
 /// by silence as well.
-const GOODBYE_MS: u64 = 300;
+const LEAVING_MS: u64 = 300;
 
 /// Where this daemon is in its life.
 #[derive(Debug)]
@@ -136,6 +136,6 @@
     while gateway.now_ms() < end_ms && !gateway.is_idle() {
         sleep_ms(POLL_MS).await;
     }
-    within_ms(GOODBYE_MS, gateway.say_goodbye()).await;
+    within_ms(LEAVING_MS, gateway.leave()).await;
     log::info!(took_ms = gateway.now_ms() - started_ms, is_idle = gateway.is_idle(); "daemon stopped");
 }
--- a/crates/borageshore_gateway/src/members.rs
+++ b/crates/borageshore_gateway/src/members.rs
@@ -1,11 +1,18 @@
-//! Which daemons live: heartbeats through the store.
+//! Which daemons live: what each writes of itself, and of those that it watches, to the store.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
 
 use borageshore_base::rank_by_rendezvous;
-use borageshore_membership::{Presence, PresenceState, PresenceTable};
-use borageshore_net::{Clock, within_ms};
-use borageshore_platform::{KeyedRecord, Topic};
+use borageshore_membership::{
+    PROBE_EVERY_MS, Presence, PresenceState, PresenceTable, REFUTED_WITHIN_MS, SEES_WITHIN_MS,
+    SPEAKS_WITHIN_MS, Suspicion, WatchRing, WatchTable,
+};
+use borageshore_net::{Clock, sleep_ms, within_ms};
+use borageshore_platform::{KeyedRecord, StoreError, Topic};
 use bytes::Bytes;
 use tokio::sync::Notify;
 
@@ -14,6 +21,10 @@
     store_path::{Store, StorePath},
 };
 
+/// What the key of a suspicion begins with; the name of the suspected daemon follows.
+const SUSPICION_PREFIX: &str = "suspect/";
+/// The pause before a record that could not be written is written again: others may wait for it.
+const WRITE_AGAIN_MS: u64 = 500;
 /// Fewer addresses of one zone leave a caller without a choice when one of them fails.
 const LEAST_ADDRESSES: usize = 2;
 
@@ -24,11 +35,31 @@
     table: RefCell<PresenceTable>,
     clock: Clock,
     store_path: StorePath,
-    beat_at_once: Notify,
-    /// Told when a daemon's heartbeat came.
+    watch: RefCell<WatchTable>,
+    ring: RefCell<KnownRing>,
+    has_left: Cell<bool>,
+    write_at_once: Notify,
+    suspected: Notify,
+    /// Told when something of a daemon changed.
     pub(crate) changed: Notify,
 }
 
+/// The ring of daemons as of a number of changes.
+#[derive(Debug, Default)]
+struct KnownRing {
+    ring: WatchRing,
+    as_of_changes: Option<u64>,
+}
+
+/// What a look at those that this daemon watches asks for.
+#[derive(Debug)]
+pub(crate) struct Look {
+    /// Where its own watchers are; nowhere if it must not say that it lives.
+    pub(crate) watchers: Vec<Arc<str>>,
+    /// The daemons that it suspects from now on.
+    pub(crate) silent: Vec<Suspicion>,
+}
+
 impl Members {
     pub(crate) fn open(own: Presence, clock: Clock, store_path: StorePath) -> Rc<Self> {
         Rc::new(Self {
@@ -36,38 +67,154 @@
             table: RefCell::default(),
             clock,
             store_path,
-            beat_at_once: Notify::new(),
+            watch: RefCell::default(),
+            ring: RefCell::default(),
+            has_left: Cell::default(),
+            write_at_once: Notify::new(),
+            suspected: Notify::new(),
             changed: Notify::new(),
         })
     }
 
-    /// Writes heartbeats until the process ends.
-    pub(crate) async fn beat(self: Rc<Self>, store: Store) {
+    /// Writes what this daemon says of itself, at each change and now and then, until it leaves.
+    pub(crate) async fn announce(self: Rc<Self>, store: Store) {
         let mut is_lost = false;
-        loop {
+        while !self.has_left.get() {
             let key = self.own.borrow().name.clone();
             let value = serde_json::to_vec(&*self.own.borrow()).expect("plain data");
             let record = [(key, Bytes::from(value))];
-            let beat = store
+            let written = store
                 .append(Topic::Members, ONLY_PARTITION, &record, None)
                 .await;
-            match beat {
-                Ok(_) => is_lost = false,
-                Err(error) if !is_lost => {
-                    is_lost = true;
-                    log::warn!(error:% = error; "heartbeats do not reach the store");
+            let pause_ms = self.table.borrow().pause_ms();
+            let pause_ms = match &written {
+                // This record is also what tries out a closed way to the store.
+                Ok(_) if self.store_path.is_detour() => pause_ms.min(PROBE_EVERY_MS),
+                Ok(_) => pause_ms,
+                Err(_) => WRITE_AGAIN_MS,
+            };
+            if let Err(error) = &written
+                && !is_lost
+            {
+                log::warn!(error:% = error; "this daemon's record does not reach the store");
+            }
+            is_lost = written.is_err();
+            within_ms(pause_ms, self.write_at_once.notified()).await;
+        }
+    }
+
+    /// Takes suspicions for deaths when their time is over.
+    pub(crate) async fn note_deaths(self: Rc<Self>) {
+        loop {
+            self.suspected.notified().await;
+            sleep_ms(REFUTED_WITHIN_MS).await;
+            self.advance();
+        }
+    }
+
+    fn advance(&self) {
+        let now_ms = self.clock.now_ms();
+        let has_died = self.table.borrow_mut().advance(now_ms);
+        if has_died {
+            self.follow_peers();
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Takes over a heartbeat; one of an earlier incarnation is late.
+    pub(crate) fn on_heartbeat(&self, name: &str, incarnation: u64) {
+        if self.table.borrow().incarnation_of(name) <= Some(incarnation) {
+            let now_ms = self.clock.now_ms();
+            self.watch.borrow_mut().on_heartbeat(name, now_ms);
+        }
+    }
+
+    /// Looks who of those that this daemon watches has gone silent.
+    pub(crate) fn look(&self) -> Look {
+        self.advance();
+        let now_ms = self.clock.now_ms();
+        let own_name = self.own_name();
+        let table = self.table.borrow();
+        let mut watch = self.watch.borrow_mut();
+        let mut known = self.ring.borrow_mut();
+        if known.as_of_changes != Some(table.changes()) {
+            known.ring = WatchRing::of(table.live());
+            known.as_of_changes = Some(table.changes());
+            watch.watch(known.ring.watched_by(&own_name), now_ms);
+        }
+        let store_silent_ms = self.store_path.silent_ms();
+        let silent = match store_silent_ms < SEES_WITHIN_MS {
+            true => watch.take_silent(now_ms),
+            false => {
+                watch.on_blind(now_ms);
+                Vec::new()
+            }
+        };
+        let suspicion = |name: Arc<str>| {
+            Some(Suspicion {
+                incarnation: table.incarnation_of(&name)?,
+                name,
+                by: own_name.clone(),
+            })
+        };
+        Look {
+            watchers: match store_silent_ms < SPEAKS_WITHIN_MS {
+                true => known.ring.watchers_of(&own_name),
+                false => Vec::new(),
+            },
+            silent: silent.into_iter().filter_map(suspicion).collect(),
+        }
+    }
+
+    /// Writes suspicions; others take them for deaths unless they are refuted.
+    pub(crate) async fn suspect(&self, store: &Store, silent: &[Suspicion]) {
+        let record = |suspicion: &Suspicion| {
+            let key = format!("{SUSPICION_PREFIX}{}", suspicion.name);
+            let value = serde_json::to_vec(suspicion).expect("plain data");
+            (Arc::from(key), Bytes::from(value))
+        };
+        let records: Vec<(Arc<str>, Bytes)> = silent.iter().map(record).collect();
+        let names: Vec<&str> = silent.iter().map(|suspicion| &*suspicion.name).collect();
+        let written = store
+            .append(Topic::Members, ONLY_PARTITION, &records, None)
+            .await;
+        match written {
+            Ok(_) => log::warn!(silent:? = names; "daemons are silent"),
+            Err(error) => {
+                log::info!(silent:? = names, error:% = error; "daemons are silent, and the store does not take it");
+                let now_ms = self.clock.now_ms();
+                let mut watch = self.watch.borrow_mut();
+                for name in names {
+                    watch.on_not_written(name, now_ms);
                 }
-                Err(_) => {}
             }
-            let pause_ms = self.table.borrow().pause_ms();
-            within_ms(pause_ms, self.beat_at_once.notified()).await;
         }
     }
 
+    /// Removes the records of daemons that have been dead for long.
+    ///
+    /// Guards against a start that reads all VMs of a year: the store keeps the newest record of each for good,
+    /// and thousands are replaced a day.
+    pub(crate) async fn forget_dead(&self, store: &Store) -> Result<(), StoreError> {
+        let forgotten = self.table.borrow().forgotten();
+        let keys = forgotten
+            .iter()
+            .flat_map(|name| [name.clone(), format!("{SUSPICION_PREFIX}{name}").into()]);
+        let removals: Vec<(Arc<str>, Bytes)> = keys.map(|key| (key, Bytes::new())).collect();
+        if removals.is_empty() {
+            return Ok(());
+        }
+        store
+            .append(Topic::Members, ONLY_PARTITION, &removals, None)
+            .await?;
+        log::info!(daemons:? = forgotten; "records of daemons removed that have been dead for long");
+        Ok(())
+    }
+
     /// Raises this daemon's incarnation over that of an earlier life.
     ///
     /// Guards against a clock that was set back between two starts: all daemons would take the
-    /// heartbeats of the present life for late ones of an earlier life, and this one for dead.
+    /// records of the present life for late ones of an earlier life, and this one for dead.
     fn outlive(&self, record: &KeyedRecord) {
         let mut own = self.own.borrow_mut();
         if record.key != own.name {
@@ -80,21 +227,28 @@
         {
             log::warn!(earlier = earlier.incarnation, own = own.incarnation; "the clock was set back between two starts");
             own.incarnation = earlier.incarnation + 1;
-            self.beat_at_once.notify_one();
+            self.write_at_once.notify_one();
         }
     }
 
-    /// Removes this daemon's heartbeat; a heartbeat on its way may still come after it.
-    pub(crate) async fn say_goodbye(&self, store: &Store) {
+    /// Removes this daemon's record; one on its way may still come after it.
+    pub(crate) async fn leave(&self, store: &Store) {
+        self.has_left.set(true);
         let record = [(self.own_name(), Bytes::new())];
         let removed = store
             .append(Topic::Members, ONLY_PARTITION, &record, None)
             .await;
         if let Err(error) = removed {
-            log::info!(error:% = error; "goodbye did not reach the store, others wait for silence");
+            log::info!(error:% = error; "the end did not reach the store, others learn it by silence");
         }
     }
 
+    /// This daemon's name and incarnation.
+    pub(crate) fn own_life(&self) -> (Arc<str>, u64) {
+        let own = self.own.borrow();
+        (own.name.clone(), own.incarnation)
+    }
+
     /// This daemon's name.
     pub(crate) fn own_name(&self) -> Arc<str> {
         self.own.borrow().name.clone()
@@ -103,14 +257,14 @@
     /// Changes what this daemon says of itself, and says it at once.
     pub(crate) fn set_state(&self, state: PresenceState) {
         if std::mem::replace(&mut self.own.borrow_mut().state, state) != state {
-            // Its own work need not wait until its heartbeat has come back from the store, 0.1 s; but as
+            // Its own work need not wait until its record has come back from the store, 0.1 s; but as
             // long as it knows no other daemon it would take the work of all.
             if self.table.borrow().is_known() {
                 let own = self.own.borrow().clone();
                 self.table.borrow_mut().on_presence(own);
                 self.changed.notify_waiters();
             }
-            self.beat_at_once.notify_one();
+            self.write_at_once.notify_one();
         }
     }
 
@@ -118,7 +272,7 @@
     pub(crate) fn set_holds(&self, holds: Vec<Arc<str>>) {
         if self.own.borrow().holds != holds {
             self.own.borrow_mut().holds = holds;
-            self.beat_at_once.notify_one();
+            self.write_at_once.notify_one();
         }
     }
 
@@ -127,7 +281,7 @@
         let own = self.own.borrow();
         let table = self.table.borrow();
         if own.holds.iter().any(|held| &**held == work) {
-            // Two that both hold it know of each other by their heartbeats; the later name yields.
+            // Two that both hold it know of each other by their records; the later name yields.
             return table
                 .holder_of(work)
                 .is_none_or(|holder| holder >= &*own.name);
@@ -185,26 +339,66 @@
     }
 }
 
+impl Members {
+    fn follow_peers(&self) {
+        let own = self.own.borrow();
+        let peers = self.table.borrow().peer_addresses(&own.name, &own.zone);
+        self.store_path.set_peers(peers);
+    }
+
+    fn on_own_record(&self, record: &KeyedRecord) {
+        self.outlive(record);
+        let is_removed = record.value.is_none() && record.key == self.own.borrow().name;
+        if is_removed && !self.has_left.get() {
+            // Another daemon took this one for dead for long.
+            self.write_at_once.notify_one();
+        }
+    }
+
+    fn on_suspicion(&self, suspicion: &Suspicion) {
+        let own = self.own.borrow();
+        if suspicion.name != own.name {
+            let now_ms = self.clock.now_ms();
+            self.table.borrow_mut().on_suspicion(suspicion, now_ms);
+            self.watch.borrow_mut().on_suspicion(&suspicion.name);
+            self.suspected.notify_one();
+        } else if suspicion.incarnation == own.incarnation {
+            log::warn!(by = &*suspicion.by; "this daemon is suspected and says that it lives");
+            self.write_at_once.notify_one();
+        }
+    }
+
+    fn on_presence(&self, presence: Presence) {
+        let now_ms = self.clock.now_ms();
+        let mut table = self.table.borrow_mut();
+        if table.is_suspected(&presence.name) {
+            log::info!(member = &*presence.name; "a suspected daemon says that it lives");
+        }
+        self.watch.borrow_mut().on_record(&presence.name, now_ms);
+        table.on_presence(presence);
+    }
+
+    fn on_record(&self, record: &KeyedRecord) -> Result<(), serde_json::Error> {
+        let suspected = record.key.strip_prefix(SUSPICION_PREFIX);
+        match (&record.value, suspected) {
+            (Some(value), Some(_)) => self.on_suspicion(&serde_json::from_slice(value)?),
+            (Some(value), None) => self.on_presence(serde_json::from_slice(value)?),
+            (None, Some(_)) => {}
+            (None, None) => self.table.borrow_mut().on_left(&record.key),
+        }
+        Ok(())
+    }
+}
+
 impl Fold for Members {
     fn apply(&self, records: &[KeyedRecord]) {
-        let mut table = self.table.borrow_mut();
         for record in records {
-            self.outlive(record);
-            let Some(value) = &record.value else {
-                table.on_goodbye(&record.key);
-                continue;
-            };
-            match serde_json::from_slice(value) {
-                Ok(presence) => table.on_presence(presence),
-                Err(error) => {
-                    log::error!(member = &*record.key, error:% = error; "a heartbeat cannot be read");
-                }
+            self.on_own_record(record);
+            if let Err(error) = self.on_record(record) {
+                log::error!(member = &*record.key, error:% = error; "a daemon's record cannot be read");
             }
         }
-        let own = self.own.borrow();
-        self.store_path
-            .set_peers(table.peer_addresses(&own.name, &own.zone));
-        drop((table, own));
+        self.follow_peers();
         self.changed.notify_waiters();
     }
 
--- a/crates/borageshore_gateway/src/peers.rs
+++ b/crates/borageshore_gateway/src/peers.rs
@@ -19,7 +19,7 @@
 const CONNECT_MS: u64 = 200;
 /// What an answer may take beyond the time that the reader wants to wait.
 const ANSWER_SLACK_MS: u64 = 600;
-/// A peer that did not answer is not asked for this long; others see its death in about two seconds.
+/// A peer that did not answer is not asked for this long; others see its death in about a second, and it may stand still for a moment.
 const AVOID_MS: u64 = 2_000;
 
 /// What a peer may take to write a submission to the store.
--- a/crates/borageshore_gateway/src/runner.rs
+++ b/crates/borageshore_gateway/src/runner.rs
@@ -55,9 +55,9 @@
 
 /// Runs the open submissions that this daemon owns.
 ///
-/// Ownership is a matter of each daemon's view of the heartbeats. Two owners for a moment make an
+/// Ownership is a matter of each daemon's view of who lives. Two owners for a moment make an
 /// item twice, which its kind allows, and the ledger takes the first result; no owner for a moment
-/// lets it wait. So no lease is needed here, and a takeover waits for nothing but the heartbeats.
+/// lets it wait. So no lease is needed here, and a takeover waits for nothing but the failure detector.
 #[derive(Debug)]
 pub(crate) struct Runner {
     view: Rc<LedgerView>,
--- a/crates/borageshore_gateway/src/store_path.rs
+++ b/crates/borageshore_gateway/src/store_path.rs
@@ -22,7 +22,7 @@
 pub(crate) type Store = borageshore_platform::Store<StorePath>;
 
 /// An append that has no answer by then is given to a peer as well. A slow store answers in 200 ms, and
-/// an append may be repeated; heartbeats then still come before others take this daemon for dead, 1.8 s.
+/// an append may be repeated; a daemon that reaches nobody stops its heartbeats after 3 s.
 const OWN_WAY_MS: u64 = 600;
 /// What a peer may take beyond the store's own time.
 const PEER_SLACK_MS: u64 = 200;
@@ -46,6 +46,8 @@
     way: RefCell<StoreWay>,
     peers: RefCell<Vec<Arc<str>>>,
     next_peer: Cell<usize>,
+    /// When the store last answered, on either way.
+    answered_at_ms: Cell<u64>,
     /// Told when the own way turns out to be closed.
     closed: Notify,
 }
@@ -61,6 +63,7 @@
                 way: RefCell::default(),
                 peers: RefCell::default(),
                 next_peer: Cell::default(),
+                answered_at_ms: Cell::new(clock.now_ms()),
                 closed: Notify::new(),
             }),
         }
@@ -73,6 +76,17 @@
         }
     }
 
+    /// For how long the store has not answered, on either way.
+    pub(crate) fn silent_ms(&self) -> u64 {
+        let now_ms = self.inner.clock.now_ms();
+        now_ms - self.inner.answered_at_ms.get()
+    }
+
+    /// Says whether calls go through peers.
+    pub(crate) fn is_detour(&self) -> bool {
+        self.inner.way.borrow().is_closed()
+    }
+
     /// Makes a call on this daemon's own way.
     async fn call_own(&self, call: &StoreCall) -> Answer {
         let inner = &self.inner;
@@ -166,10 +180,14 @@
         let now_ms = self.inner.clock.now_ms();
         let may_probe = call.is_append() && call.is_idempotent;
         let way = self.inner.way.borrow_mut().next(may_probe, now_ms);
-        match way {
+        let answer = match way {
             Way::Own => self.call_own_first(&call).await,
             Way::Peer => self.call_by_peer_first(&call).await,
+        };
+        if is_answered(&answer) {
+            self.inner.answered_at_ms.set(self.inner.clock.now_ms());
         }
+        answer
     }
 }
 
--- a/crates/borageshore_membership/src/lib.rs
+++ b/crates/borageshore_membership/src/lib.rs
@@ -4,7 +4,8 @@
 //! of others to a few peers, mostly in its own availability zone. [`Membership`] is pure: the shell
 //! gives it time, a seed and messages, and sends what it returns.
 //!
-//! Where a log that all daemons read carries the heartbeats, [`PresenceTable`] takes gossip's place.
+//! Where all daemons read one log, [`PresenceTable`] takes gossip's place: the log carries what changes, and
+//! [`WatchTable`] tells who has gone silent.
 //!
 //! ```
 //! use borageshore_membership::{MemberEntry, MemberState, Membership};
@@ -30,11 +31,15 @@
 mod presence;
 mod relay;
 mod store_way;
+mod watch;
 
 pub use self::{
     entry::{GossipMessage, Heartbeat, MemberEntry, MemberState},
     members::{Health, Membership, TICK_MS},
-    presence::{Presence, PresenceState, PresenceTable},
+    presence::{Presence, PresenceState, PresenceTable, REFUTED_WITHIN_MS},
     relay::{RelaySource, relay_source},
-    store_way::{CallEnd, StoreWay, Way},
+    store_way::{CallEnd, PROBE_EVERY_MS, StoreWay, Way},
+    watch::{
+        HEARTBEAT_EVERY_MS, SEES_WITHIN_MS, SPEAKS_WITHIN_MS, Suspicion, WatchRing, WatchTable,
+    },
 };
--- a/crates/borageshore_membership/src/presence.rs
+++ b/crates/borageshore_membership/src/presence.rs
@@ -1,22 +1,30 @@
-//! Liveness by heartbeats that every daemon reads from one log.
+//! Which daemons live, by what they and their watchers write to one log that every daemon reads.
 
 use std::sync::Arc;
 
 use borageshore_base::{SortedMap, rank_by_rendezvous};
 use serde::{Deserialize, Serialize};
 
-/// The shortest pause between two heartbeats of a daemon.
+use crate::watch::Suspicion;
+
+/// The shortest pause between two records of a daemon of which nothing changed.
 const LEAST_PAUSE_MS: u64 = 500;
-/// The pause grows by this much for each daemon. The log takes one append in 4 ms, so heartbeats of
-/// any number of daemons take up 40 percent of it at the most, and an append waits for a few ms.
-const PAUSE_PER_DAEMON_MS: u64 = 10;
-/// Heartbeats that a daemon may miss before it is taken for dead. Too early costs work done twice,
-/// too late costs a step the time that its items stand still.
-const MISSED_HEARTBEATS: u64 = 3;
+/// Every record is read by every daemon: the pause grows with the square of their number, so that these
+/// records cause 250 reads of the log a second at the most, of 2,000 and more that it takes. They tell a few
+/// daemons of a death where datagrams do not pass; for many daemons watchers do.
+const PAUSE_PER_PAIR_MS: u64 = 4;
+/// Records that a daemon may miss before it is taken for dead.
+const MISSED_RECORDS: u64 = 3;
 /// Added for an append that waits and for the pace at which the log is read.
 const LATE_MS: u64 = 300;
 /// The most by which one read moves the clock that silence is counted on.
 const CLOCK_STEP_MS: u64 = 600;
+/// A daemon that is suspected has this long to say that it lives. It reads the suspicion and writes its
+/// record within 100 ms; a false alarm then changes nothing, where work was otherwise done twice.
+pub const REFUTED_WITHIN_MS: u64 = 250;
+/// A daemon that has been dead for this long is forgotten with its records: a VM that was replaced does not
+/// come back, and one that does writes its record again.
+const FORGOTTEN_AFTER_MS: u64 = 60_000;
 
 /// Where a daemon is in its life, as it says itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,12 +62,22 @@
 #[derive(Debug)]
 struct Seen {
     presence: Presence,
+    /// When its record was read, on the clock that reads move.
     at_ms: u64,
+    /// Since when a watcher's suspicion stands, on the clock that goes on by itself.
+    suspected_at_ms: Option<u64>,
+}
+
+impl Seen {
+    fn is_dead(&self, now_ms: u64) -> bool {
+        self.suspected_at_ms
+            .is_some_and(|at_ms| now_ms >= at_ms + REFUTED_WITHIN_MS)
+    }
 }
 
-/// The daemons by their heartbeats.
+/// The daemons by their records, and by what watchers write of them.
 ///
-/// Silence is counted on a clock that moves only while the log is read with success, and by a
+/// A suspicion that is not refuted within [`REFUTED_WITHIN_MS`] is a death. Besides, silence is counted on a clock that moves only while the log is read with success, and by a
 /// bounded step for each read. While the log is away, or this process stood still, nobody ages: else
 /// the first look after an outage would declare every other daemon dead at once.
 #[derive(Debug, Default)]
@@ -67,6 +85,8 @@
     seen: SortedMap<Arc<str>, Seen>,
     clock_ms: u64,
     read_at_ms: u64,
+    now_ms: u64,
+    changes: u64,
 }
 
 impl PresenceTable {
@@ -75,6 +95,21 @@
         let step_ms = now_ms.saturating_sub(self.read_at_ms).min(CLOCK_STEP_MS);
         self.clock_ms += step_ms;
         self.read_at_ms = now_ms;
+        self.advance(now_ms);
+    }
+
+    /// Takes over the time, by which suspicions become deaths; says whether one did.
+    pub fn advance(&mut self, now_ms: u64) -> bool {
+        let before_ms = std::mem::replace(&mut self.now_ms, now_ms);
+        let died = |seen: &Seen| seen.is_dead(now_ms) && !seen.is_dead(before_ms);
+        let has_died = self.seen.values().any(died);
+        self.changes += u64::from(has_died);
+        has_died
+    }
+
+    /// Counts what changed of who lives and where; a record that says the same again is none.
+    pub fn changes(&self) -> u64 {
+        self.changes
     }
 
     /// Says whether the log was read yet.
@@ -82,33 +117,75 @@
         self.read_at_ms > 0
     }
 
-    /// Takes over a heartbeat; one of an earlier incarnation is out of date.
+    /// Takes over a daemon's record, which also refutes a suspicion; one of an earlier incarnation is out of
+    /// date.
     pub fn on_presence(&mut self, presence: Presence) {
         let known = self.seen.get(&presence.name);
         if known.is_some_and(|known| known.presence.incarnation > presence.incarnation) {
             return;
         }
+        let is_same = known.is_some_and(|known| {
+            known.suspected_at_ms.is_none()
+                && known.presence.state == presence.state
+                && known.presence.incarnation == presence.incarnation
+        });
+        self.changes += u64::from(!is_same);
         let seen = Seen {
             at_ms: self.clock_ms,
+            suspected_at_ms: None,
             presence,
         };
         self.seen.insert(seen.presence.name.clone(), seen);
     }
 
-    /// Forgets a daemon that said goodbye.
-    pub fn on_goodbye(&mut self, name: &str) {
-        self.seen.remove(name);
+    /// Takes over a watcher's suspicion; the first one counts, until it is refuted.
+    pub fn on_suspicion(&mut self, suspicion: &Suspicion, now_ms: u64) {
+        if let Some(seen) = self.seen.get_mut(&suspicion.name)
+            && seen.presence.incarnation == suspicion.incarnation
+        {
+            seen.suspected_at_ms.get_or_insert(now_ms);
+        }
+    }
+
+    /// Says whether a suspicion of a daemon stands.
+    pub fn is_suspected(&self, name: &str) -> bool {
+        let seen = self.seen.get(name);
+        seen.is_some_and(|seen| seen.suspected_at_ms.is_some())
+    }
+
+    /// Forgets a daemon that left.
+    pub fn on_left(&mut self, name: &str) {
+        self.changes += u64::from(self.seen.remove(name).is_some());
+    }
+
+    /// The daemons whose records may be removed, as they have been dead for long.
+    pub fn forgotten(&self) -> Vec<Arc<str>> {
+        let dead_after_ms = self.dead_after_ms() + FORGOTTEN_AFTER_MS;
+        let is_forgotten = |seen: &&Seen| {
+            let is_long_ago = |at_ms: u64| self.now_ms >= at_ms + FORGOTTEN_AFTER_MS;
+            seen.suspected_at_ms.is_some_and(is_long_ago)
+                || self.clock_ms >= seen.at_ms + dead_after_ms
+        };
+        let forgotten = self.seen.values().filter(is_forgotten);
+        forgotten.map(|seen| seen.presence.name.clone()).collect()
     }
 
-    /// The pause between two heartbeats of a daemon, by the number of daemons heard of.
+    /// The pause between two records of a daemon, by the number of daemons heard of.
     pub fn pause_ms(&self) -> u64 {
-        LEAST_PAUSE_MS.max(self.seen.len() as u64 * PAUSE_PER_DAEMON_MS)
+        let daemons = self.seen.len() as u64;
+        LEAST_PAUSE_MS.max(daemons * daemons * PAUSE_PER_PAIR_MS)
+    }
+
+    fn dead_after_ms(&self) -> u64 {
+        MISSED_RECORDS * self.pause_ms() + LATE_MS
     }
 
     /// The daemons that live.
     pub fn live(&self) -> impl Iterator<Item = &Presence> {
-        let dead_after_ms = MISSED_HEARTBEATS * self.pause_ms() + LATE_MS;
-        let is_live = move |seen: &&Seen| self.clock_ms < seen.at_ms + dead_after_ms;
+        let dead_after_ms = self.dead_after_ms();
+        let is_live = move |seen: &&Seen| {
+            self.clock_ms < seen.at_ms + dead_after_ms && !seen.is_dead(self.now_ms)
+        };
         self.seen
             .values()
             .filter(is_live)
@@ -161,6 +238,11 @@
         all.map(|presence| presence.peer_address.clone()).collect()
     }
 
+    /// The incarnation of a daemon, as far as is known.
+    pub fn incarnation_of(&self, name: &str) -> Option<u64> {
+        Some(self.seen.get(name)?.presence.incarnation)
+    }
+
     /// Where a daemon is reached.
     pub fn address_of(&self, name: &str) -> Option<Arc<str>> {
         let seen = self.seen.get(name)?;
--- a/crates/borageshore_membership/src/store_way.rs
+++ b/crates/borageshore_membership/src/store_way.rs
@@ -2,13 +2,13 @@
 
 /// While the own way is closed, it is tried again at this pace, by calls that can be repeated: each such
 /// try costs one call up to its time limit.
-const PROBE_EVERY_MS: u64 = 2_000;
+pub const PROBE_EVERY_MS: u64 = 2_000;
 /// A daemon helps its peers as long as its own last success is no older: its long polls answer every
 /// 1.2 s at the latest.
 const REACHES_WITHIN_MS: u64 = 1_500;
 
-/// The own way is taken for closed when nothing came over it for so long: heartbeats are answered twice a
-/// second.
+/// The own way is taken for closed when nothing came over it for so long: five reads that wait are answered
+/// every 1.2 s each.
 const SILENT_MS: u64 = 600;
 /// And when so many calls have failed since its last answer.
 const LEAST_FAILURES: u32 = 2;
--- a/crates/borageshore_membership/tests/presence.rs
+++ b/crates/borageshore_membership/tests/presence.rs
@@ -1,8 +1,10 @@
-//! Liveness and ownership from heartbeats in a log.
+//! Liveness and ownership from records in a log.
 
 use std::sync::Arc;
 
-use borageshore_membership::{Presence, PresenceState, PresenceTable};
+use borageshore_membership::{
+    Presence, PresenceState, PresenceTable, REFUTED_WITHIN_MS, Suspicion,
+};
 
 fn presence(name: &str, zone: &str, state: PresenceState) -> Presence {
     Presence {
@@ -17,6 +19,14 @@
     }
 }
 
+fn suspicion(name: &str, incarnation: u64) -> Suspicion {
+    Suspicion {
+        name: name.into(),
+        incarnation,
+        by: "vm-9".into(),
+    }
+}
+
 fn holding(name: &str, work: &str) -> Presence {
     Presence {
         holds: vec![work.into()],
@@ -127,17 +137,71 @@
         assert_eq!(table.addresses_for("z1", 2).len(), 3, "callers reach it all the same");
     }
 
-    many_daemons_beat_more_slowly_and_are_given_more_time => {
-        let mut table = PresenceTable::default();
-        table.on_read(0);
-        for number in 0..200 {
-            table.on_presence(presence(&format!("vm-{number}"), "z1", PresenceState::Ready));
+    // The store is asked for the same records by each of a thousand daemons, and serves nobody any more.
+    // Each wrote a record of itself at a pace that its number did not slow enough, and all read all of them.
+    records_of_many_daemons_cause_no_more_reads_than_those_of_a_few => {
+        for daemons in [12, 60, 195, 680_u64] {
+            let mut table = PresenceTable::default();
+            table.on_read(0);
+            for number in 0..daemons {
+                table.on_presence(presence(&format!("vm-{number}"), "z1", PresenceState::Ready));
+            }
+            let reads_a_second = daemons * daemons * 1_000 / table.pause_ms();
+            assert!(reads_a_second <= 300, "{reads_a_second} at {daemons}");
+            let dead_after_ms = 3 * table.pause_ms() + 300;
+            for at_ms in (500..dead_after_ms).step_by(500) {
+                table.on_read(at_ms);
+            }
+            assert_eq!(table.live().count() as u64, daemons);
+            table.on_read(dead_after_ms + 500);
+            assert_eq!(table.live().count(), 0);
         }
-        assert_eq!(table.pause_ms(), 2_000);
-        read_until(&mut table, 100, 6_000);
-        assert_eq!(table.live().count(), 200);
-        read_until(&mut table, 6_100, 6_500);
-        assert_eq!(table.live().count(), 0);
+    }
+
+    // Steps stand still for seconds though a watcher has seen that the daemon which runs them is dead.
+    // Its suspicion is the last word of it in the log, and time goes on without another record.
+    a_suspicion_that_nobody_refutes_is_a_death => {
+        let mut table = three();
+        table.advance(1_000);
+        table.on_suspicion(&suspicion("vm-2", 1), 1_000);
+        assert!(table.is_suspected("vm-2"));
+        assert!(!table.advance(1_000 + REFUTED_WITHIN_MS - 1));
+        assert_eq!(table.live().count(), 3);
+        assert!(table.advance(1_000 + REFUTED_WITHIN_MS), "told once");
+        assert!(!table.advance(1_000 + REFUTED_WITHIN_MS + 1));
+        assert_eq!(table.live().count(), 2);
+    }
+
+    // A daemon loses its work though it lives: datagrams were lost on their way.
+    // It reads that it is suspected and writes its record again, in time or a little later.
+    a_record_refutes_a_suspicion => {
+        let mut table = three();
+        table.on_suspicion(&suspicion("vm-2", 1), 1_000);
+        table.on_presence(presence("vm-2", "z1", PresenceState::Ready));
+        assert!(!table.advance(2_000));
+        table.on_suspicion(&suspicion("vm-2", 1), 2_000);
+        assert!(table.advance(3_000));
+        table.on_presence(presence("vm-2", "z1", PresenceState::Ready));
+        assert_eq!(table.live().count(), 3);
+    }
+
+    // A daemon that has just started again is taken for dead, and its callers are sent elsewhere.
+    // Its watchers suspect the life before; their record comes after the first one of the new life.
+    a_suspicion_of_an_earlier_life_is_ignored => {
+        let mut table = three();
+        table.on_presence(Presence { incarnation: 2, ..presence("vm-2", "z1", PresenceState::Ready) });
+        table.on_suspicion(&suspicion("vm-2", 1), 1_000);
+        assert!(!table.advance(5_000));
+        assert_eq!(table.live().count(), 3);
+    }
+
+    dead_daemons_are_forgotten_after_a_minute => {
+        let mut table = three();
+        table.on_suspicion(&suspicion("vm-2", 1), 1_000);
+        table.advance(60_000);
+        assert!(table.forgotten().is_empty());
+        table.advance(61_000);
+        assert_eq!(table.forgotten(), ["vm-2".into()]);
     }
 
     callers_get_addresses_of_their_zone_if_there_is_a_choice => {
@@ -147,9 +211,9 @@
         assert_eq!(table.addresses_for("z2", 2).len(), 3);
     }
 
-    a_daemon_that_said_goodbye_is_not_listed => {
+    a_daemon_that_left_is_not_listed => {
         let mut table = three();
-        table.on_goodbye("vm-2");
+        table.on_left("vm-2");
         assert_eq!(table.addresses_for("z1", 1), ["vm-1:80".into()]);
     }
 }
--- /dev/null
+++ b/crates/borageshore_membership/tests/watch.rs
@@ -0,0 +1,373 @@
+//! Failure detection among daemons that read one log: how soon deaths show, and who is suspected wrongly.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use borageshore_membership::{
+    HEARTBEAT_EVERY_MS, Presence, PresenceState, PresenceTable, SEES_WITHIN_MS, SPEAKS_WITHIN_MS,
+    Suspicion, WatchRing, WatchTable,
+};
+
+/// The pace of the simulation.
+const STEP_MS: u64 = 10;
+/// The pause between two reads of the log.
+const READ_EVERY_MS: u64 = 50;
+/// When all daemons know each other.
+const SETTLED_MS: u64 = 3_000;
+/// Silence, its rounding to a look, an append, a read, the time to refute.
+const NOTICED_WITHIN_MS: u64 = 1_300;
+
+#[derive(Debug, Clone)]
+enum Record {
+    Own(Presence),
+    Suspect(Suspicion),
+}
+
+/// What ails a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Runs,
+    /// Its process is gone, or its VM has no power.
+    Dead,
+    /// It stands still.
+    Frozen,
+    /// It neither reads nor writes the log.
+    CutFromLog,
+    /// None of its datagrams arrives.
+    Mute,
+}
+
+#[derive(Debug)]
+struct Daemon {
+    own: Presence,
+    state: State,
+    table: PresenceTable,
+    watch: WatchTable,
+    ring: WatchRing,
+    as_of_changes: Option<u64>,
+    read_up_to: usize,
+    answered_at_ms: u64,
+    written_at_ms: u64,
+    /// When it wrote that it lives, on being suspected.
+    refuted: usize,
+}
+
+/// Daemons, their log, and a network without delay.
+#[derive(Debug)]
+struct World {
+    now_ms: u64,
+    daemons: Vec<Daemon>,
+    log: Vec<Record>,
+    is_log_up: bool,
+    suspicions: usize,
+}
+
+impl World {
+    fn start(daemons: usize, zones: usize) -> Self {
+        let daemon = |number: usize| Daemon {
+            own: Presence {
+                name: format!("vm-{number}").into(),
+                incarnation: 1,
+                zone: format!("z{}", number % zones).into(),
+                http_address: "".into(),
+                peer_address: format!("{number}").into(),
+                state: PresenceState::Ready,
+                capacity_percent: 50,
+                holds: Vec::new(),
+            },
+            state: State::Runs,
+            table: PresenceTable::default(),
+            watch: WatchTable::default(),
+            ring: WatchRing::default(),
+            as_of_changes: None,
+            read_up_to: 0,
+            answered_at_ms: 0,
+            written_at_ms: 0,
+            refuted: 0,
+        };
+        let mut world = Self {
+            now_ms: 0,
+            daemons: (0..daemons).map(daemon).collect(),
+            log: Vec::new(),
+            is_log_up: true,
+            suspicions: 0,
+        };
+        let own = world.daemons.iter().map(|daemon| daemon.own.clone());
+        world.log = own.map(Record::Own).collect();
+        world.run_until(SETTLED_MS);
+        world
+    }
+
+    fn run_until(&mut self, until_ms: u64) {
+        while self.now_ms < until_ms {
+            self.now_ms += STEP_MS;
+            for number in 0..self.daemons.len() {
+                self.step(number);
+            }
+        }
+    }
+
+    fn step(&mut self, number: usize) {
+        if matches!(self.daemons[number].state, State::Dead | State::Frozen) {
+            return;
+        }
+        // Daemons do not look and read all at the same moment.
+        let turn_ms = self.now_ms + number as u64 * STEP_MS;
+        let reaches_log = self.is_log_up && self.daemons[number].state != State::CutFromLog;
+        if turn_ms.is_multiple_of(READ_EVERY_MS) && reaches_log {
+            self.read(number);
+        }
+        if turn_ms.is_multiple_of(HEARTBEAT_EVERY_MS) {
+            self.look(number);
+        }
+    }
+
+    fn read(&mut self, number: usize) {
+        let now_ms = self.now_ms;
+        let daemon = &mut self.daemons[number];
+        daemon.table.on_read(now_ms);
+        daemon.answered_at_ms = now_ms;
+        let mut is_suspected = false;
+        for record in &self.log[daemon.read_up_to..] {
+            match record {
+                Record::Own(presence) => {
+                    daemon.watch.on_record(&presence.name, now_ms);
+                    daemon.table.on_presence(presence.clone());
+                }
+                Record::Suspect(suspicion) if suspicion.name == daemon.own.name => {
+                    is_suspected = true;
+                }
+                Record::Suspect(suspicion) => {
+                    daemon.table.on_suspicion(suspicion, now_ms);
+                    daemon.watch.on_suspicion(&suspicion.name);
+                }
+            }
+        }
+        daemon.read_up_to = self.log.len();
+        let is_due = now_ms >= daemon.written_at_ms + daemon.table.pause_ms();
+        if is_suspected || is_due {
+            daemon.written_at_ms = now_ms;
+            daemon.refuted += usize::from(is_suspected);
+            self.log.push(Record::Own(daemon.own.clone()));
+        }
+    }
+
+    fn look(&mut self, number: usize) {
+        let now_ms = self.now_ms;
+        let daemon = &mut self.daemons[number];
+        daemon.table.advance(now_ms);
+        if daemon.as_of_changes != Some(daemon.table.changes()) {
+            daemon.as_of_changes = Some(daemon.table.changes());
+            daemon.ring = WatchRing::of(daemon.table.live());
+            let watched = daemon.ring.watched_by(&daemon.own.name);
+            daemon.watch.watch(watched, now_ms);
+        }
+        let log_silent_ms = now_ms - daemon.answered_at_ms;
+        if log_silent_ms < SEES_WITHIN_MS {
+            let silent = daemon.watch.take_silent(now_ms);
+            let by = daemon.own.name.clone();
+            for name in silent {
+                self.suspicions += 1;
+                let by = by.clone();
+                self.log.push(Record::Suspect(Suspicion {
+                    name,
+                    incarnation: 1,
+                    by,
+                }));
+            }
+        } else {
+            daemon.watch.on_blind(now_ms);
+        }
+        let daemon = &self.daemons[number];
+        if log_silent_ms < SPEAKS_WITHIN_MS && daemon.state != State::Mute {
+            let name = daemon.own.name.clone();
+            for watcher in daemon.ring.watchers_of(&name) {
+                let watcher = &mut self.daemons[watcher.parse::<usize>().unwrap()];
+                if !matches!(watcher.state, State::Dead | State::Frozen) {
+                    watcher.watch.on_heartbeat(&name, now_ms);
+                }
+            }
+        }
+    }
+
+    fn set(&mut self, state: State, is_meant: impl Fn(usize, &Daemon) -> bool) {
+        for (number, daemon) in self.daemons.iter_mut().enumerate() {
+            if is_meant(number, daemon) {
+                daemon.state = state;
+            }
+        }
+    }
+
+    fn names(&self, is_meant: impl Fn(&Daemon) -> bool) -> Vec<Arc<str>> {
+        let meant = self.daemons.iter().filter(|daemon| is_meant(daemon));
+        let mut names: Vec<Arc<str>> = meant.map(|daemon| daemon.own.name.clone()).collect();
+        names.sort_unstable();
+        names
+    }
+
+    /// How long it takes until all that reach the log see just those live that do.
+    fn noticed_after_ms(&mut self, within_ms: u64) -> u64 {
+        let since_ms = self.now_ms;
+        let lives = |daemon: &Daemon| matches!(daemon.state, State::Runs | State::Mute);
+        let expected = self.names(lives);
+        while self.now_ms < since_ms + within_ms {
+            self.run_until(self.now_ms + STEP_MS);
+            let sees = |daemon: &Daemon| {
+                let live = daemon.table.live().map(|presence| presence.name.clone());
+                live.collect::<Vec<_>>() == expected
+            };
+            if self.daemons.iter().filter(|daemon| lives(daemon)).all(sees) {
+                return self.now_ms - since_ms;
+            }
+        }
+        panic!("not noticed within {within_ms} ms")
+    }
+
+    /// The daemons that others take for dead, each with how many do.
+    fn taken_for_dead(&self) -> BTreeMap<Arc<str>, usize> {
+        let mut dead = BTreeMap::new();
+        for daemon in self
+            .daemons
+            .iter()
+            .filter(|daemon| daemon.state == State::Runs)
+        {
+            let live: Vec<&Presence> = daemon.table.live().collect();
+            for other in &self.daemons {
+                if !live.iter().any(|presence| presence.name == other.own.name) {
+                    *dead.entry(other.own.name.clone()).or_default() += 1;
+                }
+            }
+        }
+        dead
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[test] fn $name() $body)*
+    };
+}
+
+cases! {
+    // Steps of a trainer stand still for 9 s, at 195 VMs, when the daemon that runs them is gone; at 12 for 1.7 s.
+    // Each daemon wrote heartbeats at a pace that fell with their number, and three missed ones were a death.
+    a_death_shows_as_soon_among_many_daemons_as_among_few => {
+        for daemons in [3, 12, 60, 195, 680] {
+            let mut world = World::start(daemons, 5.min(daemons));
+            world.set(State::Dead, |number, _| number == 1);
+            let noticed_ms = world.noticed_after_ms(NOTICED_WITHIN_MS);
+            assert!(noticed_ms > 700, "{noticed_ms} at {daemons}");
+            assert!(world.suspicions <= 2, "{} at {daemons}", world.suspicions);
+        }
+    }
+
+    // Callers of a zone without power are sent to its dead daemons for 9 s.
+    // A daemon's watchers are in other zones, so that none of them is gone with it.
+    a_zone_without_power_shows_at_once => {
+        for (daemons, zones) in [(12, 3), (60, 4), (195, 5)] {
+            let mut world = World::start(daemons, zones);
+            world.set(State::Dead, |number, _| number % zones == 0);
+            world.noticed_after_ms(NOTICED_WITHIN_MS);
+        }
+    }
+
+    // Half of the daemons lose power at once, some together with all their watchers.
+    // Those that come next on the ring wait for heartbeats that never come.
+    half_of_all_daemons_lost_at_once_show_though_watchers_are_among_them => {
+        for daemons in [12, 195] {
+            let mut world = World::start(daemons, 3);
+            world.set(State::Dead, |number, _| (number * 7) % 11 < 6);
+            world.noticed_after_ms(2 * NOTICED_WITHIN_MS + 2_000);
+        }
+    }
+
+    // The work of a VM that stands still is taken over; when it goes on it is one of all again.
+    // It finds itself suspected in the log and writes that it lives, and suspects nobody for its own pause.
+    a_frozen_daemon_is_taken_for_dead_and_comes_back => {
+        let mut world = World::start(60, 4);
+        world.set(State::Frozen, |number, _| number == 5);
+        world.noticed_after_ms(NOTICED_WITHIN_MS);
+        let suspicions = world.suspicions;
+        world.run_until(world.now_ms + 4_000);
+        world.set(State::Runs, |number, _| number == 5);
+        world.noticed_after_ms(500);
+        world.run_until(world.now_ms + 10_000);
+        assert_eq!(world.suspicions, suspicions);
+    }
+
+    // Everybody's work begins again after an outage of the store.
+    // Daemons reach the log again one after the other; those that come first suspect nobody by what they
+    // missed meanwhile.
+    an_outage_of_the_log_kills_nobody => {
+        let mut world = World::start(60, 4);
+        world.is_log_up = false;
+        world.run_until(world.now_ms + 7_000);
+        world.is_log_up = true;
+        world.set(State::CutFromLog, |number, _| number % 3 == 0);
+        world.run_until(world.now_ms + 1_900);
+        world.set(State::Runs, |_, _| true);
+        for _ in 0..100 {
+            world.run_until(world.now_ms + 50);
+            assert_eq!(world.taken_for_dead(), BTreeMap::new());
+        }
+    }
+
+    // A daemon goes on with steps for as long as it is cut off from the store, and nothing of them arrives.
+    // Its process and its links to others are sound, so that it went on to say that it lives.
+    a_daemon_that_cannot_reach_the_log_is_taken_for_dead => {
+        let mut world = World::start(60, 4);
+        world.set(State::CutFromLog, |number, _| number == 5);
+        world.noticed_after_ms(SPEAKS_WITHIN_MS + NOTICED_WITHIN_MS);
+    }
+
+    // A daemon loses its work and its callers again and again, though it serves them.
+    // Its datagrams do not arrive; it refutes each suspicion in time, and they come ever more rarely.
+    a_daemon_whose_heartbeats_are_lost_keeps_its_work => {
+        let mut world = World::start(60, 4);
+        world.set(State::Mute, |number, _| number == 5);
+        for _ in 0..1_200 {
+            world.run_until(world.now_ms + 50);
+            assert_eq!(world.taken_for_dead(), BTreeMap::new());
+        }
+        let refuted = world.daemons[5].refuted;
+        assert!((2..=8).contains(&refuted), "{refuted} suspicions in a minute");
+    }
+
+    daemons_that_all_live_suspect_nobody => {
+        for daemons in [2, 12, 195] {
+            let mut world = World::start(daemons, 3);
+            world.run_until(60_000);
+            assert_eq!(world.suspicions, 0);
+        }
+    }
+
+    // Watching costs as much at 1,000 daemons as at 12.
+    a_daemon_watches_a_few_others_in_other_zones => {
+        for (daemons, zones) in [(12, 3), (195, 5), (1_000, 25), (30, 1)] {
+            let members: Vec<Presence> = (0..daemons)
+                .map(|number: usize| Presence {
+                    name: format!("vm-{number}").into(),
+                    incarnation: 1,
+                    zone: format!("z{}", number % zones).into(),
+                    http_address: "".into(),
+                    peer_address: format!("{number}").into(),
+                    state: PresenceState::Ready,
+                    capacity_percent: 50,
+                    holds: Vec::new(),
+                })
+                .collect();
+            let ring = WatchRing::of(members.iter());
+            let mut most = 0;
+            for (number, member) in members.iter().enumerate() {
+                let watchers = ring.watchers_of(&member.name);
+                assert_eq!(watchers.len(), 3);
+                for watcher in &watchers {
+                    let watcher: usize = watcher.parse().unwrap();
+                    assert!(watcher != number);
+                    assert!(zones == 1 || watcher % zones != number % zones);
+                }
+                most = most.max(ring.watched_by(&member.name).len());
+            }
+            assert!(most <= 12, "{most} of {daemons}");
+        }
+    }
+}
