--- a/crates/borageshore_membership/src/presence.rs
+++ b/crates/borageshore_membership/src/presence.rs
@@ -77,9 +77,10 @@
 
 /// The daemons by their records, and by what watchers write of them.
 ///
-/// A suspicion that is not refuted within [`REFUTED_WITHIN_MS`] is a death. Besides, silence is counted on a clock that moves only while the log is read with success, and by a
-/// bounded step for each read. While the log is away, or this process stood still, nobody ages: else
-/// the first look after an outage would declare every other daemon dead at once.
+/// A suspicion that is not refuted within [`REFUTED_WITHIN_MS`] is a death. Besides, silence is counted on a
+/// clock that moves only while the log is read with success, and by a bounded step for each read. While
+/// the log is away, or this process stood still, nobody ages: else the first look after an outage would
+/// declare every other daemon dead at once.
 #[derive(Debug, Default)]
 pub struct PresenceTable {
     seen: SortedMap<Arc<str>, Seen>,
--- a/crates/borageshore_membership/tests/watch.rs
+++ b/crates/borageshore_membership/tests/watch.rs
@@ -36,6 +36,20 @@
     Mute,
 }
 
+/// A daemon of one of some zones; it is reached under its number.
+fn presence(number: usize, zones: usize) -> Presence {
+    Presence {
+        name: format!("vm-{number}").into(),
+        incarnation: 1,
+        zone: format!("z{}", number % zones).into(),
+        http_address: "".into(),
+        peer_address: format!("{number}").into(),
+        state: PresenceState::Ready,
+        capacity_percent: 50,
+        holds: Vec::new(),
+    }
+}
+
 #[derive(Debug)]
 struct Daemon {
     own: Presence,
@@ -64,16 +78,7 @@
 impl World {
     fn start(daemons: usize, zones: usize) -> Self {
         let daemon = |number: usize| Daemon {
-            own: Presence {
-                name: format!("vm-{number}").into(),
-                incarnation: 1,
-                zone: format!("z{}", number % zones).into(),
-                http_address: "".into(),
-                peer_address: format!("{number}").into(),
-                state: PresenceState::Ready,
-                capacity_percent: 50,
-                holds: Vec::new(),
-            },
+            own: presence(number, zones),
             state: State::Runs,
             table: PresenceTable::default(),
             watch: WatchTable::default(),
@@ -344,16 +349,7 @@
     a_daemon_watches_a_few_others_in_other_zones => {
         for (daemons, zones) in [(12, 3), (195, 5), (1_000, 25), (30, 1)] {
             let members: Vec<Presence> = (0..daemons)
-                .map(|number: usize| Presence {
-                    name: format!("vm-{number}").into(),
-                    incarnation: 1,
-                    zone: format!("z{}", number % zones).into(),
-                    http_address: "".into(),
-                    peer_address: format!("{number}").into(),
-                    state: PresenceState::Ready,
-                    capacity_percent: 50,
-                    holds: Vec::new(),
-                })
+                .map(|number| presence(number, zones))
                 .collect();
             let ring = WatchRing::of(members.iter());
             let mut most = 0;
