--- a/crates/borageshore_gateway/src/follow.rs
+++ b/crates/borageshore_gateway/src/follow.rs
@@ -6,16 +6,17 @@
 };
 
 use borageshore_batch::ViewPosition;
-use borageshore_membership::LostViews;
-use borageshore_net::{Clock, sleep_ms, within_ms};
+use borageshore_net::{Clock, sleep_ms};
 use borageshore_platform::{KeyedRecord, Page, StoreError, Topic};
-use tokio::sync::Notify;
 
 use crate::store_path::Store;
 
 /// How long a read waits at the store for a record. A connection that went silent shows when the
 /// answer is late by more than the store's slack, so this bounds how old a view can get unnoticed.
 const WAIT_MS: u64 = 1_200;
+/// The pause after a failed read.
+const RETRY_MS: u64 = 150;
+
 /// The most reads that confirm a view: pages of a megabyte, and a partition takes 20 MB a second.
 const CONFIRMING_READS: usize = 40;
 
@@ -43,37 +44,6 @@
     End,
 }
 
-/// The views of this daemon that the store does not answer, of which one tries again for all.
-#[derive(Debug, Default)]
-pub(crate) struct SharedRetry {
-    lost: RefCell<LostViews>,
-    answered: Notify,
-}
-
-impl SharedRetry {
-    /// Waits until a view that has just failed is to try again.
-    async fn wait(&self, clock: Clock) {
-        let lost_at_ms = clock.now_ms();
-        self.lost.borrow_mut().on_failed(lost_at_ms);
-        loop {
-            let answered = self.answered.notified();
-            let wait_ms = {
-                let mut lost = self.lost.borrow_mut();
-                lost.wait_ms(lost_at_ms, clock.now_ms())
-            };
-            if wait_ms == 0 {
-                return;
-            }
-            within_ms(wait_ms, answered).await;
-        }
-    }
-
-    fn on_answered(&self) {
-        self.lost.borrow_mut().on_answered();
-        self.answered.notify_waiters();
-    }
-}
-
 /// What is followed, and how.
 #[derive(Debug, Clone)]
 pub(crate) struct FollowSpec {
@@ -82,7 +52,6 @@
     pub(crate) partition: u64,
     pub(crate) begin: Begin,
     pub(crate) clock: Clock,
-    pub(crate) retry: Rc<SharedRetry>,
     /// Records that come close together are read together: the pause before the next read.
     pub(crate) pause_ms: u64,
 }
@@ -171,7 +140,7 @@
                 }
                 Err(error) => {
                     self.note_loss(&error);
-                    self.spec.retry.wait(self.spec.clock).await;
+                    sleep_ms(RETRY_MS).await;
                 }
             }
         }
@@ -225,7 +194,6 @@
         }
         if self.is_lost.replace(false) {
             log::info!(topic:? = self.spec.topic, partition = self.spec.partition; "store regained");
-            self.spec.retry.on_answered();
         }
         if !records.is_empty() {
             self.fold.apply(records);
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -15,7 +15,7 @@
     config::GatewayConfig,
     dispatch::Dispatch,
     endpoints::Endpoints,
-    follow::{Begin, Follow, FollowSpec, ONLY_PARTITION, SharedRetry},
+    follow::{Begin, Follow, FollowSpec, ONLY_PARTITION},
     item::ItemContext,
     ledger_view::LedgerView,
     life::{self, Life, Signals},
@@ -98,8 +98,7 @@
         // The boot clock tells two lives apart whose clock shows the same time.
         let author = format!("{}.{incarnation}.{}", config.name, boot_time_ms());
         let partitions = config.store_partitions;
-        let retry = Rc::new(SharedRetry::default());
-        let view = LedgerView::spawn(store.clone(), partitions, clock, retry.clone());
+        let view = LedgerView::spawn(store.clone(), partitions, clock);
         let index = SubmissionIndex::open(store.clone());
         let submissions = Submissions::open(
             store.clone(),
@@ -140,7 +139,6 @@
             partition: ONLY_PARTITION,
             begin: Begin::Newest,
             clock,
-            retry: retry.clone(),
             pause_ms,
         };
         Follow::spawn(spec(Topic::Operator, AT_ONCE_MS), routes.clone());
--- a/crates/borageshore_gateway/src/ledger_view.rs
+++ b/crates/borageshore_gateway/src/ledger_view.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    follow::{Begin, Fold, Follow, FollowSpec, SharedRetry},
+    follow::{Begin, Fold, Follow, FollowSpec},
     store_path::Store,
 };
 
@@ -86,7 +86,6 @@
     store: Store,
     clock: Clock,
     partitions: u64,
-    retry: Rc<SharedRetry>,
     ledger: RefCell<Ledger>,
     loading: RefCell<Vec<Arc<str>>>,
     shards: RefCell<SortedMap<Shard, Followed>>,
@@ -96,17 +95,11 @@
 
 impl LedgerView {
     /// Opens a view without any submission.
-    pub(crate) fn spawn(
-        store: Store,
-        partitions: u64,
-        clock: Clock,
-        retry: Rc<SharedRetry>,
-    ) -> Rc<Self> {
+    pub(crate) fn spawn(store: Store, partitions: u64, clock: Clock) -> Rc<Self> {
         let view = Rc::new(Self {
             store,
             clock,
             partitions,
-            retry,
             ledger: RefCell::default(),
             loading: RefCell::default(),
             shards: RefCell::default(),
@@ -223,7 +216,6 @@
                 partition: shard.partition(),
                 begin: Begin::End,
                 clock: self.clock,
-                retry: self.retry.clone(),
                 pause_ms: FOLLOW_PAUSE_MS,
             };
             let follow = Follow::spawn(spec, Rc::new(fold));
--- a/crates/borageshore_gateway/src/store_path.rs
+++ b/crates/borageshore_gateway/src/store_path.rs
@@ -8,7 +8,7 @@
     sync::Arc,
 };
 
-use borageshore_membership::{CallEnd, StoreQueue, StoreWay, Way};
+use borageshore_membership::{CallEnd, StoreWay, Way};
 use borageshore_net::{CallError, Clock, EdgeRequest, EdgeResponse, Handler, full_body, read_body};
 use borageshore_platform::{StoreCall, StoreConnections, StoreTransport, is_store_answer};
 use bytes::Bytes;
@@ -44,7 +44,6 @@
     connections: StoreConnections,
     has_detour: bool,
     way: RefCell<StoreWay>,
-    queue: RefCell<StoreQueue>,
     peers: RefCell<Vec<Arc<str>>>,
     next_peer: Cell<usize>,
     /// When the store last answered, on either way.
@@ -62,7 +61,6 @@
                 connections: StoreConnections::default(),
                 has_detour,
                 way: RefCell::default(),
-                queue: RefCell::default(),
                 peers: RefCell::default(),
                 next_peer: Cell::default(),
                 answered_at_ms: Cell::new(clock.now_ms()),
@@ -92,16 +90,7 @@
     /// Makes a call on this daemon's own way.
     async fn call_own(&self, call: &StoreCall) -> Answer {
         let inner = &self.inner;
-        let extra_ms = inner.queue.borrow().extra_ms(inner.clock.now_ms());
-        let call = StoreCall {
-            first_byte_ms: call.first_byte_ms + extra_ms,
-            ..call.clone()
-        };
-        let answer = inner.connections.call_at(&inner.address, &call).await;
-        if answer.is_ok() && end_of(&answer) == CallEnd::Refused {
-            let now_ms = inner.clock.now_ms();
-            inner.queue.borrow_mut().on_refused(now_ms);
-        }
+        let answer = inner.connections.call_at(&inner.address, call).await;
         let is_open = inner
             .way
             .borrow_mut()
--- a/crates/borageshore_membership/tests/store_way.rs
+++ b/crates/borageshore_membership/tests/store_way.rs
@@ -1,6 +1,6 @@
 //! The way to the store.
 
-use borageshore_membership::{CallEnd, LostViews, StoreQueue, StoreWay, Way};
+use borageshore_membership::{CallEnd, StoreWay, Way};
 
 macro_rules! cases {
     ($($name:ident => $body:block)*) => {
@@ -91,43 +91,3 @@
         assert!(!way.reaches_store(2_100));
     }
 }
-
-// No daemon of a thousand is ever ready: each asks for six views again 150 ms after each refusal, more often together
-// than the store answers. One view asks for all; that it alone fails does not hold up the others for good.
-#[test]
-fn one_of_the_lost_views_tries_for_all() {
-    let mut lost = LostViews::default();
-    let lost_at_ms = 1_000;
-    for _view in 0..6 {
-        lost.on_failed(lost_at_ms);
-    }
-    let mut tries = 0;
-    for now_ms in (lost_at_ms..lost_at_ms + 1_200).step_by(10) {
-        for _view in 0..6 {
-            tries += u64::from(lost.wait_ms(lost_at_ms, now_ms) == 0);
-        }
-    }
-    assert!(tries <= 8, "{tries}, 48 each for itself");
-    assert_eq!(
-        lost.wait_ms(lost_at_ms, lost_at_ms + 1_200),
-        0,
-        "by itself after a while"
-    );
-    lost.on_answered();
-    assert_eq!(
-        lost.wait_ms(lost_at_ms + 1_000, lost_at_ms + 1_201),
-        0,
-        "all at once after an answer"
-    );
-}
-
-// A store that has too many calls reads 80 MB a second, and nobody gets any of it: callers give up a moment before
-// their turn comes. Where the store is calm, a late answer is soon taken for a dead connection.
-#[test]
-fn calls_to_a_busy_store_wait_for_their_turn() {
-    let mut queue = StoreQueue::default();
-    assert_eq!(queue.extra_ms(1_000), 0);
-    queue.on_refused(1_000);
-    assert_eq!(queue.extra_ms(5_999), 2_000);
-    assert_eq!(queue.extra_ms(6_000), 0);
-}
