--- a/crates/borageshore_bench/src/bin/capacity.rs
+++ b/crates/borageshore_bench/src/bin/capacity.rs
@@ -1,13 +1,18 @@
-//! Writes `docs/CAPACITY.md` from the measured files.
+//! Writes `docs/CAPACITY.md` from the saved tables of sweeps.
 
 use std::{fs, io};
 
-use borageshore_bench::{ControlCost, Slopes, render};
+use borageshore_bench::{Sweep, render};
 
 const DOCS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs");
+/// The deployments that `tools/run-sweep` plays, the largest first.
+const DEPLOYMENTS: [&str; 2] = ["navua-feedlog-large", "navua-feedlog-grown"];
 
 fn main() -> io::Result<()> {
-    let slopes = Slopes::parse(&fs::read_to_string(format!("{DOCS}/measured/slopes.csv"))?);
-    let control = ControlCost::parse(&fs::read_to_string(format!("{DOCS}/measured/control.csv"))?);
-    fs::write(format!("{DOCS}/CAPACITY.md"), render(&slopes, &control))
+    let mut sweeps = Vec::new();
+    for deployment in DEPLOYMENTS {
+        let text = fs::read_to_string(format!("{DOCS}/measured/sweep-{deployment}.txt"))?;
+        sweeps.push(Sweep::parse(deployment, &text));
+    }
+    fs::write(format!("{DOCS}/CAPACITY.md"), render(&sweeps))
 }
--- a/crates/borageshore_bench/src/lib.rs
+++ b/crates/borageshore_bench/src/lib.rs
@@ -1,22 +1,22 @@
-//! From measured slopes to `docs/CAPACITY.md`.
+//! From sweeps over deployments of several sizes to `docs/CAPACITY.md`.
 //!
-//! `cargo bench -p borageshore_bench` writes `docs/measured/slopes.csv`, `tools/run-control-cost`
-//! writes `docs/measured/control.csv`, and `cargo run -p borageshore_bench --bin capacity` writes the
-//! page from both. A test checks that the page is what the files say.
+//! `tools/run-sweep` saves the tables of sweeps under `docs/measured/`, and
+//! `cargo run -p borageshore_bench --bin capacity` writes the page from them. A test checks that the page is what
+//! the tables say.
 //!
 //! ```
-//! use borageshore_bench::Slopes;
+//! use borageshore_bench::Fit;
 //!
-//! let slopes = Slopes::parse("part,metric,size,value\np,m,1,10\np,m,2,20\np,m,3,30\n");
-//! assert_eq!(slopes.at("p", "m", 6).round(), 60.0);
+//! let fit = Fit::through(&[(1.0, 10.0), (2.0, 20.0), (3.0, 30.0)]);
+//! assert_eq!(fit.at(6.0).round(), 60.0);
 //! ```
 
+mod fit;
 mod page;
-mod plan;
-mod slopes;
+mod sweep;
 
 pub use self::{
+    fit::Fit,
     page::render,
-    plan::Plan,
-    slopes::{ControlCost, Fit, Slopes},
+    sweep::{Play, Row, Sweep},
 };
