--- a/crates/borageshore_bench/tests/page.rs
+++ b/crates/borageshore_bench/tests/page.rs
@@ -3,7 +3,7 @@
 use borageshore_bench::{Sweep, render};
 
 macro_rules! sweeps {
-    ($($deployment:literal),*) => {
+    ($($deployment:literal),* $(,)?) => {
         [$(Sweep::parse($deployment, include_str!(concat!("../../../docs/measured/sweep-", $deployment, ".txt")))),*]
     };
 }
