Sight: lost attempts name the content of their request, and whether the connection ended

A connection that ended is told from silence and from bytes that make no answer (AttemptError::Broken). No decision changed.

--- a/crates/borageshore_daemon/src/generation.rs
+++ b/crates/borageshore_daemon/src/generation.rs
@@ -247,7 +247,7 @@
             chunks
         }
         Err(error) => {
-            if matches!(error, CallError::NoAnswer(_)) {
+            if !matches!(error, CallError::NotSent(_)) {
                 attempt.on(AttemptEvent::Sent);
             }
             return AttemptEnd::Failed(error);
--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -174,7 +174,8 @@
                 }
                 Err(AttemptError::Refused { load, .. }) => in_flight.on_load(*load),
                 Err(error) => {
-                    log::info!(request = &*outbound.id, instance = &*target.instance, error:% = error; "attempt lost");
+                    let content = outbound.fingerprint();
+                    log::info!(request = &*outbound.id, content:%, instance = &*target.instance, error:% = error; "attempt lost");
                     in_flight.fail();
                 }
             }
@@ -213,7 +214,7 @@
 ) -> Option<Answer> {
     let event = match &ended {
         Ok(_) => AttemptEvent::Answered,
-        Err(AttemptError::Lost(_)) => AttemptEvent::Lost,
+        Err(AttemptError::Lost(_) | AttemptError::Broken(_)) => AttemptEvent::Lost,
         Err(AttemptError::NotSent(_) | AttemptError::Refused { .. }) => AttemptEvent::Refused,
     };
     outcome.attempts.on(number, event);
--- a/crates/borageshore_gateway/src/item.rs
+++ b/crates/borageshore_gateway/src/item.rs
@@ -10,7 +10,7 @@
 use borageshore_diagnostics::Instruments;
 use borageshore_net::{Clock, sleep_ms, within_ms};
 use borageshore_platform::{
-    AttemptError, EndpointClient, Generation, GenerationError, GenerationRequest,
+    AttemptError, EndpointClient, Generation, GenerationError, GenerationRequest, item_fingerprint,
 };
 use borageshore_routing::Route;
 use bytes::Bytes;
@@ -351,7 +351,8 @@
 
     fn lose(&self, place: Place, error: &AttemptError) -> Stay {
         self.context.instruments.count("item", "goes_on_elsewhere");
-        log::info!(item = &*self.item.id, instance = &*place.target.instance, error:% = error; "item goes on elsewhere");
+        let content = item_fingerprint(&self.submission.host, self.item);
+        log::info!(item = &*self.item.id, content:%, instance = &*place.target.instance, error:% = error; "item goes on elsewhere");
         match error {
             AttemptError::Refused { status: 421, .. } => {
                 place.in_flight.fail();
@@ -361,7 +362,7 @@
                 place.in_flight.on_load(*load);
                 Stay::GoOn { is_refused: true }
             }
-            AttemptError::NotSent(_) | AttemptError::Lost(_) => {
+            AttemptError::NotSent(_) | AttemptError::Lost(_) | AttemptError::Broken(_) => {
                 place.in_flight.fail();
                 Stay::GoOn { is_refused: false }
             }
--- a/crates/borageshore_gateway/src/peers.rs
+++ b/crates/borageshore_gateway/src/peers.rs
@@ -82,7 +82,9 @@
                 Ok((StatusCode::ACCEPTED, response)) => return HandedOn::Accepted(response),
                 // The peer says the same as this daemon: nothing of it runs.
                 Ok((StatusCode::SERVICE_UNAVAILABLE, _)) | Err(CallError::NotSent(_)) => {}
-                Ok(_) | Err(CallError::NoAnswer(_)) => return HandedOn::Unknown,
+                Ok(_) | Err(CallError::NoAnswer(_) | CallError::Broken(_)) => {
+                    return HandedOn::Unknown;
+                }
             }
         }
         HandedOn::Nowhere
--- a/crates/borageshore_gateway/src/rewards.rs
+++ b/crates/borageshore_gateway/src/rewards.rs
@@ -114,7 +114,8 @@
                 None
             }
             Err(error) => {
-                log::info!(call = &*outbound.id, instance = &*target.instance, error:% = error; "reward call lost");
+                let content = outbound.fingerprint();
+                log::info!(call = &*outbound.id, content:%, instance = &*target.instance, error:% = error; "reward call lost");
                 in_flight.fail();
                 *last = Some(target.instance);
                 None
--- a/crates/borageshore_gateway/src/store_path.rs
+++ b/crates/borageshore_gateway/src/store_path.rs
@@ -202,7 +202,7 @@
             CallEnd::Refused
         }
         Err(CallError::NotSent(_)) => CallEnd::Refused,
-        Ok(_) | Err(CallError::NoAnswer(_)) => CallEnd::Lost,
+        Ok(_) | Err(CallError::NoAnswer(_) | CallError::Broken(_)) => CallEnd::Lost,
     }
 }
 
@@ -245,7 +245,9 @@
                 response
             }
             Err(CallError::NotSent(_)) => status(StatusCode::SERVICE_UNAVAILABLE),
-            Err(CallError::NoAnswer(_)) => status(StatusCode::GATEWAY_TIMEOUT),
+            Err(CallError::NoAnswer(_) | CallError::Broken(_)) => {
+                status(StatusCode::GATEWAY_TIMEOUT)
+            }
         }
     }
 }
--- a/crates/borageshore_net/src/client.rs
+++ b/crates/borageshore_net/src/client.rs
@@ -31,6 +31,9 @@
     NotSent(String),
     /// The request was handed over and no usable answer came.
     NoAnswer(String),
+    /// The request was handed over and its connection ended before the whole answer: the other side
+    /// has ended, or something between the two has.
+    Broken(String),
 }
 
 impl fmt::Display for CallError {
@@ -38,6 +41,7 @@
         match self {
             CallError::NotSent(why) => write!(f, "not sent: {why}"),
             CallError::NoAnswer(why) => write!(f, "no answer: {why}"),
+            CallError::Broken(why) => write!(f, "broken off: {why}"),
         }
     }
 }
@@ -145,13 +149,10 @@
             Some(Ok(response)) => Ok(response),
             Some(Err(mut error)) => {
                 // Hyper gives the request back only when no byte of it was written.
-                let unsent = error.take_message().is_some();
-                let why = error.into_error().to_string();
-                Err(if unsent {
-                    CallError::NotSent(why)
-                } else {
-                    CallError::NoAnswer(why)
-                })
+                match error.take_message() {
+                    Some(_) => Err(CallError::NotSent(error.into_error().to_string())),
+                    None => Err(no_whole_answer(&error.into_error())),
+                }
             }
             None => Err(CallError::NoAnswer("no first byte in time".into())),
         }
@@ -180,7 +181,7 @@
             .send(&mut connection, request, timeouts)
             .await
             .inspect_err(|error| {
-                if matches!(error, CallError::NoAnswer(_)) {
+                if !matches!(error, CallError::NotSent(_)) {
                     self.distrust(address);
                 }
             })?;
@@ -236,7 +237,23 @@
     let collecting = Limited::new(body, COLLECTED_BODY_BYTES).collect();
     match within_ms(timeout_ms, collecting).await {
         Some(Ok(collected)) => Ok(collected.to_bytes()),
-        Some(Err(error)) => Err(CallError::NoAnswer(error.to_string())),
+        Some(Err(error)) => Err(body_error(&*error)),
         None => Err(CallError::NoAnswer("the body took too long".into())),
     }
 }
+
+/// Why a body could not be collected: its connection ended, or its bytes make no body.
+pub fn body_error(error: &(dyn std::error::Error + 'static)) -> CallError {
+    match error.downcast_ref::<hyper::Error>() {
+        Some(error) => no_whole_answer(error),
+        None => CallError::NoAnswer(error.to_string()),
+    }
+}
+
+/// Tells bytes that make no answer, of a side that lives, from the end of the connection.
+pub fn no_whole_answer(error: &hyper::Error) -> CallError {
+    match error.is_parse() {
+        true => CallError::NoAnswer(error.to_string()),
+        false => CallError::Broken(error.to_string()),
+    }
+}
--- a/crates/borageshore_routing/src/lib.rs
+++ b/crates/borageshore_routing/src/lib.rs
@@ -14,6 +14,7 @@
 mod budget;
 mod choice;
 mod endpoint;
+mod fingerprint;
 mod keys;
 mod register;
 mod request_attempts;
@@ -26,6 +27,7 @@
     budget::RetryBudget,
     choice::{ChoiceRequest, choose_endpoint},
     endpoint::{Endpoint, EndpointListing, EndpointState, EndpointTable, LoadReport},
+    fingerprint::{Fingerprint, NoFingerprint, RequestContent},
     keys::{KeyDecision, KeyPrefix, KeyTable, StoredAnswer},
     register::{EndpointRegister, Registered},
     request_attempts::RequestAttempts,
--- /dev/null
+++ b/crates/borageshore_routing/tests/fingerprint.rs
@@ -0,0 +1,46 @@
+//! The name of a request's content.
+
+use borageshore_routing::{Fingerprint, NoFingerprint, RequestContent};
+
+const CONTENT: RequestContent<'static> = RequestContent {
+    method: "POST",
+    host: "shop.example",
+    target: "/orders/7?page=2",
+    caller: b"Bearer a",
+    body: b"two stones",
+};
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[test] fn $name() $body)*
+    };
+}
+
+cases! {
+    repeats_have_the_same_name => {
+        let name = Fingerprint::of(&CONTENT);
+        assert_eq!(name, Fingerprint::of(&CONTENT));
+        assert_eq!(name.to_string().parse(), Ok(name));
+    }
+
+    each_part_makes_another_request => {
+        let others = [
+            RequestContent { method: "PUT", ..CONTENT },
+            RequestContent { host: "shop.exampl", ..CONTENT },
+            RequestContent { target: "/orders/7?page=3", ..CONTENT },
+            RequestContent { caller: b"Bearer b", ..CONTENT },
+            RequestContent { body: b"two stone", ..CONTENT },
+            // The same bytes, cut elsewhere.
+            RequestContent { caller: b"Bearer at", body: b"wo stones", ..CONTENT },
+        ];
+        for other in others {
+            assert_ne!(Fingerprint::of(&other), Fingerprint::of(&CONTENT), "{other:?}");
+        }
+    }
+
+    other_texts_are_no_names => {
+        for text in ["", "12", "x0000000000000000000000000000000", "000000000000000000000000000000000"] {
+            assert_eq!(text.parse::<Fingerprint>(), Err(NoFingerprint), "{text}");
+        }
+    }
+}
