Failing test: a call that crashes its endpoints, repeated at any daemon

The stand-in of the plain service crashes on a given call and starts again a second later as a new instance; the soak repeats such a call at any daemon and checks from outside that after three crashes and 3 s of calm no more than three sends reach endpoints.

--- /dev/null
+++ b/crates/borageshore_soak/src/crashes.rs
@@ -0,0 +1,108 @@
+//! Calls that crash the endpoints that run them: who makes them, how endpoints come back, and the bound on
+//! the endpoints that one such call may take down.
+
+use std::{collections::BTreeMap, rc::Rc};
+
+use borageshore_net::sleep_ms;
+use borageshore_standins::platform::{CRASH_MARK, CrashingSend, PlatformService};
+use rand_core::Rng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::{faults::Targets, oracle::Oracle, traffic::Traffic};
+
+/// An endpoint is back this long after a crash; the users' are after some seconds.
+const DOWN_MS: u64 = 1_000;
+/// The mean pause between two repeats of a call.
+const REPEAT_MS: u64 = 500;
+/// The crashes of one call after which it counts as known.
+const KNOWN_AFTER: usize = 3;
+/// All daemons that were undisturbed for this long know what one of them learned.
+const KNOWN_BY_ALL_MS: u64 = 3_000;
+/// The sends of one call that may reach endpoints after that.
+const RETRIES: usize = 3;
+
+/// A time in which a daemon, or all of them, were harmed or lost their way to the store.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Disturbance {
+    /// The daemon; all if there is none.
+    pub(crate) daemon: Option<usize>,
+    pub(crate) from_ms: u64,
+    pub(crate) until_ms: u64,
+}
+
+/// Lets an endpoint of the plain service start again after each crash, as a new instance.
+pub(crate) async fn restart_after_crashes(targets: Rc<Targets>, number: usize) {
+    let (service, proxy) = &targets.services[number];
+    let mut starts = 1;
+    loop {
+        service.crashed().await;
+        proxy.close();
+        sleep_ms(DOWN_MS).await;
+        service.unlist(&targets.store);
+        starts += 1;
+        service.start_again(&format!("s-{number}-{starts}"));
+        match proxy.reopen() {
+            Ok(()) => service.list(&targets.store, &proxy.address().to_string(), "ready"),
+            Err(error) => targets
+                .oracle
+                .broken(format!("s-{number} does not start again: {error}")),
+        }
+    }
+}
+
+/// Makes one crashing call again and again, at any daemon, as a caller who was never told why it failed.
+pub(crate) async fn repeat(traffic: Rc<Traffic>, number: usize, mut random: Pcg64Mcg) {
+    let body = format!("{CRASH_MARK}-{number}");
+    let mut repeats = 0;
+    while !traffic.is_over() {
+        repeats += 1;
+        let id = format!("{body}-{repeats}");
+        let status = traffic
+            .call_once(&id, "/safe/crash", &body, &mut random)
+            .await;
+        if status == 200 {
+            traffic
+                .oracle
+                .broken(format!("call {id} crashes its endpoints and was answered"));
+        }
+        sleep_ms(REPEAT_MS / 2 + random.next_u64() % REPEAT_MS).await;
+    }
+}
+
+/// Checks that a call which has crashed three endpoints reaches no more than some further ones.
+pub(crate) fn check(oracle: &Oracle, services: &[PlatformService]) {
+    for (body, sends) in by_body(services) {
+        let mut crashes = sends.iter().filter(|send| send.has_crashed);
+        let Some(third) = crashes.nth(KNOWN_AFTER - 1) else {
+            continue;
+        };
+        let known_at_ms = third.at_ms + KNOWN_BY_ALL_MS;
+        let counts = |send: &&CrashingSend| {
+            send.at_ms > known_at_ms && !oracle.is_disturbed(&send.id, send.at_ms, KNOWN_BY_ALL_MS)
+        };
+        let retries = sends.iter().filter(counts).count();
+        if retries > RETRIES {
+            let ended = sends.iter().filter(|send| send.has_crashed).count();
+            oracle.broken(format!(
+                "call {body}: sent {retries} times more after three endpoints had crashed; {ended} in all"
+            ));
+        }
+    }
+}
+
+/// The endpoints that crashed.
+pub(crate) fn crashed_endpoints(services: &[PlatformService]) -> usize {
+    let sends = services.iter().flat_map(PlatformService::crashing_sends);
+    sends.filter(|send| send.has_crashed).count()
+}
+
+fn by_body(services: &[PlatformService]) -> BTreeMap<String, Vec<CrashingSend>> {
+    let mut sends: BTreeMap<String, Vec<CrashingSend>> = BTreeMap::new();
+    for send in services.iter().flat_map(PlatformService::crashing_sends) {
+        sends.entry(send.body.clone()).or_default().push(send);
+    }
+    for sends in sends.values_mut() {
+        sends.sort_by_key(|send| send.at_ms);
+    }
+    sends
+}
--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -84,6 +84,25 @@
     ServiceLink(usize, ProxyMode),
 }
 
+impl Fault {
+    /// Which daemons lose their calm or their way to the store: one, or all (`Some(None)`), or none.
+    fn disturbs(self) -> Option<Option<usize>> {
+        match self {
+            Fault::Kill(number)
+            | Fault::Pause(number)
+            | Fault::Stop(number)
+            | Fault::StoreLink(number, _)
+            | Fault::SilentConnections(number) => Some(Some(number)),
+            Fault::KillAll
+            | Fault::Store(_)
+            | Fault::ForgetHistory
+            | Fault::TurnAway(_)
+            | Fault::UnlistUnseen => Some(None),
+            _ => None,
+        }
+    }
+}
+
 impl Targets {
     /// Lets faults come until `until_ms`, each for one to three seconds.
     pub(crate) async fn harm(
@@ -216,6 +235,16 @@
     }
 
     async fn carry_out(self: Rc<Self>, fault: Fault, length_ms: u64) {
+        let disturbed = fault.disturbs();
+        let number =
+            disturbed.map(|daemon| self.oracle.begin_disturbance(daemon, self.clock.now_ms()));
+        self.clone().inflict(fault, length_ms).await;
+        if let Some(number) = number {
+            self.oracle.end_disturbance(number, self.clock.now_ms());
+        }
+    }
+
+    async fn inflict(self: Rc<Self>, fault: Fault, length_ms: u64) {
         match fault {
             Fault::Kill(number) => self.kill(&[number], length_ms).await,
             Fault::KillAll => {
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(options.seed, 7);
 //! ```
 
+mod crashes;
 mod daemons;
 mod faults;
 mod oracle;
@@ -81,6 +82,8 @@
     pub submit_at: Option<usize>,
     /// Within which time callers want their answers; daemons go by it.
     pub objective_ms: u64,
+    /// Calls that crash the endpoints of the plain service, each repeated all the while.
+    pub crashing_calls: usize,
     /// Whether all texts are long ones.
     pub long_texts: bool,
     /// The faults.
@@ -102,6 +105,7 @@
             results_kept_s: 120,
             submit_at: None,
             objective_ms: 200,
+            crashing_calls: 0,
             long_texts: false,
             script: Script::Wider(8),
             folder: std::env::temp_dir()
@@ -140,6 +144,8 @@
     pub calls_by_foreign_entry: usize,
     /// By how much an endpoint was told to work on a call beyond the time that its caller waits, at the most.
     pub most_overtime_ms: u64,
+    /// Endpoints of the plain service that crashed under a call.
+    pub crashed_endpoints: usize,
     /// Results read, each once.
     pub results: usize,
     /// Broken promises.
--- a/crates/borageshore_soak/src/main.rs
+++ b/crates/borageshore_soak/src/main.rs
@@ -23,6 +23,12 @@
     /// Engines.
     #[arg(long, default_value_t = 4)]
     engines: usize,
+    /// Endpoints of the plain service.
+    #[arg(long, default_value_t = 4)]
+    services: usize,
+    /// Calls that crash these endpoints, each repeated all the while.
+    #[arg(long, default_value_t = 1)]
+    crashing_calls: usize,
     /// Time of traffic and faults.
     #[arg(long, default_value_t = 15_000)]
     duration_ms: u64,
@@ -38,6 +44,8 @@
         let options = SoakOptions {
             daemons: arguments.daemons,
             engines: arguments.engines,
+            services: arguments.services,
+            crashing_calls: arguments.crashing_calls,
             duration_ms: arguments.duration_ms,
             script: Script::Wider(arguments.faults),
             ..SoakOptions::new(arguments.program.clone(), seed)
@@ -57,10 +65,11 @@
         }
     };
     println!(
-        "seed {}: {} of {} calls answered, {} submissions, {} results, {} broken",
+        "seed {}: {} of {} calls answered, {} endpoints crashed, {} submissions, {} results, {} broken",
         options.seed,
         report.calls_answered,
         report.calls,
+        report.crashed_endpoints,
         report.submissions,
         report.results,
         report.violations.len()
--- a/crates/borageshore_soak/src/oracle.rs
+++ b/crates/borageshore_soak/src/oracle.rs
@@ -11,6 +11,8 @@
 };
 use serde::Deserialize;
 
+use crate::crashes::Disturbance;
+
 /// Orders of two holders to one engine are at least this far apart.
 const LEASE_MS: u64 = 3_000;
 /// Orders that leave a process within this time after it went on do not count.
@@ -66,6 +68,10 @@
     pub(crate) foreign_at_ms: Cell<Option<u64>>,
     /// When all daemons were last killed at once.
     pub(crate) stopped_at_ms: Cell<Option<u64>>,
+    /// The daemon that each attempt of a crashing call was made at.
+    pub(crate) asked_at: RefCell<BTreeMap<String, usize>>,
+    /// When daemons were harmed or lost their way to the store.
+    pub(crate) disturbances: RefCell<Vec<Disturbance>>,
     violations: RefCell<BTreeSet<String>>,
 }
 
@@ -74,6 +80,33 @@
         self.violations.borrow_mut().insert(what);
     }
 
+    /// Notes that a daemon, or all, are disturbed from now on; returns the number of the disturbance.
+    pub(crate) fn begin_disturbance(&self, daemon: Option<usize>, at_ms: u64) -> usize {
+        let mut disturbances = self.disturbances.borrow_mut();
+        disturbances.push(Disturbance {
+            daemon,
+            from_ms: at_ms,
+            until_ms: u64::MAX,
+        });
+        disturbances.len() - 1
+    }
+
+    /// Notes the end of a disturbance.
+    pub(crate) fn end_disturbance(&self, number: usize, at_ms: u64) {
+        self.disturbances.borrow_mut()[number].until_ms = at_ms;
+    }
+
+    /// Says whether the daemon that an attempt was made at was disturbed, at a time or shortly before.
+    pub(crate) fn is_disturbed(&self, attempt: &str, at_ms: u64, before_ms: u64) -> bool {
+        let asked_at = self.asked_at.borrow();
+        let daemon = asked_at.get(attempt).copied();
+        let is_then = |one: &Disturbance| {
+            let is_its = one.daemon.is_none() || one.daemon == daemon;
+            is_its && one.from_ms <= at_ms && at_ms < one.until_ms.saturating_add(before_ms)
+        };
+        self.disturbances.borrow().iter().any(is_then)
+    }
+
     pub(crate) fn violations(&self) -> Vec<String> {
         self.violations.borrow().iter().cloned().collect()
     }
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -70,7 +70,7 @@
 }
 
 impl Traffic {
-    fn is_over(&self) -> bool {
+    pub(crate) fn is_over(&self) -> bool {
         self.clock.now_ms() >= self.until_ms
     }
 
@@ -141,6 +141,25 @@
         }
     }
 
+    /// Makes an idempotent call once, at any daemon; returns its status, 0 for no answer.
+    pub(crate) async fn call_once(
+        &self,
+        id: &str,
+        path: &str,
+        body: &str,
+        random: &mut Pcg64Mcg,
+    ) -> u16 {
+        let front = self.address(random).await;
+        if let Some(number) = self.fronts.iter().position(|known| *known == front) {
+            self.oracle.asked_at.borrow_mut().insert(id.into(), number);
+        }
+        let wait = CALL_WAIT_MS.to_string();
+        let headers = [("x-request-id", id), ("x-deadline-ms", &wait)];
+        let body = Bytes::from(body.to_owned());
+        let answer = self.ask(front, "POST", path, &headers, body).await;
+        answer.map_or(0, |(status, _)| status.as_u16())
+    }
+
     /// Makes calls, every other one of a kind that may run once at the most.
     pub(crate) async fn call(self: Rc<Self>, name: String, mut random: Pcg64Mcg) {
         let mut number = 0;
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -18,7 +18,7 @@
 use serde_json::json;
 
 use crate::{
-    Script, SoakOptions, SoakReport,
+    Script, SoakOptions, SoakReport, crashes,
     daemons::DaemonProcess,
     faults::{KINDS, Targets, WIDER_KINDS},
     oracle::Oracle,
@@ -73,6 +73,14 @@
         monoio::spawn(traffic.clone().call(format!("caller-{number}"), fork()));
     }
     monoio::spawn(traffic.clone().train(fork()));
+    if options.crashing_calls > 0 {
+        for number in 0..options.services {
+            monoio::spawn(crashes::restart_after_crashes(targets.clone(), number));
+        }
+    }
+    for number in 0..options.crashing_calls {
+        monoio::spawn(crashes::repeat(traffic.clone(), number, fork()));
+    }
     let faults_until_ms = until_ms.saturating_sub(CALM_MS);
     match &options.script {
         Script::Random(count) => {
@@ -93,14 +101,23 @@
         read_everything(&traffic).await;
     }
     let engines: Vec<PlatformEngine> = targets.engines.iter().map(|(e, _)| e.clone()).collect();
-    let services: Vec<PlatformService> = targets.services.iter().map(|(s, _)| s.clone()).collect();
+    let services = services_of(&targets);
     oracle.check_endpoints(&engines, &services);
+    crashes::check(&oracle, &services);
     for daemon in &targets.daemons {
         daemon.signal(Signal::KILL);
     }
     Ok(report(&traffic, &targets, &oracle))
 }
 
+fn services_of(targets: &Targets) -> Vec<PlatformService> {
+    targets
+        .services
+        .iter()
+        .map(|(service, _)| service.clone())
+        .collect()
+}
+
 fn build(options: &SoakOptions, clock: Clock, oracle: &Rc<Oracle>) -> io::Result<Targets> {
     let store = PlatformStore::bind("127.0.0.1:0")?;
     let routes = routes(options.objective_ms);
@@ -229,6 +246,7 @@
         after_restart: after_restart(&targets.engines[0].0),
         calls_by_foreign_entry: oracle.calls_by_foreign_entry(&targets.services[0].0),
         most_overtime_ms: most_overtime_ms(targets, oracle),
+        crashed_endpoints: crashes::crashed_endpoints(&services_of(targets)),
         results,
         violations,
     }
--- a/crates/borageshore_standins/src/platform/mod.rs
+++ b/crates/borageshore_standins/src/platform/mod.rs
@@ -14,7 +14,7 @@
     engine::{
         EngineSwitches, GivenOrder, LONG_EVENTS, PlatformEngine, SeenRun, event_text, events_of,
     },
-    plain::{PlainSwitches, PlatformService},
+    plain::{CRASH_MARK, CrashingSend, PlainSwitches, PlatformService},
     proxy::{Proxy, ProxyMode},
     store::{PlatformStore, StoreMode},
 };
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -179,6 +179,15 @@
         assert!(left * 3 < kept * 2, "{left} of {kept}");
     }
 
+    // Callers of the plain service are refused for seconds, over and over: its endpoints crash, up to all at
+    // once. One caller repeats a call that crashes each endpoint which begins to run it. A daemon sends it to a
+    // second endpoint when the first is gone, and the repeat goes to another daemon, which knows nothing of it.
+    // Evidence: lost attempts of one content at all daemons, each by a connection that ended, none answered ever.
+    a_call_that_crashes_its_endpoints_is_held_back => {
+        let options = SoakOptions { services: 4, crashing_calls: 1, ..options(17, Script::Moments(Vec::new())) };
+        play(&SoakOptions { duration_ms: 12_000, ..options });
+    }
+
     seeded_faults_break_no_promise => {
         play(&options(4, Script::Random(4)));
     }
