--- a/crates/borageshore_soak/src/crashes.rs
+++ b/crates/borageshore_soak/src/crashes.rs
@@ -1,10 +1,10 @@
-//! Calls that crash the endpoints that run them: who makes them, how endpoints come back, and the bound on
-//! the endpoints that one such call may take down.
+//! Requests that crash the endpoints that run them: who makes them, how endpoints come back, and the bound on
+//! the endpoints that one such request may take down.
 
 use std::{collections::BTreeMap, rc::Rc};
 
 use borageshore_net::sleep_ms;
-use borageshore_standins::platform::{CRASH_MARK, CrashingSend, PlatformService};
+use borageshore_standins::platform::{CRASH_MARK, CrashingSend, PlatformEngine, PlatformService};
 use rand_core::Rng;
 use rand_pcg::Pcg64Mcg;
 
@@ -14,11 +14,11 @@
 const DOWN_MS: u64 = 1_000;
 /// The mean pause between two repeats of a call.
 const REPEAT_MS: u64 = 500;
-/// The crashes of one call after which it counts as known.
+/// The crashes of one request after which it counts as known.
 const KNOWN_AFTER: usize = 3;
 /// All daemons that were undisturbed for this long know what one of them learned.
 const KNOWN_BY_ALL_MS: u64 = 3_000;
-/// The sends of one call that may reach endpoints after that.
+/// The sends of one request that may reach endpoints after that.
 const RETRIES: usize = 3;
 
 /// A time in which a daemon, or all of them, were harmed or lost their way to the store.
@@ -50,6 +50,23 @@
     }
 }
 
+/// Lets an engine start again after each crash, under its id.
+pub(crate) async fn restart_engine_after_crashes(targets: Rc<Targets>, number: usize) {
+    let (engine, proxy) = &targets.engines[number];
+    loop {
+        engine.crashed().await;
+        proxy.close();
+        sleep_ms(DOWN_MS).await;
+        engine.start_again();
+        match proxy.reopen() {
+            Ok(()) => engine.list(&targets.store, &proxy.address().to_string(), "ready"),
+            Err(error) => targets
+                .oracle
+                .broken(format!("e-{number} does not start again: {error}")),
+        }
+    }
+}
+
 /// Makes one crashing call again and again, at any daemon, as a caller who was never told why it failed.
 pub(crate) async fn repeat(traffic: Rc<Traffic>, number: usize, mut random: Pcg64Mcg) {
     let body = format!("{CRASH_MARK}-{number}");
@@ -69,9 +86,16 @@
     }
 }
 
-/// Checks that a call which has crashed three endpoints reaches no more than some further ones.
-pub(crate) fn check(oracle: &Oracle, services: &[PlatformService]) {
-    for (body, sends) in by_body(services) {
+/// All requests that reached endpoints which they crash.
+pub(crate) fn sends(services: &[PlatformService], engines: &[PlatformEngine]) -> Vec<CrashingSend> {
+    let at_services = services.iter().flat_map(PlatformService::crashing_sends);
+    let at_engines = engines.iter().flat_map(PlatformEngine::crashing_sends);
+    at_services.chain(at_engines).collect()
+}
+
+/// Checks that a request which has crashed three endpoints reaches no more than some further ones.
+pub(crate) fn check(oracle: &Oracle, sends: Vec<CrashingSend>) {
+    for (body, sends) in by_body(sends) {
         let mut crashes = sends.iter().filter(|send| send.has_crashed);
         let Some(third) = crashes.nth(KNOWN_AFTER - 1) else {
             continue;
@@ -84,21 +108,15 @@
         if retries > RETRIES {
             let ended = sends.iter().filter(|send| send.has_crashed).count();
             oracle.broken(format!(
-                "call {body}: sent {retries} times more after three endpoints had crashed; {ended} in all"
+                "{body}: sent {retries} times more after three endpoints had crashed; {ended} in all"
             ));
         }
     }
 }
 
-/// The endpoints that crashed.
-pub(crate) fn crashed_endpoints(services: &[PlatformService]) -> usize {
-    let sends = services.iter().flat_map(PlatformService::crashing_sends);
-    sends.filter(|send| send.has_crashed).count()
-}
-
-fn by_body(services: &[PlatformService]) -> BTreeMap<String, Vec<CrashingSend>> {
+fn by_body(all: Vec<CrashingSend>) -> BTreeMap<String, Vec<CrashingSend>> {
     let mut sends: BTreeMap<String, Vec<CrashingSend>> = BTreeMap::new();
-    for send in services.iter().flat_map(PlatformService::crashing_sends) {
+    for send in all {
         sends.entry(send.body.clone()).or_default().push(send);
     }
     for sends in sends.values_mut() {
--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -148,6 +148,7 @@
                 Moment::LongTexts => Fault::LongTexts,
                 Moment::EngineStartsAgain => Fault::EngineStartsAgain(0),
                 Moment::ForeignEntry => Fault::ForeignEntry(0),
+                Moment::StoreSilent => Fault::Store(StoreMode::Silent),
             };
             self.begun
                 .borrow_mut()
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -59,6 +59,8 @@
     EngineStartsAgain,
     /// Another writer replaces the entry of the first endpoint of the plain service.
     ForeignEntry,
+    /// The store answers nobody.
+    StoreSilent,
 }
 
 /// What to play.
@@ -84,6 +86,10 @@
     pub objective_ms: u64,
     /// Calls that crash the endpoints of the plain service, each repeated all the while.
     pub crashing_calls: usize,
+    /// Whether each step has an item that crashes the engines that run it.
+    pub has_crashing_item: bool,
+    /// Whether the reward call of an item of each step crashes the endpoints that run it.
+    pub has_crashing_reward: bool,
     /// Whether all texts are long ones.
     pub long_texts: bool,
     /// The faults.
@@ -106,6 +112,8 @@
             submit_at: None,
             objective_ms: 200,
             crashing_calls: 0,
+            has_crashing_item: false,
+            has_crashing_reward: false,
             long_texts: false,
             script: Script::Wider(8),
             folder: std::env::temp_dir()
@@ -146,7 +154,7 @@
     pub most_overtime_ms: u64,
     /// When calls that crash nothing were refused as ones that do, in ms.
     pub proper_held_at_ms: Vec<u64>,
-    /// Endpoints of the plain service that crashed under a call.
+    /// Endpoints that crashed under a request.
     pub crashed_endpoints: usize,
     /// Results read, each once.
     pub results: usize,
--- a/crates/borageshore_soak/src/main.rs
+++ b/crates/borageshore_soak/src/main.rs
@@ -46,6 +46,8 @@
             engines: arguments.engines,
             services: arguments.services,
             crashing_calls: arguments.crashing_calls,
+            has_crashing_item: seed.is_multiple_of(2),
+            has_crashing_reward: seed.is_multiple_of(3),
             duration_ms: arguments.duration_ms,
             script: Script::Wider(arguments.faults),
             ..SoakOptions::new(arguments.program.clone(), seed)
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -9,7 +9,7 @@
 use base64::{Engine as _, prelude::BASE64_STANDARD};
 use borageshore_base::ResultCode;
 use borageshore_net::{Clock, HttpClient, Timeouts, sleep_ms};
-use borageshore_standins::platform::{PlatformService, PlatformStore};
+use borageshore_standins::platform::{CRASH_MARK, PlatformService, PlatformStore};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
@@ -53,6 +53,8 @@
     pub(crate) until_ms: u64,
     /// What the names of steps begin with; "long" asks for long texts.
     pub(crate) step_name: &'static str,
+    pub(crate) has_crashing_item: bool,
+    pub(crate) has_crashing_reward: bool,
     pub(crate) calls: Cell<usize>,
     pub(crate) calls_answered: Cell<usize>,
     /// When proper calls were told that they are held back as ones that crash endpoints.
@@ -237,11 +239,23 @@
         let mut items = Vec::new();
         for number in 0..groups * size {
             let item = format!("{id}-item-{number}");
-            let reward =
-                json!({ "id": reward_id(&item), "host": HOST, "path": "/safe/reward", "body": "" });
+            // Two items of the first group, which the trainer does not wait for.
+            let is_crashing_reward = self.has_crashing_reward && number == 0;
+            let is_crashing_item = self.has_crashing_item && number == 1;
+            let reward_body = match is_crashing_reward {
+                true => BASE64_STANDARD.encode(format!("{CRASH_MARK}-reward")),
+                false => String::new(),
+            };
+            let reward = json!({
+                "id": reward_id(&item), "host": HOST, "path": "/safe/reward", "body": reward_body,
+            });
+            let item_body = match is_crashing_item {
+                true => format!("{CRASH_MARK}-item"),
+                false => item.clone(),
+            };
             items.push(json!({
                 "id": item, "path": "/batch/x", "headers": { "X-Model": MODEL, "X-Token-Count": "10,10" },
-                "body": BASE64_STANDARD.encode(&item), "num_tokens": 20,
+                "body": BASE64_STANDARD.encode(&item_body), "num_tokens": 20,
                 "group": format!("{id}-{}", number / size), "scorer": reward,
             }));
         }
--- /dev/null
+++ b/crates/borageshore_standins/src/platform/crash.rs
@@ -0,0 +1,67 @@
+//! Endpoints that crash under a given request.
+
+use std::cell::{Cell, RefCell};
+
+use borageshore_net::{EdgeResponse, sleep_ms};
+use tokio::sync::Notify;
+
+use crate::http::status;
+
+/// A request whose body begins so crashes the endpoint that runs it.
+pub const CRASH_MARK: &str = "crash";
+/// An endpoint that crashes takes a moment before it is gone.
+const CRASH_MS: u64 = 20;
+
+/// A request that reached an endpoint which it crashes.
+#[derive(Debug, Clone)]
+pub struct CrashingSend {
+    /// The id of the attempt.
+    pub id: String,
+    /// What the request asks, the same in each of its repeats.
+    pub body: String,
+    /// When it arrived.
+    pub at_ms: u64,
+    /// Whether the endpoint was up, and crashed under it.
+    pub has_crashed: bool,
+}
+
+/// The crashes of one endpoint.
+#[derive(Debug, Default)]
+pub(crate) struct Crashes {
+    is_down: Cell<bool>,
+    crashed: Notify,
+    sends: RefCell<Vec<CrashingSend>>,
+}
+
+impl Crashes {
+    pub(crate) fn is_crashing(body: &[u8]) -> bool {
+        body.starts_with(CRASH_MARK.as_bytes())
+    }
+
+    /// Goes down under a request. What is answered in the end is lost with the endpoint's connections.
+    pub(crate) async fn crash(&self, id: String, body: &[u8], at_ms: u64) -> EdgeResponse {
+        self.sends.borrow_mut().push(CrashingSend {
+            id,
+            body: String::from_utf8_lossy(body).into_owned(),
+            at_ms,
+            has_crashed: !self.is_down.replace(true),
+        });
+        self.crashed.notify_one();
+        sleep_ms(CRASH_MS).await;
+        status(500)
+    }
+
+    /// Waits until a request has crashed the endpoint.
+    pub(crate) async fn crashed(&self) {
+        self.crashed.notified().await;
+    }
+
+    pub(crate) fn start_again(&self) {
+        self.is_down.set(false);
+    }
+
+    /// The requests that crash their endpoints and reached this one, in order.
+    pub(crate) fn sends(&self) -> Vec<CrashingSend> {
+        self.sends.borrow().clone()
+    }
+}
--- a/crates/borageshore_standins/src/platform/engine.rs
+++ b/crates/borageshore_standins/src/platform/engine.rs
@@ -16,7 +16,11 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use super::{header, mixed, store::PlatformStore};
+use super::{
+    crash::{Crashes, CrashingSend},
+    header, mixed,
+    store::PlatformStore,
+};
 use crate::http::{limits, status};
 
 /// The most events of a text.
@@ -92,6 +96,7 @@
     started_at_ms: Cell<u64>,
     is_loading: Cell<bool>,
     orders_accepted: Cell<u64>,
+    crashes: Crashes,
     running: Cell<u64>,
     slots: u64,
     switches: Cell<EngineSwitches>,
@@ -137,6 +142,7 @@
             started_at_ms: Cell::new(clock.now_ms()),
             is_loading: Cell::new(false),
             orders_accepted: Cell::new(0),
+            crashes: Crashes::default(),
             running: Cell::new(0),
             slots: 8,
             switches: Cell::new(EngineSwitches {
@@ -177,6 +183,22 @@
         shared.orders_accepted.set(0);
     }
 
+    /// Waits until an item has crashed it.
+    pub async fn crashed(&self) {
+        self.shared.crashes.crashed().await;
+    }
+
+    /// Starts it again after a crash, under its id and with the weights that it had.
+    pub fn start_again(&self) {
+        self.restart(self.shared.version.get());
+        self.shared.crashes.start_again();
+    }
+
+    /// The items that crash their engines and reached it, in order.
+    pub fn crashing_sends(&self) -> Vec<CrashingSend> {
+        self.shared.crashes.sends()
+    }
+
     /// The instant of its last start, on the clock of [`SeenRun::at_ms`].
     pub fn started_at_ms(&self) -> u64 {
         self.shared.started_at_ms.get()
@@ -308,6 +330,12 @@
             .to_owned();
         let after = header(headers, "last-event-id").and_then(|id| id.parse().ok());
         let after_event = after.unwrap_or(0);
+        let Ok(asked) = read_body(request.into_body(), limits()).await else {
+            return status(400);
+        };
+        if Crashes::is_crashing(&asked) {
+            return self.crashes.crash(item, &asked, self.clock.now_ms()).await;
+        }
         let (sender, body) = stream_body();
         let mut response = Response::new(body);
         let shown = response.headers_mut();
--- a/crates/borageshore_standins/src/platform/mod.rs
+++ b/crates/borageshore_standins/src/platform/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! They record what they see, so that a test can check the daemons' promises from the outside.
 
+mod crash;
 mod engine;
 mod plain;
 mod proxy;
@@ -11,10 +12,11 @@
 use hyper::HeaderMap;
 
 pub use self::{
+    crash::{CRASH_MARK, CrashingSend},
     engine::{
         EngineSwitches, GivenOrder, LONG_EVENTS, PlatformEngine, SeenRun, event_text, events_of,
     },
-    plain::{CRASH_MARK, CrashingSend, PlainSwitches, PlatformService},
+    plain::{PlainSwitches, PlatformService},
     proxy::{Proxy, ProxyMode},
     store::{PlatformStore, StoreMode},
 };
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -202,6 +202,41 @@
         assert!(report.calls_answered * 10 > report.calls * 8, "{:?}", report.unanswered);
     }
 
+    // Trainers wait for texts that begin again and again: engines crash, each as it begins to run one item, and the
+    // item goes on elsewhere at once; the next step brings it again. All other texts under way there are cut.
+    an_item_that_crashes_its_engines_is_held_back => {
+        let options = SoakOptions { has_crashing_item: true, ..options(19, Script::Moments(Vec::new())) };
+        let report = play(&SoakOptions { duration_ms: 12_000, ..options });
+        assert!(report.crashed_endpoints >= 3, "{}", report.crashed_endpoints);
+        assert!(report.submissions >= 3, "{}", report.submissions);
+    }
+
+    // Clerks are refused while endpoints of the plain service crash, one after the other, under the reward call of one
+    // item: it is repeated until it is answered.
+    a_reward_call_that_crashes_its_endpoints_is_held_back => {
+        let options = SoakOptions { services: 4, has_crashing_reward: true, ..options(20, Script::Moments(Vec::new())) };
+        let report = play(&SoakOptions { duration_ms: 12_000, ..options });
+        assert!(report.crashed_endpoints >= 3, "{}", report.crashed_endpoints);
+        assert!(report.submissions >= 3, "{}", report.submissions);
+    }
+
+    // The endpoints crash again, all of them: a call had been held back for long, then all daemons lost power, and
+    // those that came back knew nothing of it.
+    what_is_held_back_outlasts_a_stop_of_all_daemons => {
+        let script = Script::Moments(vec![(4_000, Moment::KillAllMidText), (5_500, Moment::KillHolder)]);
+        let options = SoakOptions { services: 4, crashing_calls: 1, long_texts: true, ..options(21, script) };
+        let report = play(&SoakOptions { duration_ms: 14_000, ..options });
+        // Three, a trial, and a call that was at a daemon which was killed before it could tell.
+        assert!(report.crashed_endpoints <= 6, "{}", report.crashed_endpoints);
+    }
+
+    // The endpoints crash again after an outage of the store: a daemon saw them crash and could not tell the others.
+    a_crash_that_is_seen_in_an_outage_of_the_store_is_told_after_it => {
+        let script = (0..3).map(|turn| (turn * 1_400, Moment::StoreSilent)).collect();
+        let options = SoakOptions { services: 4, crashing_calls: 1, ..options(22, Script::Moments(script)) };
+        play(&SoakOptions { duration_ms: 16_000, ..options });
+    }
+
     seeded_faults_break_no_promise => {
         play(&options(4, Script::Random(4)));
     }
