Failing test: in an outage of the store each daemon loses three endpoints of its own

Twelve endpoints, three daemons, the store silent for 4 s: 9 endpoints crash under one call, where three, a second attempt and a trial make 5. With four endpoints it does not show, as those that start again are not listed meanwhile.

--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -154,7 +154,7 @@
                 .borrow_mut()
                 .push(format!("{at_ms} ms: {fault:?}"));
             let length_ms = match moment {
-                Moment::CutHolderMidText => CUT_MS,
+                Moment::CutHolderMidText | Moment::StoreSilent => CUT_MS,
                 _ => MOMENT_MS,
             };
             monoio::spawn(self.clone().carry_out(fault, length_ms));
