Daemons tell each other of crashes while the store does not take it

Cause: what one daemon saw reached the others by the store only, so in its outage each daemon had to lose three endpoints of its own to a request. Change: a report that the store has not taken within 150 ms also goes to four peers, each of which passes on once what is news to it; one message of 1 KB at the most every 300 ms. The module is split: decisions, records, telling. Ruled out: telling peers always (the store reaches all in one step and is read anyway).

--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -218,7 +218,10 @@
             .into_iter()
             .map(|address| bind(address))
             .collect::<io::Result<Vec<HttpServer>>>()?;
-        let relay = StoreRelay { path: store_path };
+        let relay = StoreRelay {
+            path: store_path,
+            quarantine: quarantine.clone(),
+        };
         let relay = HttpServer::bind(&config.peer_address, server_limits(), relay)?;
         let metrics_page = MetricsPage {
             instruments,
--- a/crates/borageshore_gateway/src/members/mod.rs
+++ b/crates/borageshore_gateway/src/members/mod.rs
@@ -232,6 +232,15 @@
         chosen.filter_map(|name| table.address_of(name)).collect()
     }
 
+    /// Where some other daemons are told of crashes, each time others.
+    pub(crate) fn some_relays(&self, count: usize) -> Vec<Arc<str>> {
+        let own = self.own.borrow();
+        let relays = self.table.borrow().peer_addresses(&own.name, &own.zone);
+        let turn = self.clock.now_us().to_string();
+        let ranked = rank_by_rendezvous(&turn, relays.iter().map(|relay| &**relay));
+        ranked.into_iter().take(count).map(Into::into).collect()
+    }
+
     /// The daemons that live.
     pub(crate) fn count(&self) -> usize {
         self.table.borrow().live().count()
--- a/crates/borageshore_gateway/src/quarantine.rs
+++ b/crates/borageshore_gateway/src/quarantine/mod.rs
@@ -4,37 +4,33 @@
 //! Crashes, claims of trials and successes are records among those that daemons read of each other anyway, so that a
 //! calm day costs nothing, and a daemon that starts knows what is held. The log's order decides which claim counts.
 
+mod records;
+mod telling;
+
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
 };
 
-use borageshore_base::rendezvous_weight;
 use borageshore_diagnostics::Instruments;
-use borageshore_net::{Clock, sleep_ms, within_ms};
-use borageshore_platform::{KeyedRecord, Topic};
+use borageshore_net::{Clock, within_ms};
+use borageshore_platform::{KeyedRecord, StoreError, Topic};
 use borageshore_routing::{
     Crash, CrashNews, CrashReport, CrashReports, Fingerprint, Quarantine as Table, Verdict,
 };
-use bytes::Bytes;
-use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
+use self::records::{Told, claim_record, crash_key, decode_record, trial_key};
+pub(crate) use self::{records::KEY_PREFIX, telling::CRASHES_PATH};
 use crate::{
     follow::{Fold, ONLY_PARTITION},
     members::Members,
     store_path::Store,
 };
 
-/// What the keys of crashes and trials begin with; the request's content follows.
-pub(crate) const KEY_PREFIX: &str = "crash/";
-/// What the key of a trial ends with; that of a crash ends with a hash of the endpoint's name.
-const TRIAL: &str = "trial";
 /// A claim is in the store and read back in 60 ms; a caller is not kept waiting for longer.
 const CLAIM_MS: u64 = 400;
-/// The pause before records are written again that the store did not take, and before a budget is looked at again.
-const AGAIN_MS: u64 = 200;
 /// A daemon that cannot read what is held serves all the same after this time: in an outage of the store, calls that
 /// crash endpoints are few among those that would be refused.
 const KNOWN_WITHIN_MS: u64 = 1_000;
@@ -72,21 +68,6 @@
     }
 }
 
-#[derive(Debug, Serialize, Deserialize)]
-struct CrashRecord {
-    instance: Arc<str>,
-    is_trial: bool,
-    /// In Unix milliseconds.
-    at_ms: u64,
-}
-
-#[derive(Debug, Serialize, Deserialize)]
-struct ClaimRecord {
-    claim: Arc<str>,
-    /// In Unix milliseconds.
-    at_ms: u64,
-}
-
 /// The requests that all daemons hold back, as this one knows them.
 #[derive(Debug)]
 pub(crate) struct Quarantine {
@@ -106,6 +87,10 @@
     /// Whether records may have been missed; the next ones are the newest of each key.
     has_gap: Cell<bool>,
     to_write: Notify,
+    /// What peers are yet to be told, and what they were told of what is suspected.
+    to_tell: RefCell<Vec<CrashReport>>,
+    told_peers: RefCell<Vec<CrashReport>>,
+    peers_to_tell: Notify,
     changed: Notify,
 }
 
@@ -130,9 +115,13 @@
             is_known: Cell::new(false),
             has_gap: Cell::new(false),
             to_write: Notify::new(),
+            to_tell: RefCell::default(),
+            told_peers: RefCell::default(),
+            peers_to_tell: Notify::new(),
             changed: Notify::new(),
         });
         monoio::spawn(quarantine.clone().write());
+        monoio::spawn(quarantine.clone().tell_peers());
         quarantine
     }
 
@@ -173,10 +162,9 @@
             is_trial,
             at_ms: self.unix_ms(),
         };
-        self.on_crash(content, crash.clone());
-        self.reports
-            .borrow_mut()
-            .push(CrashReport { content, crash });
+        let report = CrashReport { content, crash };
+        self.on_crash(report.clone());
+        self.reports.borrow_mut().push(report);
         self.to_write.notify_one();
     }
 
@@ -194,7 +182,12 @@
             return;
         };
         let untold = self.reports.borrow_mut().drop_content(&content);
-        crashes.retain(|crash| !untold.contains(crash));
+        let is_told = |crash: &Crash| {
+            let to_peers = self.told_peers.borrow();
+            let mut to_peers = to_peers.iter().filter(|told| told.content == content);
+            !untold.contains(crash) || to_peers.any(|told| told.crash == *crash)
+        };
+        crashes.retain(is_told);
         if was_held {
             log::info!(content:%; "a request that was held back is answered and free again");
             self.instruments.count("quarantine", "cleared");
@@ -228,11 +221,7 @@
         let count = self.claims.replace(self.claims.get() + 1);
         let (name, incarnation) = self.members.own_life();
         let claim: Arc<str> = format!("{name}.{incarnation}.{count}").into();
-        let record = ClaimRecord {
-            claim: claim.clone(),
-            at_ms: self.unix_ms(),
-        };
-        let record = [(trial_key(content), encoded(&record))];
+        let record = [claim_record(content, &claim)];
         let claiming = async {
             self.store
                 .append(Topic::Members, ONLY_PARTITION, &record, None)
@@ -240,7 +229,7 @@
             while self.verdict(&content) == Verdict::TrialDue {
                 self.changed.notified().await;
             }
-            Ok::<_, borageshore_platform::StoreError>(())
+            Ok::<(), StoreError>(())
         };
         let claimed = within_ms(CLAIM_MS, claiming).await;
         if matches!(claimed, Some(Ok(()))) && self.table.borrow().has_trial(&claim) {
@@ -270,12 +259,15 @@
         self.note_change();
     }
 
-    fn on_crash(&self, content: Fingerprint, crash: Crash) {
+    fn on_crash(&self, report: CrashReport) -> CrashNews {
+        let CrashReport { content, mut crash } = report;
+        // A clock that is ahead must not lengthen a hold.
+        crash.at_ms = crash.at_ms.min(self.unix_ms());
         let instance = crash.instance.clone();
         let news = self.table.borrow_mut().on_crash(content, crash);
         let crashes = self.table.borrow().crashes(&content);
         match news {
-            CrashNews::Known => return,
+            CrashNews::Known => return news,
             CrashNews::Suspected => {
                 log::info!(content:%, instance = &*instance, crashes; "a request is suspected of a crash");
             }
@@ -285,6 +277,7 @@
             }
         }
         self.note_change();
+        news
     }
 
     fn note_change(&self) {
@@ -309,79 +302,23 @@
         self.to_write.notify_one();
     }
 
-    /// Tells the other daemons what there is to tell, as far as the budget goes.
-    async fn write(self: Rc<Self>) {
-        loop {
-            self.to_write.notified().await;
-            while !self.reports.borrow().is_empty() || !self.removals.borrow().is_empty() {
-                if !self.write_some().await {
-                    sleep_ms(AGAIN_MS).await;
-                }
-            }
-        }
-    }
-
-    /// Says whether the store took what could be told now.
-    async fn write_some(&self) -> bool {
-        let daemons = self.members.count() as u64;
-        let reports = {
-            let table = self.table.borrow();
-            self.reports
-                .borrow_mut()
-                .take(&table, daemons, self.clock.now_ms())
-        };
-        let removals = std::mem::take(&mut *self.removals.borrow_mut());
-        let mut records: Vec<(Arc<str>, Bytes)> = reports.iter().map(crash_record).collect();
-        records.extend(removals.iter().map(|key| (key.clone(), Bytes::new())));
-        if records.is_empty() {
-            return false;
-        }
-        let written = self
-            .store
-            .append(Topic::Members, ONLY_PARTITION, &records, None)
-            .await;
-        if let Err(error) = &written {
-            log::info!(records = records.len(), error:% = error; "crashes are not told to the other daemons yet");
-            self.reports.borrow_mut().put_back(reports);
-            self.removals.borrow_mut().extend(removals);
-        }
-        written.is_ok()
-    }
-
-    fn on_record(&self, record: &KeyedRecord) -> Option<()> {
-        let (content, what) = record.key.strip_prefix(KEY_PREFIX)?.split_once('/')?;
-        let content: Fingerprint = content.parse().ok()?;
-        match (&record.value, what) {
-            (Some(value), TRIAL) => {
-                let claim: ClaimRecord = serde_json::from_slice(value).ok()?;
-                let at_ms = self.unix_ms();
-                self.table
-                    .borrow_mut()
-                    .on_claim(content, claim.claim, at_ms);
-                self.note_change();
-            }
-            (Some(value), _) => {
-                let crash: CrashRecord = serde_json::from_slice(value).ok()?;
-                let crash = Crash {
-                    instance: crash.instance,
-                    is_trial: crash.is_trial,
-                    // A clock that is ahead must not lengthen a hold.
-                    at_ms: crash.at_ms.min(self.unix_ms()),
-                };
-                self.on_crash(content, crash);
+    fn on_record(&self, told: Told) {
+        match told {
+            Told::Crash(report) => {
+                self.on_crash(report);
+                return;
             }
-            (None, TRIAL) => {
-                self.table.borrow_mut().on_trial_end(&content);
-                self.note_change();
+            Told::Claim { content, claim } => {
+                let now_ms = self.unix_ms();
+                self.table.borrow_mut().on_claim(content, claim, now_ms);
             }
-            // Another daemon had an answer, or its time is over.
-            (None, _) => {
+            Told::TrialOver(content) => self.table.borrow_mut().on_trial_end(&content),
+            Told::Cleared(content) => {
                 self.table.borrow_mut().on_success(&content);
                 self.reports.borrow_mut().drop_content(&content);
-                self.note_change();
             }
         }
-        Some(())
+        self.note_change();
     }
 }
 
@@ -394,8 +331,9 @@
             self.note_change();
         }
         for record in records {
-            if self.on_record(record).is_none() {
-                log::error!(key = &*record.key; "a record of a crash cannot be read");
+            match decode_record(record) {
+                Some(told) => self.on_record(told),
+                None => log::error!(key = &*record.key; "a record of a crash cannot be read"),
             }
         }
     }
@@ -410,33 +348,10 @@
 }
 
 fn content_of(record: &KeyedRecord) -> Option<Fingerprint> {
-    let (content, _) = record.key.strip_prefix(KEY_PREFIX)?.split_once('/')?;
-    content.parse().ok()
-}
-
-fn trial_key(content: Fingerprint) -> Arc<str> {
-    format!("{KEY_PREFIX}{content}/{TRIAL}").into()
-}
-
-fn crash_key(content: Fingerprint, instance: &str) -> Arc<str> {
-    // The names of endpoints are others' and of any length.
-    let instance = rendezvous_weight(KEY_PREFIX, instance);
-    format!("{KEY_PREFIX}{content}/{instance:016x}").into()
-}
-
-fn crash_record(report: &CrashReport) -> (Arc<str>, Bytes) {
-    let crash = &report.crash;
-    let record = CrashRecord {
-        instance: crash.instance.clone(),
-        is_trial: crash.is_trial,
-        at_ms: crash.at_ms,
-    };
-    (crash_key(report.content, &crash.instance), encoded(&record))
-}
-
-fn encoded<Record>(record: &Record) -> Bytes
-where
-    Record: Serialize,
-{
-    serde_json::to_vec(record).expect("plain data").into()
+    match decode_record(record)? {
+        Told::Crash(report) => Some(report.content),
+        Told::Claim { content, .. } | Told::TrialOver(content) | Told::Cleared(content) => {
+            Some(content)
+        }
+    }
 }
--- /dev/null
+++ b/crates/borageshore_gateway/src/quarantine/telling.rs
@@ -0,0 +1,165 @@
+//! How a daemon tells the others of crashes: by the store, and from peer to peer while the store does not take it.
+
+use std::{pin::pin, rc::Rc, sync::Arc};
+
+use borageshore_net::{
+    EdgeRequest, EdgeResponse, HttpClient, Timeouts, full_body, read_body, sleep_ms,
+};
+use borageshore_platform::{StoreError, Topic};
+use borageshore_routing::{CrashNews, CrashReport};
+use bytes::Bytes;
+use futures_util::future::{Either, join_all, select};
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode};
+
+use super::{
+    Quarantine,
+    records::{crash_record, decode_reports, encode_reports},
+};
+use crate::{follow::ONLY_PARTITION, server::server_limits};
+
+/// Where peers tell of crashes, at the address that callers do not have.
+pub(crate) const CRASHES_PATH: &str = "/crashes";
+/// The pause before records are written again that the store did not take, and before a budget is looked at again.
+const AGAIN_MS: u64 = 200;
+/// The store takes a record in 5 ms, a slow one in 200; after this time peers are told as well.
+const STORE_TAKES_MS: u64 = 150;
+/// The peers that each daemon tells once of what it did not know: so 98 of 100 hear of it, 680 within five steps.
+const PEERS_TOLD: usize = 4;
+/// The pause after peers were told, which holds 4 messages of 1 KB each within what control may cost a daemon.
+const TOLD_PAUSE_MS: u64 = 300;
+/// Reports in one message to a peer.
+const MOST_TOLD: usize = 8;
+/// A peer is a few ms away.
+const PEER_TIMEOUTS: Timeouts = Timeouts {
+    connect_ms: 200,
+    first_byte_ms: 300,
+};
+
+impl Quarantine {
+    /// Tells the other daemons what there is to tell, as far as the budget goes.
+    pub(super) async fn write(self: Rc<Self>) {
+        loop {
+            self.to_write.notified().await;
+            while !self.reports.borrow().is_empty() || !self.removals.borrow().is_empty() {
+                if !self.write_some().await {
+                    sleep_ms(AGAIN_MS).await;
+                }
+            }
+        }
+    }
+
+    /// Says whether the store took what could be told now.
+    async fn write_some(&self) -> bool {
+        let daemons = self.members.count() as u64;
+        let reports = {
+            let table = self.table.borrow();
+            let mut reports = self.reports.borrow_mut();
+            reports.take(&table, daemons, self.clock.now_ms())
+        };
+        let removals = std::mem::take(&mut *self.removals.borrow_mut());
+        let mut records: Vec<(Arc<str>, Bytes)> = reports.iter().map(crash_record).collect();
+        records.extend(removals.iter().map(|key| (key.clone(), Bytes::new())));
+        if records.is_empty() {
+            return false;
+        }
+        let written = self.append(&records, &reports).await;
+        if let Err(error) = &written {
+            log::info!(records = records.len(), error:% = error; "crashes are not told by the store yet");
+            self.reports.borrow_mut().put_back(reports);
+            self.removals.borrow_mut().extend(removals);
+        }
+        written.is_ok()
+    }
+
+    /// Appends records to the store; peers are told as well when that takes long.
+    async fn append(
+        &self,
+        records: &[(Arc<str>, Bytes)],
+        reports: &[CrashReport],
+    ) -> Result<(), StoreError> {
+        let store = &self.store;
+        let appending = pin!(store.append(Topic::Members, ONLY_PARTITION, records, None));
+        let appended = match select(appending, pin!(sleep_ms(STORE_TAKES_MS))).await {
+            Either::Left((appended, _)) => appended,
+            Either::Right((_, appending)) => {
+                self.tell_on(reports);
+                appending.await
+            }
+        };
+        if appended.is_err() {
+            self.tell_on(reports);
+        }
+        appended.map(|_| ())
+    }
+
+    /// Notes what peers are to be told, each report once.
+    fn tell_on(&self, reports: &[CrashReport]) {
+        let mut told = self.told_peers.borrow_mut();
+        told.retain(|report| self.table.borrow().is_suspected(&report.content));
+        let news: Vec<CrashReport> = reports
+            .iter()
+            .filter(|report| !told.contains(report))
+            .cloned()
+            .collect();
+        told.extend(news.iter().cloned());
+        self.to_tell.borrow_mut().extend(news);
+        self.peers_to_tell.notify_one();
+    }
+
+    /// Tells some peers of crashes, who tell others in turn.
+    ///
+    /// Guards against the time in which the store is away: each daemon would lose three endpoints of its own to
+    /// a request before it holds it back, 9 of 12 with three daemons in a test.
+    pub(super) async fn tell_peers(self: Rc<Self>) {
+        let http = HttpClient::open();
+        loop {
+            self.peers_to_tell.notified().await;
+            loop {
+                let reports: Vec<CrashReport> = {
+                    let mut to_tell = self.to_tell.borrow_mut();
+                    let count = to_tell.len().min(MOST_TOLD);
+                    to_tell.drain(..count).collect()
+                };
+                if reports.is_empty() {
+                    break;
+                }
+                let body = encode_reports(&reports);
+                let peers = self.members.some_relays(PEERS_TOLD);
+                let tell = peers.iter().map(|peer| tell(&http, peer, body.clone()));
+                join_all(tell).await;
+                sleep_ms(TOLD_PAUSE_MS).await;
+            }
+        }
+    }
+
+    /// Takes over what a peer tells.
+    pub(crate) async fn on_told(&self, request: EdgeRequest) -> EdgeResponse {
+        let body = read_body(request.into_body(), server_limits()).await;
+        let reports = body.ok().and_then(|body| decode_reports(&body));
+        let Some(reports) = reports else {
+            log::warn!("a peer's message about crashes cannot be read");
+            return status(StatusCode::BAD_REQUEST);
+        };
+        let is_news = |report: &CrashReport| self.on_crash(report.clone()) != CrashNews::Known;
+        let news: Vec<CrashReport> = reports.into_iter().filter(is_news).collect();
+        if !news.is_empty() {
+            self.tell_on(&news);
+        }
+        status(StatusCode::OK)
+    }
+}
+
+async fn tell(http: &HttpClient, peer: &Arc<str>, body: Bytes) {
+    let request = Request::post(CRASHES_PATH).body(Full::new(body));
+    let request = request.expect("a path and a body");
+    if let Err(error) = http.call(peer, request, PEER_TIMEOUTS).await {
+        log::info!(peer = &**peer, error:% = error; "a peer is not told of crashes");
+    }
+}
+
+fn status(status: StatusCode) -> EdgeResponse {
+    let mut response = Response::new(full_body(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/borageshore_gateway/src/store_path.rs
+++ b/crates/borageshore_gateway/src/store_path.rs
@@ -16,7 +16,10 @@
 use hyper::{Response, StatusCode};
 use tokio::sync::Notify;
 
-use crate::server::server_limits;
+use crate::{
+    quarantine::{CRASHES_PATH, Quarantine},
+    server::server_limits,
+};
 
 /// The store as this daemon calls it.
 pub(crate) type Store = borageshore_platform::Store<StorePath>;
@@ -215,14 +218,19 @@
     }
 }
 
-/// Passes calls of peers on to the store, as long as this daemon reaches it itself.
+/// Passes calls of peers on to the store, as long as this daemon reaches it itself, and takes over what they tell of
+/// crashes.
 #[derive(Debug, Clone)]
 pub(crate) struct StoreRelay {
     pub(crate) path: StorePath,
+    pub(crate) quarantine: Rc<Quarantine>,
 }
 
 impl Handler for StoreRelay {
     async fn handle(&self, request: EdgeRequest, _remote: SocketAddr) -> EdgeResponse {
+        if request.uri().path() == CRASHES_PATH {
+            return self.quarantine.on_told(request).await;
+        }
         let (head, body) = request.into_parts();
         let Ok(body) = read_body(body, server_limits()).await else {
             return status(StatusCode::BAD_REQUEST);
