Each trial of a held request counts, whatever comes of it

Cause: a trial that an endpoint refused, as it was full, left the request due for another at once; each repeat would have reached endpoints. Change: trials are counted in their record, which daemons that start later read; one that shows nothing holds for 10 s, then 10 min, one that crashed its endpoint counts double (10 min, 6 h, 24 h). Ruled out: counting claims of those that lost the race (another request's trial under way made a suspect wait for 10 s). Two tests of the core, failing before.

--- a/crates/borageshore_gateway/src/quarantine/mod.rs
+++ b/crates/borageshore_gateway/src/quarantine/mod.rs
@@ -19,9 +19,10 @@
 use borageshore_routing::{
     Crash, CrashNews, CrashReport, CrashReports, Fingerprint, Quarantine as Table, Verdict,
 };
+use bytes::Bytes;
 use tokio::sync::Notify;
 
-use self::records::{Told, claim_record, crash_key, decode_record, trial_key};
+use self::records::{Told, TrialNote, crash_key, decode_record, trial_key, trial_record};
 pub(crate) use self::{records::KEY_PREFIX, telling::CRASHES_PATH};
 use crate::{
     follow::{Fold, ONLY_PARTITION},
@@ -59,12 +60,12 @@
 #[derive(Debug)]
 struct Trial {
     quarantine: Rc<Quarantine>,
-    content: Fingerprint,
+    note: TrialNote,
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        self.quarantine.on_trial_end(self.content);
+        self.quarantine.on_trial_made(&self.note);
     }
 }
 
@@ -80,8 +81,8 @@
     instruments: Rc<Instruments>,
     table: RefCell<Table>,
     reports: RefCell<CrashReports>,
-    /// Keys to take out of the store.
-    removals: RefCell<Vec<Arc<str>>>,
+    /// Records for the store that no budget holds back; those without a value are removals.
+    notes: RefCell<Vec<(Arc<str>, Bytes)>>,
     claims: Cell<u64>,
     is_known: Cell<bool>,
     /// Whether records may have been missed; the next ones are the newest of each key.
@@ -110,7 +111,7 @@
             instruments,
             table: RefCell::default(),
             reports: RefCell::default(),
-            removals: RefCell::default(),
+            notes: RefCell::default(),
             claims: Cell::new(0),
             is_known: Cell::new(false),
             has_gap: Cell::new(false),
@@ -220,8 +221,14 @@
     async fn claim(self: &Rc<Self>, content: Fingerprint) -> Result<Leave, Held> {
         let count = self.claims.replace(self.claims.get() + 1);
         let (name, incarnation) = self.members.own_life();
-        let claim: Arc<str> = format!("{name}.{incarnation}.{count}").into();
-        let record = [claim_record(content, &claim)];
+        let note = TrialNote {
+            content,
+            number: self.table.borrow().trials(&content) + 1,
+            claim: format!("{name}.{incarnation}.{count}").into(),
+            is_over: false,
+            at_ms: self.unix_ms(),
+        };
+        let record = [trial_record(&note)];
         let claiming = async {
             self.store
                 .append(Topic::Members, ONLY_PARTITION, &record, None)
@@ -232,13 +239,13 @@
             Ok::<(), StoreError>(())
         };
         let claimed = within_ms(CLAIM_MS, claiming).await;
-        if matches!(claimed, Some(Ok(()))) && self.table.borrow().has_trial(&claim) {
+        if matches!(claimed, Some(Ok(()))) && self.table.borrow().has_trial(&note.claim) {
             log::info!(content:%; "a request that is held back is tried");
             self.instruments.count("quarantine", "tried");
             return Ok(Leave {
                 trial: Some(Trial {
                     quarantine: self.clone(),
-                    content,
+                    note,
                 }),
             });
         }
@@ -252,11 +259,27 @@
         }
     }
 
-    fn on_trial_end(&self, content: Fingerprint) {
-        self.table.borrow_mut().on_trial_end(&content);
-        self.removals.borrow_mut().push(trial_key(content));
-        self.to_write.notify_one();
-        self.note_change();
+    /// Takes over that this daemon has made a trial, whatever came of it.
+    fn on_trial_made(&self, note: &TrialNote) {
+        let note = TrialNote {
+            is_over: true,
+            at_ms: self.unix_ms(),
+            ..note.clone()
+        };
+        if self.table.borrow().is_suspected(&note.content) {
+            self.notes.borrow_mut().push(trial_record(&note));
+            self.to_write.notify_one();
+        }
+        self.on_trial(note);
+    }
+
+    fn on_trial(&self, note: TrialNote) {
+        let now_ms = self.unix_ms();
+        let mut table = self.table.borrow_mut();
+        match note.is_over {
+            true => table.on_trial_over(&note.content, note.number, note.at_ms.min(now_ms)),
+            false => table.on_claim(note.content, note.claim, note.number, now_ms),
+        }
     }
 
     fn on_crash(&self, report: CrashReport) -> CrashNews {
@@ -296,9 +319,9 @@
         let keys = crashes
             .iter()
             .map(|crash| crash_key(content, &crash.instance));
-        self.removals
-            .borrow_mut()
-            .extend(keys.chain([trial_key(content)]));
+        let removals = keys.chain([trial_key(content)]);
+        let removals = removals.map(|key| (key, Bytes::new()));
+        self.notes.borrow_mut().extend(removals);
         self.to_write.notify_one();
     }
 
@@ -308,11 +331,7 @@
                 self.on_crash(report);
                 return;
             }
-            Told::Claim { content, claim } => {
-                let now_ms = self.unix_ms();
-                self.table.borrow_mut().on_claim(content, claim, now_ms);
-            }
-            Told::TrialOver(content) => self.table.borrow_mut().on_trial_end(&content),
+            Told::Trial(note) => self.on_trial(note),
             Told::Cleared(content) => {
                 self.table.borrow_mut().on_success(&content);
                 self.reports.borrow_mut().drop_content(&content);
@@ -350,8 +369,7 @@
 fn content_of(record: &KeyedRecord) -> Option<Fingerprint> {
     match decode_record(record)? {
         Told::Crash(report) => Some(report.content),
-        Told::Claim { content, .. } | Told::TrialOver(content) | Told::Cleared(content) => {
-            Some(content)
-        }
+        Told::Trial(note) => Some(note.content),
+        Told::Cleared(content) => Some(content),
     }
 }
--- a/crates/borageshore_gateway/src/quarantine/records.rs
+++ b/crates/borageshore_gateway/src/quarantine/records.rs
@@ -18,17 +18,22 @@
 pub(super) enum Told {
     /// An endpoint crashed under a request.
     Crash(CrashReport),
-    /// A daemon claims the trial of a request.
-    Claim {
-        content: Fingerprint,
-        claim: Arc<str>,
-    },
-    /// The trial of a request is over.
-    TrialOver(Fingerprint),
+    /// A daemon claims a trial of a request, or has made it.
+    Trial(TrialNote),
     /// A request was answered, or its suspicion has ended.
     Cleared(Fingerprint),
 }
 
+/// The last trial of a request, as it is claimed or once it is over.
+#[derive(Debug, Clone)]
+pub(super) struct TrialNote {
+    pub(super) content: Fingerprint,
+    pub(super) number: u64,
+    pub(super) claim: Arc<str>,
+    pub(super) is_over: bool,
+    pub(super) at_ms: u64,
+}
+
 /// A crash as it is told; times are Unix milliseconds.
 #[derive(Debug, Serialize, Deserialize)]
 struct WireCrash {
@@ -38,8 +43,11 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-struct WireClaim {
+struct WireTrial {
+    number: u64,
     claim: Arc<str>,
+    is_over: bool,
+    at_ms: u64,
 }
 
 /// A crash with its request, as one peer tells it to another.
@@ -56,17 +64,19 @@
     let content: Fingerprint = content.parse().ok()?;
     Some(match (&record.value, what) {
         (Some(value), TRIAL) => {
-            let wire: WireClaim = serde_json::from_slice(value).ok()?;
-            Told::Claim {
+            let wire: WireTrial = serde_json::from_slice(value).ok()?;
+            Told::Trial(TrialNote {
                 content,
+                number: wire.number,
                 claim: wire.claim,
-            }
+                is_over: wire.is_over,
+                at_ms: wire.at_ms,
+            })
         }
         (Some(value), _) => {
             let wire: WireCrash = serde_json::from_slice(value).ok()?;
             Told::Crash(report(content, wire))
         }
-        (None, TRIAL) => Told::TrialOver(content),
         (None, _) => Told::Cleared(content),
     })
 }
@@ -95,11 +105,14 @@
     (key, encoded(&wire_crash(&report.crash)))
 }
 
-pub(super) fn claim_record(content: Fingerprint, claim: &Arc<str>) -> (Arc<str>, Bytes) {
-    let wire = WireClaim {
-        claim: claim.clone(),
+pub(super) fn trial_record(note: &TrialNote) -> (Arc<str>, Bytes) {
+    let wire = WireTrial {
+        number: note.number,
+        claim: note.claim.clone(),
+        is_over: note.is_over,
+        at_ms: note.at_ms,
     };
-    (trial_key(content), encoded(&wire))
+    (trial_key(note.content), encoded(&wire))
 }
 
 pub(super) fn crash_key(content: Fingerprint, instance: &str) -> Arc<str> {
--- a/crates/borageshore_gateway/src/quarantine/telling.rs
+++ b/crates/borageshore_gateway/src/quarantine/telling.rs
@@ -41,7 +41,7 @@
     pub(super) async fn write(self: Rc<Self>) {
         loop {
             self.to_write.notified().await;
-            while !self.reports.borrow().is_empty() || !self.removals.borrow().is_empty() {
+            while !self.reports.borrow().is_empty() || !self.notes.borrow().is_empty() {
                 if !self.write_some().await {
                     sleep_ms(AGAIN_MS).await;
                 }
@@ -57,9 +57,9 @@
             let mut reports = self.reports.borrow_mut();
             reports.take(&table, daemons, self.clock.now_ms())
         };
-        let removals = std::mem::take(&mut *self.removals.borrow_mut());
+        let notes = std::mem::take(&mut *self.notes.borrow_mut());
         let mut records: Vec<(Arc<str>, Bytes)> = reports.iter().map(crash_record).collect();
-        records.extend(removals.iter().map(|key| (key.clone(), Bytes::new())));
+        records.extend(notes.iter().cloned());
         if records.is_empty() {
             return false;
         }
@@ -67,7 +67,7 @@
         if let Err(error) = &written {
             log::info!(records = records.len(), error:% = error; "crashes are not told by the store yet");
             self.reports.borrow_mut().put_back(reports);
-            self.removals.borrow_mut().extend(removals);
+            self.notes.borrow_mut().extend(notes);
         }
         written.is_ok()
     }
--- a/crates/borageshore_routing/src/quarantine.rs
+++ b/crates/borageshore_routing/src/quarantine.rs
@@ -15,13 +15,13 @@
 /// Crashes of different endpoints in a row after which a request is held back. A proper request meets two when the
 /// endpoint of its second attempt goes as well, as in the loss of a zone.
 const CRASHES_TO_HOLD: usize = 3;
-/// How long a request is held back at first, after one failed trial, and so on, before one send may show
-/// whether it crashes endpoints still.
+/// How long a request is held back before one send may show whether it crashes endpoints still. A trial counts as one
+/// step, one that crashed its endpoint as two.
 ///
 /// The first is short, for a proper request that met three crashes by bad luck, all at once where many callers ask
-/// the same: its trial clears it. A request that crashes its endpoints has three trials in the first six and a
-/// half hours, and one a day after that.
-const HOLDS_MS: [u64; 4] = [1_000, 600_000, 6 * HOUR_MS, 24 * HOUR_MS];
+/// the same: its trial clears it. The second is for a trial that showed nothing, at an endpoint that was full. A
+/// request that crashes its endpoints has two trials in the first six hours, and one a day after that.
+const HOLDS_MS: [u64; 6] = [1_000, 10_000, 600_000, HOUR_MS, 6 * HOUR_MS, 24 * HOUR_MS];
 const HOUR_MS: u64 = 3_600_000;
 /// Suspicion ends this long after the last crash: callers repeat a request that failed within minutes.
 const SUSPECTED_MS: u64 = HOUR_MS;
@@ -86,6 +86,9 @@
 struct Entry {
     /// The crashes of different endpoints since its last success.
     crashes: Vec<Crash>,
+    /// The trials that were made, and when the last one began or was over.
+    trials: u64,
+    tried_ms: u64,
 }
 
 impl Entry {
@@ -94,8 +97,15 @@
         if self.crashes.len() < CRASHES_TO_HOLD {
             return None;
         }
-        let failed_trials = self.crashes.iter().filter(|crash| crash.is_trial).count();
-        Some(self.last_ms() + HOLDS_MS[failed_trials.min(HOLDS_MS.len() - 1)])
+        let failed = self.failed_trials();
+        let step = (self.trials.max(failed) + failed) as usize;
+        let hold_ms = HOLDS_MS[step.min(HOLDS_MS.len() - 1)];
+        Some(self.last_ms().max(self.tried_ms) + hold_ms)
+    }
+
+    fn failed_trials(&self) -> u64 {
+        let failed = self.crashes.iter().filter(|crash| crash.is_trial);
+        failed.count() as u64
     }
 
     fn last_ms(&self) -> u64 {
@@ -164,7 +174,7 @@
         }
         entry.crashes.push(crash);
         let is_held = entry.held_until_ms().is_some();
-        self.on_trial_end(&content);
+        self.end_trial(&content);
         match is_held {
             true => CrashNews::Held,
             false => CrashNews::Suspected,
@@ -174,7 +184,7 @@
     /// Takes over that a request was answered with success: whatever crashed before was not its doing. Returns the
     /// crashes that were held against it; `None` if there was no suspicion.
     pub fn on_success(&mut self, content: &Fingerprint) -> Option<Vec<Crash>> {
-        self.on_trial_end(content);
+        self.end_trial(content);
         Some(self.entries.remove(content)?.crashes)
     }
 
@@ -195,9 +205,16 @@
         }
     }
 
-    /// Takes over that a daemon claims the trial of a request. Of several claims the first counts.
-    pub fn on_claim(&mut self, content: Fingerprint, claim: Arc<str>, now_ms: u64) {
+    /// The trials of a request so far.
+    pub fn trials(&self, content: &Fingerprint) -> u64 {
+        let entry = self.entries.get(content);
+        entry.map_or(0, |entry| entry.trials)
+    }
+
+    /// Takes over that a daemon claims a trial of a request, by its number. Of several claims the first counts.
+    pub fn on_claim(&mut self, content: Fingerprint, claim: Arc<str>, number: u64, now_ms: u64) {
         if self.verdict(&content, now_ms) == Verdict::TrialDue {
+            self.count_trial(&content, number, now_ms);
             self.trial = Some(Trial {
                 content,
                 claim,
@@ -206,14 +223,31 @@
         }
     }
 
+    /// Takes over that a trial of a request is over, by its number, whatever came of it.
+    pub fn on_trial_over(&mut self, content: &Fingerprint, number: u64, now_ms: u64) {
+        // One that is told late must not end the trial after it.
+        if number >= self.trials(content) {
+            self.end_trial(content);
+        }
+        self.count_trial(content, number, now_ms);
+    }
+
+    fn count_trial(&mut self, content: &Fingerprint, number: u64, now_ms: u64) {
+        if let Some(entry) = self.entries.get_mut(content)
+            && number >= entry.trials
+        {
+            entry.trials = number;
+            entry.tried_ms = entry.tried_ms.max(now_ms);
+        }
+    }
+
     /// Says whether a claim has the trial.
     pub fn has_trial(&self, claim: &str) -> bool {
         let trial = self.trial.as_ref();
         trial.is_some_and(|trial| &*trial.claim == claim)
     }
 
-    /// Takes over that the trial of a request is over.
-    pub fn on_trial_end(&mut self, content: &Fingerprint) {
+    fn end_trial(&mut self, content: &Fingerprint) {
         self.trial.take_if(|trial| trial.content == *content);
     }
 
--- a/crates/borageshore_routing/tests/quarantine.rs
+++ b/crates/borageshore_routing/tests/quarantine.rs
@@ -7,6 +7,7 @@
 };
 
 const FIRST_HOLD_MS: u64 = 1_000;
+const UNDECIDED_HOLD_MS: u64 = 10_000;
 const SECOND_HOLD_MS: u64 = 600_000;
 const HOUR_MS: u64 = 3_600_000;
 
@@ -65,7 +66,7 @@
     each_failed_trial_holds_a_request_back_for_longer => {
         let mut quarantine = crashed(1, 3);
         let due_ms = 1_020 + FIRST_HOLD_MS;
-        quarantine.on_claim(content(1), "vm-1".into(), due_ms);
+        quarantine.on_claim(content(1), "vm-1".into(), 1, due_ms);
         assert!(quarantine.has_trial("vm-1"));
         let failed = Crash { is_trial: true, ..crash(4, due_ms + 20) };
         assert_eq!(quarantine.on_crash(content(1), failed), CrashNews::Held);
@@ -85,6 +86,31 @@
         }
     }
 
+    // The endpoints are asked again and again for a request that is held back: they are full, refuse each trial, and the
+    // next repeat is tried at once. Each trial counts, whatever comes of it, but in success.
+    a_trial_that_shows_nothing_is_not_repeated_at_once => {
+        let mut quarantine = crashed(1, 3);
+        let due_ms = 1_020 + FIRST_HOLD_MS;
+        quarantine.on_claim(content(1), "vm-1".into(), 1, due_ms);
+        quarantine.on_trial_over(&content(1), 1, due_ms + 5);
+        let held = Verdict::Held { again_ms: UNDECIDED_HOLD_MS };
+        assert_eq!(quarantine.verdict(&content(1), due_ms + 5), held);
+        let due_ms = due_ms + 5 + UNDECIDED_HOLD_MS;
+        quarantine.on_claim(content(1), "vm-2".into(), 2, due_ms);
+        quarantine.on_trial_over(&content(1), 2, due_ms + 5);
+        let held = Verdict::Held { again_ms: SECOND_HOLD_MS };
+        assert_eq!(quarantine.verdict(&content(1), due_ms + 5), held);
+    }
+
+    // A daemon that starts reads the newest record of each key: of several trials the last one.
+    trials_are_counted_by_a_daemon_that_starts_later => {
+        let mut quarantine = crashed(1, 3);
+        quarantine.on_trial_over(&content(1), 2, 20_000);
+        assert_eq!(quarantine.trials(&content(1)), 2);
+        let held = Verdict::Held { again_ms: SECOND_HOLD_MS };
+        assert_eq!(quarantine.verdict(&content(1), 20_000), held);
+    }
+
     // Two requests were lost with the same three endpoints. Tried at once, both would be lost again; one after the
     // other, the one that is answered is free and the other one stays.
     suspects_are_tried_one_at_a_time => {
@@ -93,8 +119,8 @@
             quarantine.on_crash(content(2), crash(instance, 1_000));
         }
         let due_ms = 1_020 + FIRST_HOLD_MS;
-        quarantine.on_claim(content(2), "vm-2".into(), due_ms);
-        quarantine.on_claim(content(1), "vm-1".into(), due_ms + 1);
+        quarantine.on_claim(content(2), "vm-2".into(), 1, due_ms);
+        quarantine.on_claim(content(1), "vm-1".into(), 1, due_ms + 1);
         assert!(quarantine.has_trial("vm-2") && !quarantine.has_trial("vm-1"));
         assert!(matches!(quarantine.verdict(&content(1), due_ms + 1), Verdict::Held { .. }));
         quarantine.on_success(&content(2));
@@ -105,17 +131,17 @@
     a_trial_without_an_outcome_ends => {
         let mut quarantine = crashed(1, 3);
         let due_ms = 1_020 + FIRST_HOLD_MS;
-        quarantine.on_claim(content(1), "vm-1".into(), due_ms);
-        quarantine.on_claim(content(1), "vm-2".into(), due_ms + 4_999);
+        quarantine.on_claim(content(1), "vm-1".into(), 1, due_ms);
+        quarantine.on_claim(content(1), "vm-2".into(), 2, due_ms + UNDECIDED_HOLD_MS - 1);
         assert!(!quarantine.has_trial("vm-2"));
-        quarantine.on_claim(content(1), "vm-2".into(), due_ms + 5_000);
+        quarantine.on_claim(content(1), "vm-2".into(), 2, due_ms + UNDECIDED_HOLD_MS);
         assert!(quarantine.has_trial("vm-2"));
     }
 
     a_request_that_is_not_due_has_no_trial => {
         let mut quarantine = crashed(1, 3);
-        quarantine.on_claim(content(1), "vm-1".into(), 1_021);
-        quarantine.on_claim(content(2), "vm-2".into(), 1_021);
+        quarantine.on_claim(content(1), "vm-1".into(), 1, 1_021);
+        quarantine.on_claim(content(2), "vm-2".into(), 1, 1_021);
         assert!(!quarantine.has_trial("vm-1") && !quarantine.has_trial("vm-2"));
     }
 
