--- a/crates/borageshore_soak/src/crashes.rs
+++ b/crates/borageshore_soak/src/crashes.rs
@@ -94,13 +94,13 @@
 }
 
 /// Checks that a request which has crashed three endpoints reaches no more than some further ones.
-pub(crate) fn check(oracle: &Oracle, sends: Vec<CrashingSend>) {
+pub(crate) fn check(oracle: &Oracle, sends: Vec<CrashingSend>, crash_after_ms: u64) {
     for (body, sends) in by_body(sends) {
         let mut crashes = sends.iter().filter(|send| send.has_crashed);
         let Some(third) = crashes.nth(KNOWN_AFTER - 1) else {
             continue;
         };
-        let known_at_ms = third.at_ms + KNOWN_BY_ALL_MS;
+        let known_at_ms = third.at_ms + crash_after_ms + KNOWN_BY_ALL_MS;
         let counts = |send: &&CrashingSend| {
             send.at_ms > known_at_ms && !oracle.is_disturbed(&send.id, send.at_ms, KNOWN_BY_ALL_MS)
         };
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -86,6 +86,8 @@
     pub objective_ms: u64,
     /// Calls that crash the endpoints of the plain service, each repeated all the while.
     pub crashing_calls: usize,
+    /// How long such a call runs before its endpoint crashes.
+    pub crash_after_ms: u64,
     /// Whether each step has an item that crashes the engines that run it.
     pub has_crashing_item: bool,
     /// Whether the reward call of an item of each step crashes the endpoints that run it.
@@ -112,6 +114,7 @@
             submit_at: None,
             objective_ms: 200,
             crashing_calls: 0,
+            crash_after_ms: 0,
             has_crashing_item: false,
             has_crashing_reward: false,
             long_texts: false,
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -110,7 +110,8 @@
     let engines = engines_of(&targets);
     let services = services_of(&targets);
     oracle.check_endpoints(&engines, &services);
-    crashes::check(&oracle, crashes::sends(&services, &engines));
+    let sends = crashes::sends(&services, &engines);
+    crashes::check(&oracle, sends, options.crash_after_ms);
     for daemon in &targets.daemons {
         daemon.signal(Signal::KILL);
     }
@@ -153,6 +154,7 @@
     let mut services = Vec::new();
     for number in 0..options.services {
         let service = PlatformService::bind("app", &format!("s-{number}"), clock)?;
+        service.set_crash_after_ms(options.crash_after_ms);
         let proxy = Proxy::bind(service.address())?;
         service.list(&store, &proxy.address().to_string(), "ready");
         services.push((service, proxy));
--- a/crates/borageshore_standins/src/platform/crash.rs
+++ b/crates/borageshore_standins/src/platform/crash.rs
@@ -1,6 +1,9 @@
 //! Endpoints that crash under a given request.
 
-use std::cell::{Cell, RefCell};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
 
 use borageshore_net::{EdgeResponse, sleep_ms};
 use tokio::sync::Notify;
@@ -28,6 +31,8 @@
 /// The crashes of one endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct Crashes {
+    /// How long a request runs before the endpoint crashes, whether its caller still waits or not.
+    after_ms: Cell<u64>,
     is_down: Cell<bool>,
     crashed: Notify,
     sends: RefCell<Vec<CrashingSend>>,
@@ -38,19 +43,40 @@
         body.starts_with(CRASH_MARK.as_bytes())
     }
 
+    pub(crate) fn set_after_ms(&self, after_ms: u64) {
+        self.after_ms.set(after_ms);
+    }
+
     /// Goes down under a request. What is answered in the end is lost with the endpoint's connections.
-    pub(crate) async fn crash(&self, id: String, body: &[u8], at_ms: u64) -> EdgeResponse {
+    pub(crate) async fn crash(
+        self: &Rc<Self>,
+        id: String,
+        body: &[u8],
+        at_ms: u64,
+    ) -> EdgeResponse {
+        let number = self.sends.borrow().len();
         self.sends.borrow_mut().push(CrashingSend {
             id,
             body: String::from_utf8_lossy(body).into_owned(),
             at_ms,
-            has_crashed: !self.is_down.replace(true),
+            has_crashed: false,
+        });
+        let (crashes, after_ms) = (self.clone(), self.after_ms.get());
+        monoio::spawn(async move {
+            sleep_ms(after_ms).await;
+            crashes.go_down(number);
         });
-        self.crashed.notify_one();
-        sleep_ms(CRASH_MS).await;
+        sleep_ms(after_ms + CRASH_MS).await;
         status(500)
     }
 
+    fn go_down(&self, number: usize) {
+        if !self.is_down.replace(true) {
+            self.sends.borrow_mut()[number].has_crashed = true;
+            self.crashed.notify_one();
+        }
+    }
+
     /// Waits until a request has crashed the endpoint.
     pub(crate) async fn crashed(&self) {
         self.crashed.notified().await;
--- a/crates/borageshore_standins/src/platform/engine.rs
+++ b/crates/borageshore_standins/src/platform/engine.rs
@@ -96,7 +96,7 @@
     started_at_ms: Cell<u64>,
     is_loading: Cell<bool>,
     orders_accepted: Cell<u64>,
-    crashes: Crashes,
+    crashes: Rc<Crashes>,
     running: Cell<u64>,
     slots: u64,
     switches: Cell<EngineSwitches>,
@@ -142,7 +142,7 @@
             started_at_ms: Cell::new(clock.now_ms()),
             is_loading: Cell::new(false),
             orders_accepted: Cell::new(0),
-            crashes: Crashes::default(),
+            crashes: Rc::default(),
             running: Cell::new(0),
             slots: 8,
             switches: Cell::new(EngineSwitches {
--- a/crates/borageshore_standins/src/platform/plain.rs
+++ b/crates/borageshore_standins/src/platform/plain.rs
@@ -37,7 +37,7 @@
 struct Shared {
     clock: Clock,
     instance: RefCell<String>,
-    crashes: Crashes,
+    crashes: Rc<Crashes>,
     switches: Cell<PlainSwitches>,
     running: Cell<u64>,
     calls: Cell<u64>,
@@ -64,7 +64,7 @@
         let shared = Rc::new(Shared {
             clock,
             instance: RefCell::new(instance.into()),
-            crashes: Crashes::default(),
+            crashes: Rc::default(),
             switches: Cell::new(PlainSwitches {
                 work_ms: 5,
                 lose_every: 0,
@@ -106,6 +106,11 @@
         store.put("keyed.servers", &self.shared.instance.borrow(), b"");
     }
 
+    /// How long a call that crashes it runs before it does, whether its caller still waits or not.
+    pub fn set_crash_after_ms(&self, after_ms: u64) {
+        self.shared.crashes.set_after_ms(after_ms);
+    }
+
     /// Waits until a call has crashed it.
     pub async fn crashed(&self) {
         self.shared.crashes.crashed().await;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -237,6 +237,15 @@
         play(&SoakOptions { duration_ms: 16_000, ..options });
     }
 
+    // Endpoints crash one after the other, and no call is seen that does it: it runs at each for longer than its
+    // caller waits, so the daemon has closed the connection by the time at which the endpoint goes. What tells
+    // it is that the endpoint's entry lapses, though it never said that it leaves.
+    a_call_that_crashes_its_endpoints_after_its_time_is_held_back => {
+        let options = SoakOptions { services: 6, crashing_calls: 1, ..options(24, Script::Moments(Vec::new())) };
+        let options = SoakOptions { crash_after_ms: 2_300, ..options };
+        play(&SoakOptions { duration_ms: 24_000, ..options });
+    }
+
     // Callers of the plain service are refused for as long as the store is away: each daemon has to lose three
     // endpoints of its own to a call before it holds it back, as it can tell the others only by the store. Those that
     // start again are not listed meanwhile, so there are more of them here.
