An endpoint that ends soon after an attempt was given up counts as crashed under it

Cause: a crash counted only where its connection was still open; a call that runs for longer than its caller waits was never suspected. Change: attempts given up in silence are remembered for 6 s, 256 at the most; when an endpoint's entry goes or names a new start, though it never said that it leaves, they count as crashes. Ruled out: silence alone as evidence (an overloaded service gives no answers for minutes).

--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -240,11 +240,8 @@
                 Err(AttemptError::Refused { load, .. }) => in_flight.on_load(*load),
                 Err(error) => {
                     log::info!(request = &*outbound.id, content:% = asked.content(), instance = &*target.instance, error:% = error; "attempt lost");
-                    if matches!(error, AttemptError::Broken(_)) {
-                        let content = asked.content();
-                        self.quarantine
-                            .on_broken(content, &target.instance, is_trial);
-                    }
+                    let (content, instance) = (asked.content(), &target.instance);
+                    self.quarantine.on_lost(content, instance, error, is_trial);
                     in_flight.fail();
                 }
             }
--- a/crates/borageshore_gateway/src/endpoints.rs
+++ b/crates/borageshore_gateway/src/endpoints.rs
@@ -11,8 +11,8 @@
 use borageshore_net::Clock;
 use borageshore_platform::{EndpointClient, EndpointEntry, KeyedRecord, Target, decode_endpoint};
 use borageshore_routing::{
-    ChoiceRequest, EndpointRegister, EndpointState, EndpointTable, LoadReport, Registered,
-    choose_endpoint,
+    ChoiceRequest, EndpointListing, EndpointRegister, EndpointState, EndpointTable, LoadReport,
+    Registered, choose_endpoint,
 };
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -65,6 +65,10 @@
     read_at_ms: Cell<u64>,
     outage_ended_ms: Cell<Option<u64>>,
     random: RefCell<Pcg64Mcg>,
+    /// The instances that ended without having said that they leave, since they were last taken.
+    ended: RefCell<Vec<Arc<str>>>,
+    /// Told when an instance has ended so.
+    pub(crate) has_ended: Notify,
     /// Told when an endpoint may have become usable.
     pub(crate) changed: Notify,
 }
@@ -96,10 +100,24 @@
             read_at_ms: Cell::new(0),
             outage_ended_ms: Cell::new(None),
             random: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            ended: RefCell::default(),
+            has_ended: Notify::new(),
             changed: Notify::new(),
         })
     }
 
+    /// Takes the instances that ended without having said that they leave.
+    pub(crate) fn take_ended(&self) -> Vec<Arc<str>> {
+        self.ended.take()
+    }
+
+    fn note_ended(&self, listing: &EndpointListing) {
+        if listing.state == EndpointState::Live {
+            self.ended.borrow_mut().push(listing.name.clone());
+            self.has_ended.notify_one();
+        }
+    }
+
     /// Says whether any endpoint is known.
     pub(crate) fn is_known(&self) -> bool {
         !self.register.borrow().is_empty()
@@ -271,6 +289,9 @@
                 let before = known.as_ref().map_or("", |known| &*known.listing.address);
                 log::info!(id = &**id, started_at_ms = entry.started_at_ms; "endpoint started again");
                 self.client.forget(before);
+                if let Some(known) = &known {
+                    self.note_ended(&known.listing);
+                }
             }
             Registered::Late => {
                 log::info!(id = &**id, started_at_ms = entry.started_at_ms; "entry of an earlier incarnation left out");
@@ -347,6 +368,10 @@
     }
 
     fn remove(&self, instance: &Arc<str>) {
+        let known = self.register.borrow().get(instance).cloned();
+        if let Some(known) = &known {
+            self.note_ended(&known.listing);
+        }
         if self.register.borrow_mut().remove(instance) {
             log::info!(instance = &**instance; "endpoint gone");
             self.is_changed.set(true);
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -98,8 +98,13 @@
             clock,
             store_path.clone(),
         );
-        let quarantine =
-            Quarantine::spawn(store.clone(), members.clone(), clock, instruments.clone());
+        let quarantine = Quarantine::spawn(
+            store.clone(),
+            members.clone(),
+            endpoints.clone(),
+            clock,
+            instruments.clone(),
+        );
         // The boot clock tells two lives apart whose clock shows the same time.
         let author = format!("{}.{incarnation}.{}", config.name, boot_time_ms());
         let partitions = config.store_partitions;
--- a/crates/borageshore_gateway/src/item.rs
+++ b/crates/borageshore_gateway/src/item.rs
@@ -403,11 +403,9 @@
     fn lose(&self, place: Place, error: &AttemptError) -> Stay {
         self.context.instruments.count("item", "goes_on_elsewhere");
         log::info!(item = &*self.item.id, content:% = self.content(), instance = &*place.target.instance, error:% = error; "item goes on elsewhere");
-        if matches!(error, AttemptError::Broken(_)) {
-            let (content, instance) = (self.content(), &place.target.instance);
-            let quarantine = &self.context.quarantine;
-            quarantine.on_broken(content, instance, self.is_trial.get());
-        }
+        let (content, instance) = (self.content(), &place.target.instance);
+        let quarantine = &self.context.quarantine;
+        quarantine.on_lost(content, instance, error, self.is_trial.get());
         match error {
             AttemptError::Refused { status: 421, .. } => {
                 place.in_flight.fail();
--- a/crates/borageshore_gateway/src/quarantine/mod.rs
+++ b/crates/borageshore_gateway/src/quarantine/mod.rs
@@ -15,9 +15,10 @@
 
 use borageshore_diagnostics::Instruments;
 use borageshore_net::{Clock, within_ms};
-use borageshore_platform::{KeyedRecord, StoreError, Topic};
+use borageshore_platform::{AttemptError, KeyedRecord, StoreError, Topic};
 use borageshore_routing::{
-    Crash, CrashNews, CrashReport, CrashReports, Fingerprint, Quarantine as Table, Verdict,
+    Crash, CrashNews, CrashReport, CrashReports, Fingerprint, Quarantine as Table, SilentLosses,
+    Verdict,
 };
 use bytes::Bytes;
 use tokio::sync::Notify;
@@ -25,6 +26,7 @@
 use self::records::{Told, TrialNote, crash_key, decode_record, trial_key, trial_record};
 pub(crate) use self::{records::KEY_PREFIX, telling::CRASHES_PATH};
 use crate::{
+    endpoints::Endpoints,
     follow::{Fold, ONLY_PARTITION},
     members::Members,
     store_path::Store,
@@ -80,6 +82,7 @@
     members: Rc<Members>,
     instruments: Rc<Instruments>,
     table: RefCell<Table>,
+    silent_losses: RefCell<SilentLosses>,
     reports: RefCell<CrashReports>,
     /// Records for the store that no budget holds back; those without a value are removals.
     notes: RefCell<Vec<(Arc<str>, Bytes)>>,
@@ -99,6 +102,7 @@
     pub(crate) fn spawn(
         store: Store,
         members: Rc<Members>,
+        endpoints: Rc<Endpoints>,
         clock: Clock,
         instruments: Rc<Instruments>,
     ) -> Rc<Self> {
@@ -110,6 +114,7 @@
             members,
             instruments,
             table: RefCell::default(),
+            silent_losses: RefCell::default(),
             reports: RefCell::default(),
             notes: RefCell::default(),
             claims: Cell::new(0),
@@ -123,6 +128,7 @@
         });
         monoio::spawn(quarantine.clone().write());
         monoio::spawn(quarantine.clone().tell_peers());
+        monoio::spawn(quarantine.clone().follow_ends(endpoints));
         quarantine
     }
 
@@ -156,8 +162,41 @@
         self.table.borrow().is_empty() || self.verdict(&content()) == Verdict::Free
     }
 
+    /// Takes over that an attempt brought no answer.
+    pub(crate) fn on_lost(
+        &self,
+        content: Fingerprint,
+        instance: &Arc<str>,
+        error: &AttemptError,
+        is_trial: bool,
+    ) {
+        match error {
+            AttemptError::Broken(_) => self.on_broken(content, instance, is_trial),
+            AttemptError::Lost(_) => {
+                let now_ms = self.unix_ms();
+                let mut losses = self.silent_losses.borrow_mut();
+                losses.push(content, instance, is_trial, now_ms);
+            }
+            AttemptError::NotSent(_) | AttemptError::Refused { .. } => {}
+        }
+    }
+
+    /// Follows which endpoints end without a word: what they had not long before may have crashed them.
+    async fn follow_ends(self: Rc<Self>, endpoints: Rc<Endpoints>) {
+        loop {
+            endpoints.has_ended.notified().await;
+            for instance in endpoints.take_ended() {
+                let now_ms = self.unix_ms();
+                let suspects = self.silent_losses.borrow_mut().on_ended(&instance, now_ms);
+                for (content, is_trial) in suspects {
+                    self.on_broken(content, &instance, is_trial);
+                }
+            }
+        }
+    }
+
     /// Takes over that an endpoint broke off a request.
-    pub(crate) fn on_broken(&self, content: Fingerprint, instance: &Arc<str>, is_trial: bool) {
+    fn on_broken(&self, content: Fingerprint, instance: &Arc<str>, is_trial: bool) {
         let crash = Crash {
             instance: instance.clone(),
             is_trial,
--- a/crates/borageshore_gateway/src/rewards.rs
+++ b/crates/borageshore_gateway/src/rewards.rs
@@ -167,11 +167,8 @@
             Err(error) => {
                 let content = scoring.content();
                 log::info!(call = &*scoring.outbound.id, content:%, instance = &*target.instance, error:% = error; "reward call lost");
-                if matches!(error, AttemptError::Broken(_)) {
-                    parts
-                        .quarantine
-                        .on_broken(content, &target.instance, is_trial);
-                }
+                let quarantine = &parts.quarantine;
+                quarantine.on_lost(content, &target.instance, &error, is_trial);
                 in_flight.fail();
                 scoring.last = Some(target.instance);
                 None
--- a/crates/borageshore_routing/src/lib.rs
+++ b/crates/borageshore_routing/src/lib.rs
@@ -21,6 +21,7 @@
 mod register;
 mod request_attempts;
 mod routes;
+mod silent_losses;
 mod subset;
 
 pub use self::{
@@ -36,5 +37,6 @@
     register::{EndpointRegister, Registered},
     request_attempts::RequestAttempts,
     routes::{Route, RouteKind, RouteTable, RouteTarget},
+    silent_losses::SilentLosses,
     subset::subset_of,
 };
--- a/crates/borageshore_routing/tests/quarantine.rs
+++ b/crates/borageshore_routing/tests/quarantine.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use borageshore_routing::{
-    Crash, CrashNews, CrashReport, CrashReports, Fingerprint, Quarantine, RequestContent, Verdict,
+    Crash, CrashNews, CrashReport, CrashReports, Fingerprint, Quarantine, RequestContent,
+    SilentLosses, Verdict,
 };
 
 const FIRST_HOLD_MS: u64 = 1_000;
@@ -188,6 +189,17 @@
         assert_eq!(reports.take(&quarantine, 10, 21_000).len(), 4);
     }
 
+    // A request that ran for longer than its caller waits is not suspected, though its endpoint crashed under it.
+    an_endpoint_that_ends_soon_after_an_attempt_was_given_up_counts_as_crashed => {
+        let mut losses = SilentLosses::default();
+        let (one, other): (Arc<str>, Arc<str>) = ("endpoint-1".into(), "endpoint-2".into());
+        losses.push(content(1), &one, false, 1_000);
+        losses.push(content(2), &other, true, 2_000);
+        assert_eq!(losses.on_ended("endpoint-2", 7_999), [(content(2), true)]);
+        assert!(losses.on_ended("endpoint-2", 7_999).is_empty());
+        assert!(losses.on_ended("endpoint-1", 7_999).is_empty(), "too long ago");
+    }
+
     reports_that_were_not_taken_are_told_again => {
         let quarantine = Quarantine::default();
         let mut reports = CrashReports::default();
