--- a/crates/borageshore_bench/src/page.rs
+++ b/crates/borageshore_bench/src/page.rs
@@ -126,6 +126,7 @@
 |---|---|---|---|---|
 | every daemon: who lives | a record a daemon, 0.3 KB | 15 heartbeats a second to 3 watchers and as many from 3 others, 70 B each: 1 KB/s each way; the log's records of changes | changes, not daemons | watchers on a ring, suspicions in the log ([0011](decisions/0011-watching.md)) |
 | every daemon: routes, endpoints, index, orders | what it serves by; an endpoint's entry takes 0.25 KB on the wire | a waiting read of each topic every 1.2 s, 4 a second, and each change | endpoints, in memory; changes | one fold a topic |
+| every daemon: requests that crash endpoints | 4,096 requests at most, some 0.3 KB each: 1.3 MB; none on a calm day | a record of 150 B a crash that it saw; all read 40 a second of all daemons together, 6 KB/s, on the days with crashes; while the store is away 4 messages of 1 KB to peers every 300 ms | crashes, not daemons | records among those of daemons, claims in the log ([0012](decisions/0012-quarantine.md)) |
 | every daemon: a start | the same | the newest record of each endpoint and daemon, 0.3 KB | endpoints and daemons | pages of 500 records |
 | entry for callers | in-flight calls | a connection to each endpoint that it used lately | calls; its own connections to endpoints | two choices, ejection, a second endpoint beside a slow one |
 | owner of steps, one for a service up to 600 slots, then a share of the trainers each | submissions, texts under way | items, a stream each; results and progress to the store | slots of the service | one dispatcher sees all that runs at an engine |
