--- a/crates/borageshore_gateway/src/quarantine/mod.rs
+++ b/crates/borageshore_gateway/src/quarantine/mod.rs
@@ -203,7 +203,10 @@
             at_ms: self.unix_ms(),
         };
         let report = CrashReport { content, crash };
-        self.on_crash(report.clone());
+        if self.on_crash(report.clone()) == CrashNews::Suspected {
+            let crashes = self.table.borrow().crashes(&content);
+            log::info!(content:%, instance = &**instance, crashes; "a request is suspected of a crash");
+        }
         self.reports.borrow_mut().push(report);
         self.to_write.notify_one();
     }
@@ -238,6 +241,9 @@
 
     /// Forgets what ends by itself, and takes it out of the store if this daemon is the one to do so.
     pub(crate) fn expire(&self, is_first: bool) {
+        if self.table.borrow().is_empty() {
+            return;
+        }
         let ended = self.table.borrow_mut().expire(self.unix_ms());
         for (content, crashes) in ended {
             log::info!(content:%, crashes = crashes.len(); "a request is no longer suspected");
@@ -327,18 +333,14 @@
         crash.at_ms = crash.at_ms.min(self.unix_ms());
         let instance = crash.instance.clone();
         let news = self.table.borrow_mut().on_crash(content, crash);
-        let crashes = self.table.borrow().crashes(&content);
-        match news {
-            CrashNews::Known => return news,
-            CrashNews::Suspected => {
-                log::info!(content:%, instance = &*instance, crashes; "a request is suspected of a crash");
-            }
-            CrashNews::Held => {
-                log::warn!(content:%, instance = &*instance, crashes, verdict:? = self.verdict(&content); "a request is held back");
-                self.instruments.count("quarantine", "held");
-            }
+        if news == CrashNews::Held {
+            let crashes = self.table.borrow().crashes(&content);
+            log::warn!(content:%, instance = &*instance, crashes, verdict:? = self.verdict(&content); "a request is held back");
+            self.instruments.count("quarantine", "held");
+        }
+        if news != CrashNews::Known {
+            self.note_change();
         }
-        self.note_change();
         news
     }
 
@@ -347,7 +349,7 @@
         self.instruments
             .set("requests_suspected", table.len() as u64);
         self.instruments
-            .set("requests_held_back", table.held().count() as u64);
+            .set("requests_held_back", table.held_count() as u64);
         self.changed.notify_waiters();
     }
 
--- a/crates/borageshore_routing/src/quarantine.rs
+++ b/crates/borageshore_routing/src/quarantine.rs
@@ -20,7 +20,7 @@
 ///
 /// The first is short, for a proper request that met three crashes by bad luck, all at once where many callers ask
 /// the same: its trial clears it. The second is for a trial that showed nothing, at an endpoint that was full. A
-/// request that crashes its endpoints has two trials in the first six hours, and one a day after that.
+/// request that crashes its endpoints has three trials in the first seven hours, and one a day after that.
 const HOLDS_MS: [u64; 6] = [1_000, 10_000, 600_000, HOUR_MS, 6 * HOUR_MS, 24 * HOUR_MS];
 const HOUR_MS: u64 = 3_600_000;
 /// Suspicion ends this long after the last crash: callers repeat a request that failed within minutes.
@@ -71,17 +71,6 @@
     Held,
 }
 
-/// A request as operators see it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HeldRequest {
-    /// Its content.
-    pub content: Fingerprint,
-    /// The crashes under it.
-    pub crashes: Vec<Crash>,
-    /// When it may be tried again.
-    pub until_ms: u64,
-}
-
 #[derive(Debug, Default)]
 struct Entry {
     /// The crashes of different endpoints since its last success.
@@ -270,14 +259,11 @@
     }
 
     /// The requests that are held back or wait for a trial.
-    pub fn held(&self) -> impl Iterator<Item = HeldRequest> {
-        self.entries.iter().filter_map(|(content, entry)| {
-            Some(HeldRequest {
-                content: *content,
-                crashes: entry.crashes.clone(),
-                until_ms: entry.held_until_ms()?,
-            })
-        })
+    pub fn held_count(&self) -> usize {
+        let entries = self.entries.values();
+        entries
+            .filter(|entry| entry.held_until_ms().is_some())
+            .count()
     }
 
     /// The requests that are remembered.
--- a/crates/borageshore_routing/tests/quarantine.rs
+++ b/crates/borageshore_routing/tests/quarantine.rs
@@ -153,7 +153,7 @@
         }
         assert!(quarantine.expire(1_009 + HOUR_MS).is_empty());
         assert_eq!(quarantine.expire(1_010 + HOUR_MS).len(), 1);
-        assert_eq!(quarantine.held().count(), 1);
+        assert_eq!(quarantine.held_count(), 1);
         assert_eq!(quarantine.expire(2_000 + 24 * HOUR_MS).len(), 1);
         assert!(quarantine.is_empty());
     }
