--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -88,6 +88,8 @@
     pub crashing_calls: usize,
     /// How long such a call runs before its endpoint crashes.
     pub crash_after_ms: u64,
+    /// How long its caller waits before it leaves.
+    pub crashing_wait_ms: u64,
     /// Whether each step has an item that crashes the engines that run it.
     pub has_crashing_item: bool,
     /// Whether the reward call of an item of each step crashes the endpoints that run it.
@@ -115,6 +117,7 @@
             objective_ms: 200,
             crashing_calls: 0,
             crash_after_ms: 0,
+            crashing_wait_ms: 2_500,
             has_crashing_item: false,
             has_crashing_reward: false,
             long_texts: false,
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -8,7 +8,7 @@
 
 use base64::{Engine as _, prelude::BASE64_STANDARD};
 use borageshore_base::ResultCode;
-use borageshore_net::{Clock, HttpClient, Timeouts, sleep_ms};
+use borageshore_net::{Clock, HttpClient, Timeouts, sleep_ms, within_ms};
 use borageshore_standins::platform::{CRASH_MARK, PlatformService, PlatformStore};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -53,6 +53,7 @@
     pub(crate) until_ms: u64,
     /// What the names of steps begin with; "long" asks for long texts.
     pub(crate) step_name: &'static str,
+    pub(crate) crashing_wait_ms: u64,
     pub(crate) has_crashing_item: bool,
     pub(crate) has_crashing_reward: bool,
     pub(crate) calls: Cell<usize>,
@@ -146,7 +147,8 @@
         }
     }
 
-    /// Makes an idempotent call once, at any daemon; returns its status, 0 for no answer.
+    /// Makes an idempotent call once, at any daemon, and leaves when it has waited for long enough; returns its
+    /// status, 0 for no answer.
     pub(crate) async fn call_once(
         &self,
         id: &str,
@@ -161,7 +163,8 @@
         let wait = CALL_WAIT_MS.to_string();
         let headers = [("x-request-id", id), ("x-deadline-ms", &wait)];
         let body = Bytes::from(body.to_owned());
-        let answer = self.ask(front, "POST", path, &headers, body).await;
+        let asking = self.ask(front, "POST", path, &headers, body);
+        let answer = within_ms(self.crashing_wait_ms, asking).await.flatten();
         answer.map_or(0, |(status, _)| status.as_u16())
     }
 
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -64,6 +64,7 @@
         } else {
             "step"
         },
+        crashing_wait_ms: options.crashing_wait_ms,
         has_crashing_item: options.has_crashing_item,
         has_crashing_reward: options.has_crashing_reward,
         calls: Cell::new(0),
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -246,6 +246,14 @@
         play(&SoakOptions { duration_ms: 24_000, ..options });
     }
 
+    // Endpoints crash one after the other, and no attempt is lost: the caller leaves after a twentieth of a second each
+    // time, and the daemon closes the attempt's connection with it. The endpoint works on, and crashes.
+    a_call_whose_caller_has_left_is_held_back_for_the_endpoints_that_it_crashes => {
+        let options = SoakOptions { services: 6, crashing_calls: 1, ..options(25, Script::Moments(Vec::new())) };
+        let options = SoakOptions { crashing_wait_ms: 50, crash_after_ms: 300, ..options };
+        play(&SoakOptions { duration_ms: 16_000, ..options });
+    }
+
     // Callers of the plain service are refused for as long as the store is away: each daemon has to lose three
     // endpoints of its own to a call before it holds it back, as it can tell the others only by the store. Those that
     // start again are not listed meanwhile, so there are more of them here.
