A send without an outcome counts as given up in silence

Cause: an attempt whose caller leaves is dropped with its connection, so nothing was noted of it. Change: each send is a value that is told its outcome; dropped without one, it counts as given up, and as a crash if its endpoint ends within 6 s without having said so. Calls, reward calls and items say their outcomes in one place. Ruled out: waiting for the endpoint after the caller has left (it must stop work then).

--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -228,20 +228,18 @@
         let number = outcome.attempts.hand_over(target.instance.clone());
         Some(async move {
             let outbound = &asked.outbound;
+            let content = || asked.content();
+            let mut sent = self.quarantine.send(content, &target.instance, is_trial);
             let called = self.client.call(&target, outbound, deadline).await;
+            sent.on_outcome(&called);
             match &called {
                 Ok(answer) => {
                     in_flight.on_load(answer.load);
                     in_flight.end(!answer.status.is_server_error());
-                    if answer.status.is_success() && answer.stamp.is_some() {
-                        self.quarantine.on_success(|| asked.content());
-                    }
                 }
                 Err(AttemptError::Refused { load, .. }) => in_flight.on_load(*load),
                 Err(error) => {
                     log::info!(request = &*outbound.id, content:% = asked.content(), instance = &*target.instance, error:% = error; "attempt lost");
-                    let (content, instance) = (asked.content(), &target.instance);
-                    self.quarantine.on_lost(content, instance, error, is_trial);
                     in_flight.fail();
                 }
             }
--- a/crates/borageshore_gateway/src/item.rs
+++ b/crates/borageshore_gateway/src/item.rs
@@ -21,7 +21,7 @@
     ledger_view::LedgerView,
     mechanisms::{Mechanism, Mechanisms},
     progress::{Progress, Saving},
-    quarantine::{Leave, Quarantine},
+    quarantine::{Leave, Quarantine, Sent},
     rewards::{Reward, Rewards},
     routes::Routes,
     texts::Texts,
@@ -381,13 +381,19 @@
             priority: route.priority,
             first_byte_ms: FIRST_BYTE_MS,
         };
+        let instance = place.target.instance.clone();
+        let is_trial = self.is_trial.get();
+        let mut sent = self
+            .context
+            .quarantine
+            .send(|| self.content(), &instance, is_trial);
         let started = self
             .context
             .client
             .generate(&place.target, &generation_request)
             .await;
-        match started {
-            Ok(generation) => self.read(place, generation, request, text).await,
+        let stay = match started {
+            Ok(generation) => self.read(place, generation, request, text, &mut sent).await,
             Err(GenerationError::Failed) => {
                 place.in_flight.fail();
                 Stay::Failed
@@ -396,16 +402,19 @@
                 place.in_flight.succeed();
                 Stay::Invalid
             }
-            Err(GenerationError::Attempt(error)) => self.lose(place, &error),
-        }
+            Err(GenerationError::Attempt(error)) => self.lose(place, &error, &mut sent),
+        };
+        sent.on_end();
+        stay
     }
 
-    fn lose(&self, place: Place, error: &AttemptError) -> Stay {
+    fn lose<Content>(&self, place: Place, error: &AttemptError, sent: &mut Sent<Content>) -> Stay
+    where
+        Content: Fn() -> Fingerprint,
+    {
         self.context.instruments.count("item", "goes_on_elsewhere");
         log::info!(item = &*self.item.id, content:% = self.content(), instance = &*place.target.instance, error:% = error; "item goes on elsewhere");
-        let (content, instance) = (self.content(), &place.target.instance);
-        let quarantine = &self.context.quarantine;
-        quarantine.on_lost(content, instance, error, self.is_trial.get());
+        sent.on_error(error);
         match error {
             AttemptError::Refused { status: 421, .. } => {
                 place.in_flight.fail();
@@ -423,13 +432,17 @@
     }
 
     /// Reads events until the text is complete or the engine is given up.
-    async fn read(
+    async fn read<Content>(
         &self,
         place: Place,
         mut generation: Generation,
         request: &PlaceRequest,
         text: &mut Text,
-    ) -> Stay {
+        sent: &mut Sent<Content>,
+    ) -> Stay
+    where
+        Content: Fn() -> Fingerprint,
+    {
         let instance = place.in_flight.instance().clone();
         place.in_flight.on_load(generation.load);
         let mut version = generation.version;
@@ -446,12 +459,12 @@
                 Ok(Some(event)) => event,
                 Ok(None) => {
                     text.complete();
-                    self.context.quarantine.on_success(|| self.content());
+                    sent.on_success();
                     generation.release(&self.context.client);
                     place.in_flight.succeed();
                     return Stay::Complete;
                 }
-                Err(error) => return self.lose(place, &error),
+                Err(error) => return self.lose(place, &error, sent),
             };
             version = event.version.or(version);
             if version.is_some_and(|version| version > request.max_version) {
@@ -462,12 +475,12 @@
             if text.last_event() > events_before {
                 self.save_event(event.data, version);
                 if text.last_event() == sound_from {
-                    self.context.quarantine.on_success(|| self.content());
+                    sent.on_success();
                 }
             }
             if let Err(fault) = pushed {
                 let error = AttemptError::Lost(format!("event {}: {fault:?}", event.id));
-                return self.lose(place, &error);
+                return self.lose(place, &error, sent);
             }
             let now_us = self.context.clock.now_us();
             if let Some(before_us) = event_at_us.replace(now_us) {
--- a/crates/borageshore_gateway/src/quarantine/mod.rs
+++ b/crates/borageshore_gateway/src/quarantine/mod.rs
@@ -5,6 +5,7 @@
 //! calm day costs nothing, and a daemon that starts knows what is held. The log's order decides which claim counts.
 
 mod records;
+mod sent;
 mod telling;
 
 use std::{
@@ -15,7 +16,7 @@
 
 use borageshore_diagnostics::Instruments;
 use borageshore_net::{Clock, within_ms};
-use borageshore_platform::{AttemptError, KeyedRecord, StoreError, Topic};
+use borageshore_platform::{KeyedRecord, StoreError, Topic};
 use borageshore_routing::{
     Crash, CrashNews, CrashReport, CrashReports, Fingerprint, Quarantine as Table, SilentLosses,
     Verdict,
@@ -24,7 +25,7 @@
 use tokio::sync::Notify;
 
 use self::records::{Told, TrialNote, crash_key, decode_record, trial_key, trial_record};
-pub(crate) use self::{records::KEY_PREFIX, telling::CRASHES_PATH};
+pub(crate) use self::{records::KEY_PREFIX, sent::Sent, telling::CRASHES_PATH};
 use crate::{
     endpoints::Endpoints,
     follow::{Fold, ONLY_PARTITION},
@@ -162,25 +163,6 @@
         self.table.borrow().is_empty() || self.verdict(&content()) == Verdict::Free
     }
 
-    /// Takes over that an attempt brought no answer.
-    pub(crate) fn on_lost(
-        &self,
-        content: Fingerprint,
-        instance: &Arc<str>,
-        error: &AttemptError,
-        is_trial: bool,
-    ) {
-        match error {
-            AttemptError::Broken(_) => self.on_broken(content, instance, is_trial),
-            AttemptError::Lost(_) => {
-                let now_ms = self.unix_ms();
-                let mut losses = self.silent_losses.borrow_mut();
-                losses.push(content, instance, is_trial, now_ms);
-            }
-            AttemptError::NotSent(_) | AttemptError::Refused { .. } => {}
-        }
-    }
-
     /// Follows which endpoints end without a word: what they had not long before may have crashed them.
     async fn follow_ends(self: Rc<Self>, endpoints: Rc<Endpoints>) {
         loop {
@@ -212,7 +194,7 @@
     }
 
     /// Takes over that a request was answered with success.
-    pub(crate) fn on_success<Content>(&self, content: Content)
+    fn on_success<Content>(&self, content: Content)
     where
         Content: FnOnce() -> Fingerprint,
     {
--- a/crates/borageshore_gateway/src/rewards.rs
+++ b/crates/borageshore_gateway/src/rewards.rs
@@ -140,19 +140,23 @@
         let tried = scoring.last.take();
         let (target, in_flight) = parts.endpoints.choose(service, tried.as_slice())?;
         let deadline = Deadline::after(parts.clock, route.timeout_ms.min(TIMEOUT_MS));
-        match parts
-            .client
-            .call(&target, &scoring.outbound, deadline)
-            .await
-        {
+        let called = {
+            let content = || scoring.content();
+            let mut sent = parts.quarantine.send(content, &target.instance, is_trial);
+            let called = parts
+                .client
+                .call(&target, &scoring.outbound, deadline)
+                .await;
+            sent.on_outcome(&called);
+            called
+        };
+        match called {
             Ok(answer) => {
                 in_flight.on_load(answer.load);
                 let status = answer.status;
                 in_flight.end(!status.is_server_error());
                 if !status.is_success() {
                     scoring.last = Some(target.instance);
-                } else if answer.stamp.is_some() {
-                    parts.quarantine.on_success(|| scoring.content());
                 }
                 Some(match answer.stamp {
                     Some(score) if status.is_success() => Ok(score),
@@ -167,8 +171,6 @@
             Err(error) => {
                 let content = scoring.content();
                 log::info!(call = &*scoring.outbound.id, content:%, instance = &*target.instance, error:% = error; "reward call lost");
-                let quarantine = &parts.quarantine;
-                quarantine.on_lost(content, &target.instance, &error, is_trial);
                 in_flight.fail();
                 scoring.last = Some(target.instance);
                 None
