A trial that found no endpoint is made again within a fifth of a second

Cause: all endpoints down for a second as a trial was due held a proper call for two, as the first hold began anew. Change: a trial that was not sent leaves the request as it was, but for 200 ms.

--- a/crates/borageshore_routing/src/quarantine.rs
+++ b/crates/borageshore_routing/src/quarantine.rs
@@ -30,6 +30,9 @@
 const FORGOTTEN_MS: u64 = 24 * HOUR_MS;
 /// A trial without an outcome is over after this time: longer than a call may take to be answered.
 const TRIAL_MS: u64 = 5_000;
+/// A trial that found no endpoint is made again after this time: a caller is kept waiting for no longer than it
+/// takes to see an endpoint that is up again.
+const UNSENT_PAUSE_MS: u64 = 200;
 /// Requests that are remembered: those that 680 daemons lose in seven hours of 240 VM failures a day.
 const MOST_ENTRIES: usize = 4_096;
 /// Crashes that are remembered of one request, those of its trials not counted.
@@ -78,6 +81,8 @@
     /// The trials that were made, and when the last one began or was over.
     trials: u64,
     tried_ms: u64,
+    /// No trial begins before.
+    no_trial_before_ms: u64,
 }
 
 impl Entry {
@@ -89,7 +94,8 @@
         let failed = self.failed_trials();
         let step = (self.trials.max(failed) + failed) as usize;
         let hold_ms = HOLDS_MS[step.min(HOLDS_MS.len() - 1)];
-        Some(self.last_ms().max(self.tried_ms) + hold_ms)
+        let until_ms = self.last_ms().max(self.tried_ms) + hold_ms;
+        Some(until_ms.max(self.no_trial_before_ms))
     }
 
     fn failed_trials(&self) -> u64 {
@@ -116,6 +122,8 @@
     content: Fingerprint,
     claim: Arc<str>,
     began_ms: u64,
+    /// When the one before began or was over.
+    tried_before_ms: u64,
 }
 
 /// The requests that lost endpoints, as all daemons tell of them.
@@ -202,14 +210,17 @@
 
     /// Takes over that a daemon claims a trial of a request, by its number. Of several claims the first counts.
     pub fn on_claim(&mut self, content: Fingerprint, claim: Arc<str>, number: u64, now_ms: u64) {
-        if self.verdict(&content, now_ms) == Verdict::TrialDue {
-            self.count_trial(&content, number, now_ms);
-            self.trial = Some(Trial {
-                content,
-                claim,
-                began_ms: now_ms,
-            });
+        if self.verdict(&content, now_ms) != Verdict::TrialDue {
+            return;
         }
+        let entry = self.entries.get(&content);
+        self.trial = Some(Trial {
+            content,
+            claim,
+            began_ms: now_ms,
+            tried_before_ms: entry.map_or(0, |entry| entry.tried_ms),
+        });
+        self.count_trial(&content, number, now_ms);
     }
 
     /// Takes over that a trial of a request was made, by its number, whatever came of it.
@@ -227,13 +238,13 @@
     /// Takes over that a trial of a request was not made, as no endpoint was there to send it to, or the claim came
     /// too late for its caller.
     pub fn on_trial_unmade(&mut self, content: &Fingerprint, claim: &str, now_ms: u64) {
-        if !self.has_trial(claim) {
+        let Some(trial) = self.trial.take_if(|trial| &*trial.claim == claim) else {
             return;
-        }
-        self.end_trial(content);
+        };
         if let Some(entry) = self.entries.get_mut(content) {
             entry.trials = entry.trials.saturating_sub(1);
-            entry.tried_ms = entry.tried_ms.max(now_ms);
+            entry.tried_ms = trial.tried_before_ms;
+            entry.no_trial_before_ms = now_ms + UNSENT_PAUSE_MS;
         }
     }
 
--- a/crates/borageshore_routing/tests/quarantine.rs
+++ b/crates/borageshore_routing/tests/quarantine.rs
@@ -8,6 +8,7 @@
 };
 
 const FIRST_HOLD_MS: u64 = 1_000;
+const UNSENT_PAUSE_MS: u64 = 200;
 const UNDECIDED_HOLD_MS: u64 = 10_000;
 const SECOND_HOLD_MS: u64 = 600_000;
 const HOUR_MS: u64 = 3_600_000;
@@ -105,14 +106,15 @@
 
     // An item waits for its score for 10 s, though its reward call is a proper one: it met three crashes, and when it
     // was tried no endpoint was up that it could be sent to. What was not sent is no trial.
-    a_trial_that_was_not_sent_is_made_a_second_later => {
+    a_trial_that_was_not_sent_is_made_a_moment_later => {
         let mut quarantine = crashed(1, 3);
         let due_ms = 1_020 + FIRST_HOLD_MS;
         quarantine.on_claim(content(1), "vm-1".into(), 1, due_ms);
         quarantine.on_trial_unmade(&content(1), "vm-1", due_ms + 5);
         assert_eq!(quarantine.trials(&content(1)), 0);
-        let held = Verdict::Held { again_ms: FIRST_HOLD_MS };
+        let held = Verdict::Held { again_ms: UNSENT_PAUSE_MS };
         assert_eq!(quarantine.verdict(&content(1), due_ms + 5), held);
+        assert_eq!(quarantine.verdict(&content(1), due_ms + 5 + UNSENT_PAUSE_MS), Verdict::TrialDue);
     }
 
     // Two sends are made for one trial: the daemon whose claim came second says that it made none, or one that was
