What waits while it is held back goes on as soon as it is free

Cause, found by reading: an item or reward call that was held slept through its hold, though another daemon's success had freed it.

--- a/crates/borageshore_gateway/src/item.rs
+++ b/crates/borageshore_gateway/src/item.rs
@@ -279,7 +279,8 @@
                 let left_ms = give_up_ms.saturating_sub(context.clock.now_ms());
                 context.instruments.count("quarantine", "waits");
                 log::info!(item = &*self.item.id, content:% = self.content(), again_ms = held.again_ms; "item held back");
-                sleep_ms(held.again_ms.min(left_ms)).await;
+                let content = self.content();
+                context.quarantine.wait(content, held, left_ms).await;
                 None
             }
         }
--- a/crates/borageshore_gateway/src/quarantine/mod.rs
+++ b/crates/borageshore_gateway/src/quarantine/mod.rs
@@ -15,7 +15,7 @@
 };
 
 use borageshore_diagnostics::Instruments;
-use borageshore_net::{Clock, within_ms};
+use borageshore_net::{Clock, sleep_ms, within_ms};
 use borageshore_platform::{KeyedRecord, StoreError, Topic};
 use borageshore_routing::{
     Crash, CrashNews, CrashReport, CrashReports, Fingerprint, Quarantine as Table, SilentLosses,
@@ -168,6 +168,22 @@
         }
     }
 
+    /// Waits until a request that is held back may be tried, or is free, for so long at the most.
+    pub(crate) async fn wait(&self, content: Fingerprint, held: Held, most_ms: u64) {
+        let until_ms = self.clock.now_ms().saturating_add(most_ms);
+        // A trial that cannot be claimed is due all the while.
+        sleep_ms(held.again_ms.min(CLAIM_MS).min(most_ms)).await;
+        loop {
+            let left_ms = until_ms.saturating_sub(self.clock.now_ms());
+            match self.verdict(&content) {
+                Verdict::Held { again_ms } if left_ms > 0 => {
+                    within_ms(again_ms.min(left_ms), self.changed.notified()).await;
+                }
+                _ => return,
+            }
+        }
+    }
+
     /// Says whether a request that was sent already may be sent once more.
     pub(crate) fn may_repeat<Content>(&self, content: Content) -> bool
     where
--- a/crates/borageshore_gateway/src/rewards.rs
+++ b/crates/borageshore_gateway/src/rewards.rs
@@ -103,7 +103,7 @@
                         return Reward::Failed;
                     }
                     log::info!(call = &*call.id, content:% = scoring.content(), again_ms = held.again_ms; "reward call held back");
-                    sleep_ms(held.again_ms.min(left_ms)).await;
+                    quarantine.wait(scoring.content(), held, left_ms).await;
                     continue;
                 }
             };
