Crashes seen while an append is under way are told to peers as soon as the store is late

Cause, from the logs of the daemons of a failed play: vm-0 lost three endpoints to one call within 65 ms. The append of the first report began at once, and peers were told of that one 150 ms later; the other two came before the store counted as late and waited for the end of the append, 2.1 s ("not told yet, records: 1" at 24.107). vm-2 was asked 1.4 s after the first call, knew of one crash and lost two endpoints; vm-1 knew of two and lost one. Change: when an append is late, peers are told of all that waits by then. Ruled out: lost messages (none failed), the pause between messages (300 ms), the budget of reports.

--- a/crates/borageshore_gateway/src/quarantine/telling.rs
+++ b/crates/borageshore_gateway/src/quarantine/telling.rs
@@ -87,6 +87,9 @@
             Either::Right((_, appending)) => {
                 self.is_store_late.set(true);
                 self.tell_on(reports);
+                // What was seen since the append began would wait for its end, two seconds in an outage; meanwhile
+                // each peer loses endpoints of its own to the same request.
+                self.tell_on(self.reports.borrow().waiting());
                 appending.await
             }
         };
--- a/crates/borageshore_routing/src/crash_reports.rs
+++ b/crates/borageshore_routing/src/crash_reports.rs
@@ -51,6 +51,11 @@
         self.waiting.is_empty()
     }
 
+    /// What waits, in no order.
+    pub fn waiting(&self) -> &[CrashReport] {
+        &self.waiting
+    }
+
     /// Notes a crash; without room, the oldest report goes.
     pub fn push(&mut self, report: CrashReport) {
         if self.waiting.len() >= MOST_WAITING {
