--- /dev/null
+++ b/crates/borageshore_access/src/lib.rs
@@ -0,0 +1,25 @@
+//! Who may ask: organisations, their keys, and how old the knowledge of them may be.
+//!
+//! Everything here is a decision on what was read elsewhere: no I/O, no clock.
+//!
+//! ```
+//! use borageshore_access::{KeyDigest, Organisation, Organisations};
+//!
+//! let organisation = Organisation { name: "mill".into(), priority: None };
+//! let organisations = Organisations::open(vec![(organisation, vec![KeyDigest::of(b"k-1")])]);
+//! let owner = organisations.owner_of(&KeyDigest::of(b"k-1")).unwrap();
+//! assert_eq!(&*owner.name, "mill");
+//! assert!(organisations.owner_of(&KeyDigest::of(b"k-2")).is_none());
+//! ```
+
+mod decision;
+mod key;
+mod organisations;
+mod scope;
+
+pub use self::{
+    decision::{Access, Credentials, KeyView, decide},
+    key::KeyDigest,
+    organisations::{Organisation, Organisations},
+    scope::scoped,
+};
--- /dev/null
+++ b/crates/borageshore_access/tests/access.rs
@@ -0,0 +1,147 @@
+//! Who may ask, and from how old a view that may be said.
+
+use borageshore_access::{
+    Access, Credentials, KeyDigest, KeyView, Organisation, Organisations, decide, scoped,
+};
+
+const MOST_AGE_MS: u64 = 5_000;
+
+fn organisations(list: &[(&str, &[&str])]) -> Organisations {
+    let organisation = |(name, keys): &(&str, &[&str])| {
+        let organisation = Organisation {
+            name: (*name).into(),
+            priority: None,
+        };
+        let keys = keys.iter().map(|key| KeyDigest::of(key.as_bytes()));
+        (organisation, keys.collect())
+    };
+    Organisations::open(list.iter().map(organisation).collect())
+}
+
+fn with_key(key: &str) -> Credentials {
+    Credentials {
+        key: Some(KeyDigest::of(key.as_bytes())),
+        is_public: false,
+    }
+}
+
+const NO_KEY: Credentials = Credentials {
+    key: None,
+    is_public: false,
+};
+
+fn aged(age_ms: u64) -> KeyView {
+    KeyView {
+        age_ms: Some(age_ms),
+        most_age_ms: Some(MOST_AGE_MS),
+    }
+}
+
+fn name(access: Access) -> Option<String> {
+    match access {
+        Access::Granted(owner) => Some(owner.map_or("-".into(), |owner| owner.name.to_string())),
+        _ => None,
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[test] fn $name() $body)*
+    };
+}
+
+cases! {
+    without_organisations_nobody_needs_a_key => {
+        let none = Organisations::default();
+        assert_eq!(name(decide(&none, NO_KEY, aged(60_000))).as_deref(), Some("-"));
+        assert_eq!(name(decide(&none, with_key("k"), aged(60_000))).as_deref(), Some("-"));
+    }
+
+    a_key_names_its_organisation => {
+        let table = organisations(&[("mill", &["k1", "k2"]), ("farm", &["k3"])]);
+        for (key, owner) in [("k1", "mill"), ("k2", "mill"), ("k3", "farm")] {
+            assert_eq!(name(decide(&table, with_key(key), aged(0))).as_deref(), Some(owner));
+        }
+    }
+
+    // A key that was taken away goes on being served at a VM that is cut off.
+    // The VM knows nothing of the change; what it has was asked for before.
+    a_known_key_is_good_only_while_the_view_is_new => {
+        let table = organisations(&[("mill", &["k1"])]);
+        assert!(name(decide(&table, with_key("k1"), aged(MOST_AGE_MS))).is_some());
+        assert_eq!(decide(&table, with_key("k1"), aged(MOST_AGE_MS + 1)), Access::ViewTooOld);
+        let never_read = KeyView { age_ms: None, most_age_ms: None };
+        assert_eq!(decide(&table, with_key("k1"), never_read), Access::ViewTooOld);
+    }
+
+    without_a_bound_a_known_key_stays_good => {
+        let table = organisations(&[("mill", &["k1"])]);
+        let view = KeyView { age_ms: Some(3_600_000), most_age_ms: None };
+        assert!(name(decide(&table, with_key("k1"), view)).is_some());
+    }
+
+    // A caller whose key was added a moment ago is told that it is unknown, and gives up.
+    a_denial_needs_a_view_that_was_just_asked_for => {
+        let table = organisations(&[("mill", &["k1"])]);
+        for asked in [with_key("k9"), NO_KEY] {
+            assert_eq!(decide(&table, asked, aged(0)), Access::Denied);
+            assert_eq!(decide(&table, asked, aged(2_000)), Access::Unconfirmed);
+            assert_eq!(decide(&table, asked, aged(60_000)), Access::Unconfirmed);
+        }
+    }
+
+    a_public_route_asks_for_no_key => {
+        let table = organisations(&[("mill", &["k1"])]);
+        let public = |asked: Credentials| Credentials { is_public: true, ..asked };
+        assert_eq!(name(decide(&table, public(NO_KEY), aged(60_000))).as_deref(), Some("-"));
+        assert_eq!(name(decide(&table, public(with_key("k9")), aged(0))).as_deref(), Some("-"));
+        assert_eq!(name(decide(&table, public(with_key("k1")), aged(0))).as_deref(), Some("mill"));
+    }
+
+    a_key_of_two_organisations_belongs_to_neither => {
+        let table = organisations(&[("mill", &["k1", "k2"]), ("farm", &["k2"])]);
+        assert!(table.owner_of(&KeyDigest::of(b"k2")).is_none());
+        assert!(table.owner_of(&KeyDigest::of(b"k1")).is_some());
+    }
+
+    a_key_that_is_named_twice_stays_good => {
+        let table = organisations(&[("mill", &["k1", "k1"])]);
+        assert!(table.owner_of(&KeyDigest::of(b"k1")).is_some());
+    }
+
+    neither_key_nor_digest_is_shown => {
+        let table = organisations(&[("mill", &["secret-1"])]);
+        let digest = format!("{:?}", KeyDigest::of(b"secret-1"));
+        assert_eq!(digest, format!("{:?}", KeyDigest::of(b"secret-2")));
+        assert!(!format!("{table:?}").contains("secret-1"));
+    }
+
+    names_of_two_organisations_never_meet => {
+        let all = [
+            scoped(None, "a"), scoped(Some("mill"), "a"), scoped(Some("farm"), "a"),
+            scoped(Some("mill/a"), "a"), scoped(Some(""), "a"), scoped(Some("mill.a"), "a"),
+        ];
+        for (at, one) in all.iter().enumerate() {
+            assert!(one.is_some() && !all[..at].contains(one), "{one:?}");
+        }
+        assert_eq!(scoped(None, "mill~a"), None);
+        assert_eq!(scoped(Some("farm"), "mill~a"), None);
+    }
+
+    // Random tables against a plain list: a key belongs to the one organisation that has it.
+    lookups_agree_with_a_plain_list => {
+        bolero::check!().with_type::<Vec<(u8, u8)>>().for_each(|pairs| {
+            let organisation = |name: u8| Organisation { name: name.to_string().into(), priority: None };
+            let listed = pairs.iter().map(|(name, key)| (organisation(*name), vec![KeyDigest::of(&[*key])]));
+            let table = Organisations::open(listed.collect());
+            for asked in 0..=u8::MAX {
+                let mut owners: Vec<u8> = pairs.iter().filter(|(_, key)| *key == asked).map(|(name, _)| *name).collect();
+                owners.sort_unstable();
+                owners.dedup();
+                let only = (owners.len() == 1).then(|| owners[0].to_string());
+                let found = table.owner_of(&KeyDigest::of(&[asked]));
+                assert_eq!(found.map(|owner| owner.name.to_string()), only);
+            }
+        });
+    }
+}
--- a/crates/borageshore_base/src/code.rs
+++ b/crates/borageshore_base/src/code.rs
@@ -72,6 +72,8 @@
     KeyOwnerGone = 3007, 409, "The daemon that may run this key is gone; whether it ran is unknown.";
     KeyMemoryFull = 3008, 503, "No more request keys can be remembered now; the request was not run.";
     TooManyConnections = 3009, 503, "The daemon has reached its connection limit.";
+    UnknownCaller = 3010, 401, "The key is missing or belongs to no organisation; the request was not run.";
+    KeysTooOld = 3011, 503, "What is known of keys is too old to rely on; the request was not run.";
     NotReady = 4001, 503, "The daemon has no settings yet; the request was not run.";
     UnknownService = 4002, 404, "No such service; the request was not run.";
     NoEndpoint = 4003, 503, "No endpoint can take the request now; it was not run.";
--- a/crates/borageshore_batch/src/ledger.rs
+++ b/crates/borageshore_batch/src/ledger.rs
@@ -181,8 +181,13 @@
     ///
     /// Trainers send groups again that were not complete at the end of a step, under the same ids;
     /// what was finished of them need not be made again.
-    pub fn earlier_result(&self, item: &Item, min_version: u64) -> Option<Arc<ItemResult>> {
-        let states = self.submissions.values();
+    pub fn earlier_result(&self, of: &Submission, item: &Item) -> Option<Arc<ItemResult>> {
+        let min_version = of.min_version;
+        let is_same_caller = |state: &&SubmissionState| {
+            let known = state.submission.as_ref();
+            known.is_some_and(|known| known.organisation == of.organisation)
+        };
+        let states = self.submissions.values().filter(is_same_caller);
         let fits = |state: &SubmissionState| {
             let known = state.item(&item.id)?;
             let result = state.results.iter().find(|result| result.item == item.id)?;
--- a/crates/borageshore_batch/src/submission.rs
+++ b/crates/borageshore_batch/src/submission.rs
@@ -7,8 +7,11 @@
 /// Many requests for tokens that were handed in at once and run later.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submission {
-    /// Its id, chosen by the trainer.
+    /// Its id, chosen by the trainer, within its organisation.
     pub id: Arc<str>,
+    /// Whose it is; nobody's where callers need no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<Arc<str>>,
     /// The host of its route.
     pub host: Arc<str>,
     /// The path that it came under; with the host it selects the route.
@@ -29,6 +32,15 @@
         self.model.as_ref().unwrap_or(&self.id)
     }
 
+    /// The name under which what was made of an item is kept: another organisation's item of the same name is
+    /// another one.
+    pub fn kept_name(&self, item: &Item) -> Arc<str> {
+        match &self.organisation {
+            Some(organisation) => format!("{organisation}/{}", item.id).into(),
+            None => item.id.clone(),
+        }
+    }
+
     /// The tokens that its items are expected to make; an item without a hint counts as one.
     pub fn expected_tokens(&self) -> u64 {
         let hints = self.items.iter().map(|item| item.length_hint_tokens);
--- a/crates/borageshore_batch/src/view_position.rs
+++ b/crates/borageshore_batch/src/view_position.rs
@@ -9,6 +9,7 @@
 pub struct ViewPosition {
     next: Option<u64>,
     whole_at_ms: Option<u64>,
+    asked_at_ms: Option<u64>,
 }
 
 impl ViewPosition {
@@ -40,6 +41,19 @@
         is_whole
     }
 
+    /// Notes that a view was whole as of a question asked at `asked_at_ms`, on a clock that counts suspensions.
+    pub fn on_asked(&mut self, asked_at_ms: u64) {
+        self.asked_at_ms = self.asked_at_ms.max(Some(asked_at_ms));
+    }
+
+    /// When the newest question was asked whose answer made the view whole.
+    ///
+    /// Guards against an answer that lay in a buffer while the VM was suspended: it is read late, and says nothing
+    /// of the time since.
+    pub fn asked_at_ms(&self) -> Option<u64> {
+        self.asked_at_ms
+    }
+
     /// Says whether the view was whole at `since_ms` or later.
     pub fn is_whole_since(&self, since_ms: u64) -> bool {
         self.whole_at_ms
--- a/crates/borageshore_batch/tests/ledger.rs
+++ b/crates/borageshore_batch/tests/ledger.rs
@@ -26,6 +26,7 @@
 fn submission(id: &str, items: &[&str]) -> Submission {
     Submission {
         id: id.into(),
+        organisation: None,
         host: "h".into(),
         path: "/p/".into(),
         model: Some("m".into()),
@@ -236,9 +237,26 @@
         partition.append(&result("a", "a"), "x.1");
         let ledger = followed(&partition);
         let again = item("a", "a");
-        assert!(ledger.earlier_result(&again, 3).is_some());
-        assert!(ledger.earlier_result(&again, 4).is_none(), "made under an older version");
+        let asked_under = |min_version| Submission { min_version, ..submission("s2", &["a"]) };
+        assert!(ledger.earlier_result(&asked_under(3), &again).is_some());
+        assert!(ledger.earlier_result(&asked_under(4), &again).is_none(), "made under an older version");
         let other_reward = Item { reward: None, ..again };
-        assert!(ledger.earlier_result(&other_reward, 3).is_none(), "its score is of another call");
+        assert!(ledger.earlier_result(&asked_under(3), &other_reward).is_none(), "its score is of another call");
+    }
+
+    // A trainer is given a text that another organisation's trainer paid for.
+    // Both named an item the same; what was made earlier was looked up by the item's name alone.
+    a_text_of_another_organisation_is_never_used => {
+        let mut partition = Partition::default();
+        let mill = Submission { organisation: Some("mill".into()), ..submission("s1", &["a"]) };
+        partition.append(&LedgerRecord::Accept(Arc::new(mill.clone())), "");
+        partition.append(&result("a", "a"), "x.1");
+        let ledger = followed(&partition);
+        let again = item("a", "a");
+        let farm = Submission { organisation: Some("farm".into()), ..mill.clone() };
+        assert!(ledger.earlier_result(&mill, &again).is_some());
+        assert!(ledger.earlier_result(&farm, &again).is_none());
+        assert!(ledger.earlier_result(&submission("s2", &["a"]), &again).is_none());
+        assert_ne!(mill.kept_name(&again), farm.kept_name(&again));
     }
 }
--- a/crates/borageshore_batch/tests/ledger_fuzz.rs
+++ b/crates/borageshore_batch/tests/ledger_fuzz.rs
@@ -103,6 +103,7 @@
     };
     LedgerRecord::Accept(Arc::new(Submission {
         id: "s".into(),
+        organisation: None,
         host: "h".into(),
         path: "/p/".into(),
         model: None,
--- a/crates/borageshore_batch/tests/order.rs
+++ b/crates/borageshore_batch/tests/order.rs
@@ -19,6 +19,7 @@
     }
     Submission {
         id: "s1".into(),
+        organisation: None,
         host: "h".into(),
         path: "/p/".into(),
         model: None,
--- a/crates/borageshore_batch/tests/view_position.rs
+++ b/crates/borageshore_batch/tests/view_position.rs
@@ -46,3 +46,20 @@
     position.on_page(101, 101, 1_025);
     assert!(position.is_whole_since(1_020));
 }
+
+// A key that was taken away is served by a VM that was suspended for a minute.
+// The answer to its last question had come before and lay in a buffer; read late, it passed for new.
+#[test]
+fn the_age_of_a_view_counts_from_its_question() {
+    let mut position = ViewPosition::default();
+    assert_eq!(position.asked_at_ms(), None);
+    position.on_asked(1_000);
+    position.on_asked(900);
+    assert_eq!(position.asked_at_ms(), Some(1_000));
+    position.reset();
+    assert_eq!(
+        position.asked_at_ms(),
+        Some(1_000),
+        "what is known is as old as before"
+    );
+}
--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -20,6 +20,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
 use crate::{
+    access::{CallerAccess, Denial, Pass},
     endpoints::Endpoints,
     quarantine::{Held, Leave, Quarantine},
 };
@@ -38,6 +39,7 @@
 /// Forwards calls.
 #[derive(Debug)]
 pub(crate) struct Calls {
+    access: Rc<CallerAccess>,
     endpoints: Rc<Endpoints>,
     client: EndpointClient,
     clock: Clock,
@@ -50,6 +52,7 @@
 #[derive(Debug)]
 struct Asked {
     outbound: Outbound,
+    pass: Pass,
     content: OnceCell<Fingerprint>,
 }
 
@@ -69,6 +72,7 @@
 
 impl Calls {
     pub(crate) fn open(
+        access: Rc<CallerAccess>,
         endpoints: Rc<Endpoints>,
         client: EndpointClient,
         clock: Clock,
@@ -76,6 +80,7 @@
         instruments: Rc<Instruments>,
     ) -> Rc<Self> {
         Rc::new(Self {
+            access,
             endpoints,
             client,
             clock,
@@ -86,7 +91,13 @@
     }
 
     /// Forwards a call and answers within its time.
-    pub(crate) async fn forward(&self, head: CallHead, route: &Route, body: Bytes) -> EdgeResponse {
+    pub(crate) async fn forward(
+        &self,
+        head: CallHead,
+        pass: Pass,
+        route: &Route,
+        body: Bytes,
+    ) -> EdgeResponse {
         let started_ms = self.clock.now_ms();
         let wait_ms = head.deadline_ms.min(route.timeout_ms);
         let deadline = Deadline::after(self.clock, wait_ms.saturating_sub(ANSWER_MARGIN_MS));
@@ -97,9 +108,11 @@
             target: head.target,
             headers: head.headers,
             body,
+            organisation: pass.organisation().cloned(),
         };
         let asked = Asked {
             outbound,
+            pass,
             content: OnceCell::new(),
         };
         let leave = match self.quarantine.admit(|| asked.content()).await {
@@ -117,6 +130,9 @@
         self.instruments.record_ms("call", took_ms);
         let response = match answered {
             Some(whole) => answer(whole),
+            None if outcome.attempts.tried().is_empty() && !self.access.is_good(&asked.pass) => {
+                Denial::ViewTooOld.answer()
+            }
             None => give_up(&outcome, deadline),
         };
         let status = response.status().as_u16();
@@ -214,6 +230,10 @@
         deadline: Deadline,
         outcome: &mut CallOutcome,
     ) -> Option<impl Future<Output = (usize, Result<Answer, AttemptError>)> + use<'c>> {
+        if !self.access.is_good(&asked.pass) {
+            log::info!(request = &*asked.outbound.id; "a call is not sent any more, its key is not good now");
+            return None;
+        }
         let chosen = self.endpoints.choose(service, outcome.attempts.tried());
         // All were tried: once more any of them.
         let (target, in_flight) = match chosen {
--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -39,6 +39,9 @@
     pub results_kept_s: u64,
     /// Orders of two holders to one engine are at least this far apart.
     pub order_lease_ms: u64,
+    /// How long after a key was taken away requests with it may still run; without it, as long as the store is away.
+    #[serde(default)]
+    pub key_revocation_ms: Option<u64>,
     /// The share of the engines that load weights at once without slowing each other.
     pub parallel_loads_percent: usize,
     /// The share of a model's engines that load each version.
--- a/crates/borageshore_gateway/src/follow.rs
+++ b/crates/borageshore_gateway/src/follow.rs
@@ -6,7 +6,7 @@
 };
 
 use borageshore_batch::ViewPosition;
-use borageshore_net::{Clock, sleep_ms};
+use borageshore_net::{Clock, boot_time_ms, sleep_ms};
 use borageshore_platform::{KeyedRecord, Page, StoreError, Topic};
 
 use crate::store_path::Store;
@@ -119,6 +119,11 @@
         position.is_whole_within(age_ms, self.spec.clock.now_ms())
     }
 
+    /// When the newest question was asked whose answer made the view whole, on the clock that counts suspensions.
+    pub(crate) fn asked_at_ms(&self) -> Option<u64> {
+        self.position.borrow().asked_at_ms()
+    }
+
     /// Ends the following once the present read is over.
     pub(crate) fn stop(&self) {
         self.is_stopped.set(true);
@@ -147,6 +152,7 @@
     }
 
     async fn load(&self) -> Result<usize, StoreError> {
+        let asked_at_ms = boot_time_ms();
         let page = match self.spec.begin {
             Begin::Newest => {
                 self.spec
@@ -163,7 +169,7 @@
                 records: Vec::new(),
             },
         };
-        Ok(self.take(page, 0))
+        Ok(self.take(page, 0, asked_at_ms))
     }
 
     async fn read(&self, wait_ms: u64) -> Result<usize, StoreError> {
@@ -171,15 +177,16 @@
             return Err(StoreError::NotDone("nothing was read yet".into()));
         };
         let spec = &self.spec;
+        let asked_at_ms = boot_time_ms();
         let page = spec
             .store
             .read(spec.topic, spec.partition, from, wait_ms)
             .await?;
-        Ok(self.take(page, from))
+        Ok(self.take(page, from, asked_at_ms))
     }
 
     /// Applies what is new: two reads may bring the same records.
-    fn take(&self, page: Page, from: u64) -> usize {
+    fn take(&self, page: Page, from: u64, asked_at_ms: u64) -> usize {
         if self.is_stopped.get() {
             return 0;
         }
@@ -189,7 +196,8 @@
             .partition_point(|record| record.offset < applied);
         let records = &page.records[new..];
         let after_last = page.records.last().map_or(from, |last| last.offset + 1);
-        if self.move_to(after_last, page.end) {
+        let is_whole = self.move_to(after_last, page.end);
+        if is_whole {
             self.fold.on_fresh();
         }
         if self.is_lost.replace(false) {
@@ -198,6 +206,9 @@
         if !records.is_empty() {
             self.fold.apply(records);
         }
+        if is_whole {
+            self.position.borrow_mut().on_asked(asked_at_ms);
+        }
         records.len()
     }
 
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use borageshore_platform::{EndpointClient, Topic};
 
 use crate::{
+    access::CallerAccess,
     calls::Calls,
     cleaner::Cleaner,
     config::GatewayConfig,
@@ -157,7 +158,13 @@
             clock,
             pause_ms,
         };
-        Follow::spawn(spec(Topic::Operator, AT_ONCE_MS), routes.clone());
+        let followed_routes = Follow::spawn(spec(Topic::Operator, AT_ONCE_MS), routes.clone());
+        let access = CallerAccess::open(
+            routes.clone(),
+            followed_routes,
+            config.key_revocation_ms,
+            instruments.clone(),
+        );
         Follow::spawn(spec(Topic::Endpoints, AT_ONCE_MS), endpoints.clone());
         let fleet_records = FleetRecords {
             members: members.clone(),
@@ -201,7 +208,9 @@
             life: life.clone(),
             routes: routes.clone(),
             members: members.clone(),
+            access: access.clone(),
             calls: Calls::open(
+                access,
                 endpoints.clone(),
                 client,
                 clock,
--- a/crates/borageshore_gateway/src/item.rs
+++ b/crates/borageshore_gateway/src/item.rs
@@ -95,6 +95,7 @@
         context: &context,
         submission: &submission,
         item,
+        kept_name: submission.kept_name(item),
         rank,
         seen_at_ms,
         timing: Timing::default(),
@@ -123,6 +124,8 @@
     context: &'r ItemContext,
     submission: &'r Submission,
     item: &'r Item,
+    /// The name under which its text is kept.
+    kept_name: Arc<str>,
     rank: (u64, ItemRank),
     seen_at_ms: u64,
     timing: Timing,
@@ -145,7 +148,7 @@
             return result;
         }
         let texts = &self.context.texts;
-        let mut kept = texts.take(&self.item.id, self.submission.min_version);
+        let mut kept = texts.take(&self.kept_name, self.submission.min_version);
         let text = kept.text();
         if !text.is_complete() && !self.generate(text).await {
             kept.discard();
@@ -175,14 +178,13 @@
 
     /// The result of the same item in an earlier submission, if its reward call is the same too.
     fn earlier_result(&self) -> Option<ItemResult> {
-        let min_version = self.submission.min_version;
         let is_one_version = |result: &ItemResult| result.versions.len() <= 1;
         let route = self
             .context
             .routes
             .find(&self.submission.host, &self.submission.path)?;
         self.context.view.with(|ledger| {
-            let earlier = ledger.earlier_result(self.item, min_version)?;
+            let earlier = ledger.earlier_result(self.submission, self.item)?;
             let fits = !route.is_single_version || is_one_version(&earlier);
             fits.then(|| ItemResult::clone(&earlier))
         })
@@ -190,7 +192,7 @@
 
     /// Names what the engine is asked.
     fn content(&self) -> Fingerprint {
-        let name = || item_fingerprint(&self.submission.host, self.item);
+        let name = || item_fingerprint(self.submission, self.item);
         *self.content.get_or_init(name)
     }
 
@@ -289,7 +291,7 @@
     fn begin_saving(&self, text: &Text) {
         let submission = &self.submission.id;
         let progress = &self.context.progress;
-        let saving = progress.begin(submission, &self.item.id, text);
+        let saving = progress.begin(submission, &self.kept_name, text);
         self.saving.replace(Some(saving));
     }
 
@@ -370,11 +372,13 @@
         request: &PlaceRequest,
         text: &mut Text,
     ) -> Stay {
+        let organisation = self.submission.organisation.as_deref();
         let generation_request = GenerationRequest {
             host: &self.submission.host,
+            organisation,
             item: self.item,
             last_event: text.last_event(),
-            priority: route.priority,
+            priority: self.context.routes.priority(route, organisation),
             first_byte_ms: FIRST_BYTE_MS,
         };
         let instance = place.target.instance.clone();
--- a/crates/borageshore_gateway/src/peers.rs
+++ b/crates/borageshore_gateway/src/peers.rs
@@ -81,7 +81,8 @@
             match self.pass_on(address, head, body.clone(), SUBMIT_MS).await {
                 Ok((StatusCode::ACCEPTED, response)) => return HandedOn::Accepted(response),
                 // The peer says the same as this daemon: nothing of it runs.
-                Ok((StatusCode::SERVICE_UNAVAILABLE, _)) | Err(CallError::NotSent(_)) => {}
+                Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::UNAUTHORIZED, _))
+                | Err(CallError::NotSent(_)) => {}
                 Ok(_) | Err(CallError::NoAnswer(_) | CallError::Broken(_)) => {
                     return HandedOn::Unknown;
                 }
--- a/crates/borageshore_gateway/src/routes.rs
+++ b/crates/borageshore_gateway/src/routes.rs
@@ -6,6 +6,7 @@
     sync::Arc,
 };
 
+use borageshore_access::Organisations;
 use borageshore_batch::NamedVersion;
 use borageshore_platform::{KeyedRecord, OperatorRecord, decode_operator};
 use borageshore_routing::{Route, RouteTable};
@@ -13,11 +14,16 @@
 
 use crate::follow::Fold;
 
+/// The last rank that engines know.
+const LAST_PRIORITY: u64 = 9;
+
 /// What operator and trainers ask for.
 #[derive(Debug, Default)]
 pub(crate) struct Routes {
     table: RefCell<Rc<RouteTable>>,
     is_known: Cell<bool>,
+    /// Whether the newest routes could not be read: what it changed of keys is not known.
+    is_unreadable: Cell<bool>,
     named: RefCell<Vec<NamedVersion>>,
     /// Told when a version is named.
     pub(crate) version_named: Notify,
@@ -29,6 +35,32 @@
         self.is_known.get()
     }
 
+    /// Says whether the newest routes could be read.
+    pub(crate) fn is_readable(&self) -> bool {
+        self.is_known() && !self.is_unreadable.get()
+    }
+
+    /// Runs a function on the organisations in force.
+    pub(crate) fn with_organisations<Use, Made>(&self, make: Use) -> Made
+    where
+        Use: FnOnce(&Organisations) -> Made,
+    {
+        make(self.table.borrow().organisations())
+    }
+
+    /// Says whether submissions for a host need no key.
+    pub(crate) fn has_public_batch(&self, host: &str) -> bool {
+        self.table.borrow().has_public_batch(host)
+    }
+
+    /// The rank of a request on a route: that of its organisation, if it has one.
+    pub(crate) fn priority(&self, route: &Route, organisation: Option<&str>) -> u64 {
+        let table = self.table.borrow();
+        let organisation = organisation.and_then(|name| table.organisations().named(name));
+        let own = organisation.and_then(|organisation| organisation.priority);
+        own.unwrap_or(route.priority).min(LAST_PRIORITY)
+    }
+
     /// The route of a request.
     pub(crate) fn find(&self, host: &str, path: &str) -> Option<Arc<Route>> {
         self.table.borrow().find(host, path).cloned()
@@ -52,6 +84,7 @@
         }
         log::info!(version = table.version, routes = table.iter().count(); "routes in force");
         self.is_known.set(true);
+        self.is_unreadable.set(false);
         *self.table.borrow_mut() = Rc::new(table);
     }
 
@@ -73,6 +106,7 @@
                 Some(Ok(OperatorRecord::Routes(table))) => self.set(table),
                 Some(Ok(OperatorRecord::Version(named))) => self.on_named(named),
                 Some(Err(error)) => {
+                    self.is_unreadable.set(true);
                     log::error!(key = &*record.key, error:% = error; "a record of the operator cannot be read");
                 }
                 None => {}
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -1,7 +1,8 @@
 //! What arrives at the three addresses of a daemon.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
+use borageshore_access::{Credentials, KeyDigest, Organisations, scoped};
 use borageshore_base::{Fault, ResultCode};
 use borageshore_batch::Submission;
 use borageshore_diagnostics::Instruments;
@@ -10,17 +11,20 @@
     BodyFault, EdgeRequest, EdgeResponse, Handler, ServerLimits, full_body, read_body,
 };
 use borageshore_platform::{
-    CallHead, CallerRequest, addresses, decode_caller, decode_submission, ended, refusal,
+    CallHead, CallerRequest, SubmissionRequest, addresses, caller_host, caller_key, decode_caller,
+    decode_submission, ended, refusal,
 };
 use borageshore_routing::RouteKind;
 use bytes::Bytes;
 use hyper::{
     Response, StatusCode,
+    body::Incoming,
     header::{CONNECTION, HeaderValue},
     http::request::Parts,
 };
 
 use crate::{
+    access::CallerAccess,
     calls::Calls,
     life::Life,
     members::Members,
@@ -70,6 +74,7 @@
     pub(crate) life: Rc<Life>,
     pub(crate) routes: Rc<Routes>,
     pub(crate) members: Rc<Members>,
+    pub(crate) access: Rc<CallerAccess>,
     pub(crate) calls: Rc<Calls>,
     pub(crate) submissions: Rc<Submissions>,
     pub(crate) peers: Rc<Peers>,
@@ -91,46 +96,68 @@
 
 impl Server {
     async fn answer(&self, request: EdgeRequest) -> EdgeResponse {
-        let (head, body) = request.into_parts();
+        let (mut head, body) = request.into_parts();
+        let key = caller_key(&mut head.headers);
         let decoded = match decode_caller(&head) {
             Ok(decoded) => decoded,
             Err(fault) => return refusal(&fault, None),
         };
-        if let Some(answer) = self.ask_home(&decoded, &head).await {
-            return answer;
-        }
         match decoded {
             CallerRequest::Ready => self.ready(),
             CallerRequest::Addresses { zone } => self.addresses(&zone),
-            CallerRequest::Results {
-                submission,
-                after,
-                wait_ms,
-            } => self.submissions.results(&submission, after, wait_ms).await,
-            CallerRequest::Body { submission, item } => {
-                self.submissions.body(&submission, &item).await
+            CallerRequest::Submission { id, asked } => {
+                self.submission(&id, &asked, key, &head).await
             }
-            CallerRequest::End { submission } => self.submissions.end(&submission).await,
-            CallerRequest::Call(call) => match read_body(body, server_limits()).await {
-                Ok(body) => self.call(call, &head, body).await,
-                Err(fault) => refusal(&body_fault(fault), None),
-            },
+            CallerRequest::Call(call) => self.call(call, key, &head, body).await,
+        }
+    }
+
+    /// Answers a question about a submission, in the name of the caller's organisation.
+    async fn submission(
+        &self,
+        id: &Arc<str>,
+        asked: &SubmissionRequest,
+        key: Option<KeyDigest>,
+        head: &Parts,
+    ) -> EdgeResponse {
+        if !self.routes.is_known() {
+            return not_ready();
+        }
+        let host = caller_host(head).unwrap_or_default();
+        let credentials = Credentials {
+            key,
+            is_public: self.routes.has_public_batch(host),
+        };
+        let pass = match self.access.admit(credentials).await {
+            Ok(pass) => pass,
+            Err(denial) => return denial.answer(),
+        };
+        let Some(id) = scoped(pass.organisation().map(|name| &**name), id) else {
+            return refusal(&Fault::new(ResultCode::UnknownSubmission, &**id), None);
+        };
+        if let Some(answer) = self.ask_home(&id, asked, head).await {
+            return answer;
+        }
+        match asked {
+            SubmissionRequest::Results { after, wait_ms } => {
+                self.submissions.results(&id, *after, *wait_ms).await
+            }
+            SubmissionRequest::Body { item } => self.submissions.body(&id, item).await,
+            SubmissionRequest::End => self.submissions.end(&id).await,
         }
     }
 
     /// Passes a question about a submission on to the daemon that has its records. Where that one
     /// has no sure answer, this daemon reads the records itself.
-    async fn ask_home(&self, request: &CallerRequest, head: &Parts) -> Option<EdgeResponse> {
-        let (submission, wait_ms) = match request {
-            CallerRequest::Results {
-                submission,
-                wait_ms,
-                ..
-            } => (submission, *wait_ms),
-            CallerRequest::Body { submission, .. } | CallerRequest::End { submission } => {
-                (submission, 0)
-            }
-            _ => return None,
+    async fn ask_home(
+        &self,
+        submission: &str,
+        asked: &SubmissionRequest,
+        head: &Parts,
+    ) -> Option<EdgeResponse> {
+        let wait_ms = match asked {
+            SubmissionRequest::Results { wait_ms, .. } => *wait_ms,
+            SubmissionRequest::Body { .. } | SubmissionRequest::End => 0,
         };
         if head.headers.contains_key(PASSED_ON) {
             return None;
@@ -155,7 +182,13 @@
         addresses(&listed, self.address_ttl_s)
     }
 
-    async fn call(&self, call: CallHead, head: &Parts, body: Bytes) -> EdgeResponse {
+    async fn call(
+        &self,
+        mut call: CallHead,
+        key: Option<KeyDigest>,
+        head: &Parts,
+        body: Incoming,
+    ) -> EdgeResponse {
         if !self.routes.is_known() {
             return not_ready();
         }
@@ -163,10 +196,27 @@
             let fault = Fault::new(ResultCode::UnknownRoute, &*call.path);
             return refusal(&fault, None);
         };
+        let credentials = Credentials {
+            key,
+            is_public: route.is_public,
+        };
+        // Before the body is read: what may not run need not be sent.
+        let pass = match self.access.admit(credentials).await {
+            Ok(pass) => pass,
+            Err(denial) => return denial.answer(),
+        };
+        if self.routes.with_organisations(Organisations::are_named) {
+            call.drop_key();
+        }
+        let body = match read_body(body, server_limits()).await {
+            Ok(body) => body,
+            Err(fault) => return refusal(&body_fault(fault), None),
+        };
         if route.kind != RouteKind::Batch {
-            return self.calls.forward(call, &route, body).await;
+            return self.calls.forward(call, pass, &route, body).await;
         }
-        match decode_submission(&call.id, &call.host, &call.path, &body) {
+        let organisation = pass.organisation();
+        match decode_submission(organisation, &call.id, &call.host, &call.path, &body) {
             Ok(submission) => {
                 let service = route.main_service().cloned().unwrap_or_default();
                 self.submit(submission, &service, head, &body).await
--- a/crates/borageshore_routing/src/fingerprint.rs
+++ b/crates/borageshore_routing/src/fingerprint.rs
@@ -16,7 +16,8 @@
     pub host: &'c str,
     /// Path and query.
     pub target: &'c str,
-    /// The credentials that the caller presents, where it does.
+    /// The caller's organisation, which stays the same when its key changes; where none are named, what the caller
+    /// presents instead.
     pub caller: &'c [u8],
     /// The whole body.
     pub body: &'c [u8],
--- a/crates/borageshore_routing/src/routes.rs
+++ b/crates/borageshore_routing/src/routes.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use borageshore_access::Organisations;
+
 /// What may be done with a request of a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -52,6 +54,8 @@
     pub retention_ms: u64,
     /// Batch: a result's text is made under one version of the weights.
     pub is_single_version: bool,
+    /// Whether callers need no key.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -83,6 +87,7 @@
     routes: Vec<Arc<Route>>,
     /// The services that a route goes to, sorted.
     services: Vec<Arc<str>>,
+    organisations: Organisations,
 }
 
 impl RouteTable {
@@ -97,9 +102,30 @@
             version,
             routes: routes.into_iter().map(Arc::new).collect(),
             services,
+            organisations: Organisations::default(),
+        }
+    }
+
+    /// Adds the organisations that came with the routes.
+    pub fn with_organisations(self, organisations: Organisations) -> Self {
+        Self {
+            organisations,
+            ..self
         }
     }
 
+    /// The organisations in force with these routes.
+    pub fn organisations(&self) -> &Organisations {
+        &self.organisations
+    }
+
+    /// Says whether submissions for a host need no key.
+    pub fn has_public_batch(&self, host: &str) -> bool {
+        let of_host = self.routes.iter().filter(|route| &*route.host == host);
+        let mut batch = of_host.filter(|route| route.kind == RouteKind::Batch);
+        batch.any(|route| route.is_public)
+    }
+
     /// The route of a host whose prefix is the longest that begins the path.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let from = self.routes.partition_point(|route| &*route.host < host);
--- a/crates/borageshore_soak/src/daemons.rs
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -15,7 +15,7 @@
 use borageshore_standins::platform::Proxy;
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::SoakOptions;
+use crate::{SoakOptions, keys::REVOCATION_MS};
 
 const FIRST_PORT: u16 = 11_000;
 const PORTS_PER_PROCESS: u16 = 1_000;
@@ -55,7 +55,7 @@
             "name: {name}\nzone: z1\nhttp_address: {front}\nready_address: {ready}\n\
              directory_address: {directory}\npeer_address: {peers}\nmetrics_address: {metrics}\nprocessor_share: 0.5\nstore_address: {}\n\
              store_partitions: 2\naddress_ttl_s: 1\nstop_grace_s: {GRACE_S}\nresults_kept_s: {}\norder_lease_ms: 3000\n\
-             parallel_loads_percent: 50\nload_share_percent: 50\n",
+             parallel_loads_percent: 50\nload_share_percent: 50\nkey_revocation_ms: {REVOCATION_MS}\n",
             store.address(),
             options.results_kept_s
         );
--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -7,13 +7,14 @@
     EngineSwitches, LONG_EVENTS, PlainSwitches, PlatformEngine, PlatformService, PlatformStore,
     Proxy, ProxyMode, StoreMode,
 };
+use futures_util::future::join_all;
 use rand_core::Rng;
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
 use serde::Deserialize;
 use serde_json::json;
 
-use crate::{Moment, daemons::DaemonProcess, oracle::Oracle};
+use crate::{Moment, daemons::DaemonProcess, keys::Keys, oracle::Oracle};
 
 /// How long a fault at a set time lasts; a daemon that was killed starts again after it.
 const MOMENT_MS: u64 = 1_500;
@@ -24,12 +25,16 @@
 
 /// Longer than others wait before they take over from a silent daemon.
 const CUT_MS: u64 = 4_000;
+/// Longer than a key that was taken away may be good at a daemon that knows nothing of it.
+const LONG_CUT_MS: u64 = 8_000;
 /// Events of a long text that is nearly complete.
 const NEARLY_COMPLETE: u64 = 45;
 /// The kinds of fault that [`crate::Script::Random`] draws from; seeds that failed stay what they were.
 pub(crate) const KINDS: u64 = 18;
 /// The kinds that [`crate::Script::Wider`] draws from.
 pub(crate) const WIDER_KINDS: u64 = 20;
+/// The kinds that [`crate::Script::Wider`] draws from where callers have keys.
+pub(crate) const KEYED_KINDS: u64 = 23;
 
 /// What the soak reads of a heartbeat.
 #[derive(Debug, Default, Deserialize)]
@@ -43,6 +48,7 @@
     pub(crate) clock: Clock,
     pub(crate) oracle: Rc<Oracle>,
     pub(crate) store: PlatformStore,
+    pub(crate) keys: Rc<Keys>,
     pub(crate) daemons: Vec<DaemonProcess>,
     pub(crate) engines: Vec<(PlatformEngine, Proxy)>,
     pub(crate) services: Vec<(PlatformService, Proxy)>,
@@ -60,6 +66,10 @@
     Store(StoreMode),
     ForgetHistory,
     StoreLink(usize, ProxyMode),
+    /// The operator takes the callers' key away.
+    Revoke,
+    /// The daemons from this one on are suspended.
+    Suspend(usize),
     /// The store turns the daemons from this one on away.
     TurnAway(usize),
     /// An endpoint leaves the list while nobody sees it.
@@ -94,6 +104,7 @@
             | Fault::StoreLink(number, _)
             | Fault::SilentConnections(number) => Some(Some(number)),
             Fault::KillAll
+            | Fault::Suspend(_)
             | Fault::Store(_)
             | Fault::ForgetHistory
             | Fault::TurnAway(_)
@@ -148,13 +159,16 @@
                 Moment::LongTexts => Fault::LongTexts,
                 Moment::EngineStartsAgain => Fault::EngineStartsAgain(0),
                 Moment::ForeignEntry => Fault::ForeignEntry(0),
-                Moment::StoreSilent => Fault::Store(StoreMode::Silent),
+                Moment::StoreSilent | Moment::StoreSilentForLong => Fault::Store(StoreMode::Silent),
+                Moment::Revoke => Fault::Revoke,
+                Moment::SuspendOthers => Fault::Suspend(1),
             };
             self.begun
                 .borrow_mut()
                 .push(format!("{at_ms} ms: {fault:?}"));
             let length_ms = match moment {
                 Moment::CutHolderMidText | Moment::StoreSilent => CUT_MS,
+                Moment::StoreSilentForLong | Moment::SuspendOthers => LONG_CUT_MS,
                 _ => MOMENT_MS,
             };
             monoio::spawn(self.clone().carry_out(fault, length_ms));
@@ -231,7 +245,8 @@
             16 => Fault::ServiceLink(service, link),
             17 => Fault::EngineStartsAgain(engine),
             18 => Fault::ForeignEntry(service),
-            _ => Fault::TurnAway(daemon),
+            19 => Fault::TurnAway(daemon),
+            _ => Fault::Revoke,
         }
     }
 
@@ -253,6 +268,11 @@
                 self.oracle.stopped_at_ms.set(Some(self.clock.now_ms()));
                 self.kill(&all, 300).await;
             }
+            Fault::Revoke => self.keys.revoke(&self.store, self.clock.now_ms()),
+            Fault::Suspend(first) => {
+                let numbers = first..self.daemons.len();
+                join_all(numbers.map(|number| self.pause(number, length_ms))).await;
+            }
             Fault::Pause(number) => self.pause(number, length_ms).await,
             Fault::Stop(number) => self.stop(number).await,
             Fault::Reload(number) => self.daemons[number].signal(Signal::HUP),
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod crashes;
 mod daemons;
 mod faults;
+mod keys;
 mod oracle;
 mod traffic;
 mod world;
@@ -61,6 +62,12 @@
     ForeignEntry,
     /// The store answers nobody.
     StoreSilent,
+    /// The store answers nobody for longer than a key that was taken away may be good.
+    StoreSilentForLong,
+    /// The operator takes the callers' key away; they have another one.
+    Revoke,
+    /// All daemons but the first are suspended for longer than a key that was taken away may be good.
+    SuspendOthers,
 }
 
 /// What to play.
@@ -94,6 +101,8 @@
     pub has_crashing_item: bool,
     /// Whether the reward call of an item of each step crashes the endpoints that run it.
     pub has_crashing_reward: bool,
+    /// Whether callers belong to organisations and have keys.
+    pub organisations: bool,
     /// Whether all texts are long ones.
     pub long_texts: bool,
     /// The faults.
@@ -120,6 +129,7 @@
             crashing_wait_ms: 2_500,
             has_crashing_item: false,
             has_crashing_reward: false,
+            organisations: false,
             long_texts: false,
             script: Script::Wider(8),
             folder: std::env::temp_dir()
@@ -160,6 +170,8 @@
     pub most_overtime_ms: u64,
     /// When calls that crash nothing were refused as ones that do, in ms.
     pub proper_held_at_ms: Vec<u64>,
+    /// Calls that were refused as nobody's, each with its time in ms.
+    pub unauthorized_at_ms: Vec<u64>,
     /// Endpoints that crashed under a request.
     pub crashed_endpoints: usize,
     /// Results read, each once.
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -18,7 +18,10 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-use crate::oracle::{KnownSubmission, Oracle, ReadResult, reward_id};
+use crate::{
+    keys::{CALLERS, Keys, TRAINERS},
+    oracle::{KnownSubmission, Oracle, ReadResult, reward_id},
+};
 
 /// The host of all routes.
 pub(crate) const HOST: &str = "soak.example";
@@ -50,6 +53,7 @@
     pub(crate) submit_at: Option<SocketAddr>,
     pub(crate) store: PlatformStore,
     pub(crate) oracle: Rc<Oracle>,
+    pub(crate) keys: Rc<Keys>,
     pub(crate) until_ms: u64,
     /// What the names of steps begin with; "long" asks for long texts.
     pub(crate) step_name: &'static str,
@@ -60,6 +64,8 @@
     pub(crate) calls_answered: Cell<usize>,
     /// When proper calls were told that they are held back as ones that crash endpoints.
     pub(crate) held_at_ms: RefCell<Vec<u64>>,
+    /// When calls with a key in force were refused as nobody's.
+    pub(crate) unauthorized_at_ms: RefCell<Vec<u64>>,
     /// Calls without success; status 0 stands for no answer.
     pub(crate) unanswered: RefCell<Vec<String>>,
 }
@@ -104,8 +110,28 @@
         (status == StatusCode::OK).then_some(listed.addresses)
     }
 
-    /// Makes a request on a connection of its own.
+    /// Makes a request in the name of an organisation.
     async fn ask(
+        &self,
+        organisation: &str,
+        front: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Option<(StatusCode, Bytes)> {
+        let key = self.keys.header_of(organisation);
+        let mut headers = headers.to_vec();
+        // What a caller says of itself counts for nothing.
+        headers.push(("x-tenant", "another"));
+        if let Some(key) = &key {
+            headers.push(("authorization", key));
+        }
+        self.ask_with(front, method, path, &headers, body).await
+    }
+
+    /// Makes a request on a connection of its own.
+    pub(crate) async fn ask_with(
         &self,
         front: SocketAddr,
         method: &str,
@@ -163,7 +189,7 @@
         let wait = CALL_WAIT_MS.to_string();
         let headers = [("x-request-id", id), ("x-deadline-ms", &wait)];
         let body = Bytes::from(body.to_owned());
-        let asking = self.ask(front, "POST", path, &headers, body);
+        let asking = self.ask(CALLERS, front, "POST", path, &headers, body);
         let answer = within_ms(self.crashing_wait_ms, asking).await.flatten();
         answer.map_or(0, |(status, _)| status.as_u16())
     }
@@ -184,7 +210,7 @@
                 .borrow_mut()
                 .insert(id.clone(), self.clock.now_ms() + CALL_WAIT_MS);
             let answer = self
-                .ask(front, "POST", path, &headers, Bytes::from("body"))
+                .ask(CALLERS, front, "POST", path, &headers, Bytes::from("body"))
                 .await;
             self.calls.set(self.calls.get() + 1);
             let status = answer.as_ref().map_or(0, |(status, _)| status.as_u16());
@@ -205,6 +231,10 @@
             if answer.is_some_and(|(_, body)| is_held(&body)) {
                 self.held_at_ms.borrow_mut().push(self.clock.now_ms());
             }
+            if status == 401 {
+                let at_ms = self.clock.now_ms();
+                self.unauthorized_at_ms.borrow_mut().push(at_ms);
+            }
             if status == 404 || status == 400 {
                 self.oracle
                     .broken(format!("call {id} was denied with {status}"));
@@ -285,7 +315,7 @@
             };
             let headers = [("x-request-id", id)];
             let answer = self
-                .ask(front, "POST", "/batch/x", &headers, body.clone())
+                .ask(TRAINERS, front, "POST", "/batch/x", &headers, body.clone())
                 .await;
             let status = answer.map_or(0, |(status, _)| status.as_u16());
             if self.note_submitted(id, status) {
@@ -325,6 +355,7 @@
                 }
                 None => sleep_ms(100).await,
             }
+            self.read_as_another(id, front).await;
             // A reader goes back now and then, and must find what it has read.
             if random.next_u64().is_multiple_of(4) {
                 self.read_again(id, &read, random).await;
@@ -353,6 +384,26 @@
         }
     }
 
+    /// Asks for a submission with another organisation's key: there is no such thing.
+    async fn read_as_another(&self, id: &str, front: SocketAddr) {
+        if self.keys.header_of(CALLERS).is_none() {
+            return;
+        }
+        let asked = [
+            ("GET", format!("/api/lots/{id}?after=0")),
+            ("DELETE", format!("/api/lots/{id}")),
+        ];
+        for (method, path) in asked {
+            let asking = self.ask(CALLERS, front, method, &path, &[], Bytes::new());
+            let answer = asking.await;
+            if answer.is_some_and(|(status, _)| status == StatusCode::OK) {
+                self.oracle.broken(format!(
+                    "{id}: {method} by another organisation is answered at {front}"
+                ));
+            }
+        }
+    }
+
     fn complete_groups(&self, id: &str) -> usize {
         let (groups, size, _) = STEP;
         let submissions = self.oracle.submissions.borrow();
@@ -376,7 +427,7 @@
         let wait = wait_ms.to_string();
         let headers = [("x-wait-ms", wait.as_str())];
         let (status, body) = self
-            .ask(front, "GET", &path, &headers, Bytes::new())
+            .ask(TRAINERS, front, "GET", &path, &headers, Bytes::new())
             .await?;
         if status == StatusCode::NOT_FOUND && self.must_be_known(id) {
             self.oracle
@@ -398,7 +449,8 @@
         while !self.is_over() {
             let front = self.address(random).await;
             let path = format!("/api/lots/{id}");
-            let answer = self.ask(front, "DELETE", &path, &[], Bytes::new()).await;
+            let ending = self.ask(TRAINERS, front, "DELETE", &path, &[], Bytes::new());
+            let answer = ending.await;
             if answer.is_some_and(|(status, _)| status == StatusCode::OK) {
                 return;
             }
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -20,7 +20,8 @@
 use crate::{
     Script, SoakOptions, SoakReport, crashes,
     daemons::DaemonProcess,
-    faults::{KINDS, Targets, WIDER_KINDS},
+    faults::{KEYED_KINDS, KINDS, Targets, WIDER_KINDS},
+    keys::Keys,
     oracle::Oracle,
     traffic::{HOST, MODEL, Traffic},
 };
@@ -58,6 +59,7 @@
             .map(|number| targets.daemons[number].front),
         store: targets.store.clone(),
         oracle: oracle.clone(),
+        keys: targets.keys.clone(),
         until_ms,
         step_name: if options.long_texts {
             "long-step"
@@ -70,6 +72,7 @@
         calls: Cell::new(0),
         calls_answered: Cell::new(0),
         held_at_ms: RefCell::default(),
+        unauthorized_at_ms: RefCell::default(),
         unanswered: RefCell::default(),
     });
     let mut fork = || Pcg64Mcg::seed_from_u64(random.next_u64());
@@ -89,6 +92,7 @@
     for number in 0..options.crashing_calls {
         monoio::spawn(crashes::repeat(traffic.clone(), number, fork()));
     }
+    monoio::spawn(targets.keys.clone().probe(traffic.clone(), fork()));
     let faults_until_ms = until_ms.saturating_sub(CALM_MS);
     match &options.script {
         Script::Random(count) => {
@@ -96,9 +100,11 @@
             harm.await;
         }
         Script::Wider(count) => {
-            let harm = targets
-                .clone()
-                .harm(*count, WIDER_KINDS, faults_until_ms, fork());
+            let kinds = match options.organisations {
+                true => KEYED_KINDS,
+                false => WIDER_KINDS,
+            };
+            let harm = targets.clone().harm(*count, kinds, faults_until_ms, fork());
             harm.await;
         }
         Script::Moments(moments) => targets.clone().play(moments).await,
@@ -111,6 +117,7 @@
     let engines = engines_of(&targets);
     let services = services_of(&targets);
     oracle.check_endpoints(&engines, &services);
+    targets.keys.check(&oracle, &engines, &services);
     let sends = crashes::sends(&services, &engines);
     crashes::check(&oracle, sends, options.crash_after_ms);
     for daemon in &targets.daemons {
@@ -142,8 +149,7 @@
 
 fn build(options: &SoakOptions, clock: Clock, oracle: &Rc<Oracle>) -> io::Result<Targets> {
     let store = PlatformStore::bind("127.0.0.1:0")?;
-    let routes = routes(options.objective_ms);
-    store.put("keyed.op", "config", routes.to_string().as_bytes());
+    let keys = Keys::open(&store, options.organisations, routes(options.objective_ms));
     let mut engines = Vec::new();
     for number in 0..options.engines {
         let instance = format!("e-{number}");
@@ -169,6 +175,7 @@
         clock,
         oracle: oracle.clone(),
         store,
+        keys,
         daemons,
         engines,
         services,
@@ -262,6 +269,7 @@
         submissions: accepted.count(),
         unanswered: traffic.unanswered.borrow().clone(),
         proper_held_at_ms: traffic.held_at_ms.borrow().clone(),
+        unauthorized_at_ms: traffic.unauthorized_at_ms.borrow().clone(),
         not_accepted: oracle.not_accepted.get(),
         kept_records: targets.store.kept_records("keyed.batch-"),
         resumed_runs: resumed_runs(targets),
--- a/crates/borageshore_standins/src/platform/engine.rs
+++ b/crates/borageshore_standins/src/platform/engine.rs
@@ -17,6 +17,7 @@
 use serde_json::json;
 
 use super::{
+    SeenCaller,
     crash::{Crashes, CrashingSend},
     header, mixed,
     store::PlatformStore,
@@ -67,6 +68,8 @@
     pub item: String,
     /// When it reached the engine.
     pub at_ms: u64,
+    /// In whose name it ran.
+    pub caller: SeenCaller,
     /// The event after which it was asked to begin.
     pub after_event: u64,
     /// The events that it made, with the version of the weights.
@@ -330,6 +333,7 @@
             .to_owned();
         let after = header(headers, "last-event-id").and_then(|id| id.parse().ok());
         let after_event = after.unwrap_or(0);
+        let caller = SeenCaller::of(headers);
         let Ok(asked) = read_body(request.into_body(), limits()).await else {
             return status(400);
         };
@@ -346,13 +350,14 @@
         if after_event < events_of(&item) {
             shown.insert("x-weight-versions", self.version.get().into());
         }
-        monoio::spawn(self.generate(item, after_event, sender));
+        monoio::spawn(self.generate(item, caller, after_event, sender));
         response
     }
 
     async fn generate(
         self: Rc<Self>,
         item: String,
+        caller: SeenCaller,
         after_event: u64,
         mut sender: http_body_util::channel::Sender<Bytes, io::Error>,
     ) {
@@ -361,6 +366,7 @@
         self.runs.borrow_mut().push(SeenRun {
             item: item.clone(),
             at_ms: self.clock.now_ms(),
+            caller,
             after_event,
             events: Vec::new(),
         });
--- a/crates/borageshore_standins/src/platform/mod.rs
+++ b/crates/borageshore_standins/src/platform/mod.rs
@@ -21,6 +21,24 @@
     store::{PlatformStore, StoreMode},
 };
 
+/// In whose name a request reached an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SeenCaller {
+    /// The organisation that the endpoint was told.
+    pub organisation: Option<String>,
+    /// Whether the caller's key was passed on.
+    pub has_key: bool,
+}
+
+impl SeenCaller {
+    fn of(headers: &HeaderMap) -> Self {
+        Self {
+            organisation: header(headers, "x-tenant").map(Into::into),
+            has_key: headers.contains_key("authorization"),
+        }
+    }
+}
+
 fn header<'h>(headers: &'h HeaderMap, name: &str) -> Option<&'h str> {
     headers.get(name)?.to_str().ok()
 }
--- a/crates/borageshore_standins/src/platform/plain.rs
+++ b/crates/borageshore_standins/src/platform/plain.rs
@@ -16,6 +16,7 @@
 use serde_json::json;
 
 use super::{
+    SeenCaller,
     crash::{Crashes, CrashingSend},
     header, mixed,
     store::PlatformStore,
@@ -43,6 +44,8 @@
     calls: Cell<u64>,
     /// When each call ran, by its id.
     runs: RefCell<BTreeMap<String, Vec<u64>>>,
+    /// In whose name each call ran, each of its runs, by its id.
+    callers: RefCell<BTreeMap<String, Vec<SeenCaller>>>,
     /// Until when each call was said to be waited for, the latest of its runs, by its id.
     ends: RefCell<BTreeMap<String, u64>>,
 }
@@ -73,6 +76,7 @@
             running: Cell::new(0),
             calls: Cell::new(0),
             runs: RefCell::default(),
+            callers: RefCell::default(),
             ends: RefCell::default(),
         });
         let server = HttpServer::bind("127.0.0.1:0", limits(), Endpoint(shared.clone()))?;
@@ -137,6 +141,11 @@
         self.shared.runs.borrow().clone()
     }
 
+    /// In whose name each call ran, each of its runs, by its id.
+    pub fn callers(&self) -> BTreeMap<String, Vec<SeenCaller>> {
+        self.shared.callers.borrow().clone()
+    }
+
     /// Until when each call was said to be waited for, the latest of its runs, by its id.
     pub fn ends_ms(&self) -> BTreeMap<String, u64> {
         self.shared.ends.borrow().clone()
@@ -160,6 +169,7 @@
         }
         let time_left_ms =
             header(request.headers(), "x-deadline-ms").and_then(|ms| ms.parse::<u64>().ok());
+        let caller = SeenCaller::of(request.headers());
         let Ok(body) = read_body(request.into_body(), limits()).await else {
             return status(400);
         };
@@ -177,6 +187,12 @@
             .entry(id.clone())
             .or_default()
             .push(now_ms);
+        shared
+            .callers
+            .borrow_mut()
+            .entry(id.clone())
+            .or_default()
+            .push(caller);
         if let Some(time_left_ms) = time_left_ms {
             let mut ends = shared.ends.borrow_mut();
             let end_ms = ends.entry(id.clone()).or_default();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -265,6 +265,32 @@
         assert!(report.crashed_endpoints <= 5, "{}", report.crashed_endpoints);
     }
 
+    callers_with_keys_are_served_in_the_name_of_their_organisations => {
+        let script = (0..3).map(|turn| (1_000 + turn * 1_500, Moment::Revoke)).collect();
+        let options = SoakOptions { organisations: true, ..options(26, Script::Moments(script)) };
+        let report = play(&SoakOptions { duration_ms: 10_000, ..options });
+        assert!(report.unauthorized_at_ms.is_empty(), "each key is in force when it is used");
+        assert!(report.unanswered.len() * 100 < report.calls, "{:?}", report.unanswered);
+        assert!(report.submissions >= 3, "{}", report.submissions);
+    }
+
+    // A key that was taken away is good for as long as the store is away.
+    // No daemon hears of the change. What each knows is too old after five seconds, and it says so instead.
+    a_key_that_was_taken_away_is_not_good_for_longer_without_the_store => {
+        let script = vec![(500, Moment::StoreSilentForLong), (700, Moment::Revoke)];
+        let options = SoakOptions { organisations: true, ..options(27, Script::Moments(script)) };
+        let report = play(&SoakOptions { duration_ms: 14_000, ..options });
+        assert!(report.unauthorized_at_ms.is_empty(), "nobody is denied by a view that is too old");
+    }
+
+    // A key that was taken away is served by VMs that wake after ten seconds.
+    // The last answer of the store lay in their buffers, and the calls that came meanwhile as well.
+    a_vm_that_was_suspended_serves_no_key_that_was_taken_away => {
+        let script = vec![(500, Moment::SuspendOthers), (700, Moment::Revoke)];
+        let options = SoakOptions { organisations: true, ..options(28, Script::Moments(script)) };
+        play(&SoakOptions { duration_ms: 14_000, ..options });
+    }
+
     seeded_faults_break_no_promise => {
         play(&options(4, Script::Random(4)));
     }
