One crate for duties that one holder has at a time; the orderer moves onto it

borageshore_duty (pure): subjects, holder, epoch as the position of the announcement, the wait of a successor, the last moment to send on the clock that counts suspensions. Stories without network: a holder that freezes after its announcement, one cut off that comes back, two that meet in a restart, and a fuzz of all orders of events.

--- /dev/null
+++ b/crates/borageshore_duty/src/holder.rs
@@ -0,0 +1,21 @@
+//! Who holds a duty.
+
+use std::sync::Arc;
+
+use borageshore_base::rank_by_rendezvous;
+
+/// The holder of a duty among the daemons that take work: the last one goes on as long as it is among them, so that
+/// a daemon that comes back does not take turns with another one; else the first by rendezvous.
+pub fn holder_among<'a>(
+    duty: &str,
+    last: Option<&'a Arc<str>>,
+    able: &'a [Arc<str>],
+) -> Option<&'a str> {
+    match last {
+        Some(last) if able.contains(last) => Some(last),
+        _ => {
+            let names = able.iter().map(|name| &**name);
+            rank_by_rendezvous(duty, names).into_iter().next()
+        }
+    }
+}
--- /dev/null
+++ b/crates/borageshore_duty/tests/duty.rs
@@ -0,0 +1,130 @@
+//! One holder at a time: holders that freeze, are cut off, meet, or stop.
+
+use std::sync::Arc;
+
+use borageshore_duty::{DutyLeases, DutyTerms, holder_among};
+
+const TERMS: DutyTerms = DutyTerms {
+    lease_ms: 3_000,
+    sent_within_ms: 500,
+    margin_ms: 300,
+};
+/// Reading what another daemon appended takes no longer.
+const READ_WITHIN_MS: u64 = 200;
+const SUBJECT: &str = "usage";
+
+fn names(all: &[&str]) -> Vec<Arc<str>> {
+    all.iter().map(|name| (*name).into()).collect()
+}
+
+fn leases_at(now_ms: u64) -> DutyLeases {
+    DutyLeases::open(now_ms, TERMS.wait_ms())
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[test] fn $name() $body)*
+    };
+}
+
+cases! {
+    // The platform gets a report of an old holder after the new one's.
+    // The holder freezes between its announcement and its call, for longer than a takeover takes, and goes on.
+    a_holder_that_froze_after_its_announcement_sends_nothing => {
+        let window = TERMS.send_window(10_000);
+        assert!(window.is_open(10_500));
+        assert!(!window.is_open(10_501));
+        let mut successor = leases_at(0);
+        successor.on_round(&"vm-1".into(), &names(&[SUBJECT]), &[], 10_000);
+        let takes_over_ms = (10_000..).find(|now_ms| successor.may_act("vm-2", SUBJECT, *now_ms)).unwrap();
+        assert!(!window.is_open(takes_over_ms), "both act");
+        assert!(takes_over_ms >= 10_500 + TERMS.lease_ms, "within the lease");
+    }
+
+    // Two holders act in turn within the lease.
+    // vm-1 is cut off from the store and not from the platform; vm-2 takes over. Back in the store, vm-1 reads
+    // of it and waits in turn.
+    a_holder_that_comes_back_waits_for_its_successor => {
+        let mut first = leases_at(0);
+        first.on_round(&"vm-1".into(), &names(&[SUBJECT]), &[], 10_000);
+        first.on_round(&"vm-2".into(), &names(&[SUBJECT]), &[], 14_000);
+        assert!(!first.may_act("vm-1", SUBJECT, 17_799));
+        assert!(first.may_act("vm-1", SUBJECT, 17_800));
+    }
+
+    // Two daemons that meet in a restart both take themselves for the holder of a duty that neither knows of.
+    two_that_began_wait_for_what_they_may_have_missed => {
+        let leases = leases_at(10_000);
+        for name in ["vm-1", "vm-2"] {
+            assert!(!leases.may_act(name, SUBJECT, 13_799));
+            assert!(leases.may_act(name, SUBJECT, 13_800));
+        }
+    }
+
+    // An announcement of one duty makes a daemon the holder of all, and the leases of the others are forgotten.
+    other_subjects_keep_their_leases => {
+        let mut leases = leases_at(0);
+        leases.on_round(&"vm-1".into(), &names(&["e0"]), &[], 10_000);
+        let others = leases.held_by_others("vm-2", 10_100);
+        leases.on_round(&"vm-2".into(), &names(&[SUBJECT]), &others, 10_100);
+        assert!(!leases.may_act("vm-2", "e0", 13_000));
+        let mut restarted = leases_at(10_200);
+        restarted.on_round(&"vm-2".into(), &names(&[SUBJECT]), &others, 10_300);
+        assert!(!restarted.may_act("vm-2", "e0", 13_000));
+        assert!(restarted.may_act("vm-2", SUBJECT, 10_301));
+    }
+
+    the_last_holder_goes_on_while_it_takes_work => {
+        let (all, some) = (names(&["vm-1", "vm-2", "vm-3"]), names(&["vm-1", "vm-3"]));
+        let last: Arc<str> = "vm-2".into();
+        assert_eq!(holder_among("duties", Some(&last), &all), Some("vm-2"));
+        let next = holder_among("duties", Some(&last), &some);
+        assert!(next.is_some_and(|next| next != "vm-2"));
+        assert_eq!(next, holder_among("duties", None, &some), "all agree on the successor");
+        assert_eq!(holder_among("duties", None, &[]), None);
+    }
+
+    // Daemons announce, freeze, lose their memory and send late, in any order. Whatever they do, a subject never sees
+    // a lower epoch after a higher one, nor two holders within the lease.
+    no_order_of_events_breaks_the_lease => {
+        bolero::check!().with_type::<Vec<(u8, u16)>>().for_each(|events| {
+            let mut log: Vec<(Arc<str>, u64)> = Vec::new();
+            let mut daemons: Vec<(DutyLeases, usize)> = (0..3).map(|_| (leases_at(0), 0)).collect();
+            let mut sent: Vec<(u64, u64, Arc<str>)> = Vec::new();
+            let mut now_ms = 10_000;
+            for (what, pause_ms) in events {
+                now_ms += u64::from(*pause_ms) % 1_500;
+                let number = usize::from(*what) % 3;
+                let name: Arc<str> = format!("vm-{number}").into();
+                let (leases, read) = &mut daemons[number];
+                if what & 0x80 != 0 {
+                    (*leases, *read) = (leases_at(now_ms), log.len().saturating_sub(1));
+                }
+                // Reads lag behind by a moment, or the append's condition fails.
+                let is_current = log.last().is_none_or(|(_, at_ms)| *at_ms + READ_WITHIN_MS <= now_ms);
+                if !is_current {
+                    continue;
+                }
+                for (holder, at_ms) in &log[*read..] {
+                    let seen_at_ms = (*at_ms + READ_WITHIN_MS).min(now_ms);
+                    let seen_at_ms = if what & 0x80 != 0 { now_ms } else { seen_at_ms };
+                    leases.on_round(holder, &names(&[SUBJECT]), &[], seen_at_ms);
+                }
+                *read = log.len();
+                if leases.may_act(&name, SUBJECT, now_ms) {
+                    log.push((name.clone(), now_ms));
+                    let send_at_ms = now_ms + u64::from(*what & 0x3f) * 20;
+                    if TERMS.send_window(now_ms).is_open(send_at_ms) {
+                        sent.push((send_at_ms, log.len() as u64, name));
+                    }
+                }
+            }
+            sent.sort();
+            for pair in sent.windows(2) {
+                let ((first_ms, first, one), (second_ms, second, other)) = (&pair[0], &pair[1]);
+                // One holder sends its calls one after the other.
+                assert!(one == other || (first < second && first_ms + TERMS.lease_ms <= *second_ms));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/borageshore_gateway/src/duties.rs
@@ -0,0 +1,190 @@
+//! Duties of one daemon at a time: orders to engines, reports of usage. All are announced in one partition, so that
+//! one conditional append decides who holds them, and one waiting read a daemon tells of them.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use borageshore_batch::{NamedVersion, OrderLeases, SwapRound};
+use borageshore_duty::{DutyTerms, SendWindow, holder_among};
+use borageshore_net::boot_time_ms;
+use borageshore_platform::{KeyedRecord, StoreError, Topic};
+use bytes::Bytes;
+use serde::Serialize;
+use tokio::sync::{Notify, futures::Notified};
+
+use crate::{
+    endpoints::Endpoints,
+    follow::{Fold, Follow, FollowSpec, ONLY_PARTITION},
+    members::Members,
+    store_path::Store,
+};
+
+/// The key of rounds of orders; readers that start late need the newest only.
+const ROUND_KEY: &str = "round";
+/// What was announced leaves within this time of the append, or not at all.
+const SENT_WITHIN_MS: u64 = 500;
+/// What a call takes on its way, and the delay of a successor's own reads.
+const MARGIN_MS: u64 = 300;
+
+/// The announcements as all daemons see them.
+#[derive(Debug)]
+struct Announcements {
+    endpoints: Rc<Endpoints>,
+    leases: RefCell<OrderLeases>,
+    changed: Notify,
+}
+
+impl Announcements {
+    fn take_round(&self, round: SwapRound) {
+        for (instance, model, version) in &round.done {
+            self.endpoints.on_version(instance, model, *version);
+            self.endpoints.on_load_done(instance);
+        }
+        for (instance, model, version) in &round.orders {
+            let target = NamedVersion {
+                model: model.clone(),
+                version: *version,
+            };
+            self.endpoints.on_load_ordered(instance, target);
+        }
+        let mut leases = self.leases.borrow_mut();
+        leases.on_round(&round, boot_time_ms());
+    }
+}
+
+impl Fold for Announcements {
+    fn apply(&self, records: &[KeyedRecord]) {
+        for record in records {
+            let Some(value) = &record.value else { continue };
+            match serde_json::from_slice(value) {
+                Ok(round) => self.take_round(round),
+                Err(error) => {
+                    log::error!(key = &*record.key, error:% = error; "an announcement cannot be read");
+                }
+            }
+        }
+        self.changed.notify_waiters();
+    }
+
+    fn on_gap(&self) {
+        self.leases.borrow_mut().begin_again(boot_time_ms());
+    }
+}
+
+/// The duties, and whether this daemon holds them.
+///
+/// Nobody checks who acts, and two holders must not take turns within the lease. An act is announced before it is
+/// sent, on the condition that nothing was appended since this daemon read the partition; so a holder that was
+/// replaced while it stood still cannot announce anything. It might have announced something just before: that leaves
+/// within [`SENT_WITHIN_MS`] of the append or not at all, and a new holder lets the lease of each subject pass.
+#[derive(Debug)]
+pub(crate) struct Duties {
+    store: Store,
+    members: Rc<Members>,
+    announcements: Rc<Announcements>,
+    follow: Rc<Follow<Announcements>>,
+    terms: DutyTerms,
+}
+
+/// What was announced: its epoch, and until when it may be sent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Announced {
+    pub(crate) epoch: u64,
+    window: SendWindow,
+}
+
+impl Announced {
+    /// Says whether it may still be sent.
+    pub(crate) fn may_send(&self) -> bool {
+        self.window.is_open(boot_time_ms())
+    }
+}
+
+impl Duties {
+    /// Follows the duties; `lease_ms` is the least time between acts of two holders on one subject.
+    pub(crate) fn spawn(
+        spec: FollowSpec,
+        members: Rc<Members>,
+        endpoints: Rc<Endpoints>,
+        lease_ms: u64,
+    ) -> Rc<Self> {
+        let terms = DutyTerms {
+            lease_ms,
+            sent_within_ms: SENT_WITHIN_MS,
+            margin_ms: MARGIN_MS,
+        };
+        let announcements = Rc::new(Announcements {
+            endpoints,
+            leases: RefCell::new(OrderLeases::open(boot_time_ms(), terms.wait_ms())),
+            changed: Notify::new(),
+        });
+        Rc::new(Self {
+            store: spec.store.clone(),
+            members,
+            follow: Follow::spawn(spec, announcements.clone()),
+            announcements,
+            terms,
+        })
+    }
+
+    /// Told when something was announced.
+    pub(crate) fn changed(&self) -> Notified<'_> {
+        self.announcements.changed.notified()
+    }
+
+    /// Where the partition ends as far as this daemon has read, if it holds the duties: what it decides from here on is
+    /// announced on the condition that nothing came meanwhile.
+    pub(crate) fn position_if_held(&self) -> Option<u64> {
+        let able = self.members.able_names();
+        let holder = {
+            let leases = self.announcements.leases.borrow();
+            let last = leases.newest_holder();
+            holder_among("orders", last, &able).map(Arc::<str>::from)
+        };
+        let is_own = holder.as_deref() == Some(&*self.members.own_name());
+        self.follow.next_offset().filter(|_| is_own)
+    }
+
+    /// Says whether this daemon may order an engine now.
+    pub(crate) fn may_order(&self, engine: &str) -> bool {
+        let leases = self.announcements.leases.borrow();
+        leases.may_order(&self.members.own_name(), engine, boot_time_ms())
+    }
+
+    /// The subjects that another holder may be acting on.
+    pub(crate) fn held_by_others(&self) -> Vec<Arc<str>> {
+        let leases = self.announcements.leases.borrow();
+        leases.ordered_by_others(&self.members.own_name(), boot_time_ms())
+    }
+
+    /// Announces a round of orders.
+    pub(crate) async fn announce_round(&self, at: u64, round: &SwapRound) -> Option<Announced> {
+        self.announce(at, ROUND_KEY.into(), round).await
+    }
+
+    async fn announce<Record>(&self, at: u64, key: Arc<str>, record: &Record) -> Option<Announced>
+    where
+        Record: Serialize,
+    {
+        let value = serde_json::to_vec(record).expect("plain data");
+        let record = [(key, Bytes::from(value))];
+        let window = self.terms.send_window(boot_time_ms());
+        let appended = self
+            .store
+            .append(Topic::Orders, ONLY_PARTITION, &record, Some(at))
+            .await;
+        match appended {
+            Ok(appended) => Some(Announced {
+                epoch: appended.offset,
+                window,
+            }),
+            Err(StoreError::Moved { end }) => {
+                log::info!(end; "another announcement came first");
+                None
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "nothing can be announced, nothing is sent");
+                None
+            }
+        }
+    }
+}
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -15,6 +15,7 @@
     cleaner::Cleaner,
     config::GatewayConfig,
     dispatch::Dispatch,
+    duties::Duties,
     endpoints::Endpoints,
     fleet_records::FleetRecords,
     follow::{Begin, Follow, FollowSpec, ONLY_PARTITION},
@@ -23,7 +24,7 @@
     life::{self, Life, Signals},
     mechanisms::{Mechanism, Mechanisms},
     members::Members,
-    orderer::{Orderer, OrdererParts, Rounds},
+    orderer::{Orderer, OrdererParts},
     peers::Peers,
     progress::Progress,
     quarantine::Quarantine,
@@ -176,8 +177,14 @@
         );
         let open = Follow::spawn(spec(Topic::Index, OPEN_PAUSE_MS), index.clone());
         let orders = spec(Topic::Orders, ORDERS_PAUSE_MS);
+        let duties = Duties::spawn(
+            orders,
+            members.clone(),
+            endpoints.clone(),
+            config.order_lease_ms,
+        );
         let parts = OrdererParts {
-            store: store.clone(),
+            duties,
             clock,
             endpoints: endpoints.clone(),
             routes: routes.clone(),
@@ -188,9 +195,8 @@
                 parallel_percent: config.parallel_loads_percent,
                 share_percent: config.load_share_percent,
             },
-            lease_ms: config.order_lease_ms,
         };
-        spawn_orderer(parts, orders);
+        Orderer::spawn(parts);
         let cleaner = Cleaner {
             store: store.clone(),
             partitions,
@@ -328,9 +334,3 @@
         holds: Vec::new(),
     }
 }
-
-fn spawn_orderer(parts: OrdererParts, spec: FollowSpec) {
-    let rounds = Rounds::open(parts.endpoints.clone(), parts.lease_ms);
-    let follow = Follow::spawn(spec, rounds.clone());
-    Orderer::spawn(parts, rounds, follow);
-}
--- a/crates/borageshore_gateway/src/lib.rs
+++ b/crates/borageshore_gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod cleaner;
 mod config;
 mod dispatch;
+mod duties;
 mod endpoints;
 mod fleet_records;
 mod follow;
--- a/crates/borageshore_gateway/src/orderer.rs
+++ b/crates/borageshore_gateway/src/orderer.rs
@@ -2,33 +2,22 @@
 
 use std::{cell::RefCell, pin::pin, rc::Rc, sync::Arc};
 
-use borageshore_base::{SortedMap, rank_by_rendezvous};
+use borageshore_base::SortedMap;
 use borageshore_batch::{
-    EngineState, ModelTarget, NamedVersion, OrderLeases, SwapLimits, SwapRound, plan_round,
+    EngineState, ModelTarget, NamedVersion, SwapLimits, SwapRound, plan_round,
 };
-use borageshore_net::{Clock, boot_time_ms, sleep_ms, within_ms};
-use borageshore_platform::{
-    EndpointClient, EngineReport, KeyedRecord, OrderAnswer, StoreError, Target, Topic, VersionOrder,
-};
-use bytes::Bytes;
+use borageshore_net::{Clock, sleep_ms, within_ms};
+use borageshore_platform::{EndpointClient, EngineReport, OrderAnswer, Target, VersionOrder};
 use futures_util::future::{join_all, select};
-use tokio::sync::Notify;
 
 use crate::{
+    duties::{Announced, Duties},
     endpoints::Endpoints,
-    follow::{Fold, Follow, ONLY_PARTITION},
     members::Members,
     routes::Routes,
-    store_path::Store,
     submission_index::SubmissionIndex,
 };
 
-/// The key of rounds; readers that start late need the newest only.
-const ROUND_KEY: &str = "round";
-/// Orders of a round leave within this time of the append that announced it, or not at all.
-const ORDER_WITHIN_MS: u64 = 500;
-/// Added to the lease: what an order takes on its way, and the delay of this daemon's own reads.
-const LEASE_MARGIN_MS: u64 = 300;
 /// The pace at which engines under order are asked whether they are done; their reports are 100 to
 /// 200 ms old.
 const POLL_MS: u64 = 80;
@@ -39,60 +28,6 @@
 /// Where there is nothing to do, the state is looked at again after this time.
 const IDLE_MS: u64 = 1_000;
 
-/// The rounds as all daemons see them.
-#[derive(Debug)]
-pub(crate) struct Rounds {
-    endpoints: Rc<Endpoints>,
-    leases: RefCell<OrderLeases>,
-    changed: Notify,
-}
-
-impl Rounds {
-    /// Opens a view without rounds; `lease_ms` is the least time between orders of two holders to one
-    /// engine.
-    pub(crate) fn open(endpoints: Rc<Endpoints>, lease_ms: u64) -> Rc<Self> {
-        let wait_ms = lease_ms + ORDER_WITHIN_MS + LEASE_MARGIN_MS;
-        Rc::new(Self {
-            endpoints,
-            leases: RefCell::new(OrderLeases::open(boot_time_ms(), wait_ms)),
-            changed: Notify::new(),
-        })
-    }
-
-    fn take(&self, round: SwapRound) {
-        for (instance, model, version) in &round.done {
-            self.endpoints.on_version(instance, model, *version);
-            self.endpoints.on_load_done(instance);
-        }
-        for (instance, model, version) in &round.orders {
-            let target = NamedVersion {
-                model: model.clone(),
-                version: *version,
-            };
-            self.endpoints.on_load_ordered(instance, target);
-        }
-        let mut leases = self.leases.borrow_mut();
-        leases.on_round(&round, boot_time_ms());
-    }
-}
-
-impl Fold for Rounds {
-    fn apply(&self, records: &[KeyedRecord]) {
-        for record in records {
-            let Some(value) = &record.value else { continue };
-            match serde_json::from_slice(value) {
-                Ok(round) => self.take(round),
-                Err(error) => log::error!(error:% = error; "a round of orders cannot be read"),
-            }
-        }
-        self.changed.notify_waiters();
-    }
-
-    fn on_gap(&self) {
-        self.leases.borrow_mut().begin_again(boot_time_ms());
-    }
-}
-
 #[derive(Debug, Clone)]
 struct UnderWay {
     target: NamedVersion,
@@ -102,7 +37,7 @@
 /// What the orderer needs of the rest of the daemon.
 #[derive(Debug)]
 pub(crate) struct OrdererParts {
-    pub(crate) store: Store,
+    pub(crate) duties: Rc<Duties>,
     pub(crate) clock: Clock,
     pub(crate) endpoints: Rc<Endpoints>,
     pub(crate) routes: Rc<Routes>,
@@ -110,32 +45,19 @@
     pub(crate) index: Rc<SubmissionIndex>,
     pub(crate) client: EndpointClient,
     pub(crate) limits: SwapLimits,
-    /// The least time between orders of two holders to one engine.
-    pub(crate) lease_ms: u64,
 }
 
-/// Gives orders while this daemon is the one that may.
-///
-/// Engines do not check who orders, and two holders must not take turns within the lease. A round is
-/// appended before its orders are sent, on the condition that nothing was appended since this daemon
-/// read the partition; so a holder that was replaced while it stood still cannot announce a round.
-/// It might have announced one just before: its orders leave within [`ORDER_WITHIN_MS`] of the
-/// append or not at all, by a clock that counts suspensions, and a new holder lets the lease of each
-/// engine pass ([`OrderLeases`]).
+/// Gives orders while this daemon is the one that may ([`Duties`]).
 #[derive(Debug)]
 pub(crate) struct Orderer {
     parts: OrdererParts,
-    rounds: Rc<Rounds>,
-    follow: Rc<Follow<Rounds>>,
     under_way: RefCell<SortedMap<Arc<str>, UnderWay>>,
 }
 
 impl Orderer {
-    pub(crate) fn spawn(parts: OrdererParts, rounds: Rc<Rounds>, follow: Rc<Follow<Rounds>>) {
+    pub(crate) fn spawn(parts: OrdererParts) {
         let orderer = Rc::new(Self {
             parts,
-            rounds,
-            follow,
             under_way: RefCell::default(),
         });
         monoio::spawn(orderer.run());
@@ -144,35 +66,19 @@
     async fn run(self: Rc<Self>) {
         loop {
             let named = pin!(self.parts.routes.version_named.notified());
-            let round = pin!(self.rounds.changed.notified());
-            // Taken before the view of the rounds is looked at: a round that comes meanwhile fails
-            // the condition.
-            let is_busy = match self.follow.next_offset() {
-                Some(at) if self.is_holder() => self.step(at).await,
-                _ => false,
+            let announced = pin!(self.parts.duties.changed());
+            let is_busy = match self.parts.duties.position_if_held() {
+                Some(at) => self.step(at).await,
+                None => false,
             };
             if is_busy {
                 sleep_ms(POLL_MS).await;
             } else {
-                within_ms(IDLE_MS, select(named, round)).await;
+                within_ms(IDLE_MS, select(named, announced)).await;
             }
         }
     }
 
-    /// The last holder goes on as long as it lives; else the first by rendezvous.
-    fn is_holder(&self) -> bool {
-        let ready = self.parts.members.able_names();
-        let last = self.rounds.leases.borrow().newest_holder().cloned();
-        let holder = match &last {
-            Some(last) if ready.contains(last) => Some(&**last),
-            _ => {
-                let names = ready.iter().map(|name| &**name);
-                rank_by_rendezvous("orders", names).into_iter().next()
-            }
-        };
-        holder == Some(&*self.parts.members.own_name())
-    }
-
     /// Looks at the engines under order and gives the next orders; says whether it waits for any.
     async fn step(&self, at: u64) -> bool {
         let done = self.collect_done().await;
@@ -207,9 +113,6 @@
         targets: &[Target],
         reports: &[(Target, EngineReport)],
     ) -> Vec<(Arc<str>, NamedVersion)> {
-        let own = self.parts.members.own_name();
-        let leases = self.rounds.leases.borrow();
-        let now_ms = boot_time_ms();
         let under_way = self.under_way.borrow();
         let state = |target: &Target| {
             let report = reports.iter().find(|(asked, _)| asked == target);
@@ -217,7 +120,7 @@
                 instance: target.instance.clone(),
                 is_loading: under_way.contains_key(&target.instance)
                     || report.is_some_and(|(_, report)| report.is_busy),
-                is_leased: !leases.may_order(&own, &target.instance, now_ms),
+                is_leased: !self.parts.duties.may_order(&target.instance),
                 running: report.map_or(0, |(_, report)| report.running),
             }
         };
@@ -291,39 +194,20 @@
             holder: holder.clone(),
             orders: orders.iter().map(order).collect(),
             done,
-            others_ordered: {
-                let leases = self.rounds.leases.borrow();
-                leases.ordered_by_others(&holder, boot_time_ms())
-            },
+            others_ordered: self.parts.duties.held_by_others(),
         };
-        let value = serde_json::to_vec(&round).expect("plain data");
-        let record = [(Arc::from(ROUND_KEY), Bytes::from(value))];
-        let announced_at_ms = boot_time_ms();
-        let appended = self
-            .parts
-            .store
-            .append(Topic::Orders, ONLY_PARTITION, &record, Some(at))
-            .await;
-        let epoch = match appended {
-            Ok(appended) => appended.offset,
-            Err(StoreError::Moved { end }) => {
-                log::info!(end; "another round came first");
-                return;
-            }
-            Err(error) => {
-                log::warn!(error:% = error; "a round cannot be announced, no orders");
-                return;
-            }
+        let Some(announced) = self.parts.duties.announce_round(at, &round).await else {
+            return;
         };
         let give = orders.into_iter().map(|(target, version, report)| {
             let order = VersionOrder {
                 model: version.model.clone(),
                 version: version.version,
                 holder: holder.clone(),
-                epoch,
+                epoch: announced.epoch,
                 after_orders: report.orders_accepted,
             };
-            self.give(target, version, order, announced_at_ms)
+            self.give(target, version, order, announced)
         });
         join_all(give).await;
     }
@@ -333,9 +217,9 @@
         target: Target,
         version: NamedVersion,
         order: VersionOrder,
-        announced_at_ms: u64,
+        announced: Announced,
     ) {
-        if boot_time_ms() > announced_at_ms + ORDER_WITHIN_MS {
+        if !announced.may_send() {
             log::warn!(instance = &*target.instance; "an order is too late, it is not given");
             return;
         }
