--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -23,6 +23,7 @@
     access::{CallerAccess, Denial, Pass},
     endpoints::Endpoints,
     quarantine::{Held, Leave, Quarantine},
+    usage::{RequestUse, UsageCounter},
 };
 
 /// A final answer goes out this long before the caller stops waiting for it, so that it arrives.
@@ -40,6 +41,8 @@
 #[derive(Debug)]
 pub(crate) struct Calls {
     access: Rc<CallerAccess>,
+    /// Where requests are counted, if anybody wants to know.
+    usage: Option<Rc<UsageCounter>>,
     endpoints: Rc<Endpoints>,
     client: EndpointClient,
     clock: Clock,
@@ -53,6 +56,7 @@
 struct Asked {
     outbound: Outbound,
     pass: Pass,
+    request_use: RequestUse,
     content: OnceCell<Fingerprint>,
 }
 
@@ -73,6 +77,7 @@
 impl Calls {
     pub(crate) fn open(
         access: Rc<CallerAccess>,
+        usage: Option<Rc<UsageCounter>>,
         endpoints: Rc<Endpoints>,
         client: EndpointClient,
         clock: Clock,
@@ -81,6 +86,7 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             access,
+            usage,
             endpoints,
             client,
             clock,
@@ -112,6 +118,7 @@
         };
         let asked = Asked {
             outbound,
+            request_use: RequestUse::begin(self.usage.as_ref(), pass.organisation()),
             pass,
             content: OnceCell::new(),
         };
@@ -245,8 +252,12 @@
             let outbound = &asked.outbound;
             let content = || asked.content();
             let mut sent = self.quarantine.send(content, &target.instance, leave);
+            let attempt = asked.request_use.on_attempt();
             let called = self.client.call(&target, outbound, deadline).await;
             sent.on_outcome(&called);
+            if let Err(AttemptError::NotSent(_) | AttemptError::Refused { .. }) = &called {
+                asked.request_use.on_not_run(attempt);
+            }
             match &called {
                 Ok(answer) => {
                     in_flight.on_load(answer.load);
--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
+use borageshore_base::{Fault, ResultCode};
 use borageshore_settings::{FileFault, malformed};
+use borageshore_usage::UsageTimes;
 use serde::Deserialize;
 
 use crate::mechanisms::Mechanism;
@@ -42,6 +44,9 @@
     /// How long after a key was taken away requests with it may still run; without it, as long as the store is away.
     #[serde(default)]
     pub key_revocation_ms: Option<u64>,
+    /// The platform's duties; none if it has none.
+    #[serde(default)]
+    pub duties: Option<DutyConfig>,
     /// The share of the engines that load weights at once without slowing each other.
     pub parallel_loads_percent: usize,
     /// The share of a model's engines that load each version.
@@ -51,9 +56,47 @@
     pub mechanisms_off: Vec<Mechanism>,
 }
 
+/// What the platform wants of one daemon at a time.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DutyConfig {
+    /// Where its calls go.
+    pub address: Arc<str>,
+    /// The length of a window of usage; without it, usage is not reported.
+    pub usage_window_s: Option<u64>,
+    /// A window's report is due so long after its end.
+    pub usage_late_s: Option<u64>,
+}
+
+impl DutyConfig {
+    /// The times of reports of usage, if they are wanted.
+    pub fn usage_times(&self) -> Option<UsageTimes> {
+        Some(UsageTimes {
+            window_ms: self.usage_window_s? * 1_000,
+            late_ms: self.usage_late_s? * 1_000,
+        })
+    }
+
+    fn check(&self) -> Result<(), &'static str> {
+        match (self.usage_window_s, self.usage_late_s) {
+            (Some(0), _) => Err("duties.usage_window_s: 0 is no length"),
+            (Some(_), None) => Err("duties.usage_late_s: missing"),
+            (None, Some(_)) => Err("duties.usage_window_s: missing"),
+            _ => Ok(()),
+        }
+    }
+}
+
 impl GatewayConfig {
     /// Reads the text of a file; a fault names the file, the line and the field.
     pub fn parse(file: &str, text: &str) -> Result<Self, FileFault> {
-        serde_saphyr::from_str(text).map_err(|error| malformed(file, &error))
+        let config: Self = serde_saphyr::from_str(text).map_err(|error| malformed(file, &error))?;
+        let checked = config.duties.as_ref().map_or(Ok(()), DutyConfig::check);
+        checked.map_err(|reason| FileFault {
+            file: file.into(),
+            line: None,
+            fault: Fault::new(ResultCode::OutOfRange, reason),
+        })?;
+        Ok(config)
     }
 }
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -7,13 +7,13 @@
 use borageshore_diagnostics::Instruments;
 use borageshore_membership::{Presence, PresenceState};
 use borageshore_net::{Clock, HttpServer, boot_time_ms};
-use borageshore_platform::{EndpointClient, Topic};
+use borageshore_platform::{DutyClient, EndpointClient, Topic};
 
 use crate::{
     access::CallerAccess,
     calls::Calls,
     cleaner::Cleaner,
-    config::GatewayConfig,
+    config::{DutyConfig, GatewayConfig},
     dispatch::Dispatch,
     duties::Duties,
     endpoints::Endpoints,
@@ -36,6 +36,8 @@
     submission_index::SubmissionIndex,
     submissions::Submissions,
     texts::Texts,
+    true_time::SharedTime,
+    usage::{Reporter, ReporterParts, UsageCounter, UsageReports},
     watch::Watch,
     writer::Writer,
 };
@@ -62,6 +64,7 @@
     routes: Rc<Routes>,
     endpoints: Rc<Endpoints>,
     open: Rc<Follow<SubmissionIndex>>,
+    usage: Option<Rc<UsageCounter>>,
     runner: Rc<Runner>,
     writer: Rc<Writer>,
     servers: Vec<HttpServer>,
@@ -177,12 +180,40 @@
         );
         let open = Follow::spawn(spec(Topic::Index, OPEN_PAUSE_MS), index.clone());
         let orders = spec(Topic::Orders, ORDERS_PAUSE_MS);
+        let time = SharedTime::spawn(members.clone());
+        let reports = Rc::<UsageReports>::default();
         let duties = Duties::spawn(
             orders,
             members.clone(),
             endpoints.clone(),
+            reports.clone(),
             config.order_lease_ms,
         );
+        let duty_config = config.duties.as_ref();
+        let usage_times = duty_config.and_then(DutyConfig::usage_times);
+        let usage = usage_times.map(|times| {
+            UsageCounter::spawn(
+                times,
+                time.clone(),
+                store.clone(),
+                members.clone(),
+                partitions,
+            )
+        });
+        if let Some((config, times)) = duty_config.zip(usage_times) {
+            Reporter::spawn(ReporterParts {
+                times,
+                client: DutyClient::open(config.address.clone()),
+                duties: duties.clone(),
+                reports,
+                time: time.clone(),
+                members: members.clone(),
+                store: store.clone(),
+                clock,
+                partitions,
+                instruments: instruments.clone(),
+            });
+        }
         let parts = OrdererParts {
             duties,
             clock,
@@ -217,6 +248,7 @@
             access: access.clone(),
             calls: Calls::open(
                 access,
+                usage.clone(),
                 endpoints.clone(),
                 client,
                 clock,
@@ -240,6 +272,7 @@
         let relay = StoreRelay {
             path: store_path,
             quarantine,
+            time,
         };
         let relay = HttpServer::bind(&config.peer_address, server_limits(), relay)?;
         let metrics_page = MetricsPage {
@@ -258,6 +291,7 @@
             routes,
             endpoints,
             open,
+            usage,
             runner,
             writer,
             servers,
@@ -314,6 +348,10 @@
         self.life.in_flight() == 0
             && self.runner.running_count() == 0
             && self.writer.unwritten() == 0
+            && !self
+                .usage
+                .as_ref()
+                .is_some_and(|usage| usage.is_unwritten())
     }
 
     /// Takes this daemon's record out of the store, so that others need not wait for its silence.
--- a/crates/borageshore_gateway/src/lib.rs
+++ b/crates/borageshore_gateway/src/lib.rs
@@ -37,6 +37,8 @@
 mod submission_index;
 mod submissions;
 mod texts;
+mod true_time;
+mod usage;
 mod watch;
 mod writer;
 
--- a/crates/borageshore_gateway/src/orderer.rs
+++ b/crates/borageshore_gateway/src/orderer.rs
@@ -66,7 +66,7 @@
     async fn run(self: Rc<Self>) {
         loop {
             let named = pin!(self.parts.routes.version_named.notified());
-            let announced = pin!(self.parts.duties.changed());
+            let round = pin!(self.parts.duties.round_came());
             let is_busy = match self.parts.duties.position_if_held() {
                 Some(at) => self.step(at).await,
                 None => false,
@@ -74,7 +74,7 @@
             if is_busy {
                 sleep_ms(POLL_MS).await;
             } else {
-                within_ms(IDLE_MS, select(named, announced)).await;
+                within_ms(IDLE_MS, select(named, round)).await;
             }
         }
     }
--- a/crates/borageshore_gateway/src/store_path.rs
+++ b/crates/borageshore_gateway/src/store_path.rs
@@ -19,6 +19,7 @@
 use crate::{
     quarantine::{CRASHES_PATH, Quarantine},
     server::server_limits,
+    true_time::{CLOCK_PATH, SharedTime},
 };
 
 /// The store as this daemon calls it.
@@ -224,6 +225,7 @@
 pub(crate) struct StoreRelay {
     pub(crate) path: StorePath,
     pub(crate) quarantine: Rc<Quarantine>,
+    pub(crate) time: Rc<SharedTime>,
 }
 
 impl Handler for StoreRelay {
@@ -231,6 +233,9 @@
         if request.uri().path() == CRASHES_PATH {
             return self.quarantine.on_told(request).await;
         }
+        if request.uri().path() == CLOCK_PATH {
+            return self.time.show();
+        }
         let (head, body) = request.into_parts();
         let Ok(body) = read_body(body, server_limits()).await else {
             return status(StatusCode::BAD_REQUEST);
--- /dev/null
+++ b/crates/borageshore_gateway/src/true_time.rs
@@ -0,0 +1,119 @@
+//! True time as this daemon estimates it, with what its peers show.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use borageshore_net::{EdgeResponse, HttpClient, Timeouts, boot_time_ms, json_response, sleep_ms};
+use borageshore_time::{ClockSample, TrueTime};
+use futures_util::future::join_all;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::members::Members;
+
+/// Where peers are asked what their clocks show, at the address that callers do not have.
+pub(crate) const CLOCK_PATH: &str = "/clock";
+/// The peers that are asked: one of five may be stepped, slow or gone, and most still agree.
+const PEERS_ASKED: usize = 5;
+/// The pace at which a daemon that starts asks until its peers agree.
+const BEGIN_EVERY_MS: u64 = 400;
+/// After so many tries it goes by its own time of day.
+const BEGIN_TRIES: usize = 8;
+/// The pace at which the time of day is followed.
+const FOLLOW_EVERY_MS: u64 = 10_000;
+/// A peer is a few ms away; an answer that takes longer says little.
+const TIMEOUTS: Timeouts = Timeouts {
+    connect_ms: 200,
+    first_byte_ms: 200,
+};
+
+/// What a daemon's clocks show.
+#[derive(Debug, Serialize, Deserialize)]
+struct Shown {
+    estimate_ms: u64,
+    time_of_day_ms: u64,
+}
+
+/// True time, kept with peers.
+#[derive(Debug)]
+pub(crate) struct SharedTime {
+    members: Rc<Members>,
+    time: RefCell<TrueTime>,
+    http: HttpClient,
+}
+
+impl SharedTime {
+    /// Begins with this VM's time of day, and asks peers from then on.
+    pub(crate) fn spawn(members: Rc<Members>) -> Rc<Self> {
+        let shared = Rc::new(Self {
+            members,
+            time: RefCell::new(TrueTime::begin(time_of_day_ms(), boot_time_ms())),
+            http: HttpClient::open(),
+        });
+        monoio::spawn(shared.clone().run());
+        shared
+    }
+
+    /// The estimate, in Unix milliseconds.
+    pub(crate) fn unix_ms(&self) -> u64 {
+        self.time.borrow().unix_ms(boot_time_ms())
+    }
+
+    /// Tells a peer what this daemon's clocks show.
+    pub(crate) fn show(&self) -> EdgeResponse {
+        let shown = Shown {
+            estimate_ms: self.unix_ms(),
+            time_of_day_ms: time_of_day_ms(),
+        };
+        json_response(200, &shown)
+    }
+
+    async fn run(self: Rc<Self>) {
+        for _ in 0..BEGIN_TRIES {
+            sleep_ms(BEGIN_EVERY_MS).await;
+            let samples = self.samples().await;
+            if self.time.borrow_mut().begin_anew(&samples) {
+                break;
+            }
+        }
+        loop {
+            sleep_ms(FOLLOW_EVERY_MS).await;
+            let samples = self.samples().await;
+            let now_ms = boot_time_ms();
+            let mut time = self.time.borrow_mut();
+            time.follow(time_of_day_ms(), now_ms, &samples);
+            let away_ms = time_of_day_ms() as i64 - time.unix_ms(now_ms) as i64;
+            log::debug!(peers = samples.len(), away_ms; "time of day against the estimate");
+        }
+    }
+
+    async fn samples(&self) -> Vec<ClockSample> {
+        let peers = self.members.some_relays(PEERS_ASKED);
+        let asked = join_all(peers.iter().map(|peer| self.ask(peer))).await;
+        asked.into_iter().flatten().collect()
+    }
+
+    async fn ask(&self, peer: &Arc<str>) -> Option<ClockSample> {
+        let request = Request::get(CLOCK_PATH).body(Full::default()).ok()?;
+        let asked_at_ms = boot_time_ms();
+        let (status, body) = match self.http.call(peer, request, TIMEOUTS).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                log::debug!(peer = &**peer, error:% = error; "a peer does not tell its time");
+                return None;
+            }
+        };
+        let answered_at_ms = boot_time_ms();
+        let shown: Shown = serde_json::from_slice(&body).ok()?;
+        (status == StatusCode::OK).then_some(ClockSample {
+            asked_at_ms,
+            answered_at_ms,
+            estimate_ms: shown.estimate_ms,
+            time_of_day_ms: shown.time_of_day_ms,
+        })
+    }
+}
+
+fn time_of_day_ms() -> u64 {
+    jiff::Timestamp::now().as_millisecond() as u64
+}
--- /dev/null
+++ b/crates/borageshore_gateway/src/usage/counter.rs
@@ -0,0 +1,185 @@
+//! What this daemon counts, and tells the store.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
+
+use borageshore_net::sleep_ms;
+use borageshore_platform::{StoreError, Topic};
+use borageshore_usage::{OwnCounts, UsageTimes, Window};
+use bytes::Bytes;
+use tokio::sync::Notify;
+
+use super::records::{Author, total_record};
+use crate::{members::Members, store_path::Store, true_time::SharedTime};
+
+/// The pause between two appends for each daemon that lives: all of them together make 200 a second at the most. A
+/// daemon that is killed takes with it what it counted in that time.
+const PAUSE_MS_PER_DAEMON: u64 = 5;
+/// The pause where there are few daemons.
+const LEAST_PAUSE_MS: u64 = 50;
+/// The pause after an append that failed.
+const AGAIN_MS: u64 = 300;
+
+/// Counts requests by organisation and window.
+///
+/// What is counted is appended at once, and what comes within the pause after that together: where calls are rare a
+/// daemon that is killed loses none, and where they are many the loss is a small part.
+#[derive(Debug)]
+pub(crate) struct UsageCounter {
+    times: UsageTimes,
+    time: Rc<SharedTime>,
+    store: Store,
+    members: Rc<Members>,
+    partitions: u64,
+    counts: RefCell<OwnCounts>,
+    /// Rises when an append may still be done late, so that it cannot take the place of a newer one.
+    generation: Cell<u64>,
+    is_writing: Cell<bool>,
+    /// Whether the last append failed.
+    is_lost: Cell<bool>,
+    counted: Notify,
+}
+
+impl UsageCounter {
+    pub(crate) fn spawn(
+        times: UsageTimes,
+        time: Rc<SharedTime>,
+        store: Store,
+        members: Rc<Members>,
+        partitions: u64,
+    ) -> Rc<Self> {
+        let counter = Rc::new(Self {
+            times,
+            time,
+            store,
+            members,
+            partitions: partitions.max(1),
+            counts: RefCell::default(),
+            generation: Cell::new(0),
+            is_writing: Cell::new(false),
+            is_lost: Cell::new(false),
+            counted: Notify::new(),
+        });
+        monoio::spawn(counter.clone().run());
+        counter
+    }
+
+    /// Says whether something counted is not in the store yet.
+    pub(crate) fn is_unwritten(&self) -> bool {
+        self.is_writing.get() || self.counts.borrow().is_untold()
+    }
+
+    fn add(&self, organisation: &Arc<str>, begun_at_ms: u64) {
+        let window = Window::at(begun_at_ms, self.times.window_ms);
+        self.counts.borrow_mut().add(window, organisation, 1);
+        self.counted.notify_one();
+    }
+
+    async fn run(self: Rc<Self>) {
+        loop {
+            self.counted.notified().await;
+            while self.counts.borrow().is_untold() {
+                self.is_writing.set(true);
+                let told = self.tell().await;
+                self.is_writing.set(false);
+                let daemons = self.members.count() as u64;
+                match told {
+                    Ok(()) => {
+                        self.is_lost.set(false);
+                        sleep_ms(LEAST_PAUSE_MS.max(daemons * PAUSE_MS_PER_DAEMON)).await;
+                    }
+                    Err(error) => {
+                        if !self.is_lost.replace(true) {
+                            log::info!(error:% = error; "what was counted is not in the store yet");
+                        }
+                        sleep_ms(AGAIN_MS).await;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn tell(&self) -> Result<(), StoreError> {
+        let oldest = self.times.first_open(self.time.unix_ms());
+        self.counts.borrow_mut().forget_before(oldest);
+        let untold = self.counts.borrow_mut().take_untold();
+        let (name, incarnation) = self.members.own_life();
+        let author = Author {
+            life: format!("{name}.{incarnation}").into(),
+            generation: self.generation.get(),
+        };
+        let records: Vec<(Arc<str>, Bytes)> = untold
+            .iter()
+            .map(|(window, counts)| total_record(*window, &author, counts))
+            .collect();
+        if records.is_empty() {
+            return Ok(());
+        }
+        let partition = borageshore_base::rendezvous_weight("usage", &name) % self.partitions;
+        let appended = self
+            .store
+            .append(Topic::Usage, partition, &records, None)
+            .await;
+        if let Err(error) = &appended {
+            if let StoreError::Uncertain(_) = error {
+                self.generation.set(self.generation.get() + 1);
+            }
+            let windows = untold.iter().map(|(window, _)| *window);
+            self.counts.borrow_mut().put_back(windows);
+        }
+        appended.map(|_| ())
+    }
+}
+
+/// A request of an organisation, counted once when it is over: in the window in which the first of its attempts
+/// began that ran, or may have run.
+#[derive(Debug)]
+pub(crate) struct RequestUse {
+    /// Where it is counted; nowhere if nobody is to be told of it.
+    counted: Option<(Rc<UsageCounter>, Arc<str>)>,
+    /// When each attempt began, in true time; none for one that has not run.
+    attempts: RefCell<Vec<Option<u64>>>,
+}
+
+impl RequestUse {
+    /// Begins with a request without attempts.
+    pub(crate) fn begin(
+        counter: Option<&Rc<UsageCounter>>,
+        organisation: Option<&Arc<str>>,
+    ) -> Self {
+        Self {
+            counted: counter.cloned().zip(organisation.cloned()),
+            attempts: RefCell::default(),
+        }
+    }
+
+    /// Notes that an attempt begins; returns its number.
+    pub(crate) fn on_attempt(&self) -> usize {
+        let mut attempts = self.attempts.borrow_mut();
+        let now_ms = self
+            .counted
+            .as_ref()
+            .map(|(counter, _)| counter.time.unix_ms());
+        attempts.push(now_ms);
+        attempts.len() - 1
+    }
+
+    /// Notes that an attempt certainly did not run.
+    pub(crate) fn on_not_run(&self, number: usize) {
+        if let Some(attempt) = self.attempts.borrow_mut().get_mut(number) {
+            *attempt = None;
+        }
+    }
+}
+
+impl Drop for RequestUse {
+    fn drop(&mut self) {
+        let begun_at_ms = self.attempts.borrow().iter().flatten().min().copied();
+        if let (Some((counter, organisation)), Some(begun_at_ms)) = (&self.counted, begun_at_ms) {
+            counter.add(organisation, begun_at_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/borageshore_gateway/src/usage/reporter.rs
@@ -0,0 +1,115 @@
+//! Reports of usage, sent by the daemon that holds the duty.
+
+use std::rc::Rc;
+
+use borageshore_diagnostics::Instruments;
+use borageshore_net::{Clock, sleep_ms};
+use borageshore_platform::{DutyCaller, DutyClient};
+use borageshore_usage::{Counts, UsageTimes, Window};
+
+use super::{USAGE, records::UsageReports, view::UsageView};
+use crate::{duties::Duties, members::Members, store_path::Store, true_time::SharedTime};
+
+/// The pace at which reports are looked for; a refused one is sent again after it.
+const PACE_MS: u64 = 250;
+
+/// What the reporter needs of the rest of the daemon.
+#[derive(Debug)]
+pub(crate) struct ReporterParts {
+    pub(crate) times: UsageTimes,
+    pub(crate) client: DutyClient,
+    pub(crate) duties: Rc<Duties>,
+    pub(crate) reports: Rc<UsageReports>,
+    pub(crate) time: Rc<SharedTime>,
+    pub(crate) members: Rc<Members>,
+    pub(crate) store: Store,
+    pub(crate) clock: Clock,
+    pub(crate) partitions: u64,
+    pub(crate) instruments: Rc<Instruments>,
+}
+
+/// Reports each window once its counts have come in: fixed by an announcement, then sent, one call at a time, until
+/// the platform has it or it is overdue.
+#[derive(Debug)]
+pub(crate) struct Reporter {
+    parts: ReporterParts,
+}
+
+impl Reporter {
+    pub(crate) fn spawn(parts: ReporterParts) {
+        monoio::spawn(Self { parts }.run());
+    }
+
+    async fn run(self) {
+        let mut view = None;
+        let mut cleaned = Window(0);
+        loop {
+            sleep_ms(PACE_MS).await;
+            let Some(at) = self.parts.duties.position_if_held() else {
+                view = None;
+                continue;
+            };
+            let parts = &self.parts;
+            let view = view.get_or_insert_with(|| {
+                UsageView::spawn(&parts.store, parts.clock, parts.partitions)
+            });
+            if parts.duties.may_act(USAGE) {
+                self.report_next(at, view).await;
+            }
+            let first = parts.times.first_remembered(parts.time.unix_ms());
+            if std::mem::replace(&mut cleaned, first) < first {
+                view.forget_before(first).await;
+            }
+        }
+    }
+
+    /// Reports the next window, if one is due; announced on the condition that nothing came after `at`.
+    async fn report_next(&self, at: u64, view: &UsageView) {
+        let parts = &self.parts;
+        let next = parts.reports.next(&parts.times, parts.time.unix_ms());
+        let Some((window, fixed)) = next else { return };
+        let counts = match fixed {
+            Some(counts) => counts,
+            None if view.confirm().await => view.counts_of(window),
+            None => {
+                log::info!(window = window.0; "the totals of a window cannot be read yet");
+                return;
+            }
+        };
+        let holder = parts.members.own_name();
+        let records = parts.reports.announcement(
+            holder.clone(),
+            parts.duties.held_by_others(),
+            window,
+            &counts,
+            parts.times.first_remembered(parts.time.unix_ms()),
+        );
+        let Some(announced) = parts.duties.announce(at, &records).await else {
+            return;
+        };
+        let caller = DutyCaller {
+            holder,
+            epoch: announced.epoch,
+        };
+        let sending = parts
+            .client
+            .report_usage(&caller, window.0, &counts, || announced.may_send());
+        match sending.await {
+            Ok(()) => self.on_taken(window, &counts, caller.epoch),
+            Err(error) => {
+                parts.instruments.count("usage_report", "failed");
+                log::warn!(window = window.0, epoch = caller.epoch, error:% = error; "a usage report is not taken yet");
+            }
+        }
+    }
+
+    fn on_taken(&self, window: Window, counts: &Counts, epoch: u64) {
+        let parts = &self.parts;
+        parts.reports.on_taken(window);
+        parts.instruments.count("usage_report", "taken");
+        let end_ms = window.end_ms(parts.times.window_ms);
+        let late_ms = parts.time.unix_ms().saturating_sub(end_ms);
+        let requests: u64 = counts.values().sum();
+        log::info!(window = window.0, epoch, late_ms, requests, organisations = counts.len(); "usage reported");
+    }
+}
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -209,6 +209,7 @@
                 .call_ends_ms
                 .borrow_mut()
                 .insert(id.clone(), self.clock.now_ms() + CALL_WAIT_MS);
+            let key = self.keys.header_of(CALLERS);
             let answer = self
                 .ask(CALLERS, front, "POST", path, &headers, Bytes::from("body"))
                 .await;
@@ -231,7 +232,8 @@
             if answer.is_some_and(|(_, body)| is_held(&body)) {
                 self.held_at_ms.borrow_mut().push(self.clock.now_ms());
             }
-            if status == 401 {
+            // One whose key was taken away meanwhile may be refused.
+            if status == 401 && key == self.keys.header_of(CALLERS) {
                 let at_ms = self.clock.now_ms();
                 self.unauthorized_at_ms.borrow_mut().push(at_ms);
             }
--- /dev/null
+++ b/crates/borageshore_time/src/agreement.rs
@@ -0,0 +1,30 @@
+//! What most of several intervals agree on.
+
+/// A value with its inaccuracy: it lies between two bounds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Interval {
+    /// The least that it can be.
+    pub low: i64,
+    /// The most that it can be.
+    pub high: i64,
+}
+
+/// The part that more than half of the intervals have in common, where there is one.
+///
+/// Clocks that were stepped lie seconds away from the others and agree with nobody, or with fewer.
+pub fn most_agreed(intervals: &[Interval]) -> Option<Interval> {
+    let mut best: Option<(usize, Interval)> = None;
+    for candidate in intervals {
+        let low = candidate.low;
+        let holding = intervals
+            .iter()
+            .filter(|other| other.low <= low && low <= other.high);
+        let high = holding.clone().map(|other| other.high).min()?;
+        let count = holding.count();
+        if best.is_none_or(|(most, _)| count > most) {
+            best = Some((count, Interval { low, high }));
+        }
+    }
+    let (count, common) = best?;
+    (count * 2 > intervals.len()).then_some(common)
+}
--- /dev/null
+++ b/crates/borageshore_time/src/lib.rs
@@ -0,0 +1,22 @@
+//! An estimate of true time on a VM whose time of day may step.
+//!
+//! A daemon counts on its own steady clock from a beginning that most of its peers agree on; the time of day is only
+//! ever followed slowly. Everything here is arithmetic: no clock, no I/O.
+//!
+//! ```
+//! use borageshore_time::{ClockSample, TrueTime};
+//!
+//! let mut time = TrueTime::begin(1_000_000, 5_000);
+//! assert_eq!(time.unix_ms(6_000), 1_001_000);
+//! let peer = ClockSample { asked_at_ms: 6_000, answered_at_ms: 6_002, estimate_ms: 1_004_001, time_of_day_ms: 1_004_001 };
+//! time.begin_anew(&[peer; 3]);
+//! assert_eq!(time.unix_ms(6_001), 1_004_001);
+//! ```
+
+mod agreement;
+mod true_time;
+
+pub use self::{
+    agreement::{Interval, most_agreed},
+    true_time::{ClockSample, TrueTime},
+};
--- /dev/null
+++ b/crates/borageshore_usage/src/plan.rs
@@ -0,0 +1,97 @@
+//! Which report is next: fixed once, sent until it is taken or overdue.
+
+use borageshore_base::SortedMap;
+
+use crate::{Counts, window::Window};
+
+/// Counts are waited for until this share of the time that a report has.
+const FIXED_AFTER_PERCENT: u64 = 50;
+/// Windows are remembered for so many times what a report has: no reader is that late.
+const REMEMBERED_TIMES: u64 = 4;
+
+/// The times of reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UsageTimes {
+    /// The length of a window.
+    pub window_ms: u64,
+    /// A report is due so long after its window's end.
+    pub late_ms: u64,
+}
+
+impl UsageTimes {
+    /// The first window whose report is not overdue.
+    pub fn first_open(&self, unix_ms: u64) -> Window {
+        Window::at(unix_ms.saturating_sub(self.late_ms), self.window_ms)
+    }
+
+    /// The first window that anybody may ask for.
+    pub fn first_remembered(&self, unix_ms: u64) -> Window {
+        let kept_ms = self.late_ms * REMEMBERED_TIMES;
+        Window::at(unix_ms.saturating_sub(kept_ms), self.window_ms)
+    }
+
+    /// Says whether a window's counts have had time to come in.
+    fn may_fix(&self, window: Window, unix_ms: u64) -> bool {
+        let waited_ms = self.late_ms * FIXED_AFTER_PERCENT / 100;
+        unix_ms >= window.end_ms(self.window_ms) + waited_ms
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Report {
+    counts: Counts,
+    is_taken: bool,
+}
+
+/// The reports that are fixed, and whether the platform has them.
+///
+/// Guards against two reports of one window that differ: what is sent is fixed by a record first, the first record of
+/// a window counts, and only that is ever sent, by whichever holder.
+#[derive(Debug, Default)]
+pub struct Reports {
+    fixed: SortedMap<Window, Report>,
+}
+
+impl Reports {
+    /// Takes over the record that fixes a window's report; a later one changes nothing.
+    pub fn on_fixed(&mut self, window: Window, counts: &Counts) {
+        self.fixed.get_or_insert_with(window, || Report {
+            counts: counts.clone(),
+            is_taken: false,
+        });
+    }
+
+    /// Takes over that the platform has a window's report.
+    pub fn on_taken(&mut self, window: Window) {
+        if let Some(report) = self.fixed.get_mut(&window) {
+            report.is_taken = true;
+        }
+    }
+
+    /// The next window to report at a moment in true time, with its counts if they are fixed; the oldest first.
+    pub fn next(&self, times: &UsageTimes, unix_ms: u64) -> Option<(Window, Option<&Counts>)> {
+        let first = times.first_open(unix_ms).0;
+        let windows = (first..).map(Window);
+        let mut ended = windows.take_while(|window| times.may_fix(*window, unix_ms));
+        ended.find_map(|window| match self.fixed.get(&window) {
+            Some(report) if report.is_taken => None,
+            Some(report) => Some((window, Some(&report.counts))),
+            None => Some((window, None)),
+        })
+    }
+
+    /// The windows whose report the platform has, from one on.
+    pub fn taken_from(&self, first: Window) -> Vec<Window> {
+        let taken = self.fixed.iter().filter(|(_, report)| report.is_taken);
+        let windows = taken.map(|(window, _)| *window);
+        windows.filter(|window| *window >= first).collect()
+    }
+
+    /// Forgets windows before one; returns them.
+    pub fn forget_before(&mut self, first: Window) -> Vec<Window> {
+        let windows = self.fixed.keys().copied();
+        let forgotten: Vec<Window> = windows.take_while(|window| *window < first).collect();
+        self.fixed.retain(|window, _| *window >= first);
+        forgotten
+    }
+}
--- /dev/null
+++ b/crates/borageshore_usage/src/totals.rs
@@ -0,0 +1,45 @@
+//! What all daemons have counted, as their totals tell.
+
+use std::sync::Arc;
+
+use borageshore_base::SortedMap;
+
+use crate::{Counts, window::Window};
+
+/// The totals of all daemons' lives, by window.
+///
+/// The largest total that a life has told of a window counts: a total that the store takes late, after a newer one,
+/// takes nothing back.
+#[derive(Debug, Default)]
+pub struct Totals {
+    windows: SortedMap<Window, SortedMap<Arc<str>, Counts>>,
+}
+
+impl Totals {
+    /// Takes over what one life of a daemon has counted in a window.
+    pub fn learn(&mut self, window: Window, author: &Arc<str>, counts: &Counts) {
+        let authors = self.windows.get_or_insert_with(window, SortedMap::default);
+        let known = authors.get_or_insert_with(author.clone(), Counts::default);
+        for (organisation, count) in counts.iter() {
+            let most = known.get_or_insert_with(organisation.clone(), || 0);
+            *most = (*most).max(*count);
+        }
+    }
+
+    /// The requests of all in a window.
+    pub fn of(&self, window: Window) -> Counts {
+        let mut all = Counts::default();
+        let authors = self.windows.get(&window).into_iter();
+        for counts in authors.flat_map(SortedMap::values) {
+            for (organisation, count) in counts.iter() {
+                *all.get_or_insert_with(organisation.clone(), || 0) += count;
+            }
+        }
+        all
+    }
+
+    /// Forgets windows before one.
+    pub fn forget_before(&mut self, first: Window) {
+        self.windows.retain(|window, _| *window >= first);
+    }
+}
--- /dev/null
+++ b/crates/borageshore_usage/src/window.rs
@@ -0,0 +1,17 @@
+//! Windows of time.
+
+/// The number of a window: the first begins at the Unix epoch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Window(pub u64);
+
+impl Window {
+    /// The window of a moment, in Unix milliseconds.
+    pub fn at(unix_ms: u64, window_ms: u64) -> Self {
+        Self(unix_ms / window_ms.max(1))
+    }
+
+    /// When it ends, in Unix milliseconds.
+    pub fn end_ms(self, window_ms: u64) -> u64 {
+        (self.0 + 1) * window_ms
+    }
+}
--- /dev/null
+++ b/crates/borageshore_usage/tests/usage.rs
@@ -0,0 +1,117 @@
+//! Each request is counted once, and each window is reported once.
+
+use std::sync::Arc;
+
+use borageshore_usage::{Counts, OwnCounts, Reports, Totals, UsageTimes, Window};
+
+const TIMES: UsageTimes = UsageTimes {
+    window_ms: 5_000,
+    late_ms: 10_000,
+};
+
+fn counts(list: &[(&str, u64)]) -> Counts {
+    let mut counts = Counts::default();
+    for (organisation, count) in list {
+        counts.insert((*organisation).into(), *count);
+    }
+    counts
+}
+
+fn listed(counts: &Counts) -> Vec<(String, u64)> {
+    let listed = counts.iter();
+    listed
+        .map(|(name, count)| (name.to_string(), *count))
+        .collect()
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[test] fn $name() $body)*
+    };
+}
+
+cases! {
+    // An organisation is billed for less than it used.
+    // The store was slow: it took a daemon's older total after a newer one.
+    a_total_that_comes_late_takes_nothing_back => {
+        let mut totals = Totals::default();
+        let author: Arc<str> = "vm-1.5".into();
+        totals.learn(Window(3), &author, &counts(&[("mill", 7), ("farm", 1)]));
+        totals.learn(Window(3), &author, &counts(&[("mill", 5)]));
+        totals.learn(Window(3), &"vm-1.6".into(), &counts(&[("mill", 2)]));
+        assert_eq!(listed(&totals.of(Window(3))), [("farm".into(), 1), ("mill".into(), 9)]);
+        assert!(totals.of(Window(4)).is_empty());
+    }
+
+    what_could_not_be_told_is_told_again_with_what_came_since => {
+        let mut own = OwnCounts::default();
+        own.add(Window(3), &"mill".into(), 1);
+        let told = own.take_untold();
+        assert!(!own.is_untold());
+        own.add(Window(3), &"mill".into(), 1);
+        own.put_back(told.iter().map(|(window, _)| *window));
+        let again = own.take_untold();
+        assert_eq!(again.len(), 1);
+        assert_eq!(again[0].1.get("mill"), Some(&2));
+        own.forget_before(Window(4));
+        own.put_back([Window(3)]);
+        assert!(!own.is_untold());
+    }
+
+    // The platform gets two reports of one window that differ.
+    // A holder fixes a report and dies; late counts come in; its successor reports those as well.
+    a_fixed_report_is_never_changed => {
+        let mut reports = Reports::default();
+        reports.on_fixed(Window(3), &counts(&[("mill", 7)]));
+        reports.on_fixed(Window(3), &counts(&[("mill", 8)]));
+        let (window, fixed) = reports.next(&TIMES, 25_000).unwrap();
+        assert_eq!((window, fixed.map(listed)), (Window(3), Some(vec![("mill".into(), 7)])));
+    }
+
+    a_report_waits_for_counts_and_ends_when_it_is_overdue => {
+        let reports = Reports::default();
+        // Window 3 ends at 20 s; its report is due at 30 s.
+        assert_eq!(reports.next(&TIMES, 24_999).map(|(window, _)| window), Some(Window(2)));
+        assert_eq!(reports.next(&TIMES, 25_000).map(|(window, _)| window), Some(Window(3)));
+        assert_eq!(reports.next(&TIMES, 29_999).map(|(window, _)| window), Some(Window(3)));
+        assert_eq!(reports.next(&TIMES, 30_000).map(|(window, _)| window), Some(Window(4)));
+    }
+
+    what_the_platform_has_is_not_sent_again => {
+        let mut reports = Reports::default();
+        reports.on_fixed(Window(3), &counts(&[]));
+        reports.on_taken(Window(3));
+        assert_eq!(reports.next(&TIMES, 25_000), None);
+        assert_eq!(reports.taken_from(Window(0)), [Window(3)]);
+        reports.forget_before(Window(4));
+        assert!(reports.taken_from(Window(0)).is_empty());
+    }
+
+    // Daemons count, tell, die and tell again in any order: a reader of all records has the sum of what each life
+    // told last.
+    totals_agree_with_a_plain_sum => {
+        bolero::check!().with_type::<Vec<(u8, u8)>>().for_each(|events| {
+            let mut lives: Vec<OwnCounts> = (0..4).map(|_| OwnCounts::default()).collect();
+            let mut records: Vec<(Window, Arc<str>, Counts)> = Vec::new();
+            let mut told = 0;
+            let mut untold = [0_u64; 4];
+            for (what, count) in events {
+                let life = usize::from(*what) % 4;
+                if what & 0x80 == 0 {
+                    lives[life].add(Window(1), &"mill".into(), u64::from(*count));
+                    untold[life] += u64::from(*count);
+                } else {
+                    let author: Arc<str> = format!("vm.{life}").into();
+                    let totals = lives[life].take_untold();
+                    records.extend(totals.into_iter().map(|(window, counts)| (window, author.clone(), counts)));
+                    told += std::mem::take(&mut untold[life]);
+                }
+            }
+            let mut totals = Totals::default();
+            for (window, author, counts) in records.iter().chain(records.iter().rev()) {
+                totals.learn(*window, author, counts);
+            }
+            assert_eq!(totals.of(Window(1)).get("mill").copied().unwrap_or(0), told);
+        });
+    }
+}
