The soak's platform takes reports of usage and judges them from outside; reports are fixed a quarter of the due time after a window

The stand-in platform takes reports late, refuses them or answers none, and the soak checks that two reports of one window never differ, holders do not take turns, and counts are what endpoints saw; callers have keys in odd seeds.

--- a/crates/borageshore_soak/src/daemons.rs
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -15,7 +15,11 @@
 use borageshore_standins::platform::Proxy;
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::{SoakOptions, keys::REVOCATION_MS};
+use crate::{
+    SoakOptions,
+    keys::REVOCATION_MS,
+    usage::{LATE_S, WINDOW_S},
+};
 
 const FIRST_PORT: u16 = 11_000;
 const PORTS_PER_PROCESS: u16 = 1_000;
@@ -46,7 +50,12 @@
 
 impl DaemonProcess {
     /// Writes its settings; it is not started yet.
-    pub(crate) fn open(options: &SoakOptions, number: usize, store: Proxy) -> io::Result<Self> {
+    pub(crate) fn open(
+        options: &SoakOptions,
+        number: usize,
+        store: Proxy,
+        duties: SocketAddr,
+    ) -> io::Result<Self> {
         let name = format!("vm-{number}");
         let (front, ready, directory) = (free_address()?, free_address()?, free_address()?);
         let (metrics, peers) = (free_address()?, free_address()?);
@@ -55,7 +64,8 @@
             "name: {name}\nzone: z1\nhttp_address: {front}\nready_address: {ready}\n\
              directory_address: {directory}\npeer_address: {peers}\nmetrics_address: {metrics}\nprocessor_share: 0.5\nstore_address: {}\n\
              store_partitions: 2\naddress_ttl_s: 1\nstop_grace_s: {GRACE_S}\nresults_kept_s: {}\norder_lease_ms: 3000\n\
-             parallel_loads_percent: 50\nload_share_percent: 50\nkey_revocation_ms: {REVOCATION_MS}\n",
+             parallel_loads_percent: 50\nload_share_percent: 50\nkey_revocation_ms: {REVOCATION_MS}\n\
+             duties:\n  address: {duties}\n  usage_window_s: {WINDOW_S}\n  usage_late_s: {LATE_S}\n",
             store.address(),
             options.results_kept_s
         );
--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -4,8 +4,8 @@
 
 use borageshore_net::{Clock, sleep_ms};
 use borageshore_standins::platform::{
-    EngineSwitches, LONG_EVENTS, PlainSwitches, PlatformEngine, PlatformService, PlatformStore,
-    Proxy, ProxyMode, StoreMode,
+    DutyMode, EngineSwitches, LONG_EVENTS, PlainSwitches, PlatformDuties, PlatformEngine,
+    PlatformService, PlatformStore, Proxy, ProxyMode, StoreMode,
 };
 use futures_util::future::join_all;
 use rand_core::Rng;
@@ -49,6 +49,7 @@
     pub(crate) oracle: Rc<Oracle>,
     pub(crate) store: PlatformStore,
     pub(crate) keys: Rc<Keys>,
+    pub(crate) duties: PlatformDuties,
     pub(crate) daemons: Vec<DaemonProcess>,
     pub(crate) engines: Vec<(PlatformEngine, Proxy)>,
     pub(crate) services: Vec<(PlatformService, Proxy)>,
@@ -68,6 +69,8 @@
     StoreLink(usize, ProxyMode),
     /// The operator takes the callers' key away.
     Revoke,
+    /// The platform takes calls of duties otherwise.
+    Duties(DutyMode),
     /// The daemons from this one on are suspended.
     Suspend(usize),
     /// The store turns the daemons from this one on away.
@@ -143,6 +146,7 @@
             sleep_ms((began_ms + at_ms).saturating_sub(self.clock.now_ms())).await;
             let fault = match moment {
                 Moment::KillHolder => Fault::Kill(self.holder().await),
+                Moment::KillReporter => Fault::Kill(self.reporter().await),
                 Moment::StopOne => Fault::Stop(0),
                 Moment::CutHolderMidText => {
                     self.wait_for_long_run().await;
@@ -161,6 +165,7 @@
                 Moment::ForeignEntry => Fault::ForeignEntry(0),
                 Moment::StoreSilent | Moment::StoreSilentForLong => Fault::Store(StoreMode::Silent),
                 Moment::Revoke => Fault::Revoke,
+                Moment::DutiesLost => Fault::Duties(DutyMode::LostAnswers),
                 Moment::SuspendOthers => Fault::Suspend(1),
             };
             self.begun
@@ -190,6 +195,22 @@
         }
     }
 
+    /// The daemon that reported usage last.
+    async fn reporter(&self) -> usize {
+        loop {
+            let reports = self.duties.reports();
+            let last = reports.last().map(|report| &report.holder);
+            let number = self
+                .daemons
+                .iter()
+                .position(|daemon| Some(&daemon.name) == last);
+            match number {
+                Some(number) => return number,
+                None => sleep_ms(HOLDER_POLL_MS).await,
+            }
+        }
+    }
+
     /// Waits until some run has made so many events that it is worth a lot.
     async fn wait_for_long_run(&self) {
         let is_long = |(engine, _): &(PlatformEngine, Proxy)| {
@@ -221,6 +242,11 @@
             StoreMode::LostAnswers,
             StoreMode::Late(1_500),
         ][below(5)];
+        let duties = match daemon {
+            0 => DutyMode::Busy,
+            1 => DutyMode::Slow(250),
+            _ => DutyMode::LostAnswers,
+        };
         match kind {
             0 | 1 => Fault::Kill(daemon),
             2 => Fault::KillAll,
@@ -246,6 +272,7 @@
             17 => Fault::EngineStartsAgain(engine),
             18 => Fault::ForeignEntry(service),
             19 => Fault::TurnAway(daemon),
+            20 => Fault::Duties(duties),
             _ => Fault::Revoke,
         }
     }
@@ -268,6 +295,11 @@
                 self.oracle.stopped_at_ms.set(Some(self.clock.now_ms()));
                 self.kill(&all, 300).await;
             }
+            Fault::Duties(mode) => {
+                self.duties.set_mode(mode);
+                sleep_ms(length_ms).await;
+                self.duties.set_mode(DutyMode::Up);
+            }
             Fault::Revoke => self.keys.revoke(&self.store, self.clock.now_ms()),
             Fault::Suspend(first) => {
                 let numbers = first..self.daemons.len();
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -17,6 +17,7 @@
 mod keys;
 mod oracle;
 mod traffic;
+mod usage;
 mod world;
 
 use std::path::PathBuf;
@@ -64,6 +65,10 @@
     StoreSilent,
     /// The store answers nobody for longer than a key that was taken away may be good.
     StoreSilentForLong,
+    /// The daemon that last reported usage is killed and starts again a second later.
+    KillReporter,
+    /// The platform answers no call of a duty.
+    DutiesLost,
     /// The operator takes the callers' key away; they have another one.
     Revoke,
     /// All daemons but the first are suspended for longer than a key that was taken away may be good.
@@ -170,6 +175,8 @@
     pub most_overtime_ms: u64,
     /// When calls that crash nothing were refused as ones that do, in ms.
     pub proper_held_at_ms: Vec<u64>,
+    /// Windows of usage whose report is missing or wrong, of those that were due.
+    pub wrong_windows: Vec<String>,
     /// Calls that were refused as nobody's, each with its time in ms.
     pub unauthorized_at_ms: Vec<u64>,
     /// Endpoints that crashed under a request.
--- a/crates/borageshore_soak/src/main.rs
+++ b/crates/borageshore_soak/src/main.rs
@@ -48,6 +48,7 @@
             crashing_calls: arguments.crashing_calls,
             has_crashing_item: seed.is_multiple_of(2),
             has_crashing_reward: seed.is_multiple_of(3),
+            organisations: !seed.is_multiple_of(2),
             duration_ms: arguments.duration_ms,
             script: Script::Wider(arguments.faults),
             ..SoakOptions::new(arguments.program.clone(), seed)
@@ -67,7 +68,7 @@
         }
     };
     println!(
-        "seed {}: {} of {} calls answered, {} held in vain, {} endpoints crashed, {} submissions, {} results, {} broken",
+        "seed {}: {} of {} calls answered, {} held in vain, {} endpoints crashed, {} submissions, {} results, {} windows wrong, {} broken",
         options.seed,
         report.calls_answered,
         report.calls,
@@ -75,6 +76,7 @@
         report.crashed_endpoints,
         report.submissions,
         report.results,
+        report.wrong_windows.len(),
         report.violations.len()
     );
     if report.violations.is_empty() {
--- /dev/null
+++ b/crates/borageshore_soak/src/usage.rs
@@ -0,0 +1,99 @@
+//! Reports of usage, judged from outside: one holder at a time, one report a window, counts that are true.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use borageshore_net::Clock;
+use borageshore_standins::platform::{PlatformDuties, PlatformService, TakenReport};
+
+use crate::{keys::CALLERS, oracle::Oracle};
+
+/// The length of a window.
+pub(crate) const WINDOW_S: u64 = 1;
+/// A window's report is due so long after its end.
+pub(crate) const LATE_S: u64 = 8;
+/// Acts of two holders are at least this far apart.
+const LEASE_MS: u64 = 3_000;
+/// A report may be off by so many in a hundred, and one request that began as its window ended.
+const ERROR_PERCENT: u64 = 5;
+const ERROR_REQUESTS: u64 = 1;
+
+/// Says when the soak's clock began, in Unix milliseconds.
+pub(crate) fn began_unix_ms(clock: Clock) -> u64 {
+    jiff::Timestamp::now().as_millisecond() as u64 - clock.now_ms()
+}
+
+/// Checks who sent reports, and that no two of one window differ.
+pub(crate) fn check_holders(oracle: &Oracle, duties: &PlatformDuties) {
+    let reports = duties.reports();
+    let mut first: BTreeMap<u64, &TakenReport> = BTreeMap::new();
+    for report in &reports {
+        let known = first.entry(report.window).or_insert(report);
+        if known.counts != report.counts {
+            oracle.broken(format!("two reports of window {} differ", report.window));
+        }
+    }
+    for pair in reports.windows(2) {
+        let [one, next] = pair else { continue };
+        let is_same = one.holder == next.holder;
+        let is_early = !is_same && next.at_ms < one.at_ms + LEASE_MS;
+        let is_back = next.epoch < one.epoch || (!is_same && next.epoch == one.epoch);
+        // Taking turns needs a third act; a successor alone may come at once.
+        let is_turn = is_early
+            && reports.iter().any(|third| {
+                third.holder == one.holder
+                    && third.at_ms > next.at_ms
+                    && third.at_ms < one.at_ms + LEASE_MS
+            });
+        if is_back || is_turn {
+            oracle.broken(format!(
+                "reports of {} and {}: epoch {} after {}",
+                one.holder, next.holder, next.epoch, one.epoch
+            ));
+        }
+    }
+}
+
+/// The windows between two times whose report is missing or wrong.
+pub(crate) fn wrong_windows(
+    clock: Clock,
+    duties: &PlatformDuties,
+    services: &[PlatformService],
+    from_ms: u64,
+    to_ms: u64,
+) -> Vec<String> {
+    let began_ms = began_unix_ms(clock);
+    let window_ms = WINDOW_S * 1_000;
+    let mut begun: BTreeMap<String, u64> = BTreeMap::new();
+    for (id, runs) in services.iter().flat_map(PlatformService::runs) {
+        let is_counted = !id.starts_with("reward");
+        let first_ms = runs.iter().min().copied().filter(|_| is_counted);
+        if let Some(first_ms) = first_ms {
+            let known = begun.entry(id).or_insert(first_ms);
+            *known = first_ms.min(*known);
+        }
+    }
+    let reports = duties.reports();
+    let first = (began_ms + from_ms) / window_ms + 1;
+    let last = (began_ms + to_ms) / window_ms;
+    let mut wrong = Vec::new();
+    for window in first..last {
+        let in_window = |at_ms: &&u64| (began_ms + **at_ms) / window_ms == window;
+        let made = begun.values().filter(in_window).count() as u64;
+        let reported = reports.iter().find(|report| report.window == window);
+        let organisations: BTreeSet<&String> =
+            reported.iter().flat_map(|r| r.counts.keys()).collect();
+        let counted = reported
+            .and_then(|report| report.counts.get(CALLERS))
+            .copied();
+        let is_right = reported.is_some()
+            && organisations.iter().all(|name| *name == CALLERS)
+            && counted.unwrap_or(0).abs_diff(made) <= ERROR_REQUESTS + made * ERROR_PERCENT / 100;
+        if !is_right {
+            wrong.push(format!(
+                "window {}: {made} began, reported {counted:?}",
+                window - first
+            ));
+        }
+    }
+    wrong
+}
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -10,7 +10,7 @@
 
 use borageshore_net::{Clock, sleep_ms};
 use borageshore_standins::platform::{
-    PlatformEngine, PlatformService, PlatformStore, Proxy, events_of,
+    PlatformDuties, PlatformEngine, PlatformService, PlatformStore, Proxy, events_of,
 };
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -24,6 +24,7 @@
     keys::Keys,
     oracle::Oracle,
     traffic::{HOST, MODEL, Traffic},
+    usage,
 };
 
 /// Daemons are up by then.
@@ -118,6 +119,7 @@
     let services = services_of(&targets);
     oracle.check_endpoints(&engines, &services);
     targets.keys.check(&oracle, &engines, &services);
+    usage::check_holders(&oracle, &targets.duties);
     let sends = crashes::sends(&services, &engines);
     crashes::check(&oracle, sends, options.crash_after_ms);
     for daemon in &targets.daemons {
@@ -150,6 +152,7 @@
 fn build(options: &SoakOptions, clock: Clock, oracle: &Rc<Oracle>) -> io::Result<Targets> {
     let store = PlatformStore::bind("127.0.0.1:0")?;
     let keys = Keys::open(&store, options.organisations, routes(options.objective_ms));
+    let duties = PlatformDuties::bind(clock)?;
     let mut engines = Vec::new();
     for number in 0..options.engines {
         let instance = format!("e-{number}");
@@ -169,13 +172,19 @@
     let mut daemons = Vec::new();
     for number in 0..options.daemons {
         let proxy = Proxy::bind(store.address())?;
-        daemons.push(DaemonProcess::open(options, number, proxy)?);
+        daemons.push(DaemonProcess::open(
+            options,
+            number,
+            proxy,
+            duties.address(),
+        )?);
     }
     Ok(Targets {
         clock,
         oracle: oracle.clone(),
         store,
         keys,
+        duties,
         daemons,
         engines,
         services,
@@ -262,7 +271,16 @@
     if traffic.calls_answered.get() * 2 < traffic.calls.get() {
         violations.push("less than half of the calls were answered".into());
     }
+    let due_ms = traffic.clock.now_ms().saturating_sub(usage::LATE_S * 1_000);
+    let wrong_windows = usage::wrong_windows(
+        traffic.clock,
+        &targets.duties,
+        &services_of(targets),
+        START_MS,
+        due_ms,
+    );
     SoakReport {
+        wrong_windows,
         faults: targets.begun.borrow().clone(),
         calls_answered: traffic.calls_answered.get(),
         calls: traffic.calls.get(),
--- a/crates/borageshore_standins/src/platform/mod.rs
+++ b/crates/borageshore_standins/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! They record what they see, so that a test can check the daemons' promises from the outside.
 
 mod crash;
+mod duties;
 mod engine;
 mod plain;
 mod proxy;
@@ -13,6 +14,7 @@
 
 pub use self::{
     crash::{CRASH_MARK, CrashingSend},
+    duties::{DutyMode, PlatformDuties, TakenReport},
     engine::{
         EngineSwitches, GivenOrder, LONG_EVENTS, PlatformEngine, SeenRun, event_text, events_of,
     },
--- a/crates/borageshore_usage/src/plan.rs
+++ b/crates/borageshore_usage/src/plan.rs
@@ -5,7 +5,7 @@
 use crate::{Counts, window::Window};
 
 /// Counts are waited for until this share of the time that a report has.
-const FIXED_AFTER_PERCENT: u64 = 50;
+const FIXED_AFTER_PERCENT: u64 = 25;
 /// Windows are remembered for so many times what a report has: no reader is that late.
 const REMEMBERED_TIMES: u64 = 4;
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -274,6 +274,16 @@
         assert!(report.submissions >= 3, "{}", report.submissions);
     }
 
+    // An organisation is billed twice, or not at all.
+    // Each window of usage is reported once, with what began to run in it, also while the platform takes reports and
+    // answers none, and when the daemon that reports is killed.
+    usage_is_reported_once_with_true_counts => {
+        let script = vec![(2_000, Moment::DutiesLost), (5_000, Moment::KillReporter)];
+        let options = SoakOptions { organisations: true, ..options(29, Script::Moments(script)) };
+        let report = play(&SoakOptions { duration_ms: 18_000, ..options });
+        assert!(report.wrong_windows.len() <= 1, "{:?}", report.wrong_windows);
+    }
+
     // A key that was taken away is good for as long as the store is away.
     // No daemon hears of the change. What each knows is too old after five seconds, and it says so instead.
     a_key_that_was_taken_away_is_not_good_for_longer_without_the_store => {
