--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -13,7 +13,7 @@
     access::CallerAccess,
     calls::Calls,
     cleaner::Cleaner,
-    config::{DutyConfig, GatewayConfig},
+    config::GatewayConfig,
     dispatch::Dispatch,
     duties::Duties,
     endpoints::Endpoints,
@@ -189,31 +189,18 @@
             reports.clone(),
             config.order_lease_ms,
         );
-        let duty_config = config.duties.as_ref();
-        let usage_times = duty_config.and_then(DutyConfig::usage_times);
-        let usage = usage_times.map(|times| {
-            UsageCounter::spawn(
-                times,
-                time.clone(),
-                store.clone(),
-                members.clone(),
-                partitions,
-            )
-        });
-        if let Some((config, times)) = duty_config.zip(usage_times) {
-            Reporter::spawn(ReporterParts {
-                times,
-                client: DutyClient::open(config.address.clone()),
+        let usage = spawn_usage(
+            &config,
+            UsageParts {
                 duties: duties.clone(),
                 reports,
                 time: time.clone(),
                 members: members.clone(),
                 store: store.clone(),
                 clock,
-                partitions,
                 instruments: instruments.clone(),
-            });
-        }
+            },
+        );
         let parts = OrdererParts {
             duties,
             clock,
@@ -360,6 +347,44 @@
     }
 }
 
+/// What counting and reporting of usage need of the rest.
+#[derive(Debug)]
+struct UsageParts {
+    duties: Rc<Duties>,
+    reports: Rc<UsageReports>,
+    time: Rc<SharedTime>,
+    members: Rc<Members>,
+    store: Store,
+    clock: Clock,
+    instruments: Rc<Instruments>,
+}
+
+/// Counts and reports usage, if the platform wants to know of it.
+fn spawn_usage(config: &GatewayConfig, parts: UsageParts) -> Option<Rc<UsageCounter>> {
+    let duties = config.duties.as_ref()?;
+    let times = duties.usage_times()?;
+    let counter = UsageCounter::spawn(
+        times,
+        parts.time.clone(),
+        parts.store.clone(),
+        parts.members.clone(),
+        config.store_partitions,
+    );
+    Reporter::spawn(ReporterParts {
+        times,
+        client: DutyClient::open(duties.address.clone()),
+        duties: parts.duties,
+        reports: parts.reports,
+        time: parts.time,
+        members: parts.members,
+        store: parts.store,
+        clock: parts.clock,
+        partitions: config.store_partitions,
+        instruments: parts.instruments,
+    });
+    Some(counter)
+}
+
 fn own_presence(config: &GatewayConfig, incarnation: u64) -> Presence {
     Presence {
         name: config.name.clone(),
