A report of usage is forgotten once its record is removed

Change: the holder removes old records as before, and every daemon forgets a window with its record. The test plays what a daemon that does not report sees.

--- a/crates/borageshore_gateway/src/duties.rs
+++ b/crates/borageshore_gateway/src/duties.rs
@@ -66,7 +66,10 @@
 impl Fold for Announcements {
     fn apply(&self, records: &[KeyedRecord]) {
         for record in records {
-            let Some(value) = &record.value else { continue };
+            let Some(value) = &record.value else {
+                self.usage.on_removed(&record.key);
+                continue;
+            };
             let taken = match UsageReports::decode(record) {
                 Some(report) => report.map(|report| self.take_report(&report)),
                 None => serde_json::from_slice(value).map(|round| self.take_round(round)),
--- a/crates/borageshore_gateway/src/usage/records.rs
+++ b/crates/borageshore_gateway/src/usage/records.rs
@@ -73,6 +73,16 @@
         }
     }
 
+    /// Takes over that a record of the duties' partition was removed: nobody asks for that window any more.
+    ///
+    /// Guards the memory of daemons that do not report: a day has 17,280 windows of 5 s.
+    pub(crate) fn on_removed(&self, key: &str) {
+        let number = key.strip_prefix(REPORT_PREFIX);
+        if let Some(window) = number.and_then(|number| number.parse().ok()) {
+            self.reports.borrow_mut().forget(Window(window));
+        }
+    }
+
     /// The window to report next, with its counts if they are fixed.
     pub(super) fn next(
         &self,
@@ -97,7 +107,7 @@
         counts: &Counts,
         first_remembered: Window,
     ) -> Vec<(Arc<str>, Bytes)> {
-        let mut reports = self.reports.borrow_mut();
+        let reports = self.reports.borrow();
         let taken = reports.taken_from(first_remembered);
         let record = ReportRecord {
             holder,
@@ -106,8 +116,8 @@
             counts: listed(counts),
             taken: taken.iter().map(|window| window.0).collect(),
         };
-        let forgotten = reports.forget_before(first_remembered);
-        let removals = forgotten
+        let old = reports.before(first_remembered);
+        let removals = old
             .into_iter()
             .map(|window| (report_key(window), Bytes::new()));
         let report = (report_key(window), encoded(&record));
--- a/crates/borageshore_usage/src/plan.rs
+++ b/crates/borageshore_usage/src/plan.rs
@@ -87,11 +87,14 @@
         windows.filter(|window| *window >= first).collect()
     }
 
-    /// Forgets windows before one; returns them.
-    pub fn forget_before(&mut self, first: Window) -> Vec<Window> {
+    /// The windows before one.
+    pub fn before(&self, first: Window) -> Vec<Window> {
         let windows = self.fixed.keys().copied();
-        let forgotten: Vec<Window> = windows.take_while(|window| *window < first).collect();
-        self.fixed.retain(|window, _| *window >= first);
-        forgotten
+        windows.take_while(|window| *window < first).collect()
+    }
+
+    /// Forgets a window, once its record is removed.
+    pub fn forget(&mut self, window: Window) {
+        self.fixed.remove(&window);
     }
 }
--- a/crates/borageshore_usage/tests/usage.rs
+++ b/crates/borageshore_usage/tests/usage.rs
@@ -85,8 +85,21 @@
         reports.on_taken(Window(3));
         assert_eq!(reports.next(&TIMES, 25_000), None);
         assert_eq!(reports.taken_from(Window(0)), [Window(3)]);
-        reports.forget_before(Window(4));
-        assert!(reports.taken_from(Window(0)).is_empty());
+    }
+
+    // A daemon that never reports grows by 50 MB a day.
+    // It reads each report that another one fixes, and forgot them only where it reported itself.
+    a_report_is_forgotten_once_its_record_is_removed => {
+        let mut reports = Reports::default();
+        for window in 1..=3 {
+            reports.on_fixed(Window(window), &counts(&[("mill", 1)]));
+            reports.on_taken(Window(window));
+        }
+        let old = reports.before(Window(3));
+        assert_eq!(old, [Window(1), Window(2)]);
+        old.into_iter().for_each(|window| reports.forget(window));
+        assert_eq!(reports.taken_from(Window(0)), [Window(3)]);
+        assert!(reports.before(Window(3)).is_empty());
     }
 
     // Daemons count, tell, die and tell again in any order: a reader of all records has the sum of what each life
