--- a/crates/borageshore_gateway/src/store_path.rs
+++ b/crates/borageshore_gateway/src/store_path.rs
@@ -219,8 +219,8 @@
     }
 }
 
-/// Passes calls of peers on to the store, as long as this daemon reaches it itself, and takes over what they tell of
-/// crashes.
+/// What peers ask of this daemon: to pass calls on to the store, as long as it reaches that itself, to take over what
+/// they tell of crashes, and to show its clocks.
 #[derive(Debug, Clone)]
 pub(crate) struct StoreRelay {
     pub(crate) path: StorePath,
