The cut of a step's daemon is judged without texts that leave slow engines

Trace of 16 plays beside a regression run: 2 to 7 events, no text begun again, no takeover, no suspicion; 6 to 49 "item leaves a slow engine" a play, each of which makes an event or two again at the old engine, and beside load many engines seem slow. So the figure said nothing of the cut. Other tests keep the moves.

--- a/crates/borageshore_soak/src/daemons.rs
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -65,9 +65,11 @@
              directory_address: {directory}\npeer_address: {peers}\nmetrics_address: {metrics}\nprocessor_share: 0.5\nstore_address: {}\n\
              store_partitions: 2\naddress_ttl_s: 1\nstop_grace_s: {GRACE_S}\nresults_kept_s: {}\norder_lease_ms: 3000\n\
              parallel_loads_percent: 50\nload_share_percent: 50\nkey_revocation_ms: {REVOCATION_MS}\n\
-             duties:\n  address: {duties}\n  usage_window_s: {WINDOW_S}\n  usage_late_s: {LATE_S}\n",
+             duties:\n  address: {duties}\n  usage_window_s: {WINDOW_S}\n  usage_late_s: {LATE_S}\n\
+             mechanisms_off: [{}]\n",
             store.address(),
-            options.results_kept_s
+            options.results_kept_s,
+            options.mechanisms_off.join(", ")
         );
         std::fs::write(&config, text)?;
         Ok(Self {
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -108,6 +108,8 @@
     pub has_crashing_reward: bool,
     /// Whether callers belong to organisations and have keys.
     pub organisations: bool,
+    /// Mechanisms of the daemons that are switched off, by their names in the settings.
+    pub mechanisms_off: Vec<&'static str>,
     /// Whether all texts are long ones.
     pub long_texts: bool,
     /// The faults.
@@ -135,6 +137,7 @@
             has_crashing_item: false,
             has_crashing_reward: false,
             organisations: false,
+            mechanisms_off: Vec::new(),
             long_texts: false,
             script: Script::Wider(8),
             folder: std::env::temp_dir()
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -133,7 +133,9 @@
     // waited there, and a successor made the ends of the texts again. Now a peer passes its calls on.
     a_daemon_that_is_cut_off_from_the_store_goes_by_its_peers => {
         let script = Script::Moments(vec![(500, Moment::CutHolderMidText)]);
-        let options = SoakOptions { long_texts: true, ..options(15, script) };
+        // A text that leaves a slow engine makes an event or two again there, and beside load many engines seem slow.
+        let mechanisms_off = vec!["moves_to_better_engines"];
+        let options = SoakOptions { long_texts: true, mechanisms_off, ..options(15, script) };
         let report = play(&options);
         assert_eq!(report.faults.len(), 1);
         assert!(report.most_remade < 5, "{}", report.most_remade);
