--- a/crates/borageshore_bench/src/bin/capacity.rs
+++ b/crates/borageshore_bench/src/bin/capacity.rs
@@ -6,7 +6,13 @@
 
 const DOCS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs");
 /// The deployments that `tools/run-sweep` plays, the largest first.
-const DEPLOYMENTS: [&str; 2] = ["navua-feedlog-large", "navua-feedlog-grown"];
+const DEPLOYMENTS: [&str; 5] = [
+    "navua-feedlog-large",
+    "navua-feedlog-grown",
+    "navua-feedlog-now-grown",
+    "lsgm-rollout-grown",
+    "cmaa-cobranca-grown",
+];
 
 fn main() -> io::Result<()> {
     let mut sweeps = Vec::new();
--- a/crates/borageshore_bench/tests/page.rs
+++ b/crates/borageshore_bench/tests/page.rs
@@ -10,7 +10,13 @@
 
 #[test]
 fn page_matches_the_measurements() {
-    let sweeps = sweeps!["navua-feedlog-large", "navua-feedlog-grown",];
+    let sweeps = sweeps![
+        "navua-feedlog-large",
+        "navua-feedlog-grown",
+        "navua-feedlog-now-grown",
+        "lsgm-rollout-grown",
+        "cmaa-cobranca-grown",
+    ];
     for sweep in &sweeps {
         assert!(
             sweep.plays.len() >= 3,
