--- a/crates/borageshore_gateway/src/access.rs
+++ b/crates/borageshore_gateway/src/access.rs
@@ -100,9 +100,10 @@
             Access::Denied => Denial::Unauthorized,
             Access::Unconfirmed | Access::ViewTooOld => Denial::ViewTooOld,
         };
-        let (what, age_ms) = match denial {
-            Denial::Unauthorized => ("unauthorized", self.view().age_ms),
-            Denial::ViewTooOld => ("view_too_old", self.view().age_ms),
+        let age_ms = self.view().age_ms;
+        let what = match denial {
+            Denial::Unauthorized => "unauthorized",
+            Denial::ViewTooOld => "view_too_old",
         };
         self.instruments.count("caller", what);
         log::info!(denial = what, age_ms:?; "a caller is turned away");
--- a/crates/borageshore_gateway/src/duties.rs
+++ b/crates/borageshore_gateway/src/duties.rs
@@ -20,6 +20,8 @@
 
 /// The key of rounds of orders; readers that start late need the newest only.
 const ROUND_KEY: &str = "round";
+/// What ranks the daemons where no holder is known; the same at all of them.
+const RANKED_BY: &str = "orders";
 /// What was announced leaves within this time of the append, or not at all.
 const SENT_WITHIN_MS: u64 = 500;
 /// What a call takes on its way, and the delay of a successor's own reads.
@@ -155,7 +157,7 @@
         let holder = {
             let leases = self.announcements.leases.borrow();
             let last = leases.newest_holder();
-            holder_among("orders", last, &able).map(Arc::<str>::from)
+            holder_among(RANKED_BY, last, &able).map(Arc::<str>::from)
         };
         let is_own = holder.as_deref() == Some(&*self.members.own_name());
         self.follow.next_offset().filter(|_| is_own)
--- a/crates/borageshore_gateway/src/usage/counter.rs
+++ b/crates/borageshore_gateway/src/usage/counter.rs
@@ -6,6 +6,7 @@
     sync::Arc,
 };
 
+use borageshore_base::rendezvous_weight;
 use borageshore_net::sleep_ms;
 use borageshore_platform::{StoreError, Topic};
 use borageshore_usage::{OwnCounts, UsageTimes, Window};
@@ -118,7 +119,7 @@
         if records.is_empty() {
             return Ok(());
         }
-        let partition = borageshore_base::rendezvous_weight("usage", &name) % self.partitions;
+        let partition = rendezvous_weight("usage", &name) % self.partitions;
         let appended = self
             .store
             .append(Topic::Usage, partition, &records, None)
