Soak: unanswered calls say how their address was found and why they failed; logs of a failed check are kept

A call without success now names the address's source (given out by a daemon or not), when it began and the client's error. The folder of logs belongs to the report: it is removed with it, unless a promise was broken or the thread panics.

--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -147,8 +147,10 @@
 }
 
 /// What came of a run.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug)]
 pub struct SoakReport {
+    /// The daemons' logs.
+    pub logs: Logs,
     /// The faults, with when they began.
     pub faults: Vec<String>,
     /// Calls that were answered with success.
@@ -190,12 +192,32 @@
     pub violations: Vec<String>,
 }
 
-/// Plays one seed; the daemons' logs stay in the folder if a promise was broken.
+/// The folder of a run's logs, removed with this handle unless the run failed: a promise was broken, or a
+/// check of the report panics.
+#[derive(Debug)]
+pub struct Logs {
+    folder: PathBuf,
+    has_failed: bool,
+}
+
+impl Logs {
+    fn open(folder: PathBuf, has_failed: bool) -> Self {
+        Self { folder, has_failed }
+    }
+}
+
+impl Drop for Logs {
+    fn drop(&mut self) {
+        if self.has_failed || std::thread::panicking() {
+            eprintln!("logs in {}", self.folder.display());
+        } else if let Err(error) = std::fs::remove_dir_all(&self.folder) {
+            eprintln!("{} is left: {error}", self.folder.display());
+        }
+    }
+}
+
+/// Plays one seed. The daemons' logs stay in the folder if the run fails, see [`Logs`].
 pub fn run_seed(options: &SoakOptions) -> std::io::Result<SoakReport> {
     std::fs::create_dir_all(&options.folder)?;
-    let report = run_event_loop(world::play(options))?;
-    if report.violations.is_empty() {
-        std::fs::remove_dir_all(&options.folder)?;
-    }
-    Ok(report)
+    run_event_loop(world::play(options))
 }
--- a/crates/borageshore_soak/src/main.rs
+++ b/crates/borageshore_soak/src/main.rs
@@ -88,6 +88,5 @@
     for violation in &report.violations {
         println!("  BROKEN {violation}");
     }
-    println!("  logs in {}", options.folder.display());
     false
 }
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -8,7 +8,7 @@
 
 use base64::{Engine as _, prelude::BASE64_STANDARD};
 use borageshore_base::ResultCode;
-use borageshore_net::{Clock, HttpClient, Timeouts, sleep_ms, within_ms};
+use borageshore_net::{CallError, Clock, HttpClient, Timeouts, body_error, sleep_ms, within_ms};
 use borageshore_standins::platform::{CRASH_MARK, PlatformService, PlatformStore};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -89,14 +89,19 @@
     /// One of the addresses that a daemon gives out, after asking three of them at the most; any where
     /// none answers.
     async fn address(&self, random: &mut Pcg64Mcg) -> SocketAddr {
+        self.resolve(random).await.0
+    }
+
+    /// As [`Traffic::address`], and whether a daemon gave the address out.
+    async fn resolve(&self, random: &mut Pcg64Mcg) -> (SocketAddr, bool) {
         for _ in 0..DIRECTORIES_ASKED {
             let directory = pick(&self.directories, random);
             match self.listed(directory).await {
-                Some(listed) if !listed.is_empty() => return pick(&listed, random),
+                Some(listed) if !listed.is_empty() => return (pick(&listed, random), true),
                 _ => {}
             }
         }
-        pick(&self.fronts, random)
+        (pick(&self.fronts, random), false)
     }
 
     /// The addresses that a daemon gives out.
@@ -119,7 +124,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: Bytes,
-    ) -> Option<(StatusCode, Bytes)> {
+    ) -> Result<(StatusCode, Bytes), CallError> {
         let key = self.keys.header_of(organisation);
         let mut headers = headers.to_vec();
         // What a caller says of itself counts for nothing.
@@ -138,7 +143,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: Bytes,
-    ) -> Option<(StatusCode, Bytes)> {
+    ) -> Result<(StatusCode, Bytes), CallError> {
         let mut request = Request::builder()
             .method(method)
             .uri(path)
@@ -148,15 +153,19 @@
         }
         let request = request.body(Full::new(body)).expect("plain text");
         let client = HttpClient::open();
-        let mut connection = client.connect(&front.to_string(), TIMEOUTS).await.ok()?;
-        let response = client.send(&mut connection, request, TIMEOUTS).await.ok()?;
+        let mut connection = client.connect(&front.to_string(), TIMEOUTS).await?;
+        let response = client.send(&mut connection, request, TIMEOUTS).await?;
         let (head, body) = response.into_parts();
         let collecting = http_body_util::BodyExt::collect(body);
-        let body = borageshore_net::within_ms(TIMEOUTS.first_byte_ms, collecting).await?;
-        if method == "POST" && head.status == StatusCode::OK {
+        let body = within_ms(TIMEOUTS.first_byte_ms, collecting).await;
+        if body.is_some() && method == "POST" && head.status == StatusCode::OK {
             self.check_answer(headers, &head.headers);
         }
-        Some((head.status, body.ok()?.to_bytes()))
+        match body {
+            Some(Ok(body)) => Ok((head.status, body.to_bytes())),
+            Some(Err(error)) => Err(body_error(&error)),
+            None => Err(CallError::NoAnswer("the body took too long".into())),
+        }
     }
 
     fn check_answer(&self, asked: &[(&str, &str)], answered: &hyper::HeaderMap) {
@@ -190,7 +199,8 @@
         let headers = [("x-request-id", id), ("x-deadline-ms", &wait)];
         let body = Bytes::from(body.to_owned());
         let asking = self.ask(CALLERS, front, "POST", path, &headers, body);
-        let answer = within_ms(self.crashing_wait_ms, asking).await.flatten();
+        let answer = within_ms(self.crashing_wait_ms, asking).await;
+        let answer = answer.and_then(Result::ok);
         answer.map_or(0, |(status, _)| status.as_u16())
     }
 
@@ -202,13 +212,14 @@
             let id = format!("{name}-{number}");
             let is_single = number % 2 == 0;
             let path = if is_single { "/once/x" } else { "/safe/x" };
-            let front = self.address(&mut random).await;
+            let (front, is_listed) = self.resolve(&mut random).await;
             let wait = CALL_WAIT_MS.to_string();
             let headers = [("x-request-id", id.as_str()), ("x-deadline-ms", &wait)];
+            let began_ms = self.clock.now_ms();
             self.oracle
                 .call_ends_ms
                 .borrow_mut()
-                .insert(id.clone(), self.clock.now_ms() + CALL_WAIT_MS);
+                .insert(id.clone(), began_ms + CALL_WAIT_MS);
             let key = self.keys.header_of(CALLERS);
             let answer = self
                 .ask(CALLERS, front, "POST", path, &headers, Bytes::from("body"))
@@ -217,8 +228,7 @@
             let status = answer.as_ref().map_or(0, |(status, _)| status.as_u16());
             if status == 200 {
                 self.calls_answered.set(self.calls_answered.get() + 1);
-                let body = answer.as_ref().map(|(_, body)| body);
-                let body = body.expect("a status came with it");
+                let (_, body) = answer.as_ref().expect("a status came with it");
                 if *body != format!("answer to {id}") {
                     self.oracle
                         .broken(format!("call {id} got a body that is not whole"));
@@ -226,10 +236,13 @@
             }
             if status != 200 {
                 let at_ms = self.clock.now_ms();
-                let text = format!("{id} at {front}: status {status} by {at_ms} ms");
-                self.unanswered.borrow_mut().push(text);
+                let why = answer.as_ref().err().map(CallError::to_string);
+                let why = why.unwrap_or_default();
+                self.unanswered.borrow_mut().push(format!(
+                    "{id} at {front} (listed: {is_listed}): status {status} by {at_ms} ms, begun at {began_ms} ms, {why}"
+                ));
             }
-            if answer.is_some_and(|(_, body)| is_held(&body)) {
+            if answer.is_ok_and(|(_, body)| is_held(&body)) {
                 self.held_at_ms.borrow_mut().push(self.clock.now_ms());
             }
             // One whose key was taken away meanwhile may be refused.
@@ -398,7 +411,7 @@
         for (method, path) in asked {
             let asking = self.ask(CALLERS, front, method, &path, &[], Bytes::new());
             let answer = asking.await;
-            if answer.is_some_and(|(status, _)| status == StatusCode::OK) {
+            if answer.is_ok_and(|(status, _)| status == StatusCode::OK) {
                 self.oracle.broken(format!(
                     "{id}: {method} by another organisation is answered at {front}"
                 ));
@@ -430,7 +443,8 @@
         let headers = [("x-wait-ms", wait.as_str())];
         let (status, body) = self
             .ask(TRAINERS, front, "GET", &path, &headers, Bytes::new())
-            .await?;
+            .await
+            .ok()?;
         if status == StatusCode::NOT_FOUND && self.must_be_known(id) {
             self.oracle
                 .broken(format!("{id}: accepted and not found at {front}"));
@@ -453,7 +467,7 @@
             let path = format!("/api/lots/{id}");
             let ending = self.ask(TRAINERS, front, "DELETE", &path, &[], Bytes::new());
             let answer = ending.await;
-            if answer.is_some_and(|(status, _)| status == StatusCode::OK) {
+            if answer.is_ok_and(|(status, _)| status == StatusCode::OK) {
                 return;
             }
             sleep_ms(100).await;
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -18,7 +18,7 @@
 use serde_json::json;
 
 use crate::{
-    Script, SoakOptions, SoakReport, crashes,
+    Logs, Script, SoakOptions, SoakReport, crashes,
     daemons::DaemonProcess,
     faults::{KEYED_KINDS, KINDS, Targets, WIDER_KINDS},
     keys::Keys,
@@ -125,7 +125,7 @@
     for daemon in &targets.daemons {
         daemon.signal(Signal::KILL);
     }
-    Ok(report(&traffic, &targets, &oracle))
+    Ok(report(options, &traffic, &targets, &oracle))
 }
 
 fn crashed_endpoints(targets: &Targets) -> usize {
@@ -260,7 +260,12 @@
         .broken(format!("{id}: cannot be read at {front} at the end"));
 }
 
-fn report(traffic: &Traffic, targets: &Targets, oracle: &Oracle) -> SoakReport {
+fn report(
+    options: &SoakOptions,
+    traffic: &Traffic,
+    targets: &Targets,
+    oracle: &Oracle,
+) -> SoakReport {
     let submissions = oracle.submissions.borrow();
     let accepted = submissions.values().filter(|known| known.is_accepted);
     let results: usize = accepted.clone().map(|known| known.results.len()).sum();
@@ -280,6 +285,7 @@
         due_ms,
     );
     SoakReport {
+        logs: Logs::open(options.folder.clone(), !violations.is_empty()),
         wrong_windows,
         faults: targets.begun.borrow().clone(),
         calls_answered: traffic.calls_answered.get(),
