A daemon that stops answers whoever has reached it

What callers saw: a connection to a daemon in the last part of its grace was closed, and their request not read. They learn nothing by it and have to ask again elsewhere.

Cause: once idle connections are closed, every new connection was shut down before it was read from. Hyper's graceful shutdown closes a connection on which nothing was read yet, though its request may be on its way; that also struck connections that were open and waited for their first request. And the process ended with its listeners open: what the kernel had established and the daemon not accepted was reset.

Why it works: only a connection that has served a request is shut down by the stop; any other is served, and its answer says `Connection: close`. At the end the queue of the listener is emptied before it is dropped, and the last connections have 0.3 s of the grace for their answers.

The same elsewhere: the address on which peers pass on their calls to the store was not stopped at all, so that a peer's append was cut at the end of the process and stayed uncertain; it stops like the others now. So does the daemon on the product's own log service.

--- a/crates/borageshore_daemon/src/drain.rs
+++ b/crates/borageshore_daemon/src/drain.rs
@@ -52,6 +52,8 @@
     sleep_ms(listed_until_ms.saturating_sub(daemon.now_ms())).await;
     if let Some(server) = daemon.server() {
         server.stop_gracefully();
+        wait_for_requests(daemon).await;
+        server.close();
     }
     wait_for_requests(daemon).await;
     daemon.life.set(Life::Stopped);
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -67,9 +67,9 @@
     usage: Option<Rc<UsageCounter>>,
     runner: Rc<Runner>,
     writer: Rc<Writer>,
+    /// Those of callers and of peers.
     servers: Vec<HttpServer>,
     _metrics: HttpServer,
-    _relay: HttpServer,
 }
 
 impl Gateway {
@@ -252,7 +252,7 @@
             &config.directory_address,
         ];
         let bind = |address| HttpServer::bind(address, server_limits(), server.clone());
-        let servers = addresses
+        let mut servers = addresses
             .into_iter()
             .map(|address| bind(address))
             .collect::<io::Result<Vec<HttpServer>>>()?;
@@ -261,7 +261,11 @@
             quarantine,
             time,
         };
-        let relay = HttpServer::bind(&config.peer_address, server_limits(), relay)?;
+        servers.push(HttpServer::bind(
+            &config.peer_address,
+            server_limits(),
+            relay,
+        )?);
         let metrics_page = MetricsPage {
             instruments,
             life: life.clone(),
@@ -283,7 +287,6 @@
             writer,
             servers,
             _metrics: metrics,
-            _relay: relay,
         })
     }
 
--- a/crates/borageshore_gateway/src/life.rs
+++ b/crates/borageshore_gateway/src/life.rs
@@ -24,6 +24,10 @@
 const CLOSING_MS: u64 = 1_500;
 /// The part of the grace that is left for the last record and the end of the process.
 const LAST_MS: u64 = 900;
+/// How long the last callers are waited for once nothing listens any more.
+const LAST_ANSWERS_MS: u64 = 300;
+/// The pace at which they are waited for.
+const LAST_POLL_MS: u64 = 10;
 /// A last record that takes longer is not worth the kill at the end of the grace: others learn of the end
 /// by silence as well.
 const LEAVING_MS: u64 = 300;
@@ -120,13 +124,13 @@
     }
 }
 
-/// Stops without cutting anything: off the lists at once, then serves callers whose list still has
-/// this daemon, finishes the submissions it holds, closes connections when the grace is nearly over.
+/// Stops without cutting anything: off the lists at once, then serves callers whose list still names this daemon,
+/// finishes the submissions it holds, and closes idle connections when the grace is nearly over.
 pub(crate) async fn drain(gateway: &Gateway, servers: &[HttpServer], grace_ms: u64) {
     gateway.enter_draining();
     let started_ms = gateway.now_ms();
-    let close_at_ms = started_ms + grace_ms.saturating_sub(CLOSING_MS);
-    while gateway.now_ms() < close_at_ms {
+    let idle_until_ms = started_ms + grace_ms.saturating_sub(CLOSING_MS);
+    while gateway.now_ms() < idle_until_ms {
         sleep_ms(POLL_MS).await;
     }
     for server in servers {
@@ -136,6 +140,20 @@
     while gateway.now_ms() < end_ms && !gateway.is_idle() {
         sleep_ms(POLL_MS).await;
     }
+    for server in servers {
+        server.close();
+    }
+    within_ms(LAST_ANSWERS_MS, wait_for_connections(servers)).await;
     within_ms(LEAVING_MS, gateway.leave()).await;
     log::info!(took_ms = gateway.now_ms() - started_ms, is_idle = gateway.is_idle(); "daemon stopped");
 }
+
+/// Waits until the last connection has ended.
+async fn wait_for_connections(servers: &[HttpServer]) {
+    loop {
+        sleep_ms(LAST_POLL_MS).await;
+        if servers.iter().all(|server| server.open_connections() == 0) {
+            return;
+        }
+    }
+}
--- a/crates/borageshore_net/src/server.rs
+++ b/crates/borageshore_net/src/server.rs
@@ -14,6 +14,7 @@
 use hyper::{
     Request, Response, StatusCode,
     body::{Body, Incoming},
+    header::{CONNECTION, HeaderValue},
     server::conn::http1::Builder,
     service::service_fn,
 };
@@ -25,8 +26,12 @@
 use serde::Serialize;
 use tokio::sync::Notify;
 
-use crate::event_loop::within_ms;
+use crate::event_loop::{sleep_ms, within_ms};
 
+/// The pause after a connection could not be accepted.
+const ACCEPT_RETRY_MS: u64 = 50;
+/// A listener's queue is empty when no connection comes out of it for this long.
+const QUEUE_EMPTY_MS: u64 = 2;
 /// Chunks that wait for a slow reader before the writer waits as well.
 const STREAM_BUFFER_CHUNKS: usize = 16;
 
@@ -82,6 +87,8 @@
     refused: Cell<u64>,
     is_stopping: Cell<bool>,
     stopping: Notify,
+    is_closed: Cell<bool>,
+    closed: Notify,
 }
 
 /// A running server.
@@ -126,11 +133,18 @@
         self.shared.refused.get()
     }
 
-    /// Lets every connection end after the request that it is serving now.
+    /// Ends idle connections at once, and every other one after its next answer: those that serve a request,
+    /// those that wait for their first one, and those that are opened from now on.
     pub fn stop_gracefully(&self) {
         self.shared.is_stopping.set(true);
         self.shared.stopping.notify_waiters();
     }
+
+    /// Stops listening. Connections that the kernel has already established are still served.
+    pub fn close(&self) {
+        self.shared.is_closed.set(true);
+        self.shared.closed.notify_waiters();
+    }
 }
 
 /// Binds an address for this process alone.
@@ -149,25 +163,42 @@
 ) where
     Service: Handler + 'static,
 {
-    loop {
-        let Ok((stream, remote)) = listener.accept().await else {
+    while !shared.is_closed.get() {
+        let closed = shared.closed.notified();
+        match select(pin!(listener.accept()), pin!(closed)).await {
+            Race::Left((Ok(accepted), _)) => spawn_connection(accepted, limits, &handler, &shared),
             // Out of file descriptors: wait for some to come back rather than spin.
-            crate::event_loop::sleep_ms(50).await;
-            continue;
-        };
-        if shared.open.get() >= limits.connections {
-            shared.refused.set(shared.refused.get() + 1);
-            continue;
+            Race::Left((Err(_), _)) => sleep_ms(ACCEPT_RETRY_MS).await,
+            Race::Right(_) => {}
         }
-        shared.open.set(shared.open.get() + 1);
-        let (handler, shared) = (handler.clone(), shared.clone());
-        monoio::spawn(async move {
-            if let Err(error) = serve_connection(stream, remote, limits, handler, &shared).await {
-                log::debug!("connection from {remote} ended: {error}");
-            }
-            shared.open.set(shared.open.get() - 1);
-        });
     }
+    // Dropping the listener resets the connections that wait in its queue.
+    while let Some(Ok(accepted)) = within_ms(QUEUE_EMPTY_MS, listener.accept()).await {
+        spawn_connection(accepted, limits, &handler, &shared);
+    }
+}
+
+fn spawn_connection<Service>(
+    (stream, remote): (TcpStream, SocketAddr),
+    limits: ServerLimits,
+    handler: &Rc<Service>,
+    shared: &Rc<Shared>,
+) where
+    Service: Handler + 'static,
+{
+    if shared.open.get() >= limits.connections {
+        shared.refused.set(shared.refused.get() + 1);
+        return;
+    }
+    shared.open.set(shared.open.get() + 1);
+    let (handler, shared) = (handler.clone(), shared.clone());
+    monoio::spawn(async move {
+        let served = serve_connection(stream, remote, limits, handler, shared.clone()).await;
+        if let Err(error) = served {
+            log::debug!("connection from {remote} ended: {error}");
+        }
+        shared.open.set(shared.open.get() - 1);
+    });
 }
 
 async fn serve_connection<Service>(
@@ -175,16 +206,25 @@
     remote: SocketAddr,
     limits: ServerLimits,
     handler: Rc<Service>,
-    shared: &Shared,
+    shared: Rc<Shared>,
 ) -> Result<(), Box<dyn std::error::Error>>
 where
     Service: Handler + 'static,
 {
     let _ = stream.set_nodelay(true);
     let io = MonoioIo::new(stream.into_poll_io()?);
-    let service = service_fn(move |request| {
-        let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request, remote).await) }
+    let has_request = Rc::new(Cell::new(false));
+    let service = service_fn(|request| {
+        has_request.set(true);
+        let (handler, shared) = (handler.clone(), shared.clone());
+        async move {
+            let mut response = handler.handle(request, remote).await;
+            if shared.is_stopping.get() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let mut builder = Builder::new();
     builder.timer(MonoioTimer);
@@ -192,12 +232,13 @@
     builder.header_read_timeout(Duration::from_millis(limits.head_timeout_ms));
     let mut connection = pin!(builder.serve_connection(io, service));
     let stopping = pin!(shared.stopping.notified());
-    if shared.is_stopping.get() {
-        connection.as_mut().graceful_shutdown();
-    } else if let Race::Left((ended, _)) = select(connection.as_mut(), stopping).await {
-        return ended.map_err(Into::into);
-    } else {
-        connection.as_mut().graceful_shutdown();
+    if !shared.is_stopping.get() {
+        match select(connection.as_mut(), stopping).await {
+            Race::Left((ended, _)) => return ended.map_err(Into::into),
+            // Hyper closes a connection that has not been read from, though its request may be on its way.
+            Race::Right(_) if has_request.get() => connection.as_mut().graceful_shutdown(),
+            Race::Right(_) => {}
+        }
     }
     connection.await.map_err(Into::into)
 }
