A daemon that stops serves callers for as long as their lists may name it

What callers saw: connection refused, by a daemon that a valid list of addresses named. The platform lets some callers keep a list for three times its time to live; the daemon went as soon as it was idle after the time at which it closes idle connections, which has nothing to do with the lists.

Evidence: the soak's callers asked for addresses before each call, so none ever used a list that was older. There is one now that keeps its list for three times its time to live, and one that keeps its connection until the daemon ends it.

Why it works: the process listens until 0.2 s (peers have heard of the stop) and three times the time to live are over, within the grace.

--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -21,7 +21,7 @@
     follow::{Begin, Follow, FollowSpec, ONLY_PARTITION},
     item::ItemContext,
     ledger_view::LedgerView,
-    life::{self, Life, Signals},
+    life::{self, DrainTimes, Life, Signals},
     mechanisms::{Mechanism, Mechanisms},
     members::Members,
     orderer::{Orderer, OrdererParts},
@@ -49,6 +49,8 @@
 const MEMBERS_PAUSE_MS: u64 = 50;
 /// Two records a submission.
 const OPEN_PAUSE_MS: u64 = 10;
+/// Some callers keep a list of addresses for as many times its time to live.
+const LISTS_KEPT_TTLS: u64 = 3;
 /// Records of rounds come one at a time.
 const ORDERS_PAUSE_MS: u64 = 10;
 
@@ -293,7 +295,11 @@
     /// Serves until SIGTERM or SIGINT, then stops gracefully.
     pub async fn run_until_stopped(&self) -> io::Result<()> {
         Signals::open()?.wait_for_stop(self).await;
-        life::drain(self, &self.servers, self.config.stop_grace_s * 1_000).await;
+        let times = DrainTimes {
+            grace_ms: self.config.stop_grace_s * 1_000,
+            lists_kept_ms: LISTS_KEPT_TTLS * self.config.address_ttl_s * 1_000,
+        };
+        life::drain(self, &self.servers, times).await;
         Ok(())
     }
 
--- a/crates/borageshore_gateway/src/life.rs
+++ b/crates/borageshore_gateway/src/life.rs
@@ -24,6 +24,8 @@
 const CLOSING_MS: u64 = 1_500;
 /// The part of the grace that is left for the last record and the end of the process.
 const LAST_MS: u64 = 900;
+/// By this time after the stop began no peer gives out this daemon's address any more.
+const UNLISTED_MS: u64 = 200;
 /// How long the last callers are waited for once nothing listens any more.
 const LAST_ANSWERS_MS: u64 = 300;
 /// The pace at which they are waited for.
@@ -32,6 +34,15 @@
 /// by silence as well.
 const LEAVING_MS: u64 = 300;
 
+/// What a stop has to go by.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct DrainTimes {
+    /// From SIGTERM to SIGKILL.
+    pub(crate) grace_ms: u64,
+    /// How long callers keep a list of addresses.
+    pub(crate) lists_kept_ms: u64,
+}
+
 /// Where this daemon is in its life.
 #[derive(Debug)]
 pub(crate) struct Life {
@@ -126,18 +137,20 @@
 
 /// Stops without cutting anything: off the lists at once, then serves callers whose list still names this daemon,
 /// finishes the submissions it holds, and closes idle connections when the grace is nearly over.
-pub(crate) async fn drain(gateway: &Gateway, servers: &[HttpServer], grace_ms: u64) {
+pub(crate) async fn drain(gateway: &Gateway, servers: &[HttpServer], times: DrainTimes) {
     gateway.enter_draining();
     let started_ms = gateway.now_ms();
-    let idle_until_ms = started_ms + grace_ms.saturating_sub(CLOSING_MS);
+    let idle_until_ms = started_ms + times.grace_ms.saturating_sub(CLOSING_MS);
     while gateway.now_ms() < idle_until_ms {
         sleep_ms(POLL_MS).await;
     }
     for server in servers {
         server.stop_gracefully();
     }
-    let end_ms = started_ms + grace_ms.saturating_sub(LAST_MS);
-    while gateway.now_ms() < end_ms && !gateway.is_idle() {
+    let end_ms = started_ms + times.grace_ms.saturating_sub(LAST_MS);
+    let listed_until_ms = started_ms + UNLISTED_MS + times.lists_kept_ms;
+    let is_needed = || gateway.now_ms() < listed_until_ms || !gateway.is_idle();
+    while gateway.now_ms() < end_ms && is_needed() {
         sleep_ms(POLL_MS).await;
     }
     for server in servers {
--- a/crates/borageshore_net/src/client.rs
+++ b/crates/borageshore_net/src/client.rs
@@ -88,6 +88,14 @@
         self.idle.borrow_mut().remove(address);
     }
 
+    /// Says whether an idle connection to an address is open.
+    pub fn has_idle(&self, address: &str) -> bool {
+        let idle = self.idle.borrow();
+        let connections = idle.get(address).into_iter().flatten();
+        let mut usable = connections.filter(|connection| connection.sender.is_ready());
+        usable.next().is_some()
+    }
+
     /// Returns a connection for one request: an idle one, or a new one.
     pub async fn connect(
         &self,
--- /dev/null
+++ b/crates/borageshore_soak/src/calls.rs
@@ -0,0 +1,175 @@
+//! Callers of the plain service: how they come to a daemon, and what they check of each answer.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use borageshore_base::ResultCode;
+use borageshore_net::{CallError, HttpClient, sleep_ms};
+use bytes::Bytes;
+use hyper::StatusCode;
+use rand_pcg::Pcg64Mcg;
+use serde_json::Value;
+
+use crate::{
+    daemons::ADDRESS_TTL_S,
+    keys::CALLERS,
+    traffic::{CALL_WAIT_MS, Traffic, pick},
+};
+
+/// The pause between two calls of a caller.
+const CALL_PAUSE_MS: u64 = 40;
+/// Some callers keep a list of addresses for as many times its time to live.
+const LIST_KEPT_TTLS: u64 = 3;
+
+/// How a caller comes to a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Habit {
+    /// Asks for addresses before each call and opens a connection for it.
+    AsksEachTime,
+    /// Keeps a list of addresses as long as callers may, and opens a connection for each call.
+    KeepsList,
+    /// Uses a connection until the daemon closes it or answers that it will.
+    KeepsConnection,
+}
+
+/// What a caller keeps between two calls.
+#[derive(Debug, Default)]
+struct Kept {
+    addresses: Vec<SocketAddr>,
+    listed_at_ms: u64,
+    client: HttpClient,
+}
+
+/// Where a call goes.
+#[derive(Debug, Clone, Copy)]
+struct Target {
+    front: SocketAddr,
+    /// Whether a daemon gave the address out.
+    is_listed: bool,
+}
+
+impl Traffic {
+    /// Makes calls, every other one of a kind that may run once at the most.
+    pub(crate) async fn call(self: Rc<Self>, name: String, habit: Habit, mut random: Pcg64Mcg) {
+        let mut kept = Kept::default();
+        let mut number = 0;
+        while !self.is_over() {
+            number += 1;
+            let id = format!("{name}-{number}");
+            let target = self.choose(habit, &mut kept, &mut random).await;
+            self.make_call(&id, number % 2 == 0, target, &kept.client)
+                .await;
+            sleep_ms(CALL_PAUSE_MS).await;
+        }
+    }
+
+    async fn choose(&self, habit: Habit, kept: &mut Kept, random: &mut Pcg64Mcg) -> Target {
+        match habit {
+            Habit::AsksEachTime => {
+                kept.client = HttpClient::open();
+                let (front, is_listed) = self.resolve(random).await;
+                Target { front, is_listed }
+            }
+            Habit::KeepsList => {
+                kept.client = HttpClient::open();
+                let age_ms = self.clock.now_ms() - kept.listed_at_ms;
+                if kept.addresses.is_empty() || age_ms >= LIST_KEPT_TTLS * ADDRESS_TTL_S * 1_000 {
+                    self.list_again(kept, random).await;
+                }
+                Target {
+                    front: pick(&kept.addresses, random),
+                    is_listed: true,
+                }
+            }
+            Habit::KeepsConnection => {
+                let open = kept.addresses.first().copied();
+                let open = open.filter(|front| kept.client.has_idle(&front.to_string()));
+                if open.is_none() {
+                    let (front, _) = self.resolve(random).await;
+                    kept.addresses = vec![front];
+                }
+                Target {
+                    front: kept.addresses[0],
+                    is_listed: true,
+                }
+            }
+        }
+    }
+
+    /// Asks for addresses until a daemon gives some out.
+    async fn list_again(&self, kept: &mut Kept, random: &mut Pcg64Mcg) {
+        loop {
+            let asked_at_ms = self.clock.now_ms();
+            if let Some(addresses) = self.resolve_all(random).await {
+                kept.addresses = addresses;
+                kept.listed_at_ms = asked_at_ms;
+                return;
+            }
+            sleep_ms(CALL_PAUSE_MS).await;
+        }
+    }
+
+    async fn make_call(&self, id: &str, is_single: bool, target: Target, client: &HttpClient) {
+        let Target { front, is_listed } = target;
+        let path = if is_single { "/once/x" } else { "/safe/x" };
+        let wait = CALL_WAIT_MS.to_string();
+        let headers = [("x-request-id", id), ("x-deadline-ms", &wait)];
+        let began_ms = self.clock.now_ms();
+        self.oracle
+            .call_ends_ms
+            .borrow_mut()
+            .insert(id.into(), began_ms + CALL_WAIT_MS);
+        let key = self.keys.header_of(CALLERS);
+        let body = Bytes::from("body");
+        let answer = self
+            .ask_on(client, CALLERS, front, ("POST", path), &headers, body)
+            .await;
+        let at_ms = self.clock.now_ms();
+        self.calls.set(self.calls.get() + 1);
+        let status = match &answer {
+            Ok((status, body)) => {
+                self.check_call(id, *status, body, at_ms);
+                status.as_u16()
+            }
+            Err(_) => 0,
+        };
+        if status != 200 {
+            let why = answer.as_ref().err().map(CallError::to_string);
+            let why = why.unwrap_or_default();
+            self.unanswered.borrow_mut().push(format!(
+                "{id} at {front} (listed: {is_listed}): status {status} by {at_ms} ms, begun at {began_ms} ms, {why}"
+            ));
+        }
+        // One whose key was taken away meanwhile may be refused.
+        if status == 401 && key == self.keys.header_of(CALLERS) {
+            self.unauthorized_at_ms.borrow_mut().push(at_ms);
+        }
+        if is_single {
+            let said_not_run = matches!(status, 408 | 421 | 429 | 503);
+            let mut single_calls = self.oracle.single_calls.borrow_mut();
+            single_calls.insert(id.into(), said_not_run);
+        }
+    }
+
+    fn check_call(&self, id: &str, status: StatusCode, body: &Bytes, at_ms: u64) {
+        if status == StatusCode::OK {
+            self.calls_answered.set(self.calls_answered.get() + 1);
+            if *body != format!("answer to {id}") {
+                self.oracle
+                    .broken(format!("call {id} got a body that is not whole"));
+            }
+        }
+        if is_held(body) {
+            self.held_at_ms.borrow_mut().push(at_ms);
+        }
+        if matches!(status, StatusCode::NOT_FOUND | StatusCode::BAD_REQUEST) {
+            self.oracle
+                .broken(format!("call {id} was denied with {status}"));
+        }
+    }
+}
+
+/// Says whether a refusal is of a call that crashes endpoints.
+fn is_held(body: &Bytes) -> bool {
+    let code = ResultCode::HeldBack.to_string();
+    serde_json::from_slice::<Value>(body).is_ok_and(|body| body["code"] == *code)
+}
--- a/crates/borageshore_soak/src/daemons.rs
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -30,6 +30,8 @@
 
 /// How long the daemons have from SIGTERM to SIGKILL.
 pub(crate) const GRACE_S: u64 = 4;
+/// How long a list of addresses holds.
+pub(crate) const ADDRESS_TTL_S: u64 = 1;
 
 /// One daemon with its addresses, which stay the same over its lives.
 #[derive(Debug)]
@@ -63,7 +65,7 @@
         let text = format!(
             "name: {name}\nzone: z1\nhttp_address: {front}\nready_address: {ready}\n\
              directory_address: {directory}\npeer_address: {peers}\nmetrics_address: {metrics}\nprocessor_share: 0.5\nstore_address: {}\n\
-             store_partitions: 2\naddress_ttl_s: 1\nstop_grace_s: {GRACE_S}\nresults_kept_s: {}\norder_lease_ms: 3000\n\
+             store_partitions: 2\naddress_ttl_s: {ADDRESS_TTL_S}\nstop_grace_s: {GRACE_S}\nresults_kept_s: {}\norder_lease_ms: 3000\n\
              parallel_loads_percent: 50\nload_share_percent: 50\nkey_revocation_ms: {REVOCATION_MS}\n\
              duties:\n  address: {duties}\n  usage_window_s: {WINDOW_S}\n  usage_late_s: {LATE_S}\n\
              mechanisms_off: [{}]\n",
--- a/crates/borageshore_soak/src/keys.rs
+++ b/crates/borageshore_soak/src/keys.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc};
 
-use borageshore_net::sleep_ms;
+use borageshore_net::{HttpClient, sleep_ms};
 use borageshore_standins::platform::{PlatformEngine, PlatformService, PlatformStore, SeenCaller};
 use rand_core::Rng;
 use rand_pcg::Pcg64Mcg;
@@ -147,6 +147,7 @@
     ];
     let _ = traffic
         .ask_with(
+            &HttpClient::open(),
             traffic.fronts[front],
             "POST",
             "/safe/x",
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert_eq!(options.seed, 7);
 //! ```
 
+mod calls;
 mod crashes;
 mod daemons;
 mod faults;
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -7,7 +7,6 @@
 };
 
 use base64::{Engine as _, prelude::BASE64_STANDARD};
-use borageshore_base::ResultCode;
 use borageshore_net::{CallError, Clock, HttpClient, Timeouts, body_error, sleep_ms, within_ms};
 use borageshore_standins::platform::{CRASH_MARK, PlatformService, PlatformStore};
 use bytes::Bytes;
@@ -29,10 +28,8 @@
 pub(crate) const MODEL: &str = "m0";
 /// How many daemons a caller asks for addresses before it takes any.
 const DIRECTORIES_ASKED: usize = 3;
-/// The pause between two calls of a caller.
-const CALL_PAUSE_MS: u64 = 40;
 /// How long a caller waits for a call.
-const CALL_WAIT_MS: u64 = 2_000;
+pub(crate) const CALL_WAIT_MS: u64 = 2_000;
 /// Groups of a step, the items of each, and how many groups the trainer waits for.
 const STEP: (usize, usize, usize) = (6, 3, 5);
 /// What one daemon has shown all daemons show after this time; the platform says so.
@@ -93,15 +90,23 @@
     }
 
     /// As [`Traffic::address`], and whether a daemon gave the address out.
-    async fn resolve(&self, random: &mut Pcg64Mcg) -> (SocketAddr, bool) {
+    pub(crate) async fn resolve(&self, random: &mut Pcg64Mcg) -> (SocketAddr, bool) {
+        match self.resolve_all(random).await {
+            Some(listed) => (pick(&listed, random), true),
+            None => (pick(&self.fronts, random), false),
+        }
+    }
+
+    /// The addresses that one of three daemons gives out.
+    pub(crate) async fn resolve_all(&self, random: &mut Pcg64Mcg) -> Option<Vec<SocketAddr>> {
         for _ in 0..DIRECTORIES_ASKED {
             let directory = pick(&self.directories, random);
             match self.listed(directory).await {
-                Some(listed) if !listed.is_empty() => return (pick(&listed, random), true),
+                Some(listed) if !listed.is_empty() => return Some(listed),
                 _ => {}
             }
         }
-        (pick(&self.fronts, random), false)
+        None
     }
 
     /// The addresses that a daemon gives out.
@@ -124,6 +129,21 @@
         path: &str,
         headers: &[(&str, &str)],
         body: Bytes,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let client = HttpClient::open();
+        self.ask_on(&client, organisation, front, (method, path), headers, body)
+            .await
+    }
+
+    /// As [`Traffic::ask`], on a connection of a client.
+    pub(crate) async fn ask_on(
+        &self,
+        client: &HttpClient,
+        organisation: &str,
+        front: SocketAddr,
+        (method, path): (&str, &str),
+        headers: &[(&str, &str)],
+        body: Bytes,
     ) -> Result<(StatusCode, Bytes), CallError> {
         let key = self.keys.header_of(organisation);
         let mut headers = headers.to_vec();
@@ -132,12 +152,14 @@
         if let Some(key) = &key {
             headers.push(("authorization", key));
         }
-        self.ask_with(front, method, path, &headers, body).await
+        self.ask_with(client, front, method, path, &headers, body)
+            .await
     }
 
-    /// Makes a request on a connection of its own.
+    /// Makes a request on a connection of a client, which keeps it unless the daemon closes it.
     pub(crate) async fn ask_with(
         &self,
+        client: &HttpClient,
         front: SocketAddr,
         method: &str,
         path: &str,
@@ -152,8 +174,8 @@
             request = request.header(*name, *value);
         }
         let request = request.body(Full::new(body)).expect("plain text");
-        let client = HttpClient::open();
-        let mut connection = client.connect(&front.to_string(), TIMEOUTS).await?;
+        let address = front.to_string();
+        let mut connection = client.connect(&address, TIMEOUTS).await?;
         let response = client.send(&mut connection, request, TIMEOUTS).await?;
         let (head, body) = response.into_parts();
         let collecting = http_body_util::BodyExt::collect(body);
@@ -162,7 +184,10 @@
             self.check_answer(headers, &head.headers);
         }
         match body {
-            Some(Ok(body)) => Ok((head.status, body.to_bytes())),
+            Some(Ok(body)) => {
+                client.keep(&address, connection);
+                Ok((head.status, body.to_bytes()))
+            }
             Some(Err(error)) => Err(body_error(&error)),
             None => Err(CallError::NoAnswer("the body took too long".into())),
         }
@@ -204,67 +229,6 @@
         answer.map_or(0, |(status, _)| status.as_u16())
     }
 
-    /// Makes calls, every other one of a kind that may run once at the most.
-    pub(crate) async fn call(self: Rc<Self>, name: String, mut random: Pcg64Mcg) {
-        let mut number = 0;
-        while !self.is_over() {
-            number += 1;
-            let id = format!("{name}-{number}");
-            let is_single = number % 2 == 0;
-            let path = if is_single { "/once/x" } else { "/safe/x" };
-            let (front, is_listed) = self.resolve(&mut random).await;
-            let wait = CALL_WAIT_MS.to_string();
-            let headers = [("x-request-id", id.as_str()), ("x-deadline-ms", &wait)];
-            let began_ms = self.clock.now_ms();
-            self.oracle
-                .call_ends_ms
-                .borrow_mut()
-                .insert(id.clone(), began_ms + CALL_WAIT_MS);
-            let key = self.keys.header_of(CALLERS);
-            let answer = self
-                .ask(CALLERS, front, "POST", path, &headers, Bytes::from("body"))
-                .await;
-            self.calls.set(self.calls.get() + 1);
-            let status = answer.as_ref().map_or(0, |(status, _)| status.as_u16());
-            if status == 200 {
-                self.calls_answered.set(self.calls_answered.get() + 1);
-                let (_, body) = answer.as_ref().expect("a status came with it");
-                if *body != format!("answer to {id}") {
-                    self.oracle
-                        .broken(format!("call {id} got a body that is not whole"));
-                }
-            }
-            if status != 200 {
-                let at_ms = self.clock.now_ms();
-                let why = answer.as_ref().err().map(CallError::to_string);
-                let why = why.unwrap_or_default();
-                self.unanswered.borrow_mut().push(format!(
-                    "{id} at {front} (listed: {is_listed}): status {status} by {at_ms} ms, begun at {began_ms} ms, {why}"
-                ));
-            }
-            if answer.is_ok_and(|(_, body)| is_held(&body)) {
-                self.held_at_ms.borrow_mut().push(self.clock.now_ms());
-            }
-            // One whose key was taken away meanwhile may be refused.
-            if status == 401 && key == self.keys.header_of(CALLERS) {
-                let at_ms = self.clock.now_ms();
-                self.unauthorized_at_ms.borrow_mut().push(at_ms);
-            }
-            if status == 404 || status == 400 {
-                self.oracle
-                    .broken(format!("call {id} was denied with {status}"));
-            }
-            if is_single {
-                let said_not_run = matches!(status, 408 | 421 | 429 | 503);
-                self.oracle
-                    .single_calls
-                    .borrow_mut()
-                    .insert(id, said_not_run);
-            }
-            sleep_ms(CALL_PAUSE_MS).await;
-        }
-    }
-
     /// Trains: submits a step, reads it, ends it, names the next version.
     pub(crate) async fn train(self: Rc<Self>, mut random: Pcg64Mcg) {
         let mut step = 1;
@@ -475,12 +439,7 @@
     }
 }
 
-/// Says whether a refusal is of a call that crashes endpoints.
-fn is_held(body: &Bytes) -> bool {
-    let code = ResultCode::HeldBack.to_string();
-    serde_json::from_slice::<Value>(body).is_ok_and(|body| body["code"] == *code)
-}
-
-fn pick(addresses: &[SocketAddr], random: &mut Pcg64Mcg) -> SocketAddr {
+/// Draws one of some addresses.
+pub(crate) fn pick(addresses: &[SocketAddr], random: &mut Pcg64Mcg) -> SocketAddr {
     addresses[(random.next_u64() % addresses.len() as u64) as usize]
 }
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -18,7 +18,9 @@
 use serde_json::json;
 
 use crate::{
-    Logs, Script, SoakOptions, SoakReport, crashes,
+    Logs, Script, SoakOptions, SoakReport,
+    calls::Habit,
+    crashes,
     daemons::DaemonProcess,
     faults::{KEYED_KINDS, KINDS, Targets, WIDER_KINDS},
     keys::Keys,
@@ -36,6 +38,11 @@
 /// A daemon that cannot be sure is asked again this often.
 const READ_AGAIN: usize = 20;
 const CALLERS: usize = 3;
+/// Callers that keep what they know between two calls.
+const KEEPING_CALLERS: &[(&str, Habit)] = &[
+    ("list-keeper", Habit::KeepsList),
+    ("connection-keeper", Habit::KeepsConnection),
+];
 
 pub(crate) async fn play(options: &SoakOptions) -> io::Result<SoakReport> {
     let clock = Clock::start();
@@ -78,7 +85,18 @@
     });
     let mut fork = || Pcg64Mcg::seed_from_u64(random.next_u64());
     for number in 0..CALLERS {
-        monoio::spawn(traffic.clone().call(format!("caller-{number}"), fork()));
+        let habit = Habit::AsksEachTime;
+        monoio::spawn(
+            traffic
+                .clone()
+                .call(format!("caller-{number}"), habit, fork()),
+        );
+    }
+    // Drawn apart, so that the faults of a seed stay what they were.
+    let mut own_random = Pcg64Mcg::seed_from_u64(!options.seed);
+    for (name, habit) in KEEPING_CALLERS {
+        let own = Pcg64Mcg::seed_from_u64(own_random.next_u64());
+        monoio::spawn(traffic.clone().call((*name).into(), *habit, own));
     }
     monoio::spawn(traffic.clone().train(fork()));
     for number in 0..options.services {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -66,6 +66,14 @@
         assert!(report.unanswered.is_empty(), "{:?}", report.unanswered);
     }
 
+    // Callers are refused by a daemon that stops, though they may still use the list that names it.
+    // The stop comes right after a caller has asked for addresses; it keeps them for three times their time to live.
+    a_daemon_that_stops_serves_callers_for_as_long_as_their_lists_name_it => {
+        let script = vec![(3_050, Moment::StopOne)];
+        let report = play(&options(30, Script::Moments(script)));
+        assert!(report.unanswered.is_empty(), "{:?}", report.unanswered);
+    }
+
     // A trainer's step is refused and comes late, though the store works.
     // The store turns most VMs away; a daemon among them hands the submission on to one that it does
     // not know to be cut off, instead of refusing it.
