--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -97,10 +97,12 @@
         }
     }
 
-    /// The addresses that one of three daemons gives out.
+    /// The addresses that one of three different daemons gives out.
     pub(crate) async fn resolve_all(&self, random: &mut Pcg64Mcg) -> Option<Vec<SocketAddr>> {
-        for _ in 0..DIRECTORIES_ASKED {
-            let directory = pick(&self.directories, random);
+        let first = (random.next_u64() % self.directories.len() as u64) as usize;
+        let others = self.directories.iter().cycle().skip(first);
+        let asked = DIRECTORIES_ASKED.min(self.directories.len());
+        for directory in others.take(asked).copied() {
             match self.listed(directory).await {
                 Some(listed) if !listed.is_empty() => return Some(listed),
                 _ => {}
