An append whose connection ends is repeated by a peer at once

What trainers saw: a submission answered 504, "whether it is accepted is unknown", and accepted only when they sent it again, as the store began to turn the VM away. Other VMs reached the store all the while.

Cause: a VM gives its own way to the store up after two failures and 0.6 s of silence. Before that a refused append was handed on to a peer, since nothing was done; one whose connection ended was answered as uncertain, though accepting a submission twice changes nothing.

Evidence: reproduced with three suites side by side, logs kept: at the stopped way "submission not accepted", "uncertain: connection closed before message completed", and 0.15 s later "submission accepted by a peer".

Change: in the one place through which all appends go, one that may be repeated and whose connection ended goes to a peer at once; the own way is not taken for closed by it. An index entry that fails is no uncertainty, as it runs nothing alone.

Ruled out: handing the whole submission on at the edge, which mends submissions only.

--- a/crates/borageshore_base/src/code.rs
+++ b/crates/borageshore_base/src/code.rs
@@ -94,6 +94,7 @@
     StoreUnavailable = 5008, 503, "The store does not take the submission now; no part of it was or will be run.";
     ViewTooOld = 5009, 503, "The view of the store may be out of date; ask again, or ask another daemon.";
     UnknownSubmission = 5010, 404, "No such submission or item.";
+    EndUnknown = 5011, 504, "The store did not answer; whether the submission is ended is unknown, ending it again is safe.";
 }
 
 impl fmt::Display for ResultCode {
--- a/crates/borageshore_gateway/src/store_path.rs
+++ b/crates/borageshore_gateway/src/store_path.rs
@@ -154,15 +154,22 @@
             // Only a read may still be waiting then, as appends are given up sooner.
             Either::Right(_) => Err(CallError::NoAnswer("the own way is closed".into())),
         };
-        let may_ask = {
+        let is_in_doubt = {
             let way = self.inner.way.borrow();
-            has_peers && (way.is_closed() || way.may_ask_peers(self.inner.clock.now_ms()))
+            way.is_closed() || way.may_ask_peers(self.inner.clock.now_ms())
         };
+        let is_cut = call.is_append() && matches!(answer, Err(CallError::Broken(_)));
+        let may_ask = has_peers && (is_in_doubt || is_cut);
         if !may_ask || !end_of(&answer).may_go_on(call.is_idempotent) {
             return answer;
         }
         let by_peer = self.call_by_peer(call).await;
-        self.note_peer(by_peer.as_ref());
+        if is_in_doubt {
+            self.note_peer(by_peer.as_ref());
+        } else {
+            let is_done = by_peer.as_ref().is_some_and(is_answered);
+            log::info!(is_done; "an append was cut off, peers were asked to repeat it");
+        }
         worse(answer, by_peer)
     }
 
--- a/crates/borageshore_gateway/src/submissions.rs
+++ b/crates/borageshore_gateway/src/submissions.rs
@@ -80,7 +80,8 @@
         let record = LedgerRecord::Accept(Arc::new(submission));
         let appended = match entered {
             Ok(()) => self.append(&record).await,
-            Err(error) => Err(error),
+            // An entry without its submission runs nothing.
+            Err(error) => Err(StoreError::NotDone(error.to_string())),
         };
         match appended {
             Ok(()) => {
@@ -243,7 +244,12 @@
             }
             Err(error) => {
                 log::warn!(submission = &**id, error:% = error; "submission not ended");
-                unsure(id)
+                match error {
+                    StoreError::Uncertain(_) => {
+                        refusal(&Fault::new(ResultCode::EndUnknown, &**id), None)
+                    }
+                    _ => unsure(id),
+                }
             }
         }
     }
