A trial that another request may have ended proves nothing

What callers saw: a page that many ask for was refused for ten minutes, though it crashes nothing.

Cause: a held request is tried once; if its endpoint went under the trial, that counted as proof. Another request that crashes endpoints and is not held yet may have crashed it: here its third, 70 ms before the trial.

Change: the table knows all crashes by endpoint, so a trial whose endpoint crashed under another request as well is made once more after 1 s instead of 10 min, and counts in full once that other one is answered. Bounded: at most three trials in ten minutes, as before. Calls and reward calls on trial avoid endpoints that crashed in the last 2 s.

Ruled out: choosing the endpoint alone, as news of the other crash may come after the trial was sent; shared trials without a bound, as requests that crash endpoints could then free each other.

Tests: four pure cases, failing on the code before.

--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -241,11 +241,14 @@
             log::info!(request = &*asked.outbound.id; "a call is not sent any more, its key is not good now");
             return None;
         }
-        let chosen = self.endpoints.choose(service, outcome.attempts.tried());
-        // All were tried: once more any of them.
-        let (target, in_flight) = match chosen {
-            Some(chosen) => chosen,
-            None => self.endpoints.choose(service, &[])?,
+        let (target, in_flight) = match leave.is_trial() {
+            true => self
+                .endpoints
+                .choose(service, &self.quarantine.crashed_lately())?,
+            false => {
+                let untried = self.endpoints.choose(service, outcome.attempts.tried());
+                untried.or_else(|| self.endpoints.choose(service, &[]))?
+            }
         };
         let number = outcome.attempts.hand_over(target.instance.clone());
         Some(async move {
--- a/crates/borageshore_gateway/src/quarantine/trials.rs
+++ b/crates/borageshore_gateway/src/quarantine/trials.rs
@@ -1,6 +1,6 @@
 //! Trials of requests that are held back: one daemon at a time sends one, whose outcome all learn.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, sync::Arc};
 
 use borageshore_net::within_ms;
 use borageshore_platform::{StoreError, Topic};
@@ -90,6 +90,11 @@
         }
     }
 
+    /// The endpoints that a trial must not go to: it would be lost with one that another request is crashing.
+    pub(crate) fn crashed_lately(&self) -> Vec<Arc<str>> {
+        self.table.borrow().crashed_lately(self.unix_ms())
+    }
+
     /// Takes over that a trial of this daemon is over.
     pub(super) fn on_trial_over(&self, note: &TrialNote, is_made: bool) {
         let note = TrialNote {
--- a/crates/borageshore_gateway/src/rewards.rs
+++ b/crates/borageshore_gateway/src/rewards.rs
@@ -136,8 +136,11 @@
         if !leave.is_trial() && !parts.quarantine.may_repeat(|| scoring.content()) {
             return None;
         }
-        let tried = scoring.last.take();
-        let (target, in_flight) = parts.endpoints.choose(service, tried.as_slice())?;
+        let mut avoided: Vec<Arc<str>> = scoring.last.take().into_iter().collect();
+        if leave.is_trial() {
+            avoided.extend(parts.quarantine.crashed_lately());
+        }
+        let (target, in_flight) = parts.endpoints.choose(service, &avoided)?;
         let deadline = Deadline::after(parts.clock, route.timeout_ms.min(TIMEOUT_MS));
         let called = {
             let content = || scoring.content();
--- a/crates/borageshore_routing/src/quarantine.rs
+++ b/crates/borageshore_routing/src/quarantine.rs
@@ -33,6 +33,11 @@
 /// A trial that found no endpoint is made again after this time: a caller is kept waiting for no longer than it
 /// takes to see an endpoint that is up again.
 const UNSENT_PAUSE_MS: u64 = 200;
+/// Crashes of one endpoint that are told with times no further apart are one crash: an endpoint takes longer to start.
+const SAME_CRASH_MS: u64 = 2_000;
+/// So many trials are made again as if they had not been made, when another request crashed their endpoints too. A
+/// request that crashes endpoints must not have one after the other.
+const FREE_SHARED_TRIALS: u64 = 1;
 /// Requests that are remembered: those that 680 daemons lose in seven hours of 240 VM failures a day.
 const MOST_ENTRIES: usize = 4_096;
 /// Crashes that are remembered of one request, those of its trials not counted.
@@ -86,13 +91,21 @@
 }
 
 impl Entry {
-    /// Until when it is held back; `None` if it is only suspected.
-    fn held_until_ms(&self) -> Option<u64> {
-        if self.crashes.len() < CRASHES_TO_HOLD {
+    fn is_held(&self) -> bool {
+        self.crashes.len() >= CRASHES_TO_HOLD
+    }
+
+    /// Until when it is held back, if so many of its trials show nothing as another request crashed their
+    /// endpoints too; `None` if it is only suspected.
+    fn held_until_ms(&self, shared_trials: u64) -> Option<u64> {
+        if !self.is_held() {
             return None;
         }
-        let failed = self.failed_trials();
-        let step = (self.trials.max(failed) + failed) as usize;
+        let failed = self.failed_trials() - shared_trials;
+        let made = self
+            .trials
+            .saturating_sub(shared_trials.min(FREE_SHARED_TRIALS));
+        let step = (made.max(failed) + failed) as usize;
         let hold_ms = HOLDS_MS[step.min(HOLDS_MS.len() - 1)];
         let until_ms = self.last_ms().max(self.tried_ms) + hold_ms;
         Some(until_ms.max(self.no_trial_before_ms))
@@ -109,7 +122,7 @@
     }
 
     fn ends_ms(&self) -> u64 {
-        match self.held_until_ms() {
+        match self.held_until_ms(0) {
             Some(until_ms) => until_ms + FORGOTTEN_MS,
             None => self.last_ms() + SUSPECTED_MS,
         }
@@ -170,7 +183,7 @@
             return CrashNews::Known;
         }
         entry.crashes.push(crash);
-        let is_held = entry.held_until_ms().is_some();
+        let is_held = entry.is_held();
         self.end_trial(&content);
         match is_held {
             true => CrashNews::Held,
@@ -187,8 +200,10 @@
 
     /// Says whether a request may be sent now.
     pub fn verdict(&self, content: &Fingerprint, now_ms: u64) -> Verdict {
-        let held_until_ms = self.entries.get(content).and_then(Entry::held_until_ms);
-        let Some(until_ms) = held_until_ms else {
+        let entry = self.entries.get(content);
+        let held_until_ms =
+            entry.map(|entry| entry.held_until_ms(self.shared_trials(content, entry)));
+        let Some(until_ms) = held_until_ms.flatten() else {
             return Verdict::Free;
         };
         // Requests wait for the trial of another one as well.
@@ -288,9 +303,30 @@
     /// The requests that are held back or wait for a trial.
     pub fn held_count(&self) -> usize {
         let entries = self.entries.values();
-        entries
-            .filter(|entry| entry.held_until_ms().is_some())
-            .count()
+        entries.filter(|entry| entry.is_held()).count()
+    }
+
+    /// The endpoints that crashed under any request not long ago.
+    pub fn crashed_lately(&self, now_ms: u64) -> Vec<Arc<str>> {
+        let crashes = self.entries.values().flat_map(|entry| &entry.crashes);
+        let lately = crashes.filter(|crash| now_ms < crash.at_ms + SAME_CRASH_MS);
+        lately.map(|crash| crash.instance.clone()).collect()
+    }
+
+    /// The trials of a request whose endpoints crashed under another one at the same time.
+    fn shared_trials(&self, content: &Fingerprint, entry: &Entry) -> u64 {
+        let trials = entry.crashes.iter().filter(|crash| crash.is_trial);
+        trials
+            .filter(|trial| self.is_shared(content, trial))
+            .count() as u64
+    }
+
+    fn is_shared(&self, content: &Fingerprint, crash: &Crash) -> bool {
+        let others = self.entries.iter().filter(|(other, _)| *other != content);
+        let mut crashes = others.flat_map(|(_, entry)| &entry.crashes);
+        crashes.any(|other| {
+            other.instance == crash.instance && other.at_ms.abs_diff(crash.at_ms) < SAME_CRASH_MS
+        })
     }
 
     /// The requests that are remembered.
--- a/crates/borageshore_routing/tests/quarantine.rs
+++ b/crates/borageshore_routing/tests/quarantine.rs
@@ -138,6 +138,63 @@
         assert_eq!(quarantine.verdict(&content(1), 20_000), held);
     }
 
+    // A page that many ask for is refused for ten minutes, though it crashes nothing: its trial was at an endpoint as
+    // a request that was not held yet crashed it, the third of that one.
+    a_trial_whose_endpoint_another_request_crashes_is_made_again => {
+        let mut quarantine = crashed(1, 3);
+        let due_ms = 1_020 + FIRST_HOLD_MS;
+        quarantine.on_claim(content(1), "vm-1".into(), 1, due_ms);
+        quarantine.on_crash(content(2), crash(4, due_ms + 10));
+        let lost = Crash { is_trial: true, ..crash(4, due_ms + 20) };
+        quarantine.on_crash(content(1), lost);
+        quarantine.on_trial_made(&content(1), "vm-1", 1, due_ms + 20);
+        let held = Verdict::Held { again_ms: FIRST_HOLD_MS };
+        assert_eq!(quarantine.verdict(&content(1), due_ms + 20), held);
+        assert_eq!(quarantine.verdict(&content(1), due_ms + 20 + FIRST_HOLD_MS), Verdict::TrialDue);
+    }
+
+    // A request that crashes endpoints is tried at once again, each time a proper one was lost with it; that one is
+    // answered elsewhere, and then the trial has failed.
+    a_failed_trial_counts_once_the_request_lost_with_it_is_answered => {
+        let mut quarantine = crashed(1, 3);
+        let due_ms = 1_020 + FIRST_HOLD_MS;
+        quarantine.on_claim(content(1), "vm-1".into(), 1, due_ms);
+        quarantine.on_crash(content(1), Crash { is_trial: true, ..crash(4, due_ms + 20) });
+        quarantine.on_crash(content(2), crash(4, due_ms + 25));
+        assert_eq!(quarantine.verdict(&content(1), due_ms + 20 + FIRST_HOLD_MS), Verdict::TrialDue);
+        quarantine.on_success(&content(2));
+        let held = Verdict::Held { again_ms: SECOND_HOLD_MS };
+        assert_eq!(quarantine.verdict(&content(1), due_ms + 20), held);
+    }
+
+    // A request that crashes endpoints has any number of trials, as long as each endpoint is lost to two requests.
+    shared_trials_are_bounded => {
+        let mut quarantine = crashed(1, 3);
+        let mut now_ms = 1_020;
+        let mut trials = 0;
+        while now_ms < SECOND_HOLD_MS {
+            now_ms += match quarantine.verdict(&content(1), now_ms) {
+                Verdict::Held { again_ms } => again_ms,
+                _ => {
+                    trials += 1;
+                    quarantine.on_claim(content(1), "vm-1".into(), trials, now_ms);
+                    quarantine.on_crash(content(1 + trials), crash(3 + trials, now_ms));
+                    quarantine.on_crash(content(1), Crash { is_trial: true, ..crash(3 + trials, now_ms) });
+                    quarantine.on_trial_made(&content(1), "vm-1", trials, now_ms);
+                    1
+                }
+            };
+        }
+        assert_eq!(trials, 3, "after 1, 2 and 12 s");
+    }
+
+    // A trial finds an endpoint that is just going down under another request.
+    endpoints_that_crashed_lately_are_known => {
+        let quarantine = crashed(1, 1);
+        assert_eq!(quarantine.crashed_lately(1_500), [Arc::from("endpoint-1")]);
+        assert!(quarantine.crashed_lately(3_000).is_empty());
+    }
+
     // Two requests were lost with the same three endpoints. Tried at once, both would be lost again; one after the
     // other, the one that is answered is free and the other one stays.
     suspects_are_tried_one_at_a_time => {
