--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -117,6 +117,8 @@
     pub script: Script,
     /// Where the daemons' logs go.
     pub folder: PathBuf,
+    /// Whether the logs stay, however the run goes.
+    pub keeps_logs: bool,
 }
 
 impl SoakOptions {
@@ -143,6 +145,7 @@
             script: Script::Wider(8),
             folder: std::env::temp_dir()
                 .join(format!("borageshore-soak-{}-{seed}", std::process::id())),
+            keeps_logs: false,
         }
     }
 }
@@ -195,23 +198,23 @@
     pub violations: Vec<String>,
 }
 
-/// The folder of a run's logs, removed with this handle unless the run failed: a promise was broken, or a
-/// check of the report panics.
+/// The folder of a run's logs, removed with this handle unless they are wanted: a promise was broken, a check of
+/// the report panics, or the options say so.
 #[derive(Debug)]
 pub struct Logs {
     folder: PathBuf,
-    has_failed: bool,
+    are_wanted: bool,
 }
 
 impl Logs {
-    fn open(folder: PathBuf, has_failed: bool) -> Self {
-        Self { folder, has_failed }
+    fn open(folder: PathBuf, are_wanted: bool) -> Self {
+        Self { folder, are_wanted }
     }
 }
 
 impl Drop for Logs {
     fn drop(&mut self) {
-        if self.has_failed || std::thread::panicking() {
+        if self.are_wanted || std::thread::panicking() {
             eprintln!("logs in {}", self.folder.display());
         } else if let Err(error) = std::fs::remove_dir_all(&self.folder) {
             eprintln!("{} is left: {error}", self.folder.display());
--- a/crates/borageshore_soak/src/main.rs
+++ b/crates/borageshore_soak/src/main.rs
@@ -35,6 +35,9 @@
     /// Faults in this time.
     #[arg(long, default_value_t = 8)]
     faults: usize,
+    /// Whether the daemons' logs stay when no promise is broken.
+    #[arg(long)]
+    keep_logs: bool,
 }
 
 fn main() -> ExitCode {
@@ -51,6 +54,7 @@
             organisations: !seed.is_multiple_of(2),
             duration_ms: arguments.duration_ms,
             script: Script::Wider(arguments.faults),
+            keeps_logs: arguments.keep_logs,
             ..SoakOptions::new(arguments.program.clone(), seed)
         };
         failed += u64::from(!play(&options));
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -304,7 +304,10 @@
         due_ms,
     );
     SoakReport {
-        logs: Logs::open(options.folder.clone(), !violations.is_empty()),
+        logs: Logs::open(
+            options.folder.clone(),
+            options.keeps_logs || !violations.is_empty(),
+        ),
         wrong_windows,
         faults: targets.begun.borrow().clone(),
         calls_answered: traffic.calls_answered.get(),
