--- a/crates/borageshore_gateway/src/submissions.rs
+++ b/crates/borageshore_gateway/src/submissions.rs
@@ -80,8 +80,7 @@
         let record = LedgerRecord::Accept(Arc::new(submission));
         let appended = match entered {
             Ok(()) => self.append(&record).await,
-            // An entry without its submission runs nothing.
-            Err(error) => Err(StoreError::NotDone(error.to_string())),
+            Err(error) => Err(error),
         };
         match appended {
             Ok(()) => {
