--- a/crates/borageshore_base/src/lib.rs
+++ b/crates/borageshore_base/src/lib.rs
@@ -15,6 +15,6 @@
 
 pub use self::{
     code::{Fault, ResultCode},
-    rendezvous::{rank_by_rendezvous, rank_within, rendezvous_weight},
+    rendezvous::{first_by_rendezvous, rank_by_rendezvous, rank_within, rendezvous_weight},
     sorted_map::SortedMap,
 };
--- a/crates/borageshore_base/src/rendezvous.rs
+++ b/crates/borageshore_base/src/rendezvous.rs
@@ -23,6 +23,18 @@
     ranked.into_iter().map(|(_, member)| member).collect()
 }
 
+/// Returns the owner of `key` among `members`, the first that [`rank_by_rendezvous`] returns, without sorting them.
+pub fn first_by_rendezvous<'m, Members>(key: &str, members: Members) -> Option<&'m str>
+where
+    Members: IntoIterator<Item = &'m str>,
+{
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    let weight = |member: &'m str| xxh3_64_with_seed(member.as_bytes(), seed);
+    let weighted = members.into_iter().map(|member| (weight(member), member));
+    let first = weighted.max_by(|a, b| a.0.cmp(&b.0).then(b.1.cmp(a.1)));
+    first.map(|(_, member)| member)
+}
+
 /// Returns the rank of `own` among `members` for `key` if it is below `limit`; `own` need not be a
 /// member.
 ///
--- a/crates/borageshore_duty/src/holder.rs
+++ b/crates/borageshore_duty/src/holder.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use borageshore_base::rank_by_rendezvous;
+use borageshore_base::first_by_rendezvous;
 
 /// Selects the holder of a duty among `candidates`, the daemons that accept work.
 ///
@@ -17,7 +17,7 @@
         Some(previous) if candidates.contains(previous) => Some(previous),
         _ => {
             let names = candidates.iter().map(|name| &**name);
-            rank_by_rendezvous(duty, names).into_iter().next()
+            first_by_rendezvous(duty, names)
         }
     }
 }
--- a/crates/borageshore_membership/src/presence.rs
+++ b/crates/borageshore_membership/src/presence.rs
@@ -1,8 +1,8 @@
 //! Liveness and work ownership of daemons, from records in a log that every daemon reads.
 
-use std::sync::Arc;
+use std::{cmp::Reverse, sync::Arc};
 
-use borageshore_base::{SortedMap, rank_by_rendezvous};
+use borageshore_base::{SortedMap, first_by_rendezvous, rendezvous_weight};
 use serde::{Deserialize, Serialize};
 
 use crate::watch::Suspicion;
@@ -24,6 +24,11 @@
 /// Records of a daemon that has been dead for this long are removed; if it comes back, it writes its record again.
 const DEAD_RETENTION_MS: u64 = 60_000;
 
+/// The maximum number of addresses that callers use.
+const MAX_ADDRESSES: usize = 64;
+/// The rendezvous key that selects addresses; the same on all daemons.
+const ADDRESSES_KEY: &str = "addresses";
+
 /// The lifecycle state that a daemon reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PresenceState {
@@ -205,19 +210,28 @@
         if let Some(holder) = self.holder_of(work) {
             return Some(holder);
         }
-        rank_by_rendezvous(key, self.eligible()).into_iter().next()
+        first_by_rendezvous(key, self.eligible())
     }
 
     /// The names of the daemons that may own work: ready ones with at least half of the largest CPU capacity.
     /// Smaller ones could not keep up with the engines.
     pub fn eligible(&self) -> impl Iterator<Item = &str> {
-        let largest = self.ready().map(|presence| presence.capacity_percent).max();
-        let min_percent = largest.unwrap_or(0) / 2;
+        let min_percent = self.min_eligible_percent();
         self.ready()
             .filter(move |presence| presence.capacity_percent >= min_percent)
             .map(|presence| &*presence.name)
     }
 
+    /// Whether a ready daemon with this CPU capacity may own work.
+    pub fn has_eligible_capacity(&self, capacity_percent: u64) -> bool {
+        capacity_percent >= self.min_eligible_percent()
+    }
+
+    fn min_eligible_percent(&self) -> u64 {
+        let largest = self.ready().map(|presence| presence.capacity_percent).max();
+        largest.unwrap_or(0) / 2
+    }
+
     /// The first live daemon, by name, whose record lists a piece of work.
     pub fn holder_of(&self, work: &str) -> Option<&str> {
         let holds = |presence: &&Presence| presence.holds.iter().any(|held| &**held == work);
@@ -250,17 +264,24 @@
     }
 
     /// The addresses for a caller: those in its availability zone if at least `min_count` are ready there, else
-    /// those in all zones.
+    /// those in all zones. At most [`MAX_ADDRESSES`], the same ones on all daemons, as callers close their connections
+    /// to addresses that a newer list lacks.
     pub fn addresses_for(&self, zone: &str, min_count: usize) -> Vec<Arc<str>> {
-        let same_zone: Vec<Arc<str>> = self
+        let same_zone: Vec<&Presence> = self
             .ready()
             .filter(|presence| &*presence.zone == zone)
-            .map(|presence| presence.http_address.clone())
             .collect();
-        if same_zone.len() >= min_count {
-            return same_zone;
+        let mut listed = match same_zone.len() >= min_count {
+            true => same_zone,
+            false => self.ready().collect(),
+        };
+        if listed.len() > MAX_ADDRESSES {
+            listed.sort_by_cached_key(|presence| {
+                Reverse(rendezvous_weight(ADDRESSES_KEY, &presence.name))
+            });
+            listed.truncate(MAX_ADDRESSES);
         }
-        let all = self.ready();
-        all.map(|presence| presence.http_address.clone()).collect()
+        let addresses = listed.iter().map(|presence| presence.http_address.clone());
+        addresses.collect()
     }
 }
--- a/crates/borageshore_membership/src/watch.rs
+++ b/crates/borageshore_membership/src/watch.rs
@@ -64,6 +64,8 @@
 #[derive(Debug, Default)]
 pub struct WatchRing {
     members: Vec<RingMember>,
+    /// The indices of those that watch.
+    watchers: Vec<usize>,
     /// The number of watchers in each zone.
     watchers_by_zone: Vec<usize>,
 }
@@ -96,6 +98,8 @@
         }
         ring.members
             .sort_by(|a, b| a.weight.cmp(&b.weight).then_with(|| a.name.cmp(&b.name)));
+        let is_watcher = |index: &usize| ring.members[*index].is_watcher;
+        ring.watchers = (0..ring.members.len()).filter(is_watcher).collect();
         ring
     }
 
@@ -132,8 +136,10 @@
         let mut same_zone_slots = WATCHERS_PER_DAEMON - in_other_zones.min(WATCHERS_PER_DAEMON);
         let mut slots_left = WATCHERS_PER_DAEMON;
         let mut watchers = Vec::with_capacity(WATCHERS_PER_DAEMON);
-        let others = (index + 1..self.members.len()).chain(0..index);
-        for other in others.filter(|other| self.members[*other].is_watcher) {
+        let after = self.watchers.partition_point(|watcher| *watcher <= index);
+        let (before, after) = self.watchers.split_at(after);
+        let others = after.iter().chain(before).copied();
+        for other in others.filter(|other| *other != index) {
             if self.members[other].zone == own_zone {
                 if same_zone_slots == 0 {
                     continue;
