Work on endpoints goes by what changed or is needed, not by all of them

Cause: each batch of entries rebuilt the table of all endpoints and wrote a log line for each one (10,000 lines a daemon at a start); the holder of orders asked all 9,022 engines for their state before each round and searched the answers linearly for each engine; each look for a free slot built a view of all engines. Test: the engines asked depend on the work at 3,000, 9,000 and 18,000 engines.

--- a/crates/borageshore_batch/src/event_latencies.rs
+++ b/crates/borageshore_batch/src/event_latencies.rs
@@ -58,12 +58,9 @@
         }
     }
 
-    /// Keeps only the instances for which `keep` returns true.
-    pub fn retain<Keep>(&mut self, keep: Keep)
-    where
-        Keep: Fn(&Arc<str>) -> bool,
-    {
-        self.latencies.retain(|instance, _| keep(instance));
+    /// Forgets an instance that has ended.
+    pub fn remove(&mut self, instance: &str) {
+        self.latencies.remove(instance);
     }
 }
 
--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -47,7 +47,10 @@
     },
     record::LedgerRecord,
     submission::{Item, ItemResult, ItemState, ModelVersion, RewardCall, Submission},
-    swaps::{EngineState, EngineVersions, ModelTarget, SwapLimits, SwapRound, plan_round},
+    swaps::{
+        EngineState, EngineVersions, ModelTarget, SwapLimits, SwapRound, load_candidates,
+        plan_round,
+    },
     text::{Text, TextError},
     text_pieces::{PieceBatch, PieceJoiner, TextPiece},
     view_position::ViewPosition,
--- a/crates/borageshore_batch/src/swaps.rs
+++ b/crates/borageshore_batch/src/swaps.rs
@@ -28,30 +28,33 @@
 /// value is the newest.
 #[derive(Debug, Default)]
 pub struct EngineVersions {
-    versions: SortedMap<(Arc<str>, Arc<str>), u64>,
+    /// The versions by model; an engine serves few models.
+    versions: SortedMap<Arc<str>, Vec<(Arc<str>, u64)>>,
 }
 
 impl EngineVersions {
     /// Merges a reported version.
     pub fn observe(&mut self, instance: &Arc<str>, model: &Arc<str>, version: u64) {
-        let known = self
-            .versions
-            .get_or_insert_with((instance.clone(), model.clone()), || version);
-        *known = version.max(*known);
+        let of_instance = match self.versions.get_mut(&**instance) {
+            Some(of_instance) => of_instance,
+            None => self.versions.get_or_insert_with(instance.clone(), Vec::new),
+        };
+        match of_instance.iter_mut().find(|(known, _)| known == model) {
+            Some((_, known)) => *known = version.max(*known),
+            None => of_instance.push((model.clone(), version)),
+        }
     }
 
     /// The version of a model on an engine; 0 if unknown.
     pub fn get(&self, instance: &Arc<str>, model: &Arc<str>) -> u64 {
-        let key = (instance.clone(), model.clone());
-        self.versions.get(&key).copied().unwrap_or(0)
+        let of_instance = self.versions.get(&**instance).into_iter().flatten();
+        let mut of_model = of_instance.filter(|(known, _)| known == model);
+        of_model.next().map_or(0, |(_, version)| *version)
     }
 
-    /// Keeps only the instances for which `keep` returns true.
-    pub fn retain<Keep>(&mut self, keep: Keep)
-    where
-        Keep: Fn(&Arc<str>) -> bool,
-    {
-        self.versions.retain(|(instance, _), _| keep(instance));
+    /// Forgets an instance that has ended.
+    pub fn remove(&mut self, instance: &str) {
+        self.versions.remove(instance);
     }
 }
 
@@ -111,21 +114,11 @@
     models: &[ModelTarget],
     limits: SwapLimits,
 ) -> Vec<(Arc<str>, ModelVersion)> {
-    let loading = engines.iter().filter(|engine| engine.is_loading).count();
-    let parallel = (engines.len() * limits.parallel_percent / 100).max(MIN_PARALLEL_LOADS);
-    let free_loads = parallel.saturating_sub(loading);
-    let mut wanted = Vec::new();
-    let mut unassigned = engines;
-    for (count, model) in engine_counts(engines.len(), models).into_iter().zip(models) {
-        let (assigned, others) = unassigned.split_at(count);
-        unassigned = others;
-        wanted.extend(outdated_engines(
-            assigned,
-            versions,
-            &model.target,
-            limits.share_percent,
-        ));
-    }
+    let free_loads = free_loads(engines, limits);
+    let outdated = assigned_engines(engines, models).flat_map(|(assigned, model)| {
+        outdated_engines(assigned, versions, &model.target, limits.share_percent)
+    });
+    let mut wanted: Vec<Lag<'_>> = outdated.collect();
     wanted.sort_by_key(|lag| (std::cmp::Reverse(lag.versions_behind), lag.engine.running));
     wanted
         .into_iter()
@@ -135,6 +128,57 @@
         .collect()
 }
 
+/// The engines whose state decides what [`plan_round`] plans: those that keep a model up to date, have an older version
+/// and may be ordered. None if no more loads may start.
+///
+/// Their number depends on the work, not on the number of engines, so that a holder does not ask thousands of engines
+/// for their state to order a few.
+pub fn load_candidates(
+    engines: &[EngineState],
+    versions: &EngineVersions,
+    models: &[ModelTarget],
+    limits: SwapLimits,
+) -> Vec<Arc<str>> {
+    if free_loads(engines, limits) == 0 {
+        return Vec::new();
+    }
+    let mut candidates = Vec::new();
+    for (assigned, model) in assigned_engines(engines, models) {
+        let target = &model.target;
+        if outdated_engines(assigned, versions, target, limits.share_percent).is_empty() {
+            continue;
+        }
+        let is_candidate = |engine: &&EngineState| {
+            let version = versions.get(&engine.instance, &target.model);
+            version < target.version && !engine.is_loading && !engine.is_leased
+        };
+        let assigned = assigned.iter().filter(is_candidate);
+        candidates.extend(assigned.map(|engine| engine.instance.clone()));
+    }
+    candidates
+}
+
+/// The number of loads that may start now.
+fn free_loads(engines: &[EngineState], limits: SwapLimits) -> usize {
+    let loading = engines.iter().filter(|engine| engine.is_loading).count();
+    let parallel = (engines.len() * limits.parallel_percent / 100).max(MIN_PARALLEL_LOADS);
+    parallel.saturating_sub(loading)
+}
+
+/// The engines that keep each model up to date.
+fn assigned_engines<'p>(
+    engines: &'p [EngineState],
+    models: &'p [ModelTarget],
+) -> impl Iterator<Item = (&'p [EngineState], &'p ModelTarget)> {
+    let mut unassigned = engines;
+    let counts = engine_counts(engines.len(), models).into_iter();
+    counts.zip(models).map(move |(count, model)| {
+        let (assigned, others) = unassigned.split_at(count);
+        unassigned = others;
+        (assigned, model)
+    })
+}
+
 /// The number of engines that keep each model up to date: in proportion to demand, but no more than its items can use.
 ///
 /// The bound keeps unused engines from loading every version, which would overload the weight store and clear their
--- a/crates/borageshore_batch/tests/swaps.rs
+++ b/crates/borageshore_batch/tests/swaps.rs
@@ -4,7 +4,7 @@
 
 use borageshore_batch::{
     Demand, EngineState, EngineVersions, IndexEntry, ModelTarget, ModelVersion, SwapLimits,
-    plan_round,
+    load_candidates, plan_round,
 };
 
 const LIMITS: SwapLimits = SwapLimits {
@@ -205,3 +205,37 @@
         }
     );
 }
+
+/// Guards against a holder that asks all engines of a large fleet for their state to order a few: those asked are as many
+/// as the work needs, and those that are ordered are among them.
+#[test]
+fn engines_asked_depend_on_the_work() {
+    let model = |number: usize, version: u64| ModelTarget {
+        target: ModelVersion {
+            model: format!("m{number}").into(),
+            version,
+        },
+        demand: Demand {
+            tokens: 50_000,
+            items: 200,
+        },
+    };
+    let models: Vec<ModelTarget> = (0..6).map(|number| model(number, 2)).collect();
+    for count in [3_000, 9_000, 18_000] {
+        let engines = engines(count);
+        let versions = EngineVersions::default();
+        let asked = load_candidates(&engines, &versions, &models, LIMITS);
+        assert_eq!(asked.len(), 6 * 500, "of {count}");
+        let ordered = plan_round(&engines, &versions, &models, LIMITS);
+        assert!(!ordered.is_empty());
+        assert!(ordered.iter().all(|(engine, _)| asked.contains(engine)));
+    }
+    let mut versions = EngineVersions::default();
+    let engines = engines(9_000);
+    for engine in &engines {
+        for model in &models {
+            versions.observe(&engine.instance, &model.target.model, 2);
+        }
+    }
+    assert!(load_candidates(&engines, &versions, &models, LIMITS).is_empty());
+}
--- a/crates/borageshore_gateway/src/dispatch.rs
+++ b/crates/borageshore_gateway/src/dispatch.rs
@@ -6,7 +6,7 @@
     EngineView, GroupPlacements, ItemRank, PlacementRequest, RunningItem, can_take,
     choose_better_engine, choose_engine,
 };
-use borageshore_net::within_ms;
+use borageshore_net::{sleep_ms, within_ms};
 use borageshore_platform::EndpointTarget;
 use tokio::sync::oneshot;
 
@@ -46,9 +46,17 @@
 struct ServiceEngines {
     service: Arc<str>,
     model: Option<Arc<str>>,
+    /// The oldest version that a waiting request accepts.
+    min_version: u64,
     engines: Vec<EngineView>,
 }
 
+impl ServiceEngines {
+    fn serves(&self, request: &SlotRequest) -> bool {
+        self.service == request.service && self.model == request.model
+    }
+}
+
 /// The queue of items that wait for a slot, and the engines on which each group runs.
 #[derive(Debug)]
 pub(crate) struct Dispatch {
@@ -87,9 +95,11 @@
 
     /// Takes a slot for a running item at a better engine, if there is one.
     pub(crate) fn try_move(&self, request: &SlotRequest, item: RunningItem) -> Option<EngineSlot> {
-        let engines = self
-            .endpoints
-            .engines(&request.service, request.model.as_ref());
+        let engines = self.endpoints.engines(
+            &request.service,
+            request.model.as_ref(),
+            request.min_version,
+        );
         let chosen = choose_better_engine(&engines, placement(request), item)?;
         let (target, in_flight) = self.endpoints.start(&chosen.instance)?;
         Some(EngineSlot { target, in_flight })
@@ -104,19 +114,24 @@
                 within_ms(RECHECK_INTERVAL_MS, changed).await;
             }
             self.endpoints.remove_expired();
+            let started_at_ms = self.endpoints.now_ms();
             self.assign_slots();
+            if !self.waiting.borrow().is_empty() {
+                // Looking through many engines takes long; at most half of the time goes to it.
+                sleep_ms(self.endpoints.now_ms() - started_at_ms).await;
+            }
         }
     }
 
     /// Goes through the queue once; requests that get no slot stay in it, in order.
     fn assign_slots(&self) {
         let mut waiting = std::mem::take(&mut *self.waiting.borrow_mut());
-        let mut looked_up: Vec<ServiceEngines> = Vec::new();
         waiting.retain(|waiter| !waiter.sender.is_closed());
+        let mut looked_up = self.engines_for_all(&waiting);
         let mut unserved = Vec::new();
         for waiter in waiting {
             let request = &waiter.request;
-            let engines = self.engines_for(request, &mut looked_up);
+            let engines = engines_for(request, &mut looked_up);
             match self.try_take_slot(request, engines) {
                 Some(slot) => {
                     // If the receiver is gone, the slot is dropped and thus released.
@@ -130,26 +145,29 @@
         *waiting = unserved;
     }
 
-    /// The engines of a request's service, looked up once per round.
-    fn engines_for<'k>(
-        &self,
-        request: &SlotRequest,
-        looked_up: &'k mut Vec<ServiceEngines>,
-    ) -> &'k mut [EngineView] {
-        let is_same = |other: &ServiceEngines| {
-            other.service == request.service && other.model == request.model
-        };
-        let at = looked_up.iter().position(is_same).unwrap_or_else(|| {
-            looked_up.push(ServiceEngines {
-                service: request.service.clone(),
-                model: request.model.clone(),
-                engines: self
-                    .endpoints
-                    .engines(&request.service, request.model.as_ref()),
-            });
-            looked_up.len() - 1
-        });
-        &mut looked_up[at].engines
+    /// The engines of each service and model that waiting requests need, looked up once per round, without those whose
+    /// versions are too old for all of them.
+    fn engines_for_all(&self, waiting: &[Waiter]) -> Vec<ServiceEngines> {
+        let mut needed: Vec<ServiceEngines> = Vec::new();
+        for Waiter { request, .. } in waiting {
+            match needed.iter_mut().find(|needed| needed.serves(request)) {
+                Some(known) => known.min_version = known.min_version.min(request.min_version),
+                None => needed.push(ServiceEngines {
+                    service: request.service.clone(),
+                    model: request.model.clone(),
+                    min_version: request.min_version,
+                    engines: Vec::new(),
+                }),
+            }
+        }
+        for of_service in &mut needed {
+            let model = of_service.model.as_ref();
+            let min_version = of_service.min_version;
+            of_service.engines = self
+                .endpoints
+                .engines(&of_service.service, model, min_version);
+        }
+        needed
     }
 
     fn try_take_slot(
@@ -178,6 +196,16 @@
     }
 }
 
+fn engines_for<'k>(
+    request: &SlotRequest,
+    looked_up: &'k mut [ServiceEngines],
+) -> &'k mut [EngineView] {
+    let of_service = looked_up
+        .iter_mut()
+        .find(|of_service| of_service.serves(request));
+    of_service.map_or(&mut [], |of_service| &mut of_service.engines)
+}
+
 fn placement(request: &SlotRequest) -> PlacementRequest<'_> {
     PlacementRequest {
         min_version: request.min_version,
--- a/crates/borageshore_gateway/src/endpoints/listing.rs
+++ b/crates/borageshore_gateway/src/endpoints/listing.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use borageshore_platform::{EndpointEntry, KeyedRecord, decode_endpoint};
-use borageshore_routing::{EntryEffect, LoadReport};
+use borageshore_routing::{EndpointTable, EntryEffect, LoadReport};
 
 use super::{Endpoints, target};
 use crate::follow::RecordView;
@@ -43,57 +43,82 @@
                 .borrow_mut()
                 .observe(instance, model, *version);
         }
-        let has_changed = known.is_none_or(|known| known.listing != entry.listing);
-        if has_changed {
-            log::info!(instance = &**instance, service = &*entry.listing.service, address = &*entry.listing.address, state:? = entry.listing.state; "endpoint listed");
+        if known
+            .as_ref()
+            .is_some_and(|known| known.listing == entry.listing)
+        {
+            return;
         }
-        self.has_changed_entries
-            .set(self.has_changed_entries.get() || has_changed);
+        log::debug!(instance = &**instance, service = &*entry.listing.service, address = &*entry.listing.address, state:? = entry.listing.state; "endpoint listed");
+        let ended = known.filter(|known| known.listing.name != *instance);
+        self.note_changed(id, ended.as_ref());
+    }
+
+    /// Notes that the entry of an id has changed, and the entry of an instance that ended by it.
+    fn note_changed(&self, id: &Arc<str>, ended: Option<&EndpointEntry>) {
+        let mut changes = self.changes.borrow_mut();
+        changes.ids.push(id.clone());
+        changes
+            .ended
+            .extend(ended.map(|ended| ended.listing.name.clone()));
     }
 
     /// Removes an id whose entry was overwritten by another writer, without the grace period of an expired entry.
     fn on_foreign(&self, id: &Arc<str>, why: &str) {
         self.expired.borrow_mut().remove(id);
+        let known = self.registry.borrow().get(id).cloned();
         if self.registry.borrow_mut().on_foreign(id) {
             log::warn!(id = &**id, why; "endpoint entry is invalid or from another writer; not using the endpoint");
-            self.has_changed_entries.set(true);
+            self.note_changed(id, known.as_ref());
         }
     }
 
-    /// Rebuilds the table that endpoints are chosen from. Called once for each batch of records, as a rebuild for each
-    /// record makes a start quadratic in the number of endpoints.
-    fn rebuild_table(&self) {
-        if !self.has_changed_entries.replace(false) {
+    /// Applies the changes of a batch of records to the table that endpoints are chosen from. The cost depends on the
+    /// changes, not on the number of endpoints.
+    fn update_table(&self) {
+        let changes = std::mem::take(&mut *self.changes.borrow_mut());
+        if changes.ids.is_empty() && changes.ended.is_empty() {
             return;
         }
-        let registry = self.registry.borrow();
-        let listings = registry.values().map(|entry| entry.listing.clone());
+        log::info!(changed = changes.ids.len(), ended = changes.ended.len(); "endpoint list changed");
         let mut table = self.table.borrow_mut();
-        table.on_listing(listings.collect());
+        for instance in &changes.ended {
+            table.on_unlisted(instance);
+            self.targets.borrow_mut().remove(instance);
+            self.versions.borrow_mut().remove(instance);
+            self.latencies.borrow_mut().remove(instance);
+        }
+        let registry = self.registry.borrow();
         let now_ms = self.clock.now_ms();
-        for entry in registry.values() {
-            let instance = &entry.listing.name;
-            let is_new = table
-                .get(instance)
-                .is_some_and(|known| known.report.is_none());
-            if is_new {
-                let report = LoadReport {
-                    requests: 0,
-                    slots: entry.slots,
-                };
-                table.on_report(instance, report, now_ms);
-            }
+        for entry in changes.ids.iter().filter_map(|id| registry.get(id)) {
+            self.update_entry(&mut table, entry, now_ms);
         }
-        let is_known = |instance: &Arc<str>| table.get(instance).is_some();
-        self.versions.borrow_mut().retain(is_known);
-        self.latencies.borrow_mut().retain(is_known);
-        let targets = registry
-            .values()
-            .map(|entry| (entry.listing.name.clone(), target(entry)));
-        *self.targets.borrow_mut() = targets.collect();
         self.changed.notify_waiters();
     }
 
+    fn update_entry(&self, table: &mut EndpointTable, entry: &EndpointEntry, now_ms: u64) {
+        let instance = &entry.listing.name;
+        table.on_listed(entry.listing.clone());
+        let is_new = table
+            .get(instance)
+            .is_some_and(|known| known.report.is_none());
+        if is_new {
+            let report = LoadReport {
+                requests: 0,
+                slots: entry.slots,
+            };
+            table.on_report(instance, report, now_ms);
+        }
+        for (model, version) in &entry.models {
+            self.versions
+                .borrow_mut()
+                .observe(instance, model, *version);
+        }
+        self.targets
+            .borrow_mut()
+            .insert(instance.clone(), target(entry));
+    }
+
     fn on_removed(&self, id: &Arc<str>) {
         let now_ms = self.clock.now_ms();
         let grace_until_ms = self.outage_ended_at_ms.get().map(|at| at + EXPIRY_GRACE_MS);
@@ -113,16 +138,17 @@
         }
         if self.registry.borrow_mut().remove(id) {
             log::info!(instance = &**id; "endpoint gone");
-            self.has_changed_entries.set(true);
+            self.note_changed(id, known.as_ref());
         }
     }
 
     /// Removes the ids that are missing from the first batch after a gap, which holds the newest record of each key.
     fn remove_unconfirmed(&self, newest: &[KeyedRecord]) {
         let unconfirmed = self.unconfirmed.take().unwrap_or_default();
-        let is_listed = |id: &Arc<str>| newest.iter().any(|record| record.key == *id);
+        let mut listed: Vec<&Arc<str>> = newest.iter().map(|record| &record.key).collect();
+        listed.sort_unstable();
         for id in unconfirmed {
-            if !is_listed(&id) {
+            if listed.binary_search(&&id).is_err() {
                 self.on_removed(&id);
             }
         }
@@ -142,7 +168,7 @@
         for id in gone {
             self.remove(&id);
         }
-        self.rebuild_table();
+        self.update_table();
     }
 }
 
@@ -159,7 +185,7 @@
             }
         }
         self.remove_unconfirmed(records);
-        self.rebuild_table();
+        self.update_table();
     }
 
     /// Remembers the known ids, as the removal of one may be among the missed records.
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -14,7 +14,8 @@
 use borageshore_net::Clock;
 use borageshore_platform::{EndpointClient, EndpointEntry, EndpointTarget};
 use borageshore_routing::{
-    ChoiceRequest, EndpointListing, EndpointRegistry, EndpointState, EndpointTable, choose_endpoint,
+    ChoiceRequest, Endpoint, EndpointListing, EndpointRegistry, EndpointState, EndpointTable,
+    choose_endpoint,
 };
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -37,6 +38,15 @@
     until_ms: u64,
 }
 
+/// Changes of entries since they were last applied to the table.
+#[derive(Debug, Default)]
+struct EntryChanges {
+    /// The ids whose entry changed.
+    ids: Vec<Arc<str>>,
+    /// The instances that ended.
+    ended: Vec<Arc<str>>,
+}
+
 /// The endpoints of all services.
 #[derive(Debug)]
 pub(crate) struct Endpoints {
@@ -56,8 +66,8 @@
     versions: RefCell<EngineVersions>,
     loading: RefCell<SortedMap<Arc<str>, Loading>>,
     latencies: RefCell<EventLatencies>,
-    /// Whether an entry changed since `table` was rebuilt.
-    has_changed_entries: Cell<bool>,
+    /// Changes that are not yet applied to `table`.
+    changes: RefCell<EntryChanges>,
     last_read_at_ms: Cell<u64>,
     outage_ended_at_ms: Cell<Option<u64>>,
     random: RefCell<Pcg64Mcg>,
@@ -92,7 +102,7 @@
             versions: RefCell::default(),
             loading: RefCell::default(),
             latencies: RefCell::default(),
-            has_changed_entries: Cell::new(false),
+            changes: RefCell::default(),
             last_read_at_ms: Cell::new(0),
             outage_ended_at_ms: Cell::new(None),
             random: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
@@ -119,6 +129,10 @@
         !self.registry.borrow().is_empty()
     }
 
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
     pub(crate) fn random(&self) -> u64 {
         self.random.borrow_mut().next_u64()
     }
@@ -159,54 +173,82 @@
         Some((target, in_flight))
     }
 
-    /// The usable engines of a service, for the placement of an item.
-    pub(crate) fn engines(&self, service: &str, model: Option<&Arc<str>>) -> Vec<EngineView> {
+    /// The usable engines of a service that have at least `min_version` of a model, for the placement of items.
+    pub(crate) fn engines(
+        &self,
+        service: &str,
+        model: Option<&Arc<str>>,
+        min_version: u64,
+    ) -> Vec<EngineView> {
         let now_ms = self.clock.now_ms();
         let table = self.table.borrow();
         let versions = self.versions.borrow();
         let latencies = self.latencies.borrow();
         let median_us = latencies.median_us(now_ms);
-        table
-            .usable(service, now_ms)
-            .map(|endpoint| {
-                let instance = &endpoint.listing.name;
-                EngineView {
-                    instance: instance.clone(),
-                    slots: endpoint.slots(),
-                    load: endpoint.load(now_ms),
-                    version: model.map_or(0, |model| versions.get(instance, model)),
-                    is_loading: self.is_loading(instance),
-                    latency_percent: latencies.percent_of_median(instance, median_us, now_ms),
-                    is_same_zone: endpoint.listing.zone == self.zone,
-                    has_group: false,
-                }
+        let view = |endpoint: &Endpoint| {
+            let instance = &endpoint.listing.name;
+            let version = model.map_or(0, |model| versions.get(instance, model));
+            (version >= min_version).then(|| EngineView {
+                instance: instance.clone(),
+                slots: endpoint.slots(),
+                load: endpoint.load(now_ms),
+                version,
+                is_loading: self.is_loading(instance),
+                latency_percent: latencies.percent_of_median(instance, median_us, now_ms),
+                is_same_zone: endpoint.listing.zone == self.zone,
+                has_group: false,
             })
-            .collect()
+        };
+        table.usable(service, now_ms).filter_map(view).collect()
     }
 
-    /// The live engines of services in use by a route, ordered by id.
-    pub(crate) fn engine_targets(&self) -> Vec<EndpointTarget> {
+    /// The names of the live engines of services in use by a route, ordered by id.
+    pub(crate) fn routed_engines(&self) -> Vec<Arc<str>> {
         let registry = self.registry.borrow();
-        let live = registry.values().filter(|entry| {
-            entry.listing.state == EndpointState::Live
-                && !entry.models.is_empty()
-                && self.routes.names_service(&entry.listing.service)
-        });
-        live.map(target).collect()
+        let routed = self.routed(registry.values());
+        let live = routed
+            .filter(|entry| entry.listing.state == EndpointState::Live && !entry.models.is_empty());
+        live.map(|entry| entry.listing.name.clone()).collect()
+    }
+
+    /// The address of an instance; `None` if it is no longer listed.
+    pub(crate) fn target_of(&self, instance: &str) -> Option<EndpointTarget> {
+        self.targets.borrow().get(instance).cloned()
     }
 
     /// The models that engines of services in use by a route serve, ordered by name.
     pub(crate) fn models(&self) -> Vec<Arc<str>> {
         let registry = self.registry.borrow();
-        let is_routed = |entry: &&EndpointEntry| self.routes.names_service(&entry.listing.service);
-        let models = registry.values().filter(is_routed);
-        let models = models.flat_map(|entry| &entry.models);
-        let mut models: Vec<Arc<str>> = models.map(|(model, _)| model.clone()).collect();
-        models.sort_unstable();
-        models.dedup();
+        let mut models: Vec<Arc<str>> = Vec::new();
+        for entry in self.routed(registry.values()) {
+            for (model, _) in &entry.models {
+                if let Err(at) = models.binary_search(model) {
+                    models.insert(at, model.clone());
+                }
+            }
+        }
         models
     }
 
+    /// The entries of services in use by a route. Each service is looked up once, as services have many endpoints.
+    fn routed<'e, Entries>(&'e self, entries: Entries) -> impl Iterator<Item = &'e EndpointEntry>
+    where
+        Entries: Iterator<Item = &'e EndpointEntry>,
+    {
+        let mut looked_up: SortedMap<Arc<str>, bool> = SortedMap::default();
+        entries.filter(move |entry| {
+            let service = &entry.listing.service;
+            match looked_up.get(service) {
+                Some(is_routed) => *is_routed,
+                None => {
+                    let is_routed = self.routes.names_service(service);
+                    looked_up.insert(service.clone(), is_routed);
+                    is_routed
+                }
+            }
+        })
+    }
+
     /// The sum of the slots of a service's live endpoints.
     pub(crate) fn slots_of(&self, service: &str) -> u64 {
         let registry = self.registry.borrow();
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -331,13 +331,13 @@
         let Some(model) = &self.submission.model else {
             return false;
         };
-        let targets = self.context.endpoints.engine_targets();
+        let engines = self.context.endpoints.routed_engines();
         let has_version = |instance: &Arc<str>| {
             let versions = |versions: &borageshore_batch::EngineVersions| {
                 versions.get(instance, model) == *version
             };
             self.context.endpoints.with_versions(versions)
         };
-        !targets.iter().any(|target| has_version(&target.instance))
+        !engines.iter().any(has_version)
     }
 }
--- a/crates/borageshore_gateway/src/orderer.rs
+++ b/crates/borageshore_gateway/src/orderer.rs
@@ -4,7 +4,7 @@
 
 use borageshore_base::SortedMap;
 use borageshore_batch::{
-    EngineState, ModelTarget, ModelVersion, SwapLimits, SwapRound, plan_round,
+    EngineState, ModelTarget, ModelVersion, SwapLimits, SwapRound, load_candidates, plan_round,
 };
 use borageshore_net::{Clock, sleep_ms, within_ms};
 use borageshore_platform::{
@@ -29,6 +29,9 @@
 /// The longest pause between two rounds without pending orders.
 const MAX_IDLE_PAUSE_MS: u64 = 1_000;
 
+/// The reports of engines, by instance.
+type Reports = SortedMap<Arc<str>, (EndpointTarget, EngineReport)>;
+
 #[derive(Debug, Clone)]
 struct SentOrder {
     target: ModelVersion,
@@ -83,20 +86,17 @@
     /// Collects completed orders and sends the next ones; returns whether any order may be pending.
     async fn step(&self, at: u64) -> bool {
         let done = self.collect_completed().await;
-        let targets = self.parts.endpoints.engine_targets();
-        let reports = match self.plan(&targets, &[]).is_empty() {
+        let engines = self.parts.endpoints.routed_engines();
+        let reports = self.reports(&self.candidates(&engines)).await;
+        let planned = match reports.is_empty() {
             true => Vec::new(),
-            false => self.reports(&targets).await,
+            false => self.plan(&engines, &reports),
         };
-        let planned = self.plan(&targets, &reports);
         if planned.is_empty() && done.is_empty() {
             return !self.pending.borrow().is_empty();
         }
         let order = |(instance, version): (Arc<str>, ModelVersion)| {
-            let reported = reports
-                .iter()
-                .find(|(target, _)| target.instance == instance);
-            let (target, report) = reported?;
+            let (target, report) = reports.get(&instance)?;
             Some((target.clone(), version, report.clone()))
         };
         let orders = planned.into_iter().filter_map(order).collect();
@@ -104,32 +104,38 @@
         true
     }
 
+    /// The engines whose reports are needed to plan the next orders.
+    fn candidates(&self, engines: &[Arc<str>]) -> Vec<Arc<str>> {
+        let states = self.states(engines, &Reports::default());
+        let (models, limits) = (self.models(), self.parts.limits);
+        let endpoints = &self.parts.endpoints;
+        endpoints.with_versions(|versions| load_candidates(&states, versions, &models, limits))
+    }
+
     /// Plans the next orders; an engine without a report counts as not busy.
-    ///
-    /// An engine counts as loading if this daemon has a pending order to it or if it reports so. Orders in rounds read
-    /// from the store do not count: after a restart of all daemons, the newest round, however old, would use up the
-    /// limit of parallel loads.
-    fn plan(
-        &self,
-        targets: &[EndpointTarget],
-        reports: &[(EndpointTarget, EngineReport)],
-    ) -> Vec<(Arc<str>, ModelVersion)> {
+    fn plan(&self, engines: &[Arc<str>], reports: &Reports) -> Vec<(Arc<str>, ModelVersion)> {
+        let states = self.states(engines, reports);
+        let (models, limits) = (self.models(), self.parts.limits);
+        let endpoints = &self.parts.endpoints;
+        endpoints.with_versions(|versions| plan_round(&states, versions, &models, limits))
+    }
+
+    /// The states of engines. An engine counts as loading if this daemon has a pending order to it or if it reports so.
+    /// Orders in rounds read from the store do not count: after a restart of all daemons, the newest round, however
+    /// old, would use up the limit of parallel loads.
+    fn states(&self, engines: &[Arc<str>], reports: &Reports) -> Vec<EngineState> {
         let pending = self.pending.borrow();
-        let state = |target: &EndpointTarget| {
-            let report = reports.iter().find(|(asked, _)| asked == target);
+        let state = |instance: &Arc<str>| {
+            let report = reports.get(instance).map(|(_, report)| report);
             EngineState {
-                instance: target.instance.clone(),
-                is_loading: pending.contains_key(&target.instance)
-                    || report.is_some_and(|(_, report)| report.is_busy),
-                is_leased: !self.parts.duties.may_order(&target.instance),
-                running: report.map_or(0, |(_, report)| report.running),
+                instance: instance.clone(),
+                is_loading: pending.contains_key(instance)
+                    || report.is_some_and(|report| report.is_busy),
+                is_leased: !self.parts.duties.may_order(instance),
+                running: report.map_or(0, |report| report.running),
             }
         };
-        let engines: Vec<EngineState> = targets.iter().map(state).collect();
-        let models = self.models();
-        let limits = self.parts.limits;
-        let endpoints = &self.parts.endpoints;
-        endpoints.with_versions(|versions| plan_round(&engines, versions, &models, limits))
+        engines.iter().map(state).collect()
     }
 
     /// The target of each model that engines serve; version 0 if its trainer has not published one.
@@ -148,17 +154,21 @@
         models.into_iter().map(target).collect()
     }
 
-    /// Requests the reports of all engines; those that don't respond are left out.
-    async fn reports(&self, targets: &[EndpointTarget]) -> Vec<(EndpointTarget, EngineReport)> {
-        let ask = targets
+    /// Requests the reports of engines; those that don't respond are left out.
+    async fn reports(&self, engines: &[Arc<str>]) -> Reports {
+        let targets = engines
             .iter()
-            .map(|target| async move { (target.clone(), self.parts.client.report(target).await) });
-        let mut reports = Vec::new();
+            .filter_map(|engine| self.parts.endpoints.target_of(engine));
+        let ask = targets.map(|target| async move {
+            let report = self.parts.client.report(&target).await;
+            (target, report)
+        });
+        let mut reports = Reports::default();
         for (target, report) in join_all(ask).await {
             match report {
                 Ok(report) => {
                     self.record_versions(&target.instance, &report);
-                    reports.push((target, report));
+                    reports.insert(target.instance.clone(), (target, report));
                 }
                 Err(error) => {
                     log::info!(instance = &*target.instance, error:% = error; "engine did not report; sending it no order now");
@@ -247,15 +257,14 @@
 
     /// Polls the engines with pending orders; returns the instance, model and version of each completed load.
     async fn collect_completed(&self) -> Vec<(Arc<str>, Arc<str>, u64)> {
-        let targets = self.parts.endpoints.engine_targets();
         let now_ms = self.parts.clock.now_ms();
         let pending = self.pending.borrow().clone();
         let is_due =
             |(_, order): &(&Arc<str>, &SentOrder)| now_ms >= order.sent_at_ms + FIRST_POLL_MS;
         let ask = pending.iter().filter(is_due).map(|(instance, order)| {
-            let target = targets.iter().find(|target| target.instance == *instance);
+            let target = self.parts.endpoints.target_of(instance);
             async move {
-                let report = match target {
+                let report = match &target {
                     Some(target) => self.parts.client.report(target).await.ok(),
                     None => None,
                 };
--- a/crates/borageshore_routing/src/endpoint.rs
+++ b/crates/borageshore_routing/src/endpoint.rs
@@ -100,6 +100,10 @@
         self.reported_at_ms
     }
 
+    fn is_needed(&self) -> bool {
+        self.listing.state == EndpointState::Live || self.in_flight > 0
+    }
+
     /// Returns whether it may receive new work.
     pub fn is_usable(&self, now_ms: u64) -> bool {
         self.listing.state == EndpointState::Live && now_ms >= self.ejected_until_ms
@@ -141,17 +145,44 @@
             endpoint.listing.state = EndpointState::Leaving;
         }
         for listing in listings {
-            match self.endpoints.get_mut(&listing.name) {
-                Some(known) if known.listing.address == listing.address => known.listing = listing,
-                _ => {
-                    self.endpoints
-                        .insert(listing.name.clone(), Endpoint::open(listing));
-                }
+            self.update(listing);
+        }
+        self.endpoints.retain(|_, endpoint| endpoint.is_needed());
+    }
+
+    /// Applies one entry of a VM list; the cost does not depend on the number of endpoints.
+    pub fn on_listed(&mut self, listing: EndpointListing) {
+        let name = listing.name.clone();
+        self.update(listing);
+        self.remove_if_unneeded(&name);
+    }
+
+    /// Removes an endpoint that is no longer listed, once this daemon has no requests in flight to it.
+    pub fn on_unlisted(&mut self, name: &str) {
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            endpoint.listing.state = EndpointState::Leaving;
+            self.remove_if_unneeded(name);
+        }
+    }
+
+    fn update(&mut self, listing: EndpointListing) {
+        match self.endpoints.get_mut(&listing.name) {
+            Some(known) if known.listing.address == listing.address => known.listing = listing,
+            _ => {
+                self.endpoints
+                    .insert(listing.name.clone(), Endpoint::open(listing));
             }
         }
-        self.endpoints.retain(|_, endpoint| {
-            endpoint.listing.state == EndpointState::Live || endpoint.in_flight > 0
-        });
+    }
+
+    fn remove_if_unneeded(&mut self, name: &str) {
+        if self
+            .endpoints
+            .get(name)
+            .is_some_and(|endpoint| !endpoint.is_needed())
+        {
+            self.endpoints.remove(name);
+        }
     }
 
     /// Records a load report.
@@ -179,6 +210,7 @@
             if endpoint.failure_rate_permille < HEALTHY_PERMILLE {
                 endpoint.ejections = 0;
             }
+            self.remove_if_unneeded(name);
         }
     }
 
@@ -186,6 +218,7 @@
     pub fn on_cancelled(&mut self, name: &str) {
         if let Some(endpoint) = self.endpoints.get_mut(name) {
             endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+            self.remove_if_unneeded(name);
         }
     }
 
@@ -207,6 +240,7 @@
         let is_outlier = endpoint.consecutive_failures >= EJECT_AFTER_CONSECUTIVE_FAILURES
             || endpoint.failure_rate_permille >= EJECT_AT_FAILURE_PERMILLE;
         if !is_outlier {
+            self.remove_if_unneeded(name);
             return;
         }
         let service = endpoint.listing.service.clone();
@@ -219,6 +253,7 @@
             .filter(|other| now_ms < other.ejected_until_ms)
             .count();
         if (ejected + 1) * 100 > of_service().count() * MAX_EJECTED_PERCENT {
+            self.remove_if_unneeded(name);
             return;
         }
         let endpoint = self.endpoints.get_mut(name).expect("looked up above");
@@ -227,6 +262,7 @@
         endpoint.ejections += 1;
         endpoint.consecutive_failures = 0;
         endpoint.failure_rate_permille = READMITTED_PERMILLE;
+        self.remove_if_unneeded(name);
     }
 
     /// Looks up an endpoint by name.
