--- /dev/null
+++ b/crates/borageshore_feed/src/selector.rs
@@ -0,0 +1,111 @@
+//! The choice of the source that a daemon reads next.
+
+use std::sync::Arc;
+
+use crate::tree::FeedTree;
+
+/// The age from which a view counts as stale, so that another source is tried. A direct reader's view is renewed twice
+/// a second, and passing it on takes some ms a level.
+pub const STALE_MS: u64 = 1_200;
+/// How long a daemon stays with a source that keeps it current, before it returns to its parent.
+const REHOME_INTERVAL_MS: u64 = 3_000;
+/// A daemon whose peers do not keep it current reads the log itself after this time, and this much later for each rank
+/// that it is behind the roots: those next to the roots are current again before the others ask.
+const DIRECT_DELAY_MS: u64 = 1_500;
+const DIRECT_SPACING_MS: u64 = 200;
+
+/// A daemon becomes a reader of the log this long after the tree has made it a root.
+const ROOT_DELAY_MS: u64 = 2_000;
+
+/// Chooses the source of each read by the results of earlier ones.
+///
+/// Guards against a source that is dead, frozen, cut off from the log or in a loop with this daemon: all of them show
+/// as a view that gets older, and the next read goes elsewhere.
+#[derive(Debug, Default)]
+pub struct SourceSelector {
+    current: Option<Arc<str>>,
+    chosen_at_ms: u64,
+    failures: u64,
+    progressed_at_ms: u64,
+    /// Since when the tree has this daemon as a root.
+    root_since_ms: Option<u64>,
+}
+
+impl SourceSelector {
+    /// Creates a selector at `now_ms`.
+    pub fn open(now_ms: u64) -> Self {
+        Self {
+            progressed_at_ms: now_ms,
+            ..Self::default()
+        }
+    }
+
+    /// Notes this daemon's place in the tree, each time that it is computed.
+    pub fn on_tree(&mut self, tree: &FeedTree, now_ms: u64) {
+        if tree.is_root() {
+            self.root_since_ms.get_or_insert(now_ms);
+        } else {
+            self.root_since_ms = None;
+        }
+    }
+
+    /// Makes this daemon a reader of the log at once: others expect it to be one.
+    pub fn assume_root(&mut self) {
+        self.root_since_ms = Some(0);
+    }
+
+    /// Whether this daemon reads the log for others, or all daemons read it.
+    ///
+    /// A new root waits. Guards against a start at which each daemon knows a few others, and many count as roots.
+    pub fn is_reader(&self, tree: &FeedTree, now_ms: u64) -> bool {
+        let is_over = |since_ms: u64| since_ms == 0 || now_ms >= since_ms + ROOT_DELAY_MS;
+        tree.is_flat() || self.root_since_ms.is_some_and(is_over)
+    }
+
+    /// Whether this daemon reads the log directly now: as a reader, or because its peers have not kept it current.
+    pub fn reads_directly(&self, tree: &FeedTree, now_ms: u64) -> bool {
+        let delay_ms = DIRECT_DELAY_MS + DIRECT_SPACING_MS * tree.distance() as u64;
+        self.is_reader(tree, now_ms) || now_ms >= self.progressed_at_ms + delay_ms
+    }
+
+    /// The peer to read from next; `None` for a reader of the log whose view is current. `random` varies with each call.
+    pub fn choose_peer(&mut self, tree: &FeedTree, random: u64, now_ms: u64) -> Option<Arc<str>> {
+        let is_reader = self.is_reader(tree, now_ms);
+        if is_reader && now_ms < self.progressed_at_ms + STALE_MS {
+            return None;
+        }
+        let is_settled = self.failures == 0 && now_ms < self.chosen_at_ms + REHOME_INTERVAL_MS;
+        if is_settled && self.current.is_some() {
+            return self.current.clone();
+        }
+        let chosen = match self.failures {
+            0 if !is_reader => tree.parent().or(tree.zone_peer(random)),
+            failures if failures % 2 == 1 && !is_reader => tree.zone_peer(random),
+            _ => tree.remote_peer(random),
+        };
+        self.chosen_at_ms = now_ms;
+        self.current = chosen.or(tree.remote_peer(random)).cloned();
+        self.current.clone()
+    }
+
+    /// The peer that was chosen last.
+    pub fn current(&self) -> Option<&Arc<str>> {
+        self.current.as_ref()
+    }
+
+    /// Records that a source brought new records, or confirmed a view that is not stale.
+    pub fn on_progress(&mut self, now_ms: u64) {
+        self.failures = 0;
+        self.progressed_at_ms = now_ms;
+    }
+
+    /// Records a source that did not answer, or whose view is stale.
+    pub fn on_failure(&mut self) {
+        self.failures += 1;
+    }
+
+    /// The failures since the last progress.
+    pub fn failures(&self) -> u64 {
+        self.failures
+    }
+}
--- a/crates/borageshore_gateway/src/access.rs
+++ b/crates/borageshore_gateway/src/access.rs
@@ -9,7 +9,7 @@
 use borageshore_platform::refusal;
 use tokio::sync::Mutex;
 
-use crate::{follow::Follower, routes::Routes};
+use crate::{feed::FeedTopicSource, follow::Follower, routes::Routes};
 
 /// How long a caller waits for the view of the keys to be confirmed by the store.
 const CONFIRM_TIMEOUT_MS: u64 = 250;
@@ -58,7 +58,7 @@
 #[derive(Debug)]
 pub(crate) struct CallerAccess {
     routes: Rc<Routes>,
-    follow: Rc<Follower<Routes>>,
+    follow: Rc<Follower<Routes, FeedTopicSource>>,
     /// Maximum age of the view, counted from when it was requested; `None` for no limit.
     max_age_ms: Option<u64>,
     /// Serializes confirmations, so that one serves all waiting callers.
@@ -70,7 +70,7 @@
 impl CallerAccess {
     pub(crate) fn open(
         routes: Rc<Routes>,
-        follow: Rc<Follower<Routes>>,
+        follow: Rc<Follower<Routes, FeedTopicSource>>,
         max_age_ms: Option<u64>,
         instruments: Rc<Instruments>,
     ) -> Rc<Self> {
--- a/crates/borageshore_gateway/src/cleaner.rs
+++ b/crates/borageshore_gateway/src/cleaner.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use borageshore_base::rank_by_rendezvous;
+use borageshore_base::first_by_rendezvous;
 use borageshore_batch::LedgerRecord;
 use borageshore_net::sleep_ms;
 use borageshore_platform::StoreError;
@@ -64,7 +64,7 @@
     fn is_responsible(&self) -> bool {
         let eligible = self.members.eligible_names();
         let names = eligible.iter().map(|name| &**name);
-        let responsible = rank_by_rendezvous("cleaner", names).into_iter().next();
+        let responsible = first_by_rendezvous("cleaner", names);
         responsible == Some(&*self.members.own_name())
     }
 
--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use borageshore_base::{Fault, ResultCode};
+use borageshore_feed::FeedLimits;
 use borageshore_settings::{FileFault, malformed_file};
 use borageshore_usage::UsageTiming;
 use serde::Deserialize;
@@ -33,6 +34,15 @@
     pub store_address: Arc<str>,
     /// The number of partitions of a topic.
     pub store_partitions: u64,
+    /// The read calls a second that the store allows all daemons together; without it, any number.
+    #[serde(default)]
+    pub store_reads_per_s: Option<f64>,
+    /// The megabytes a second that the store's reads return to all daemons together; without it, any number.
+    #[serde(default)]
+    pub store_read_mb_per_s: Option<f64>,
+    /// Whether all daemons start for the first time now.
+    #[serde(default)]
+    pub is_first_start: bool,
     /// How long a caller may keep an address list.
     pub address_ttl_s: u64,
     /// The time from SIGTERM to SIGKILL.
@@ -88,16 +98,37 @@
 }
 
 impl GatewayConfig {
+    /// What the store gives to all daemons together.
+    pub(crate) fn feed_limits(&self) -> FeedLimits {
+        FeedLimits {
+            read_bytes_per_s: self.store_read_mb_per_s.map(|mb| (mb * 1e6) as u64),
+            reads_per_s: self.store_reads_per_s.map(|reads| reads as u64),
+        }
+    }
+
+    fn check_store_limits(&self) -> Result<(), &'static str> {
+        let is_positive = |limit: Option<f64>| limit.is_none_or(|limit| limit >= 1.0);
+        if !is_positive(self.store_reads_per_s) {
+            return Err("store_reads_per_s: must be at least 1");
+        }
+        if !is_positive(self.store_read_mb_per_s) {
+            return Err("store_read_mb_per_s: must be at least 1");
+        }
+        Ok(())
+    }
+
     /// Parses the text of a settings file; a fault names the file, the line and the field.
     pub fn parse(file: &str, text: &str) -> Result<Self, FileFault> {
         let config: Self =
             serde_saphyr::from_str(text).map_err(|error| malformed_file(file, &error))?;
-        let checked = config.duties.as_ref().map_or(Ok(()), DutyConfig::check);
-        checked.map_err(|reason| FileFault {
-            file: file.into(),
-            line: None,
-            fault: Fault::new(ResultCode::OutOfRange, reason),
-        })?;
+        let duties = config.duties.as_ref().map_or(Ok(()), DutyConfig::check);
+        duties
+            .and(config.check_store_limits())
+            .map_err(|reason| FileFault {
+                file: file.into(),
+                line: None,
+                fault: Fault::new(ResultCode::OutOfRange, reason),
+            })?;
         Ok(config)
     }
 }
--- a/crates/borageshore_gateway/src/duties.rs
+++ b/crates/borageshore_gateway/src/duties.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     endpoints::Endpoints,
+    feed::FeedTopicSource,
     follow::{FollowSpec, Follower, ONLY_PARTITION, RecordView},
     members::Members,
     store_transport::Store,
@@ -98,7 +99,7 @@
     store: Store,
     members: Rc<Members>,
     announcements: Rc<Announcements>,
-    follow: Rc<Follower<Announcements>>,
+    follow: Rc<Follower<Announcements, FeedTopicSource>>,
     timing: DutyTiming,
 }
 
@@ -119,7 +120,8 @@
 impl Duties {
     /// Follows the duties; `lease_ms` is the minimum time between actions of two holders on one subject.
     pub(crate) fn spawn(
-        spec: FollowSpec,
+        spec: FollowSpec<FeedTopicSource>,
+        store: Store,
         members: Rc<Members>,
         endpoints: Rc<Endpoints>,
         usage: Rc<UsageReports>,
@@ -140,7 +142,7 @@
             round_announced: Notify::new(),
         });
         Rc::new(Self {
-            store: spec.store.clone(),
+            store,
             members,
             follow: Follower::spawn(spec, announcements.clone()),
             announcements,
--- /dev/null
+++ b/crates/borageshore_gateway/src/feed/batch.rs
@@ -0,0 +1,139 @@
+//! Writes records of members for several daemons at once.
+//!
+//! The store takes the appends to a partition one after the other, so a fleet in which each daemon appends its own record
+//! takes longer the larger it is, and repeats appends that wait for too long. A daemon that does not read the store has
+//! its record written by its source instead, together with those of others.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use borageshore_net::{
+    CallError, EdgeRequest, EdgeResponse, Timeouts, full_body, read_body, sleep_ms,
+};
+use borageshore_platform::{StoreError, Topic};
+use borageshore_wire::{WireFeedRecord, decode, encode};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode};
+use tokio::sync::{Notify, oneshot};
+
+use super::{Feed, Phase};
+use crate::{follow::ONLY_PARTITION, server::server_limits};
+
+/// The path of records that a peer asks to be written, served only at the address for peers.
+pub(crate) const REGISTER_PATH: &str = "/register";
+/// The pause before a batch is written, in which more records may come.
+const COLLECT_MS: u64 = 20;
+/// The maximum number of records in a batch.
+const MAX_RECORDS: usize = 512;
+/// Timeouts of a record that a peer writes: a batch waits for those of other daemons at the store.
+const TIMEOUTS: Timeouts = Timeouts {
+    connect_ms: 200,
+    first_byte_ms: 2_000,
+};
+
+/// A record with the reply to whoever wants it written.
+type Waiting = ((Arc<str>, Bytes), oneshot::Sender<Result<(), StoreError>>);
+
+/// Records that wait to be written.
+#[derive(Debug, Default)]
+pub(super) struct RecordBatch {
+    waiting: RefCell<Vec<Waiting>>,
+    added: Notify,
+}
+
+impl Feed {
+    /// Appends a record of this daemon to the members topic, through its source if it does not read the store itself.
+    pub(crate) async fn append_member(&self, record: (Arc<str>, Bytes)) -> Result<(), StoreError> {
+        let is_joined = *self.phase.borrow() == Phase::Joined;
+        if is_joined && self.tree().is_flat() {
+            return self.append_directly(&[record]).await;
+        }
+        let is_reader = is_joined && self.is_reader();
+        let peer = self.current_peer().filter(|_| !is_reader);
+        let Some(peer) = peer else {
+            return self.append_in_batch(record).await;
+        };
+        match self.send_record(&peer, &record).await {
+            Ok(()) => Ok(()),
+            Err(error) => {
+                log::info!(peer = &*peer, error:% = error; "peer did not write this daemon's record; writing it directly");
+                self.append_directly(&[record]).await
+            }
+        }
+    }
+
+    async fn append_directly(&self, records: &[(Arc<str>, Bytes)]) -> Result<(), StoreError> {
+        let store = &self.parts.store;
+        let appended = store.append(Topic::Members, ONLY_PARTITION, records, None);
+        appended.await.map(|_| ())
+    }
+
+    async fn append_in_batch(&self, record: (Arc<str>, Bytes)) -> Result<(), StoreError> {
+        let (sender, receiver) = oneshot::channel();
+        self.batch.waiting.borrow_mut().push((record, sender));
+        self.batch.added.notify_one();
+        receiver
+            .await
+            .unwrap_or_else(|_| Err(StoreError::Unknown("the batch was dropped".into())))
+    }
+
+    /// Writes the records that wait, as long as the process runs.
+    pub(super) async fn write_batches(self: Rc<Self>) {
+        loop {
+            self.batch.added.notified().await;
+            sleep_ms(COLLECT_MS).await;
+            while !self.batch.waiting.borrow().is_empty() {
+                let batch: Vec<Waiting> = {
+                    let mut waiting = self.batch.waiting.borrow_mut();
+                    let count = waiting.len().min(MAX_RECORDS);
+                    waiting.drain(..count).collect()
+                };
+                let (records, senders): (Vec<_>, Vec<_>) = batch.into_iter().unzip();
+                let written = self.append_directly(&records).await;
+                for sender in senders {
+                    // Whoever waited may have given up.
+                    let _ = sender.send(written.clone());
+                }
+            }
+        }
+    }
+
+    async fn send_record(&self, peer: &str, record: &(Arc<str>, Bytes)) -> Result<(), CallError> {
+        let (key, value) = record;
+        let value = (!value.is_empty()).then(|| value.to_vec());
+        let wire = WireFeedRecord::new(0, key.to_string(), value);
+        let body = encode(&wire).map_err(|error| CallError::NotSent(error.to_string()))?;
+        let request = Request::post(REGISTER_PATH)
+            .body(Full::new(body.into()))
+            .map_err(|error| CallError::NotSent(error.to_string()))?;
+        match self.http.call(peer, request, TIMEOUTS).await? {
+            (StatusCode::OK, _) => Ok(()),
+            (status, _) => Err(CallError::NoResponse(format!("status {status}"))),
+        }
+    }
+
+    /// Writes the record of a peer, and answers when it is in the store.
+    pub(crate) async fn on_register(&self, request: EdgeRequest) -> EdgeResponse {
+        let decoded = match read_body(request.into_body(), server_limits()).await {
+            Ok(body) => decode::<WireFeedRecord>(&body).ok(),
+            Err(_) => None,
+        };
+        let status = match decoded {
+            Some(record) => {
+                let value = record.value.map(Bytes::from).unwrap_or_default();
+                let written = self.append_in_batch((record.key.into(), value)).await;
+                match written {
+                    Ok(()) => StatusCode::OK,
+                    Err(_) => StatusCode::SERVICE_UNAVAILABLE,
+                }
+            }
+            None => {
+                log::warn!("record of a peer cannot be decoded; refusing it");
+                StatusCode::BAD_REQUEST
+            }
+        };
+        let mut response = Response::new(full_body(Vec::new()));
+        *response.status_mut() = status;
+        response
+    }
+}
--- a/crates/borageshore_gateway/src/follow.rs
+++ b/crates/borageshore_gateway/src/follow.rs
@@ -7,13 +7,13 @@
 
 use borageshore_batch::ViewPosition;
 use borageshore_net::{Clock, boot_time_ms, sleep_ms};
-use borageshore_platform::{KeyedRecord, Page, StoreError, Topic};
+use borageshore_platform::{KeyedRecord, StoreError, Topic};
 
 use crate::store_transport::Store;
 
 /// How long a read waits at the store for a record. A dead connection is detected when the response is late, so
 /// this limits the age that a view can reach unnoticed.
-const LONG_POLL_MS: u64 = 1_200;
+pub(crate) const LONG_POLL_MS: u64 = 1_200;
 /// The pause after a failed read.
 const RETRY_MS: u64 = 150;
 
@@ -29,10 +29,32 @@
     fn apply(&self, records: &[KeyedRecord]);
     /// Called when a read reached the end of the partition, before its records are applied.
     fn on_caught_up(&self) {}
-    /// Called when records may have been missed; the next ones start at [`FollowSpec::start_from`].
+    /// Called when records may have been missed; the next ones are those that [`RecordSource::load`] returns.
     fn on_gap(&self) {}
 }
 
+/// Where a follower reads a partition.
+pub(crate) trait RecordSource {
+    fn topic(&self) -> Topic;
+    fn partition(&self) -> u64;
+    /// Reads what a view starts with.
+    fn load(&self) -> impl Future<Output = Result<SourcePage, StoreError>>;
+    /// Reads records from an offset on; waits up to `wait_ms` if there are none yet.
+    fn read(&self, from: u64, wait_ms: u64)
+    -> impl Future<Output = Result<SourcePage, StoreError>>;
+}
+
+/// Records that a source returned, by offset.
+#[derive(Debug)]
+pub(crate) struct SourcePage {
+    pub(crate) records: Vec<KeyedRecord>,
+    /// The offset at which the next read continues.
+    pub(crate) next_offset: u64,
+    /// When the request was sent to the store that showed these records to reach the end of the partition, in ms of
+    /// the boot-time clock; `None` if they don't, or if that is known from an earlier page.
+    pub(crate) current_at_ms: Option<u64>,
+}
+
 /// Where a follower starts, and restarts after a gap.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum StartFrom {
@@ -42,13 +64,58 @@
     End,
 }
 
-/// The settings of a follower.
+/// A partition that is read from the store.
 #[derive(Debug, Clone)]
-pub(crate) struct FollowSpec {
+pub(crate) struct StorePartition {
     pub(crate) store: Store,
     pub(crate) topic: Topic,
     pub(crate) partition: u64,
     pub(crate) start_from: StartFrom,
+}
+
+impl RecordSource for StorePartition {
+    fn topic(&self) -> Topic {
+        self.topic
+    }
+
+    fn partition(&self) -> u64 {
+        self.partition
+    }
+
+    async fn load(&self) -> Result<SourcePage, StoreError> {
+        let requested_at_ms = boot_time_ms();
+        let (store, topic, partition) = (&self.store, self.topic, self.partition);
+        let (records, end) = match self.start_from {
+            StartFrom::Newest => {
+                let page = store.newest(topic, partition, "").await?;
+                (page.records, page.end)
+            }
+            StartFrom::End => (Vec::new(), store.end(topic, partition).await?),
+        };
+        Ok(SourcePage {
+            records,
+            next_offset: end,
+            current_at_ms: Some(requested_at_ms),
+        })
+    }
+
+    async fn read(&self, from: u64, wait_ms: u64) -> Result<SourcePage, StoreError> {
+        let requested_at_ms = boot_time_ms();
+        let read = self.store.read(self.topic, self.partition, from, wait_ms);
+        let page = read.await?;
+        let next_offset = page.records.last().map_or(from, |last| last.offset + 1);
+        Ok(SourcePage {
+            records: page.records,
+            next_offset,
+            current_at_ms: (next_offset >= page.end).then_some(requested_at_ms),
+        })
+    }
+}
+
+/// The settings of a follower.
+#[derive(Debug, Clone)]
+pub(crate) struct FollowSpec<Source> {
+    pub(crate) source: Source,
     pub(crate) clock: Clock,
     /// The pause after a read that brought records, so that those that follow closely are read together.
     pub(crate) pause_ms: u64,
@@ -56,20 +123,21 @@
 
 /// Follows a partition and applies its records to a view.
 #[derive(Debug)]
-pub(crate) struct Follower<View> {
-    spec: FollowSpec,
+pub(crate) struct Follower<View, Source = StorePartition> {
+    spec: FollowSpec<Source>,
     position: RefCell<ViewPosition>,
     is_failing: Cell<bool>,
     is_stopped: Cell<bool>,
     view: Rc<View>,
 }
 
-impl<View> Follower<View>
+impl<View, Source> Follower<View, Source>
 where
     View: RecordView + 'static,
+    Source: RecordSource + 'static,
 {
     /// Starts to follow a partition on the current thread's event loop.
-    pub(crate) fn spawn(spec: FollowSpec, view: Rc<View>) -> Rc<Self> {
+    pub(crate) fn spawn(spec: FollowSpec<Source>, view: Rc<View>) -> Rc<Self> {
         let follower = Rc::new(Self {
             spec,
             position: RefCell::default(),
@@ -140,7 +208,7 @@
                 Ok(0) => {}
                 Ok(_) => sleep_ms(self.spec.pause_ms).await,
                 Err(StoreError::Expired { first }) => {
-                    log::info!(topic:? = self.spec.topic, partition = self.spec.partition, first; "records expired before they were read; restarting the view");
+                    log::info!(topic:? = self.spec.source.topic(), partition = self.spec.source.partition(), first; "records expired before they were read; restarting the view");
                     self.position.borrow_mut().reset();
                     self.view.on_gap();
                 }
@@ -153,41 +221,20 @@
     }
 
     async fn load(&self) -> Result<usize, StoreError> {
-        let requested_at_ms = boot_time_ms();
-        let page = match self.spec.start_from {
-            StartFrom::Newest => {
-                self.spec
-                    .store
-                    .newest(self.spec.topic, self.spec.partition, "")
-                    .await?
-            }
-            StartFrom::End => Page {
-                end: self
-                    .spec
-                    .store
-                    .end(self.spec.topic, self.spec.partition)
-                    .await?,
-                records: Vec::new(),
-            },
-        };
-        Ok(self.take(page, 0, requested_at_ms))
+        let page = self.spec.source.load().await?;
+        Ok(self.take(page))
     }
 
     async fn read(&self, wait_ms: u64) -> Result<usize, StoreError> {
         let Some(from) = self.next_offset() else {
             return Err(StoreError::NotDone("nothing was read yet".into()));
         };
-        let spec = &self.spec;
-        let requested_at_ms = boot_time_ms();
-        let page = spec
-            .store
-            .read(spec.topic, spec.partition, from, wait_ms)
-            .await?;
-        Ok(self.take(page, from, requested_at_ms))
+        let page = self.spec.source.read(from, wait_ms).await?;
+        Ok(self.take(page))
     }
 
     /// Applies the records that are new, as two reads may return the same ones; returns their number.
-    fn take(&self, page: Page, from: u64, requested_at_ms: u64) -> usize {
+    fn take(&self, page: SourcePage) -> usize {
         if self.is_stopped.get() {
             return 0;
         }
@@ -196,37 +243,39 @@
             .records
             .partition_point(|record| record.offset < applied);
         let records = &page.records[first_new..];
-        let after_last = page.records.last().map_or(from, |last| last.offset + 1);
-        let is_current = self.move_to(after_last, page.end);
-        if is_current {
+        if self.move_to(&page) {
             self.view.on_caught_up();
         }
         if self.is_failing.replace(false) {
-            log::info!(topic:? = self.spec.topic, partition = self.spec.partition; "store regained");
+            log::info!(topic:? = self.spec.source.topic(), partition = self.spec.source.partition(); "store regained");
         }
         if !records.is_empty() {
             self.view.apply(records);
         }
-        if is_current {
-            self.position.borrow_mut().on_response(requested_at_ms);
+        if let Some(current_at_ms) = page.current_at_ms {
+            self.position.borrow_mut().on_response(current_at_ms);
         }
         records.len()
     }
 
-    /// Moves the position behind a read's records; returns whether the view is up to date now.
-    fn move_to(&self, after_last: u64, end: u64) -> bool {
+    /// Moves the position behind a page's records; returns whether the view is up to date now.
+    fn move_to(&self, page: &SourcePage) -> bool {
         let now_ms = self.spec.clock.now_ms();
         let mut position = self.position.borrow_mut();
-        if position.next_offset().is_some() {
-            return position.on_page(after_last, end, now_ms);
+        if position.next_offset().is_none() {
+            position.on_snapshot(page.next_offset, now_ms);
+            return true;
         }
-        position.on_snapshot(end, now_ms);
-        true
+        let end = match page.current_at_ms {
+            Some(_) => page.next_offset,
+            None => u64::MAX,
+        };
+        position.on_page(page.next_offset, end, now_ms)
     }
 
     fn on_store_error(&self, error: &StoreError) {
         if !self.is_failing.replace(true) {
-            log::warn!(topic:? = self.spec.topic, partition = self.spec.partition, error:% = error; "store lost");
+            log::warn!(topic:? = self.spec.source.topic(), partition = self.spec.source.partition(), error:% = error; "store lost");
         }
     }
 }
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 use borageshore_diagnostics::Instruments;
 use borageshore_membership::{Presence, PresenceState};
 use borageshore_net::{Clock, HttpServer, boot_time_ms};
-use borageshore_platform::{DutyClient, EndpointClient, Topic};
+use borageshore_platform::{DutyClient, EndpointClient};
 
 use crate::{
     access::CallerAccess,
@@ -17,8 +17,9 @@
     dispatch::Dispatch,
     duties::Duties,
     endpoints::Endpoints,
+    feed::{Feed, FeedParts, FeedTopic, FeedTopicSource},
     fleet_records::FleetRecords,
-    follow::{FollowSpec, Follower, ONLY_PARTITION, StartFrom},
+    follow::{FollowSpec, Follower},
     item::ItemContext,
     ledger_view::LedgerView,
     lifecycle::{self, DrainTiming, Lifecycle, Signals},
@@ -42,17 +43,10 @@
     writer::Writer,
 };
 
-/// The pause between reads of the operator's and the endpoints' records, which are applied without delay.
+/// Views of shared topics apply records without delay; those that follow closely are read together from the store.
 const NO_PAUSE_MS: u64 = 0;
-/// The pause between reads of membership records: long enough that the records of daemons that start together are read
-/// together, short compared with the suspicion timeout.
-const MEMBERS_PAUSE_MS: u64 = 50;
-/// The pause between reads of the index, which has two records for each submission.
-const INDEX_PAUSE_MS: u64 = 10;
 /// How long some callers keep an address list, as a multiple of its time to live.
 const ADDRESS_RETENTION_TTLS: u64 = 3;
-/// The pause between reads of orders, whose rounds are appended one at a time.
-const ORDERS_PAUSE_MS: u64 = 10;
 
 /// A running daemon.
 #[derive(Debug)]
@@ -65,7 +59,8 @@
     members: Rc<Members>,
     routes: Rc<Routes>,
     endpoints: Rc<Endpoints>,
-    index: Rc<Follower<SubmissionIndex>>,
+    index: Rc<Follower<SubmissionIndex, FeedTopicSource>>,
+    feed: Rc<Feed>,
     usage: Option<Rc<UsageCounter>>,
     runner: Rc<Runner>,
     writer: Rc<Writer>,
@@ -152,36 +147,42 @@
             instruments: instruments.clone(),
         };
         let runner = Runner::spawn(view, index.clone(), members.clone(), Rc::new(context));
-        let spec = |topic, pause_ms| FollowSpec {
+        let feed = Feed::spawn(FeedParts {
             store: store.clone(),
-            topic,
-            partition: ONLY_PARTITION,
-            start_from: StartFrom::Newest,
+            transport: transport.clone(),
+            log_address: config.store_address.clone(),
+            limits: config.feed_limits(),
             clock,
-            pause_ms,
+            members: members.clone(),
+            instruments: instruments.clone(),
+            is_first_start: config.is_first_start,
+            seed,
+        });
+        let spec = |topic| FollowSpec {
+            source: FeedTopicSource::open(&feed, topic),
+            clock,
+            pause_ms: NO_PAUSE_MS,
         };
-        let followed_routes = Follower::spawn(spec(Topic::Operator, NO_PAUSE_MS), routes.clone());
+        let followed_routes = Follower::spawn(spec(FeedTopic::Operator), routes.clone());
         let access = CallerAccess::open(
             routes.clone(),
             followed_routes,
             config.key_revocation_ms,
             instruments.clone(),
         );
-        Follower::spawn(spec(Topic::Endpoints, NO_PAUSE_MS), endpoints.clone());
+        Follower::spawn(spec(FeedTopic::Endpoints), endpoints.clone());
         let fleet_records = FleetRecords {
             members: members.clone(),
             quarantine: quarantine.clone(),
         };
-        Follower::spawn(
-            spec(Topic::Members, MEMBERS_PAUSE_MS),
-            Rc::new(fleet_records),
-        );
-        let followed_index = Follower::spawn(spec(Topic::Index, INDEX_PAUSE_MS), index.clone());
-        let orders = spec(Topic::Orders, ORDERS_PAUSE_MS);
+        Follower::spawn(spec(FeedTopic::Members), Rc::new(fleet_records));
+        let followed_index = Follower::spawn(spec(FeedTopic::Index), index.clone());
+        let orders = spec(FeedTopic::Orders);
         let time = SharedTime::spawn(members.clone());
         let reports = Rc::<UsageReports>::default();
         let duties = Duties::spawn(
             orders,
+            store.clone(),
             members.clone(),
             endpoints.clone(),
             reports.clone(),
@@ -222,7 +223,7 @@
             retention_ms: config.results_kept_s * 1_000,
         };
         monoio::spawn(cleaner.run());
-        monoio::spawn(members.clone().announce(store.clone()));
+        monoio::spawn(members.clone().announce(feed.clone()));
         monoio::spawn(members.clone().expire_suspicions());
         Watch::bind(&config.peer_address, members.clone(), store.clone())?;
         let lifecycle = Lifecycle::open();
@@ -258,6 +259,7 @@
             store_transport: transport,
             quarantine,
             time,
+            feed: feed.clone(),
         };
         servers.push(HttpServer::bind(
             &config.peer_address,
@@ -280,6 +282,7 @@
             routes,
             endpoints,
             index: followed_index,
+            feed,
             usage,
             runner,
             writer,
@@ -308,7 +311,7 @@
     pub(crate) fn update_readiness(&self) {
         let is_known = self.routes.is_known()
             && self.endpoints.is_known()
-            && self.index.next_offset().is_some();
+            && (self.index.next_offset().is_some() || !self.feed.wants(FeedTopic::Index));
         if is_known && self.lifecycle.state() == PresenceState::Starting {
             self.lifecycle.enter(PresenceState::Ready, &self.members);
         }
--- a/crates/borageshore_gateway/src/ledger_view.rs
+++ b/crates/borageshore_gateway/src/ledger_view.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    follow::{FollowSpec, Follower, RecordView, StartFrom},
+    follow::{FollowSpec, Follower, RecordView, StartFrom, StorePartition},
     store_transport::Store,
 };
 
@@ -210,11 +210,14 @@
                 view: self.clone(),
                 shard,
             };
-            let spec = FollowSpec {
+            let source = StorePartition {
                 store: self.store.clone(),
                 topic: shard.topic(),
                 partition: shard.partition(),
                 start_from: StartFrom::End,
+            };
+            let spec = FollowSpec {
+                source,
                 clock: self.clock,
                 pause_ms: FOLLOW_PAUSE_MS,
             };
--- a/crates/borageshore_gateway/src/members/mod.rs
+++ b/crates/borageshore_gateway/src/members/mod.rs
@@ -9,6 +9,7 @@
 };
 
 use borageshore_base::rank_by_rendezvous;
+use borageshore_feed::FeedCandidate;
 use borageshore_membership::{
     HEARTBEAT_LOG_TIMEOUT_MS, Presence, PresenceState, PresenceTable, SUSPICION_TIMEOUT_MS,
     Suspicion, WATCHER_LOG_TIMEOUT_MS, WatchRing, WatchTable,
@@ -23,6 +24,8 @@
 const SUSPICION_PREFIX: &str = "suspect/";
 /// With fewer addresses in its zone, a caller is also given addresses of other zones, so that it can fail over.
 const MIN_ADDRESSES: usize = 2;
+/// The maximum number of names in a log line about several daemons.
+const MAX_NAMES_LOGGED: usize = 8;
 
 /// This daemon's view of the members, and its own presence.
 #[derive(Debug)]
@@ -33,6 +36,8 @@
     transport: FailoverTransport,
     watch: RefCell<WatchTable>,
     ring: RefCell<CachedRing>,
+    /// Suspected daemons whose records were read in the current batch.
+    withdrawn: RefCell<Vec<Arc<str>>>,
     has_left: Cell<bool>,
     write_requested: Notify,
     suspected: Notify,
@@ -65,6 +70,7 @@
             transport,
             watch: RefCell::default(),
             ring: RefCell::default(),
+            withdrawn: RefCell::default(),
             has_left: Cell::default(),
             write_requested: Notify::new(),
             suspected: Notify::new(),
@@ -270,6 +276,31 @@
 }
 
 impl Members {
+    /// Whether the records of members have been read.
+    pub(crate) fn is_known(&self) -> bool {
+        self.table.borrow().is_known()
+    }
+
+    /// This daemon, as a source of shared topics.
+    pub(crate) fn feed_candidate(&self) -> FeedCandidate {
+        candidate(&self.own.borrow())
+    }
+
+    /// This daemon and the live ones, as sources of shared topics. Daemons that drain are left out.
+    pub(crate) fn feed_candidates(&self) -> (FeedCandidate, Vec<FeedCandidate>) {
+        let table = self.table.borrow();
+        let serving = table.live().filter(|presence| {
+            presence.state != PresenceState::Draining && !presence.peer_address.is_empty()
+        });
+        (self.feed_candidate(), serving.map(candidate).collect())
+    }
+
+    /// Whether this daemon has enough capacity to own work once it is ready.
+    pub(crate) fn may_become_eligible(&self) -> bool {
+        let capacity_percent = self.own.borrow().capacity_percent;
+        self.table.borrow().has_eligible_capacity(capacity_percent)
+    }
+
     fn update_peers(&self) {
         let own = self.own.borrow();
         let peers = self.table.borrow().peer_addresses(&own.name, &own.zone);
@@ -302,7 +333,7 @@
         let now_ms = self.clock.now_ms();
         let mut table = self.table.borrow_mut();
         if table.is_suspected(&presence.name) {
-            log::info!(member = &*presence.name; "suspected daemon wrote a presence record; withdrawing the suspicion");
+            self.withdrawn.borrow_mut().push(presence.name.clone());
         }
         self.watch.borrow_mut().on_record(&presence.name, now_ms);
         table.on_presence(presence);
@@ -320,6 +351,16 @@
     }
 }
 
+fn candidate(presence: &Presence) -> FeedCandidate {
+    FeedCandidate {
+        name: presence.name.clone(),
+        zone: presence.zone.clone(),
+        address: presence.peer_address.clone(),
+        capacity_percent: presence.capacity_percent,
+        is_ready: presence.state == PresenceState::Ready,
+    }
+}
+
 impl RecordView for Members {
     fn apply(&self, records: &[KeyedRecord]) {
         for record in records {
@@ -328,6 +369,11 @@
                 log::error!(member = &*record.key, error:% = error; "cannot decode a membership record; ignoring it");
             }
         }
+        let withdrawn = self.withdrawn.take();
+        if !withdrawn.is_empty() {
+            let some = &withdrawn[..withdrawn.len().min(MAX_NAMES_LOGGED)];
+            log::info!(count = withdrawn.len(), members:? = some; "suspected daemons wrote presence records; withdrawing the suspicions");
+        }
         self.update_peers();
         self.changed.notify_waiters();
     }
--- a/crates/borageshore_gateway/src/members/writing.rs
+++ b/crates/borageshore_gateway/src/members/writing.rs
@@ -3,27 +3,25 @@
 use std::{rc::Rc, sync::Arc};
 
 use borageshore_membership::{PROBE_INTERVAL_MS, Suspicion};
-use borageshore_net::within_ms;
+use borageshore_net::{sleep_ms, within_ms};
 use borageshore_platform::{StoreError, Topic};
 use bytes::Bytes;
 
 use super::{Members, SUSPICION_PREFIX};
-use crate::{follow::ONLY_PARTITION, store_transport::Store};
+use crate::{feed::Feed, follow::ONLY_PARTITION, store_transport::Store};
 
 /// The pause before a failed write of the presence record is repeated.
 const RETRY_INTERVAL_MS: u64 = 500;
 
 impl Members {
     /// Writes this daemon's presence record at each change and periodically, until it leaves.
-    pub(crate) async fn announce(self: Rc<Self>, store: Store) {
+    pub(crate) async fn announce(self: Rc<Self>, feed: Rc<Feed>) {
         let mut is_failing = false;
+        sleep_ms(feed.register_delay_ms()).await;
         while !self.has_left.get() {
             let key = self.own.borrow().name.clone();
             let value = serde_json::to_vec(&*self.own.borrow()).expect("plain data");
-            let record = [(key, Bytes::from(value))];
-            let written = store
-                .append(Topic::Members, ONLY_PARTITION, &record, None)
-                .await;
+            let written = feed.append_member((key, Bytes::from(value))).await;
             let pause_ms = self.table.borrow().record_interval_ms();
             let pause_ms = match &written {
                 // The record also probes the direct route to the store.
--- a/crates/borageshore_gateway/src/store_transport.rs
+++ b/crates/borageshore_gateway/src/store_transport.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    feed::{FEED_PATH, Feed, REGISTER_PATH},
     quarantine::{CLEARED_PATH, CRASHES_PATH, Quarantine},
     server::server_limits,
     true_time::{CLOCK_PATH, SharedTime},
@@ -50,8 +51,10 @@
     failover: RefCell<StoreFailover>,
     peers: RefCell<Vec<Arc<str>>>,
     next_peer: Cell<usize>,
-    /// When the store last answered, on either route.
+    /// When the store last answered, on either route, or a peer passed on that it had.
     responded_at_ms: Cell<u64>,
+    /// Whether this daemon reads the store all the time.
+    reads_directly: Cell<bool>,
     /// Notified when calls switch from the direct route to peers.
     switched_to_peers: Notify,
 }
@@ -68,6 +71,7 @@
                 peers: RefCell::default(),
                 next_peer: Cell::default(),
                 responded_at_ms: Cell::new(clock.now_ms()),
+                reads_directly: Cell::new(true),
                 switched_to_peers: Notify::new(),
             }),
         }
@@ -80,7 +84,22 @@
         }
     }
 
-    /// The time since the store last answered, on either route.
+    /// Records that the store had answered a peer this long ago.
+    pub(crate) fn on_heard(&self, age_ms: u64) {
+        let heard_at_ms = self.inner.clock.now_ms().saturating_sub(age_ms);
+        let responded_at_ms = self.inner.responded_at_ms.get();
+        self.inner
+            .responded_at_ms
+            .set(responded_at_ms.max(heard_at_ms));
+    }
+
+    /// Sets whether this daemon reads the store all the time. One that does not may be able to forward calls although
+    /// the store has not answered it for long.
+    pub(crate) fn set_reads_directly(&self, reads_directly: bool) {
+        self.inner.reads_directly.set(reads_directly);
+    }
+
+    /// The time since the store last answered, on either route or to a peer that this daemon reads from.
     pub(crate) fn silent_ms(&self) -> u64 {
         let now_ms = self.inner.clock.now_ms();
         now_ms - self.inner.responded_at_ms.get()
@@ -244,13 +263,14 @@
     }
 }
 
-/// Serves requests of peers: forwards store calls while the direct route works, and handles quarantine messages and
-/// clock requests.
+/// Serves requests of peers: forwards store calls while the direct route works, passes on shared topics, and handles
+/// quarantine messages and clock requests.
 #[derive(Debug, Clone)]
 pub(crate) struct PeerHandler {
     pub(crate) store_transport: FailoverTransport,
     pub(crate) quarantine: Rc<Quarantine>,
     pub(crate) time: Rc<SharedTime>,
+    pub(crate) feed: Rc<Feed>,
 }
 
 impl Handler for PeerHandler {
@@ -261,6 +281,12 @@
         if request.uri().path() == CLEARED_PATH {
             return self.quarantine.on_cleared(request).await;
         }
+        if request.uri().path() == FEED_PATH {
+            return self.feed.on_poll(request).await;
+        }
+        if request.uri().path() == REGISTER_PATH {
+            return self.feed.on_register(request).await;
+        }
         if request.uri().path() == CLOCK_PATH {
             return self.time.clock_response();
         }
@@ -276,12 +302,12 @@
             return status(StatusCode::NOT_FOUND);
         };
         let now_ms = self.store_transport.inner.clock.now_ms();
-        if !self
-            .store_transport
-            .inner
+        let inner = &self.store_transport.inner;
+        let reads_directly = inner.reads_directly.get();
+        if !inner
             .failover
             .borrow()
-            .reaches_store(now_ms)
+            .reaches_store(reads_directly, now_ms)
         {
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
--- a/crates/borageshore_gateway/src/usage/view.rs
+++ b/crates/borageshore_gateway/src/usage/view.rs
@@ -11,7 +11,7 @@
 
 use super::records::{total_counts, total_key};
 use crate::{
-    follow::{FollowSpec, Follower, RecordView, StartFrom},
+    follow::{FollowSpec, Follower, RecordView, StartFrom, StorePartition},
     store_transport::Store,
 };
 
@@ -62,11 +62,14 @@
 impl UsageView {
     pub(super) fn spawn(store: &Store, clock: Clock, partitions: u64) -> Self {
         let views: Vec<Rc<TotalsView>> = (0..partitions.max(1)).map(|_| Rc::default()).collect();
-        let spec = |partition| FollowSpec {
+        let source = |partition| StorePartition {
             store: store.clone(),
             topic: Topic::Usage,
             partition,
             start_from: StartFrom::Newest,
+        };
+        let spec = |partition| FollowSpec {
+            source: source(partition),
             clock,
             pause_ms: PAUSE_MS,
         };
--- a/crates/borageshore_membership/src/store_failover.rs
+++ b/crates/borageshore_membership/src/store_failover.rs
@@ -84,10 +84,12 @@
         self.uses_peers
     }
 
-    /// Whether this daemon reaches the store and can forward calls of peers.
-    pub fn reaches_store(&self, now_ms: u64) -> bool {
+    /// Whether this daemon reaches the store, as far as it knows, and can forward calls of peers. One that reads the
+    /// store all the time (`reads_directly`) knows that it does not if no read was answered lately.
+    pub fn reaches_store(&self, reads_directly: bool, now_ms: u64) -> bool {
         let is_recent = |at_ms: u64| now_ms < at_ms + MAX_SUCCESS_AGE_MS;
-        self.failures == 0 && self.last_success_ms.is_some_and(is_recent)
+        let is_answered = self.last_success_ms.is_some_and(is_recent);
+        self.failures == 0 && (is_answered || !reads_directly)
     }
 
     /// Whether a call that failed directly may be sent to a peer.
--- a/crates/borageshore_wire/idl/wire.thrift
+++ b/crates/borageshore_wire/idl/wire.thrift
@@ -146,3 +146,51 @@
   5: AddressReply addresses
   6: MembersReply members
 }
+
+// Where a reader is in one partition of the shared log; `from_offset` is 0 before its first read.
+struct WireFeedPosition {
+  1: required i32 topic
+  2: required i64 from_offset
+  // While the reader loads the topic from this peer: `load` of the peer's last page.
+  3: optional i64 load
+}
+
+// Requests new records of the shared log from a peer that reads it, or that is fed itself.
+struct WireFeedRequest {
+  // The log service's address: daemons of another deployment are refused.
+  1: required string log_address
+  2: required list<WireFeedPosition> positions
+  // The `revision` of the peer's last reply; 0 at first. The peer answers as soon as it has a newer one.
+  3: required i64 seen_revision
+  4: required i64 wait_ms
+}
+
+struct WireFeedRecord {
+  1: required i64 offset
+  2: required string key
+  // Missing in a record that removes its key.
+  3: optional binary value
+}
+
+struct WireFeedPage {
+  1: required i32 topic
+  // The records that the reader asks for are no longer kept: it has to start at offset 0.
+  2: required bool is_expired
+  3: required list<WireFeedRecord> records
+  4: required i64 next_offset
+  // Whether the page reaches the end of what the peer has, and the peer has all.
+  5: required bool is_whole
+  // The time since the peer's records were known to reach the end of the log.
+  6: optional i64 age_ms
+  // What the reader sends back until it has read to the end.
+  7: required i64 load
+}
+
+// Holds no page of a topic that the peer does not follow.
+struct WireFeedReply {
+  1: required string log_address
+  2: required i64 revision
+  // How long the peer waited before it answered.
+  3: required i64 held_ms
+  4: required list<WireFeedPage> pages
+}
--- a/crates/borageshore_wire/src/generated.rs
+++ b/crates/borageshore_wire/src/generated.rs
@@ -1902,3 +1902,508 @@
   }
 }
 
+//
+// WireFeedPosition
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct WireFeedPosition {
+  pub topic: i32,
+  pub from_offset: i64,
+  pub load: Option<i64>,
+}
+
+impl WireFeedPosition {
+  pub fn new<F3>(topic: i32, from_offset: i64, load: F3) -> WireFeedPosition where F3: Into<Option<i64>> {
+    WireFeedPosition {
+      topic,
+      from_offset,
+      load: load.into(),
+    }
+  }
+}
+
+impl TSerializable for WireFeedPosition {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<WireFeedPosition> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i32> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i32()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("WireFeedPosition.topic", &f_1)?;
+    verify_required_field_exists("WireFeedPosition.from_offset", &f_2)?;
+    let ret = WireFeedPosition {
+      topic: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      from_offset: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      load: f_3,
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("WireFeedPosition");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("topic", TType::I32, 1))?;
+    o_prot.write_i32(self.topic)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("from_offset", TType::I64, 2))?;
+    o_prot.write_i64(self.from_offset)?;
+    o_prot.write_field_end()?;
+    if let Some(fld_var) = self.load {
+      o_prot.write_field_begin(&TFieldIdentifier::new("load", TType::I64, 3))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// WireFeedRequest
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct WireFeedRequest {
+  pub log_address: String,
+  pub positions: Vec<WireFeedPosition>,
+  pub seen_revision: i64,
+  pub wait_ms: i64,
+}
+
+impl WireFeedRequest {
+  pub fn new(log_address: String, positions: Vec<WireFeedPosition>, seen_revision: i64, wait_ms: i64) -> WireFeedRequest {
+    WireFeedRequest {
+      log_address,
+      positions,
+      seen_revision,
+      wait_ms,
+    }
+  }
+}
+
+impl TSerializable for WireFeedRequest {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<WireFeedRequest> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<Vec<WireFeedPosition>> = None;
+    let mut f_3: Option<i64> = None;
+    let mut f_4: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<WireFeedPosition> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_6 = WireFeedPosition::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_6);
+          }
+          i_prot.read_list_end()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i64()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("WireFeedRequest.log_address", &f_1)?;
+    verify_required_field_exists("WireFeedRequest.positions", &f_2)?;
+    verify_required_field_exists("WireFeedRequest.seen_revision", &f_3)?;
+    verify_required_field_exists("WireFeedRequest.wait_ms", &f_4)?;
+    let ret = WireFeedRequest {
+      log_address: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      positions: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      seen_revision: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      wait_ms: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("WireFeedRequest");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("log_address", TType::String, 1))?;
+    o_prot.write_string(&self.log_address)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("positions", TType::List, 2))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.positions.len() as i32))?;
+    for e in &self.positions {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("seen_revision", TType::I64, 3))?;
+    o_prot.write_i64(self.seen_revision)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("wait_ms", TType::I64, 4))?;
+    o_prot.write_i64(self.wait_ms)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// WireFeedRecord
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct WireFeedRecord {
+  pub offset: i64,
+  pub key: String,
+  pub value: Option<Vec<u8>>,
+}
+
+impl WireFeedRecord {
+  pub fn new<F3>(offset: i64, key: String, value: F3) -> WireFeedRecord where F3: Into<Option<Vec<u8>>> {
+    WireFeedRecord {
+      offset,
+      key,
+      value: value.into(),
+    }
+  }
+}
+
+impl TSerializable for WireFeedRecord {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<WireFeedRecord> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    let mut f_2: Option<String> = None;
+    let mut f_3: Option<Vec<u8>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_string()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_bytes()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("WireFeedRecord.offset", &f_1)?;
+    verify_required_field_exists("WireFeedRecord.key", &f_2)?;
+    let ret = WireFeedRecord {
+      offset: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      key: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      value: f_3,
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("WireFeedRecord");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("offset", TType::I64, 1))?;
+    o_prot.write_i64(self.offset)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("key", TType::String, 2))?;
+    o_prot.write_string(&self.key)?;
+    o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.value {
+      o_prot.write_field_begin(&TFieldIdentifier::new("value", TType::String, 3))?;
+      o_prot.write_bytes(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// WireFeedPage
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct WireFeedPage {
+  pub topic: i32,
+  pub is_expired: bool,
+  pub records: Vec<WireFeedRecord>,
+  pub next_offset: i64,
+  pub is_whole: bool,
+  pub age_ms: Option<i64>,
+  pub load: i64,
+}
+
+impl WireFeedPage {
+  pub fn new<F6>(topic: i32, is_expired: bool, records: Vec<WireFeedRecord>, next_offset: i64, is_whole: bool, age_ms: F6, load: i64) -> WireFeedPage where F6: Into<Option<i64>> {
+    WireFeedPage {
+      topic,
+      is_expired,
+      records,
+      next_offset,
+      is_whole,
+      age_ms: age_ms.into(),
+      load,
+    }
+  }
+}
+
+impl TSerializable for WireFeedPage {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<WireFeedPage> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i32> = None;
+    let mut f_2: Option<bool> = None;
+    let mut f_3: Option<Vec<WireFeedRecord>> = None;
+    let mut f_4: Option<i64> = None;
+    let mut f_5: Option<bool> = None;
+    let mut f_6: Option<i64> = None;
+    let mut f_7: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i32()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_bool()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<WireFeedRecord> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_7 = WireFeedRecord::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_7);
+          }
+          i_prot.read_list_end()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i64()?;
+          f_4 = Some(val);
+        },
+        5 => {
+          let val = i_prot.read_bool()?;
+          f_5 = Some(val);
+        },
+        6 => {
+          let val = i_prot.read_i64()?;
+          f_6 = Some(val);
+        },
+        7 => {
+          let val = i_prot.read_i64()?;
+          f_7 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("WireFeedPage.topic", &f_1)?;
+    verify_required_field_exists("WireFeedPage.is_expired", &f_2)?;
+    verify_required_field_exists("WireFeedPage.records", &f_3)?;
+    verify_required_field_exists("WireFeedPage.next_offset", &f_4)?;
+    verify_required_field_exists("WireFeedPage.is_whole", &f_5)?;
+    verify_required_field_exists("WireFeedPage.load", &f_7)?;
+    let ret = WireFeedPage {
+      topic: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      is_expired: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      records: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      next_offset: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      is_whole: f_5.expect("auto-generated code should have checked for presence of required fields"),
+      age_ms: f_6,
+      load: f_7.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("WireFeedPage");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("topic", TType::I32, 1))?;
+    o_prot.write_i32(self.topic)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("is_expired", TType::Bool, 2))?;
+    o_prot.write_bool(self.is_expired)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("records", TType::List, 3))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.records.len() as i32))?;
+    for e in &self.records {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("next_offset", TType::I64, 4))?;
+    o_prot.write_i64(self.next_offset)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("is_whole", TType::Bool, 5))?;
+    o_prot.write_bool(self.is_whole)?;
+    o_prot.write_field_end()?;
+    if let Some(fld_var) = self.age_ms {
+      o_prot.write_field_begin(&TFieldIdentifier::new("age_ms", TType::I64, 6))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_begin(&TFieldIdentifier::new("load", TType::I64, 7))?;
+    o_prot.write_i64(self.load)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// WireFeedReply
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct WireFeedReply {
+  pub log_address: String,
+  pub revision: i64,
+  pub held_ms: i64,
+  pub pages: Vec<WireFeedPage>,
+}
+
+impl WireFeedReply {
+  pub fn new(log_address: String, revision: i64, held_ms: i64, pages: Vec<WireFeedPage>) -> WireFeedReply {
+    WireFeedReply {
+      log_address,
+      revision,
+      held_ms,
+      pages,
+    }
+  }
+}
+
+impl TSerializable for WireFeedReply {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<WireFeedReply> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<i64> = None;
+    let mut f_4: Option<Vec<WireFeedPage>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<WireFeedPage> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_8 = WireFeedPage::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_8);
+          }
+          i_prot.read_list_end()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("WireFeedReply.log_address", &f_1)?;
+    verify_required_field_exists("WireFeedReply.revision", &f_2)?;
+    verify_required_field_exists("WireFeedReply.held_ms", &f_3)?;
+    verify_required_field_exists("WireFeedReply.pages", &f_4)?;
+    let ret = WireFeedReply {
+      log_address: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      revision: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      held_ms: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      pages: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("WireFeedReply");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("log_address", TType::String, 1))?;
+    o_prot.write_string(&self.log_address)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("revision", TType::I64, 2))?;
+    o_prot.write_i64(self.revision)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("held_ms", TType::I64, 3))?;
+    o_prot.write_i64(self.held_ms)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("pages", TType::List, 4))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.pages.len() as i32))?;
+    for e in &self.pages {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
