Readers stay until their successors read; large services are called in subsets; checks of what peers pass on

Change: a reader goes on for 3 s after it is replaced, first readers until no new member comes; a new root stays with the present readers until it reads. Change: calls go to 32 endpoints of a large service, to all if the chosen one is full; each owner starts elsewhere among equal engines.

--- a/crates/borageshore_feed/src/lib.rs
+++ b/crates/borageshore_feed/src/lib.rs
@@ -16,12 +16,14 @@
 //! ```
 
 mod limits;
+mod page;
 mod retained;
 mod selector;
 mod tree;
 
 pub use self::{
     limits::{FeedLimits, direct_readers, read_interval_ms},
+    page::{InvalidPage, check_offsets, current_at_ms},
     retained::{Expired, LogRecord, LogSlice, RetainedLog},
     selector::{STALE_MS, SourceSelector},
     tree::{FeedCandidate, FeedTree},
--- a/crates/borageshore_feed/src/selector.rs
+++ b/crates/borageshore_feed/src/selector.rs
@@ -16,6 +16,8 @@
 
 /// A daemon becomes a reader of the log this long after the tree has made it a root.
 const ROOT_DELAY_MS: u64 = 2_000;
+/// A reader goes on for this long after the tree has another one in its place, which waits [`ROOT_DELAY_MS`].
+const RELEASE_DELAY_MS: u64 = 3_000;
 
 /// Chooses the source of each read by the results of earlier ones.
 ///
@@ -29,6 +31,9 @@
     progressed_at_ms: u64,
     /// Since when the tree has this daemon as a root.
     root_since_ms: Option<u64>,
+    /// When a daemon that is no reader any longer stops to read.
+    released_at_ms: Option<u64>,
+    is_appointed: bool,
 }
 
 impl SourceSelector {
@@ -44,22 +49,35 @@
     pub fn on_tree(&mut self, tree: &FeedTree, now_ms: u64) {
         if tree.is_root() {
             self.root_since_ms.get_or_insert(now_ms);
-        } else {
-            self.root_since_ms = None;
+        } else if let Some(since_ms) = self.root_since_ms.take()
+            && now_ms >= since_ms + ROOT_DELAY_MS
+        {
+            self.released_at_ms = Some(now_ms + RELEASE_DELAY_MS);
         }
     }
 
-    /// Makes this daemon a reader of the log at once: others expect it to be one.
-    pub fn assume_root(&mut self) {
-        self.root_since_ms = Some(0);
+    /// Makes this daemon a reader of the log until it is dismissed: others expect it to be one.
+    pub fn appoint(&mut self) {
+        self.is_appointed = true;
+    }
+
+    /// Leaves it to the tree whether this daemon is a reader.
+    pub fn dismiss(&mut self, now_ms: u64) {
+        if std::mem::take(&mut self.is_appointed) {
+            self.released_at_ms = Some(now_ms + RELEASE_DELAY_MS);
+        }
     }
 
     /// Whether this daemon reads the log for others, or all daemons read it.
     ///
-    /// A new root waits. Guards against a start at which each daemon knows a few others, and many count as roots.
+    /// A new root waits, and one that is a root no longer goes on until its successor reads. Guards against a start at
+    /// which each daemon knows a few others, and many count as roots, or for a while none.
     pub fn is_reader(&self, tree: &FeedTree, now_ms: u64) -> bool {
-        let is_over = |since_ms: u64| since_ms == 0 || now_ms >= since_ms + ROOT_DELAY_MS;
-        tree.is_flat() || self.root_since_ms.is_some_and(is_over)
+        let is_over = |since_ms: u64| now_ms >= since_ms + ROOT_DELAY_MS;
+        tree.is_flat()
+            || self.is_appointed
+            || self.root_since_ms.is_some_and(is_over)
+            || self.released_at_ms.is_some_and(|at_ms| now_ms < at_ms)
     }
 
     /// Whether this daemon reads the log directly now: as a reader, or because its peers have not kept it current.
--- a/crates/borageshore_feed/tests/tree.rs
+++ b/crates/borageshore_feed/tests/tree.rs
@@ -180,7 +180,7 @@
     let trees = trees(&daemons);
     let root = trees.iter().find(|tree| tree.is_root()).unwrap();
     let mut selector = SourceSelector::open(0);
-    selector.assume_root();
+    selector.appoint();
     assert_eq!(selector.choose_peer(root, 3, STALE_MS - 1), None);
     assert!(selector.choose_peer(root, 3, STALE_MS).is_some());
 }
@@ -199,7 +199,10 @@
             selector.on_tree(&tree, now_ms);
             readers += usize::from(selector.is_reader(&tree, now_ms));
         }
-        assert!(readers * 10 <= 4_000, "{readers} read the store, {known} are known");
+        assert!(
+            readers * 10 <= 4_000,
+            "{readers} read the store, {known} are known"
+        );
     }
     let trees = trees(&all);
     let settled = trees.iter().zip(&mut selectors);
@@ -214,3 +217,28 @@
         "a small fleet does not wait"
     );
 }
+
+/// Guards against a fleet that nobody reads the store for while readers change places, as at a first start.
+#[test]
+fn a_reader_goes_on_until_its_successor_reads() {
+    let daemons = daemons(985, 5);
+    let trees = trees(&daemons);
+    let root = trees.iter().find(|tree| tree.is_root()).unwrap();
+    let child = trees.iter().find(|tree| !tree.is_root()).unwrap();
+    let (mut before, mut after) = (SourceSelector::open(0), SourceSelector::open(0));
+    before.on_tree(root, 0);
+    after.on_tree(child, 0);
+    for now_ms in (10_000..20_000).step_by(300) {
+        before.on_tree(child, now_ms);
+        after.on_tree(root, now_ms);
+        let is_read = before.is_reader(child, now_ms) || after.is_reader(root, now_ms);
+        assert!(is_read, "nobody reads at {now_ms}");
+    }
+    assert!(!before.is_reader(child, 20_000));
+    let mut appointed = SourceSelector::open(0);
+    appointed.appoint();
+    appointed.on_tree(child, 8_000);
+    assert!(appointed.is_reader(child, 9_000));
+    appointed.dismiss(9_000);
+    assert!(appointed.is_reader(child, 11_900) && !appointed.is_reader(child, 12_000));
+}
--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -32,6 +32,10 @@
     pub processor_share: f64,
     /// The platform's store.
     pub store_address: Arc<str>,
+    /// Tells the daemons of different deployments apart, which pass nothing on to each other; without it, the store's
+    /// address does.
+    #[serde(default)]
+    pub deployment: Option<Arc<str>>,
     /// The number of partitions of a topic.
     pub store_partitions: u64,
     /// The read calls a second that the store allows all daemons together; without it, any number.
@@ -98,6 +102,14 @@
 }
 
 impl GatewayConfig {
+    /// The name of the deployment in messages between daemons.
+    pub(crate) fn deployment(&self) -> Arc<str> {
+        self.deployment
+            .as_ref()
+            .unwrap_or(&self.store_address)
+            .clone()
+    }
+
     /// What the store gives to all daemons together.
     pub(crate) fn feed_limits(&self) -> FeedLimits {
         FeedLimits {
@@ -107,12 +119,12 @@
     }
 
     fn check_store_limits(&self) -> Result<(), &'static str> {
-        let is_positive = |limit: Option<f64>| limit.is_none_or(|limit| limit >= 1.0);
+        let is_positive = |limit: Option<f64>| limit.is_none_or(|limit| limit > 0.0);
         if !is_positive(self.store_reads_per_s) {
-            return Err("store_reads_per_s: must be at least 1");
+            return Err("store_reads_per_s: must be above 0");
         }
         if !is_positive(self.store_read_mb_per_s) {
-            return Err("store_read_mb_per_s: must be at least 1");
+            return Err("store_read_mb_per_s: must be above 0");
         }
         Ok(())
     }
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -9,13 +9,13 @@
     sync::Arc,
 };
 
-use borageshore_base::SortedMap;
+use borageshore_base::{SortedMap, rendezvous_weight};
 use borageshore_batch::{EngineVersions, EngineView, EventLatencies, ModelVersion};
 use borageshore_net::Clock;
 use borageshore_platform::{EndpointClient, EndpointEntry, EndpointTarget};
 use borageshore_routing::{
     ChoiceRequest, Endpoint, EndpointListing, EndpointRegistry, EndpointState, EndpointTable,
-    choose_endpoint,
+    choose_from_subset,
 };
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -51,6 +51,7 @@
 #[derive(Debug)]
 pub(crate) struct Endpoints {
     clock: Clock,
+    own_name: Arc<str>,
     zone: Arc<str>,
     mechanisms: Rc<Mechanisms>,
     routes: Rc<Routes>,
@@ -81,6 +82,7 @@
 
 impl Endpoints {
     pub(crate) fn open(
+        own_name: Arc<str>,
         zone: Arc<str>,
         seed: u64,
         clock: Clock,
@@ -90,6 +92,7 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             clock,
+            own_name,
             zone,
             mechanisms,
             routes,
@@ -152,7 +155,8 @@
         let now_ms = self.clock.now_ms();
         let chosen = {
             let table = self.table.borrow();
-            choose_endpoint(&table, request, now_ms, &mut *self.random.borrow_mut())?
+            let random = &mut *self.random.borrow_mut();
+            choose_from_subset(&table, &self.own_name, request, now_ms, random)?
         };
         self.start(&chosen)
     }
@@ -173,7 +177,7 @@
         Some((target, in_flight))
     }
 
-    /// The usable engines of a service that have at least `min_version` of a model, for the placement of items.
+    /// The usable engines of a service, in an order that differs between daemons, that have at least `min_version` of a model, for the placement of items.
     pub(crate) fn engines(
         &self,
         service: &str,
@@ -199,7 +203,12 @@
                 has_group: false,
             })
         };
-        table.usable(service, now_ms).filter_map(view).collect()
+        let mut engines: Vec<EngineView> = table.usable(service, now_ms).filter_map(view).collect();
+        // Each daemon starts elsewhere among equal engines, and at about the same place when engines come and go.
+        let share = rendezvous_weight(service, &self.own_name) >> 32;
+        let start = (share * engines.len() as u64) >> 32;
+        engines.rotate_left(start as usize);
+        engines
     }
 
     /// The names of the live engines of services in use by a route, ordered by id.
--- a/crates/borageshore_gateway/src/feed/mod.rs
+++ b/crates/borageshore_gateway/src/feed/mod.rs
@@ -47,8 +47,8 @@
 pub(crate) struct FeedParts {
     pub(crate) store: Store,
     pub(crate) transport: FailoverTransport,
-    /// The store's address, which tells daemons of different deployments apart.
-    pub(crate) log_address: Arc<str>,
+    /// Tells daemons of different deployments apart.
+    pub(crate) deployment: Arc<str>,
     pub(crate) limits: FeedLimits,
     pub(crate) clock: Clock,
     pub(crate) members: Rc<Members>,
--- a/crates/borageshore_gateway/src/feed/pages.rs
+++ b/crates/borageshore_gateway/src/feed/pages.rs
@@ -1,65 +1,43 @@
-//! Encoding of shared topics in messages between daemons, and the checks of what a peer sends.
+//! Encoding of shared topics in messages between daemons.
 
+use borageshore_feed::{InvalidPage, check_offsets, current_at_ms};
 use borageshore_platform::KeyedRecord;
 use borageshore_wire::{WireFeedPage, WireFeedRecord};
 use bytes::Bytes;
 
 use super::{FeedTopic, TopicPage, topics::FeedPosition};
 
-/// Why a page of a peer is refused as a whole.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum InvalidPage {
-    /// The topic has no such number, or was not asked for.
-    UnknownTopic,
-    /// An offset is negative, not ascending, or outside the page.
-    Offsets,
-    /// The age is negative.
-    Age,
-}
-
 pub(super) fn encode_record(record: &KeyedRecord) -> WireFeedRecord {
     let value = record.value.as_ref().map(|value| value.to_vec());
     WireFeedRecord::new(record.offset as i64, record.key.to_string(), value)
 }
 
-/// Decodes a page that was requested from `from` on. `answered_at_ms` is a time before the peer answered, in ms of this
-/// daemon's boot-time clock.
+/// Decodes a page that was requested from `from` on at `requested_at_ms`, in ms of the boot-time clock, and that the peer
+/// held for `held_ms`.
 pub(super) fn decode_page(
     page: WireFeedPage,
     from: u64,
-    answered_at_ms: u64,
+    requested_at_ms: u64,
+    held_ms: i64,
 ) -> Result<TopicPage, InvalidPage> {
-    let next_offset = u64::try_from(page.next_offset).map_err(|_| InvalidPage::Offsets)?;
-    let mut expected = from;
-    let mut records = Vec::with_capacity(page.records.len());
-    for record in page.records {
-        let offset = u64::try_from(record.offset).map_err(|_| InvalidPage::Offsets)?;
-        if offset < expected || offset >= next_offset {
-            return Err(InvalidPage::Offsets);
-        }
-        expected = offset + 1;
-        records.push(KeyedRecord {
-            offset,
-            key: record.key.into(),
-            value: record.value.map(Bytes::from),
-        });
-    }
-    if next_offset < from {
-        return Err(InvalidPage::Offsets);
-    }
-    let current_at_ms = match page.age_ms {
-        Some(age_ms) => {
-            let age_ms = u64::try_from(age_ms).map_err(|_| InvalidPage::Age)?;
-            answered_at_ms.checked_sub(age_ms)
-        }
-        None => None,
+    let offsets = page.records.iter().map(|record| record.offset);
+    let next_offset = check_offsets(from, offsets, page.next_offset)?;
+    let age_ms = page.age_ms.filter(|_| page.is_whole);
+    let current_at_ms = age_ms
+        .map(|age_ms| current_at_ms(requested_at_ms, held_ms, age_ms))
+        .transpose()?
+        .flatten();
+    let decode = |record: WireFeedRecord| KeyedRecord {
+        offset: record.offset as u64,
+        key: record.key.into(),
+        value: record.value.map(Bytes::from),
     };
     Ok(TopicPage {
         from,
-        records,
+        records: page.records.into_iter().map(decode).collect(),
         next_offset,
         is_whole: page.is_whole,
-        current_at_ms: current_at_ms.filter(|_| page.is_whole),
+        current_at_ms,
     })
 }
 
--- a/crates/borageshore_gateway/src/feed/poll.rs
+++ b/crates/borageshore_gateway/src/feed/poll.rs
@@ -85,8 +85,13 @@
         match &*self.phase.borrow() {
             Phase::Looking => None,
             Phase::Joining(addresses) => {
-                let index = random as usize % addresses.len().max(1);
-                addresses.get(index).cloned()
+                // Stays with a peer that passes on: what is loaded from one cannot be continued at another.
+                let next = self
+                    .parts
+                    .seed
+                    .wrapping_add(self.selector.borrow().failures());
+                let index = next.checked_rem(addresses.len() as u64)?;
+                addresses.get(index as usize).cloned()
             }
             Phase::Joined => {
                 let tree = self.tree();
@@ -106,8 +111,7 @@
             .collect();
         let requested_at_ms = boot_time_ms();
         let reply = self.request(peer, &positions, seen_revision).await?;
-        // The peer answered no earlier than this, however long the answer was on its way or this VM was suspended.
-        let answered_at_ms = requested_at_ms + u64::try_from(reply.held_ms).unwrap_or(0);
+        let held_ms = reply.held_ms;
         let mut added = 0;
         for page in reply.pages {
             let (topic, position) = topic_of(&page, &positions).map_err(refused)?;
@@ -120,7 +124,8 @@
                 continue;
             }
             let load = page.load;
-            let page = decode_page(page, position.from, answered_at_ms).map_err(refused)?;
+            let page =
+                decode_page(page, position.from, requested_at_ms, held_ms).map_err(refused)?;
             added += self.add(topic, page);
             self.log(topic).on_peer_page(peer, load);
         }
@@ -143,7 +148,7 @@
             WireFeedPosition::new(topic.number(), position.from as i64, position.load)
         };
         let request = WireFeedRequest::new(
-            self.parts.log_address.to_string(),
+            self.parts.deployment.to_string(),
             positions.iter().map(position).collect(),
             seen_revision,
             WAIT_MS as i64,
@@ -162,7 +167,7 @@
         }
         let reply: WireFeedReply =
             decode(&body).map_err(|error| CallError::NoResponse(error.to_string()))?;
-        if *reply.log_address != *self.parts.log_address {
+        if *reply.deployment != *self.parts.deployment {
             return Err(CallError::NoResponse("peer of another deployment".into()));
         }
         Ok(reply)
--- a/crates/borageshore_gateway/src/feed/serve.rs
+++ b/crates/borageshore_gateway/src/feed/serve.rs
@@ -63,8 +63,8 @@
                 return empty(StatusCode::BAD_REQUEST);
             }
         };
-        if *request.log_address != *self.parts.log_address {
-            log::warn!(log_address = &*request.log_address; "request for shared topics from another deployment; refusing it");
+        if *request.deployment != *self.parts.deployment {
+            log::warn!(deployment = &*request.deployment; "request for shared topics from another deployment; refusing it");
             return empty(StatusCode::BAD_REQUEST);
         }
         if self.polls_in_flight.get() >= MAX_READERS {
@@ -75,7 +75,7 @@
         let _guard = ReaderGuard(&self.polls_in_flight);
         self.wait_for_news(&request).await;
         let mut reply = WireFeedReply::new(
-            self.parts.log_address.to_string(),
+            self.parts.deployment.to_string(),
             self.revision.get() as i64,
             0,
             self.pages(&request),
--- a/crates/borageshore_gateway/src/feed/start.rs
+++ b/crates/borageshore_gateway/src/feed/start.rs
@@ -130,7 +130,7 @@
     fn addresses_to_join(&self, peers: &[KnownPeer]) -> Vec<Arc<str>> {
         let own = self.parts.members.feed_candidate();
         if peers.iter().any(|peer| peer.name == own.name) {
-            self.selector.borrow_mut().assume_root();
+            self.selector.borrow_mut().appoint();
             return Vec::new();
         }
         let is_near = |peer: &&KnownPeer| peer.zone == own.zone;
@@ -161,7 +161,9 @@
             }
             let quiet_ms = now_ms - changed_at_ms;
             let is_settled = quiet_ms >= settle_ms || now_ms >= joining_at_ms + MAX_SETTLE_MS;
-            if self.knows_members() && is_settled {
+            // A new reader stays with the present ones until it reads itself: others depend on it already.
+            let is_placed = !self.tree().is_root() || self.is_reader();
+            if self.knows_members() && is_settled && is_placed {
                 return;
             }
             if !self.knows_members() && quiet_ms >= JOIN_TIMEOUT_MS {
@@ -195,6 +197,8 @@
                 std::mem::replace(&mut members_end, self.log(FeedTopic::Members).next_offset());
             if last_end == members_end && *self.phase.borrow() == Phase::Joined {
                 self.is_first_start.set(false);
+                let now_ms = self.now_ms();
+                self.selector.borrow_mut().dismiss(now_ms);
             }
             let key = self.root_key();
             // Ranks change quickly while daemons start; only one that stays is worth a record.
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -87,6 +87,7 @@
         let seed = rendezvous_weight(&config.name, &incarnation.to_string());
         let routes = Rc::new(Routes::default());
         let endpoints = Endpoints::open(
+            config.name.clone(),
             config.zone.clone(),
             seed,
             clock,
@@ -150,7 +151,7 @@
         let feed = Feed::spawn(FeedParts {
             store: store.clone(),
             transport: transport.clone(),
-            log_address: config.store_address.clone(),
+            deployment: config.deployment(),
             limits: config.feed_limits(),
             clock,
             members: members.clone(),
--- a/crates/borageshore_gateway/tests/config.rs
+++ b/crates/borageshore_gateway/tests/config.rs
@@ -44,4 +44,15 @@
         let fault = GatewayConfig::parse("vm-1.yaml", &text).unwrap_err();
         assert_eq!(fault.fault.code.number(), 2007);
     }
+
+    // A daemon starts with limits of the store that let nobody read it.
+    limits_of_the_store_are_above_zero => {
+        for line in ["store_reads_per_s: 0", "store_read_mb_per_s: -1"] {
+            let text = format!("{SETTINGS}{line}\n");
+            let fault = GatewayConfig::parse("vm-1.yaml", &text).unwrap_err();
+            assert!(fault.fault.detail.starts_with(line.split(':').next().unwrap()));
+        }
+        let text = format!("{SETTINGS}store_reads_per_s: 16000.0\nstore_read_mb_per_s:\n");
+        assert!(GatewayConfig::parse("vm-1.yaml", &text).is_ok());
+    }
 }
--- a/crates/borageshore_routing/src/choice.rs
+++ b/crates/borageshore_routing/src/choice.rs
@@ -1,6 +1,6 @@
 //! Load balancing: the choice of an endpoint for one request.
 
-use std::sync::Arc;
+use std::{cmp::Reverse, sync::Arc};
 
 use borageshore_base::rendezvous_weight;
 use rand_core::Rng;
@@ -13,6 +13,11 @@
 /// Penalty of an endpoint in another availability zone, in percent of its slots.
 const CROSS_ZONE_COST_PERCENT: u64 = 25;
 
+/// The number of endpoints of a large service that a daemon calls.
+const SUBSET_SIZE: usize = 32;
+/// All endpoints of a service are called by each daemon up to this number.
+const MIN_SUBSET_SERVICE: usize = 2 * SUBSET_SIZE;
+
 /// The properties of a request by which its endpoint is chosen.
 #[derive(Debug, Clone, Copy)]
 pub struct ChoiceRequest<'r> {
@@ -44,18 +49,69 @@
         .usable(request.service, now_ms)
         .filter(is_untried)
         .collect();
+    choose_among(&usable, request, now_ms, random).map(|chosen| chosen.listing.name.clone())
+}
+
+/// Chooses an endpoint for a call of the daemon `own`, from a subset of its own in a large service.
+///
+/// Guards against a connection for nearly each call: of thousands of endpoints, a daemon seldom uses one twice while its
+/// connection is open. Daemons have different subsets, preferably of their own zone, so that all endpoints get calls. If
+/// the chosen endpoint is full, all are considered.
+pub fn choose_from_subset<Random>(
+    table: &EndpointTable,
+    own: &str,
+    request: ChoiceRequest<'_>,
+    now_ms: u64,
+    random: &mut Random,
+) -> Option<Arc<str>>
+where
+    Random: Rng,
+{
+    let is_untried = |endpoint: &&Endpoint| !request.tried.contains(&endpoint.listing.name);
+    let usable = table.usable(request.service, now_ms).filter(is_untried);
+    let usable: Vec<&Endpoint> = usable.collect();
+    let subset = subset_of_usable(&usable, own, request.zone);
+    let chosen = choose_among(&subset, request, now_ms, random)?;
+    let chosen = match chosen.load(now_ms) < chosen.slots() || subset.len() == usable.len() {
+        true => chosen,
+        false => choose_among(&usable, request, now_ms, random)?,
+    };
+    Some(chosen.listing.name.clone())
+}
+
+fn subset_of_usable<'e>(usable: &[&'e Endpoint], own: &str, zone: &str) -> Vec<&'e Endpoint> {
+    if usable.len() <= MIN_SUBSET_SERVICE {
+        return usable.to_vec();
+    }
+    let is_near = |endpoint: &&&Endpoint| &*endpoint.listing.zone == zone;
+    let mut subset: Vec<&Endpoint> = usable.iter().filter(is_near).copied().collect();
+    if subset.len() < SUBSET_SIZE {
+        subset = usable.to_vec();
+    }
+    subset.sort_by_cached_key(|endpoint| Reverse(rendezvous_weight(own, &endpoint.listing.name)));
+    subset.truncate(SUBSET_SIZE);
+    subset
+}
+
+fn choose_among<'e, Random>(
+    usable: &[&'e Endpoint],
+    request: ChoiceRequest<'_>,
+    now_ms: u64,
+    random: &mut Random,
+) -> Option<&'e Endpoint>
+where
+    Random: Rng,
+{
     if usable.is_empty() {
         return None;
     }
-    let preferred = affinity_endpoint(&usable, request.prefix);
+    let preferred = affinity_endpoint(usable, request.prefix);
     let count = usable.len() as u64;
     let first = usable[(random.next_u64() % count) as usize];
     let second = usable[(random.next_u64() % count) as usize];
     let candidates = [first, second].into_iter().chain(preferred);
     let cost = |endpoint: &&Endpoint| cost_of(endpoint, request.zone, preferred, now_ms);
-    candidates
-        .min_by_key(cost)
-        .map(|endpoint| endpoint.listing.name.clone())
+    candidates.min_by_key(cost)
 }
 
 /// The endpoint that most likely has the prefix cached, by rendezvous hashing.
--- a/crates/borageshore_routing/tests/routing.rs
+++ b/crates/borageshore_routing/tests/routing.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
+use borageshore_base::SortedMap;
 use borageshore_routing::{
     Admission, AdmissionDecision, AdmissionLimits, AttemptEvent, AttemptState, ChoiceRequest,
     EndpointListing, EndpointState, EndpointTable, LoadReport, RetryBudget, Ticket, Workload,
-    attempt_chart, choose_endpoint, subset_of,
+    attempt_chart, choose_endpoint, choose_from_subset, subset_of,
 };
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -180,3 +181,62 @@
         assert!(kept * 100 >= before.len() * 90, "{kept} of {}", before.len());
     };
 }
+
+/// Guards against a daemon that opens a connection for nearly each call to a large service, and against endpoints that no
+/// daemon calls.
+#[test]
+fn daemons_call_small_subsets_that_cover_a_large_service() {
+    let mut large = EndpointTable::default();
+    let zone = |number: usize| ["a", "b", "c", "d", "e"][number % 5];
+    let listings = (0..1_000).map(|number| listing(number, zone(number)));
+    large.on_listing(listings.collect());
+    let mut random = Pcg64Mcg::seed_from_u64(7);
+    let mut called = SortedMap::<Arc<str>, usize>::default();
+    for daemon in 0..1_000 {
+        let own = format!("vm-{daemon}");
+        let request = ChoiceRequest {
+            service: "s",
+            prefix: None,
+            zone: zone(daemon),
+            tried: &[],
+        };
+        let mut of_daemon: Vec<Arc<str>> = (0..100)
+            .filter_map(|_| choose_from_subset(&large, &own, request, 0, &mut random))
+            .collect();
+        for chosen in &of_daemon {
+            *called.get_or_insert_with(chosen.clone(), || 0) += 1;
+        }
+        of_daemon.sort_unstable();
+        of_daemon.dedup();
+        assert!(of_daemon.len() <= 32);
+    }
+    assert_eq!(called.len(), 1_000, "every endpoint is called");
+    let most = called.values().max();
+    assert!(most < Some(&300), "{most:?} of 100 calls on average");
+}
+
+/// Guards against calls that queue at a full subset while other endpoints are free.
+#[test]
+fn a_full_subset_is_left() {
+    let mut large = table(200);
+    let mut random = Pcg64Mcg::seed_from_u64(7);
+    let request = ChoiceRequest {
+        service: "s",
+        prefix: None,
+        zone: "a",
+        tried: &[],
+    };
+    let mut chosen = Vec::new();
+    for _ in 0..150 {
+        let endpoint = choose_from_subset(&large, "vm-1", request, 0, &mut random).unwrap();
+        large.on_start(&endpoint);
+        chosen.push(endpoint);
+    }
+    chosen.sort_unstable();
+    chosen.dedup();
+    assert!(
+        chosen.len() > 64,
+        "{} endpoints for 150 calls with one slot each",
+        chosen.len()
+    );
+}
--- a/crates/borageshore_soak/src/daemons.rs
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -60,6 +60,8 @@
         let name = format!("vm-{number}");
         let (front, ready, directory) = (free_address()?, free_address()?, free_address()?);
         let (metrics, peers) = (free_address()?, free_address()?);
+        let limit = |mb: f64| format!("store_read_mb_per_s: {mb}\n");
+        let store_limit = options.store_read_mb_per_s.map(limit).unwrap_or_default();
         let config = options.folder.join(format!("{name}.yaml"));
         let text = format!(
             "name: {name}\nzone: z1\nhttp_address: {front}\nready_address: {ready}\n\
@@ -67,10 +69,11 @@
              store_partitions: 2\naddress_ttl_s: {ADDRESS_TTL_S}\nstop_grace_s: {STOP_GRACE_S}\nresults_kept_s: {}\norder_lease_ms: 3000\n\
              parallel_loads_percent: 50\nload_share_percent: 50\nkey_revocation_ms: {REVOCATION_MS}\n\
              duties:\n  address: {duties}\n  usage_window_s: {WINDOW_S}\n  usage_late_s: {REPORT_DUE_S}\n\
-             mechanisms_off: [{}]\n",
+             mechanisms_off: [{}]\ndeployment: soak\n{}",
             store.address(),
             options.results_kept_s,
-            options.mechanisms_off.join(", ")
+            options.mechanisms_off.join(", "),
+            store_limit
         );
         std::fs::write(&config, text)?;
         Ok(Self {
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -111,6 +111,8 @@
     pub organisations: bool,
     /// Disabled mechanisms of the daemons, by their names in the settings.
     pub mechanisms_off: Vec<&'static str>,
+    /// Megabytes a second that the daemons are told the store's reads return; few make them read from each other.
+    pub store_read_mb_per_s: Option<f64>,
     /// Whether all items generate many events.
     pub long_generations: bool,
     /// The faults to inject.
@@ -141,6 +143,7 @@
             has_crashing_reward: false,
             organisations: false,
             mechanisms_off: Vec::new(),
+            store_read_mb_per_s: None,
             long_generations: false,
             script: Script::RandomExtended(8),
             folder: std::env::temp_dir()
--- a/crates/borageshore_soak/src/main.rs
+++ b/crates/borageshore_soak/src/main.rs
@@ -38,6 +38,9 @@
     /// Whether the daemons' logs stay when no promise is broken.
     #[arg(long)]
     keep_logs: bool,
+    /// Megabytes a second that the daemons are told the store's reads return; with 0.03, two daemons read it for all.
+    #[arg(long)]
+    store_read_mb_per_s: Option<f64>,
 }
 
 fn main() -> ExitCode {
@@ -55,6 +58,7 @@
             duration_ms: arguments.duration_ms,
             script: Script::RandomExtended(arguments.faults),
             keeps_logs: arguments.keep_logs,
+            store_read_mb_per_s: arguments.store_read_mb_per_s,
             ..SoakOptions::new(arguments.program.clone(), seed)
         };
         failed += u64::from(!run(&options));
--- a/crates/borageshore_wire/idl/wire.thrift
+++ b/crates/borageshore_wire/idl/wire.thrift
@@ -157,8 +157,8 @@
 
 // Requests new records of the shared log from a peer that reads it, or that is fed itself.
 struct WireFeedRequest {
-  // The log service's address: daemons of another deployment are refused.
-  1: required string log_address
+  // Daemons of another deployment are refused.
+  1: required string deployment
   2: required list<WireFeedPosition> positions
   // The `revision` of the peer's last reply; 0 at first. The peer answers as soon as it has a newer one.
   3: required i64 seen_revision
@@ -188,7 +188,7 @@
 
 // Holds no page of a topic that the peer does not follow.
 struct WireFeedReply {
-  1: required string log_address
+  1: required string deployment
   2: required i64 revision
   // How long the peer waited before it answered.
   3: required i64 held_ms
--- a/crates/borageshore_wire/src/generated.rs
+++ b/crates/borageshore_wire/src/generated.rs
@@ -1989,16 +1989,16 @@
 
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct WireFeedRequest {
-  pub log_address: String,
+  pub deployment: String,
   pub positions: Vec<WireFeedPosition>,
   pub seen_revision: i64,
   pub wait_ms: i64,
 }
 
 impl WireFeedRequest {
-  pub fn new(log_address: String, positions: Vec<WireFeedPosition>, seen_revision: i64, wait_ms: i64) -> WireFeedRequest {
+  pub fn new(deployment: String, positions: Vec<WireFeedPosition>, seen_revision: i64, wait_ms: i64) -> WireFeedRequest {
     WireFeedRequest {
-      log_address,
+      deployment,
       positions,
       seen_revision,
       wait_ms,
@@ -2049,12 +2049,12 @@
       i_prot.read_field_end()?;
     }
     i_prot.read_struct_end()?;
-    verify_required_field_exists("WireFeedRequest.log_address", &f_1)?;
+    verify_required_field_exists("WireFeedRequest.deployment", &f_1)?;
     verify_required_field_exists("WireFeedRequest.positions", &f_2)?;
     verify_required_field_exists("WireFeedRequest.seen_revision", &f_3)?;
     verify_required_field_exists("WireFeedRequest.wait_ms", &f_4)?;
     let ret = WireFeedRequest {
-      log_address: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      deployment: f_1.expect("auto-generated code should have checked for presence of required fields"),
       positions: f_2.expect("auto-generated code should have checked for presence of required fields"),
       seen_revision: f_3.expect("auto-generated code should have checked for presence of required fields"),
       wait_ms: f_4.expect("auto-generated code should have checked for presence of required fields"),
@@ -2064,8 +2064,8 @@
   fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
     let struct_ident = TStructIdentifier::new("WireFeedRequest");
     o_prot.write_struct_begin(&struct_ident)?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("log_address", TType::String, 1))?;
-    o_prot.write_string(&self.log_address)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("deployment", TType::String, 1))?;
+    o_prot.write_string(&self.deployment)?;
     o_prot.write_field_end()?;
     o_prot.write_field_begin(&TFieldIdentifier::new("positions", TType::List, 2))?;
     o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.positions.len() as i32))?;
@@ -2311,16 +2311,16 @@
 
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct WireFeedReply {
-  pub log_address: String,
+  pub deployment: String,
   pub revision: i64,
   pub held_ms: i64,
   pub pages: Vec<WireFeedPage>,
 }
 
 impl WireFeedReply {
-  pub fn new(log_address: String, revision: i64, held_ms: i64, pages: Vec<WireFeedPage>) -> WireFeedReply {
+  pub fn new(deployment: String, revision: i64, held_ms: i64, pages: Vec<WireFeedPage>) -> WireFeedReply {
     WireFeedReply {
-      log_address,
+      deployment,
       revision,
       held_ms,
       pages,
@@ -2371,12 +2371,12 @@
       i_prot.read_field_end()?;
     }
     i_prot.read_struct_end()?;
-    verify_required_field_exists("WireFeedReply.log_address", &f_1)?;
+    verify_required_field_exists("WireFeedReply.deployment", &f_1)?;
     verify_required_field_exists("WireFeedReply.revision", &f_2)?;
     verify_required_field_exists("WireFeedReply.held_ms", &f_3)?;
     verify_required_field_exists("WireFeedReply.pages", &f_4)?;
     let ret = WireFeedReply {
-      log_address: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      deployment: f_1.expect("auto-generated code should have checked for presence of required fields"),
       revision: f_2.expect("auto-generated code should have checked for presence of required fields"),
       held_ms: f_3.expect("auto-generated code should have checked for presence of required fields"),
       pages: f_4.expect("auto-generated code should have checked for presence of required fields"),
@@ -2386,8 +2386,8 @@
   fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
     let struct_ident = TStructIdentifier::new("WireFeedReply");
     o_prot.write_struct_begin(&struct_ident)?;
-    o_prot.write_field_begin(&TFieldIdentifier::new("log_address", TType::String, 1))?;
-    o_prot.write_string(&self.log_address)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("deployment", TType::String, 1))?;
+    o_prot.write_string(&self.deployment)?;
     o_prot.write_field_end()?;
     o_prot.write_field_begin(&TFieldIdentifier::new("revision", TType::I64, 2))?;
     o_prot.write_i64(self.revision)?;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -16,6 +16,15 @@
     }
 }
 
+/// Six daemons, of which two read the store for the others.
+fn fed(seed: u64, script: Script) -> SoakOptions {
+    SoakOptions {
+        daemons: 6,
+        store_read_mb_per_s: Some(0.03),
+        ..options(seed, script)
+    }
+}
+
 fn play(options: &SoakOptions) -> SoakReport {
     let report = run_seed(options).unwrap();
     let text = report.violations.join("\n");
@@ -37,6 +46,36 @@
         assert!(report.results >= 3 * 15, "{}", report.results);
     }
 
+    // Callers and trainers are not served by daemons that read the store through others.
+    daemons_that_read_from_others_serve => {
+        let report = play(&fed(50, Script::Timed(Vec::new())));
+        assert!(report.unanswered.is_empty(), "{:?}", report.unanswered);
+        assert!(report.submissions >= 3, "{}", report.submissions);
+    }
+
+    // A view stands still, or takes steps from daemons that live, once those that read the store are killed, partitioned
+    // from it or stopped.
+    daemons_that_read_from_others_serve_through_faults => {
+        let script = vec![
+            (500, TimedFault::KillHolder),
+            (1_500, TimedFault::StoreOutage),
+            (3_500, TimedFault::RejectAllButOne),
+            (5_500, TimedFault::KillHolder),
+            (6_000, TimedFault::RestartEngine),
+        ];
+        let report = play(&SoakOptions { duration_ms: 10_000, ..fed(51, Script::Timed(script)) });
+        assert_eq!(report.faults.len(), 5);
+        assert!(report.submissions >= 2, "{}", report.submissions);
+    }
+
+    // After all daemons are killed at once, each waits for one that waits itself.
+    daemons_that_read_from_others_return_after_a_stop_of_all => {
+        let script = Script::Timed(vec![(6_500, TimedFault::KillAllMidGeneration)]);
+        let options = SoakOptions { long_generations: true, duration_ms: 13_000, ..fed(52, script) };
+        let pause_ms = play(&options).first_order_after_kill_ms.unwrap();
+        assert!(pause_ms < 3_000, "{pause_ms}");
+    }
+
     // A trainer waits forever for a step whose daemon was killed.
     the_daemon_that_runs_a_step_is_killed => {
         let script = vec![(1_500, TimedFault::KillHolder), (4_500, TimedFault::KillHolder)];
