--- a/crates/borageshore_feed/src/limits.rs
+++ b/crates/borageshore_feed/src/limits.rs
@@ -29,7 +29,7 @@
 
 /// The number of daemons that read the log directly, of `daemons` in `zones`.
 ///
-/// As many as can load the whole state within [`LOAD_TIME_MS`]. The state grows with the fleet, so all daemons of a
+/// As many as can load the whole state within a second. The state grows with the fleet, so all daemons of a
 /// small fleet read directly, and the larger a fleet is, the fewer do.
 pub fn direct_readers(daemons: usize, zones: usize, limits: FeedLimits) -> usize {
     let state_bytes = (daemons as u64 * STATE_BYTES_PER_DAEMON).max(1);
--- a/crates/borageshore_feed/src/selector.rs
+++ b/crates/borageshore_feed/src/selector.rs
@@ -16,7 +16,7 @@
 
 /// A daemon becomes a reader of the log this long after the tree has made it a root.
 const ROOT_DELAY_MS: u64 = 2_000;
-/// A reader goes on for this long after the tree has another one in its place, which waits [`ROOT_DELAY_MS`].
+/// A reader goes on for this long after the tree has another one in its place, which waits `ROOT_DELAY_MS`.
 const RELEASE_DELAY_MS: u64 = 3_000;
 
 /// Chooses the source of each read by the results of earlier ones.
--- a/crates/borageshore_feed/src/tree.rs
+++ b/crates/borageshore_feed/src/tree.rs
@@ -29,7 +29,7 @@
 /// A daemon's place among the daemons of its zone.
 ///
 /// Ranked by readiness, capacity and rendezvous hash, the first daemons of a zone read the log, and each one serves the
-/// next [`FANOUT`]. Every daemon computes this from its own list of members; where the lists differ for a moment, a
+/// next eight. Every daemon computes this from its own list of members; where the lists differ for a moment, a
 /// daemon may read from one that is not above it, and leaves it when what that passes on is old.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct FeedTree {
--- a/crates/borageshore_membership/src/presence.rs
+++ b/crates/borageshore_membership/src/presence.rs
@@ -264,7 +264,7 @@
     }
 
     /// The addresses for a caller: those in its availability zone if at least `min_count` are ready there, else
-    /// those in all zones. At most [`MAX_ADDRESSES`], the same ones on all daemons, as callers close their connections
+    /// those in all zones. At most 64, the same ones on all daemons, as callers close their connections
     /// to addresses that a newer list lacks.
     pub fn addresses_for(&self, zone: &str, min_count: usize) -> Vec<Arc<str>> {
         let same_zone: Vec<&Presence> = self
