One search for the endpoints that were not tried

Cause: the choice from a subset repeated it line by line. Change: both call one function; behaviour as before.

--- a/crates/borageshore_routing/src/choice.rs
+++ b/crates/borageshore_routing/src/choice.rs
@@ -44,11 +44,7 @@
 where
     Random: Rng,
 {
-    let is_untried = |endpoint: &&Endpoint| !request.tried.contains(&endpoint.listing.name);
-    let usable: Vec<&Endpoint> = table
-        .usable(request.service, now_ms)
-        .filter(is_untried)
-        .collect();
+    let usable = untried(table, request, now_ms);
     choose_among(&usable, request, now_ms, random).map(|chosen| chosen.listing.name.clone())
 }
 
@@ -67,9 +63,7 @@
 where
     Random: Rng,
 {
-    let is_untried = |endpoint: &&Endpoint| !request.tried.contains(&endpoint.listing.name);
-    let usable = table.usable(request.service, now_ms).filter(is_untried);
-    let usable: Vec<&Endpoint> = usable.collect();
+    let usable = untried(table, request, now_ms);
     let subset = subset_of_usable(&usable, own, request.zone);
     let chosen = choose_among(&subset, request, now_ms, random)?;
     let chosen = match chosen.load(now_ms) < chosen.slots() || subset.len() == usable.len() {
@@ -79,6 +73,16 @@
     Some(chosen.listing.name.clone())
 }
 
+fn untried<'t>(
+    table: &'t EndpointTable,
+    request: ChoiceRequest<'t>,
+    now_ms: u64,
+) -> Vec<&'t Endpoint> {
+    let is_untried = |endpoint: &&Endpoint| !request.tried.contains(&endpoint.listing.name);
+    let usable = table.usable(request.service, now_ms);
+    usable.filter(is_untried).collect()
+}
+
 fn subset_of_usable<'e>(usable: &[&'e Endpoint], own: &str, zone: &str) -> Vec<&'e Endpoint> {
     if usable.len() <= MIN_SUBSET_SERVICE {
         return usable.to_vec();
