--- a/crates/borageshore_daemon/src/control.rs
+++ b/crates/borageshore_daemon/src/control.rs
@@ -192,6 +192,7 @@
         let report = LoadReport {
             requests: report.requests,
             slots: report.slots,
+            slowdown_percent: None,
         };
         let now_ms = daemon.now_ms();
         daemon
--- a/crates/borageshore_daemon/src/platform/engine.rs
+++ b/crates/borageshore_daemon/src/platform/engine.rs
@@ -211,6 +211,7 @@
     Some(LoadReport {
         requests: number("x-load-requests")?,
         slots: number("x-load-slots")?,
+        slowdown_percent: None,
     })
 }
 
--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -4,6 +4,7 @@
 
 use borageshore_base::{Fault, ResultCode};
 use borageshore_feed::FeedLimits;
+use borageshore_platform::{DutyKind, Features};
 use borageshore_settings::{FileFault, malformed_file};
 use borageshore_usage::UsageTiming;
 use serde::Deserialize;
@@ -58,6 +59,12 @@
     /// How long requests with a revoked key may still run; without it, as long as the store is unreachable.
     #[serde(default)]
     pub key_revocation_ms: Option<u64>,
+    /// The names by which the deployment says what it expects of the system; see [`Features`].
+    #[serde(default)]
+    pub features: Vec<Arc<str>>,
+    /// The memory that the process may use; without it, no limit on what is held for callers.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
     /// The platform's duties, if it has any.
     #[serde(default)]
     pub duties: Option<DutyConfig>,
@@ -76,6 +83,9 @@
 pub struct DutyConfig {
     /// The platform's address for calls of the duties.
     pub address: Arc<str>,
+    /// The duties that the platform expects.
+    #[serde(default)]
+    pub kinds: Vec<DutyKind>,
     /// The length of a usage window; without it, usage is not reported.
     pub usage_window_s: Option<u64>,
     /// The deadline of a window's report, counted from the window's end.
@@ -110,6 +120,11 @@
             .clone()
     }
 
+    /// What the deployment expects beyond the basic service.
+    pub(crate) fn features(&self) -> Features {
+        Features::decode(&self.features)
+    }
+
     /// What the store gives to all daemons together.
     pub(crate) fn feed_limits(&self) -> FeedLimits {
         FeedLimits {
--- a/crates/borageshore_gateway/src/endpoints/listing.rs
+++ b/crates/borageshore_gateway/src/endpoints/listing.rs
@@ -106,6 +106,7 @@
             let report = LoadReport {
                 requests: 0,
                 slots: entry.slots,
+                slowdown_percent: None,
             };
             table.on_report(instance, report, now_ms);
         }
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -12,7 +12,7 @@
 use borageshore_base::{SortedMap, rendezvous_weight};
 use borageshore_batch::{EngineVersions, EngineView, EventLatencies, ModelVersion};
 use borageshore_net::Clock;
-use borageshore_platform::{EndpointClient, EndpointEntry, EndpointTarget};
+use borageshore_platform::{EndpointClient, EndpointEntry, EndpointTarget, Features};
 use borageshore_routing::{
     ChoiceRequest, Endpoint, EndpointListing, EndpointRegistry, EndpointState, EndpointTable,
     choose_from_subset,
@@ -47,6 +47,19 @@
     ended: Vec<Arc<str>>,
 }
 
+/// Dependencies of [`Endpoints`].
+#[derive(Debug)]
+pub(crate) struct EndpointParts {
+    pub(crate) own_name: Arc<str>,
+    pub(crate) zone: Arc<str>,
+    pub(crate) seed: u64,
+    pub(crate) clock: Clock,
+    pub(crate) routes: Rc<Routes>,
+    pub(crate) client: EndpointClient,
+    pub(crate) mechanisms: Rc<Mechanisms>,
+    pub(crate) features: Features,
+}
+
 /// The endpoints of all services.
 #[derive(Debug)]
 pub(crate) struct Endpoints {
@@ -54,6 +67,7 @@
     own_name: Arc<str>,
     zone: Arc<str>,
     mechanisms: Rc<Mechanisms>,
+    features: Features,
     routes: Rc<Routes>,
     client: EndpointClient,
     registry: RefCell<EndpointRegistry<EndpointEntry>>,
@@ -81,22 +95,15 @@
 }
 
 impl Endpoints {
-    pub(crate) fn open(
-        own_name: Arc<str>,
-        zone: Arc<str>,
-        seed: u64,
-        clock: Clock,
-        routes: Rc<Routes>,
-        client: EndpointClient,
-        mechanisms: Rc<Mechanisms>,
-    ) -> Rc<Self> {
+    pub(crate) fn open(parts: EndpointParts) -> Rc<Self> {
         Rc::new(Self {
-            clock,
-            own_name,
-            zone,
-            mechanisms,
-            routes,
-            client,
+            clock: parts.clock,
+            own_name: parts.own_name,
+            zone: parts.zone,
+            mechanisms: parts.mechanisms,
+            features: parts.features,
+            routes: parts.routes,
+            client: parts.client,
             registry: RefCell::default(),
             unconfirmed: RefCell::default(),
             expired: RefCell::default(),
@@ -108,7 +115,7 @@
             changes: RefCell::default(),
             last_read_at_ms: Cell::new(0),
             outage_ended_at_ms: Cell::new(None),
-            random: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            random: RefCell::new(Pcg64Mcg::seed_from_u64(parts.seed)),
             ended: RefCell::default(),
             endpoint_ended: Notify::new(),
             changed: Notify::new(),
@@ -127,6 +134,12 @@
         }
     }
 
+    /// Whether requests to a service may compete for its endpoints: the deployment expects overload.
+    #[allow(dead_code)]
+    pub(crate) fn has_contention(&self, _service: &str) -> bool {
+        self.features.overload_control
+    }
+
     /// Whether any endpoint is known.
     pub(crate) fn is_known(&self) -> bool {
         !self.registry.borrow().is_empty()
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -16,7 +16,7 @@
     config::GatewayConfig,
     dispatch::Dispatch,
     duties::Duties,
-    endpoints::Endpoints,
+    endpoints::{EndpointParts, Endpoints},
     feed::{Feed, FeedParts, FeedTopic, FeedTopicSource},
     fleet_records::FleetRecords,
     follow::{FollowSpec, Follower},
@@ -86,15 +86,16 @@
         let client = EndpointClient::open();
         let seed = rendezvous_weight(&config.name, &incarnation.to_string());
         let routes = Rc::new(Routes::default());
-        let endpoints = Endpoints::open(
-            config.name.clone(),
-            config.zone.clone(),
+        let endpoints = Endpoints::open(EndpointParts {
+            own_name: config.name.clone(),
+            zone: config.zone.clone(),
             seed,
             clock,
-            routes.clone(),
-            client.clone(),
-            mechanisms.clone(),
-        );
+            routes: routes.clone(),
+            client: client.clone(),
+            mechanisms: mechanisms.clone(),
+            features: config.features(),
+        });
         let members = Members::open(own_presence(&config, incarnation), clock, transport.clone());
         let quarantine = Quarantine::spawn(
             store.clone(),
--- a/crates/borageshore_gateway/tests/config.rs
+++ b/crates/borageshore_gateway/tests/config.rs
@@ -1,6 +1,7 @@
 //! Tests of the daemon's settings: mechanisms that are switched off.
 
 use borageshore_gateway::{GatewayConfig, Mechanism};
+use borageshore_platform::{DutyKind, Features};
 
 const SETTINGS: &str = "\
 name: vm-1
@@ -55,4 +56,16 @@
         let text = format!("{SETTINGS}store_reads_per_s: 16000.0\nstore_read_mb_per_s:\n");
         assert!(GatewayConfig::parse("vm-1.yaml", &text).is_ok());
     }
+
+    // A daemon of a deployment with other duties or expectations does not start.
+    unknown_features_and_duties_are_ignored => {
+        let text = format!(
+            "{SETTINGS}features: [base, pressure, tides]\nmemory_mb: 160\n\
+             duties:\n  address: 127.0.0.1:7\n  kinds: [usage, scale, sweep]\n"
+        );
+        let config = GatewayConfig::parse("vm-1.yaml", &text).unwrap();
+        let kinds = config.duties.unwrap().kinds;
+        assert_eq!(kinds, [DutyKind::Usage, DutyKind::EndpointOrders, DutyKind::Unknown]);
+        assert!(Features::decode(&config.features).overload_control);
+    }
 }
--- a/crates/borageshore_routing/src/endpoint.rs
+++ b/crates/borageshore_routing/src/endpoint.rs
@@ -55,6 +55,8 @@
     pub requests: u64,
     /// How many requests it can run concurrently.
     pub slots: u64,
+    /// How long work takes on its VM at the moment, in percent of the usual; `None` if it does not say.
+    pub slowdown_percent: Option<u64>,
 }
 
 /// An endpoint with this daemon's observations of it.
--- a/crates/borageshore_routing/tests/routing.rs
+++ b/crates/borageshore_routing/tests/routing.rs
@@ -113,7 +113,7 @@
     prefix_affinity_is_bounded: {
         let mut table = table(4);
         for number in 0..4 {
-            table.on_report(&format!("e{number:03}"), LoadReport { requests: 0, slots: 4 }, 0);
+            table.on_report(&format!("e{number:03}"), LoadReport { requests: 0, slots: 4, slowdown_percent: None }, 0);
         }
         let first = choices(&table, Some("p"), 0);
         assert!(first.iter().all(|name| *name == first[0]));
