Calls weigh how slow the endpoints' VMs are, and idle connections

Where endpoints report how long work takes on their VMs, a call still went to the better of two random endpoints by load alone: of three endpoints, one on a slow VM kept its share, and 44 % of the calls crossed zones.

The reported slowdown now multiplies an endpoint's load and fades within 600 ms, the time in which it changes. A service of up to eight endpoints is compared whole; a new connection and the way to another zone cost a quarter of the slots each, so that a daemon keeps to its connection in its own zone unless another endpoint is clearly better. Of endpoints that are about equal one is drawn, as all daemons may have read the same reports. Idle connections come into the choice as a closure. Whether a service reports is counted by endpoint, so that has_contention costs the same for any number of them.

Ruled out: passing reports among daemons, as they are older than what they say when they arrive.

--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -14,8 +14,8 @@
 use borageshore_net::Clock;
 use borageshore_platform::{EndpointClient, EndpointEntry, EndpointTarget, Features};
 use borageshore_routing::{
-    ChoiceRequest, Endpoint, EndpointListing, EndpointRegistry, EndpointState, EndpointTable,
-    choose_from_subset,
+    CallingDaemon, ChoiceRequest, Endpoint, EndpointListing, EndpointRegistry, EndpointState,
+    EndpointTable, choose_from_subset,
 };
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -134,10 +134,11 @@
         }
     }
 
-    /// Whether requests to a service may compete for its endpoints: the deployment expects overload.
+    /// Whether requests to a service may compete for its endpoints: the deployment expects overload, or an endpoint of
+    /// the service has reported since it started how slow its VM is.
     #[allow(dead_code)]
-    pub(crate) fn has_contention(&self, _service: &str) -> bool {
-        self.features.overload_control
+    pub(crate) fn has_contention(&self, service: &str) -> bool {
+        self.features.overload_control || self.table.borrow().reports_slowdowns(service)
     }
 
     /// Whether any endpoint is known.
@@ -169,7 +170,11 @@
         let chosen = {
             let table = self.table.borrow();
             let random = &mut *self.random.borrow_mut();
-            choose_from_subset(&table, &self.own_name, request, now_ms, random)?
+            let daemon = CallingDaemon {
+                name: &self.own_name,
+                has_idle: |endpoint: &Endpoint| self.client.has_idle(&endpoint.listing.address),
+            };
+            choose_from_subset(&table, daemon, request, now_ms, random)?
         };
         self.start(&chosen)
     }
--- a/crates/borageshore_routing/src/choice.rs
+++ b/crates/borageshore_routing/src/choice.rs
@@ -13,6 +13,17 @@
 /// Penalty of an endpoint in another availability zone, in percent of its slots.
 const CROSS_ZONE_COST_PERCENT: u64 = 25;
 
+/// Penalty of an endpoint to which the daemon has no idle connection, in percent of its slots, where endpoints report
+/// slowdowns. A new connection takes one of the endpoint's slots for its handshake, and hundreds of daemons may open
+/// one each to a few endpoints.
+const NEW_CONNECTION_COST_PERCENT: u64 = 25;
+/// Endpoints whose costs differ by no more than this, in percent of their slots, count as equal, and one of them is
+/// drawn. Otherwise all daemons that have read the same reports would turn to the same endpoint.
+const EQUAL_COST_PERCENT: u64 = 5;
+/// A service of up to this many usable endpoints is compared whole where they report slowdowns: among few endpoints, two
+/// random draws often hit a slow one twice.
+const MAX_COMPARED_WHOLE: usize = 8;
+
 /// The number of endpoints of a large service that a daemon calls.
 const SUBSET_SIZE: usize = 32;
 /// All endpoints of a service are called by each daemon up to this number.
@@ -48,27 +59,47 @@
     choose_among(&usable, request, now_ms, random).map(|chosen| chosen.listing.name.clone())
 }
 
-/// Chooses an endpoint for a call of the daemon `own`, from a subset of its own in a large service.
+/// What a daemon that calls a service knows besides its table of endpoints.
+#[derive(Debug, Clone, Copy)]
+pub struct CallingDaemon<'d, HasIdle> {
+    /// Its name.
+    pub name: &'d str,
+    /// Whether it has an idle connection to an endpoint; asked only where endpoints report slowdowns.
+    pub has_idle: HasIdle,
+}
+
+/// Chooses an endpoint for a call of a daemon, from a subset of its own in a large service.
 ///
 /// Guards against a connection for nearly each call: of thousands of endpoints, a daemon seldom uses one twice while its
 /// connection is open. Daemons have different subsets, preferably of their own zone, so that all endpoints get calls. If
 /// the chosen endpoint is full, all are considered.
-pub fn choose_from_subset<Random>(
-    table: &EndpointTable,
-    own: &str,
-    request: ChoiceRequest<'_>,
+///
+/// Where endpoints of the service report how slow their VMs are, that and the cost of a new connection count too, and a
+/// small service is compared whole.
+pub fn choose_from_subset<'t, Random, HasIdle>(
+    table: &'t EndpointTable,
+    daemon: CallingDaemon<'_, HasIdle>,
+    request: ChoiceRequest<'t>,
     now_ms: u64,
     random: &mut Random,
 ) -> Option<Arc<str>>
 where
     Random: Rng,
+    HasIdle: Fn(&Endpoint) -> bool,
 {
     let usable = untried(table, request, now_ms);
-    let subset = subset_of_usable(&usable, own, request.zone);
-    let chosen = choose_among(&subset, request, now_ms, random)?;
+    let subset = subset_of_usable(&usable, daemon.name, request.zone);
+    let is_uneven = table.reports_slowdowns(request.service);
+    let choose = |among: &[&'t Endpoint], random: &mut Random| -> Option<&'t Endpoint> {
+        match is_uneven {
+            true => choose_among_uneven(among, request, &daemon.has_idle, now_ms, random),
+            false => choose_among(among, request, now_ms, random),
+        }
+    };
+    let chosen = choose(&subset, random)?;
     let chosen = match chosen.load(now_ms) < chosen.slots() || subset.len() == usable.len() {
         true => chosen,
-        false => choose_among(&usable, request, now_ms, random)?,
+        false => choose(&usable, random)?,
     };
     Some(chosen.listing.name.clone())
 }
@@ -118,6 +149,50 @@
     candidates.min_by_key(cost)
 }
 
+/// Chooses among endpoints that report how slow their VMs are.
+///
+/// Reported loads and slowdowns lag, so equally good endpoints are drawn from at random, and a slow one keeps the share
+/// of the load that fits its speed: its cost grows with the slowdown and with the requests on it.
+fn choose_among_uneven<'e, Random, HasIdle>(
+    usable: &[&'e Endpoint],
+    request: ChoiceRequest<'_>,
+    has_idle: HasIdle,
+    now_ms: u64,
+    random: &mut Random,
+) -> Option<&'e Endpoint>
+where
+    Random: Rng,
+    HasIdle: Fn(&Endpoint) -> bool,
+{
+    if usable.is_empty() {
+        return None;
+    }
+    let preferred = affinity_endpoint(usable, request.prefix);
+    let mut draw = |count: usize| (random.next_u64() % count as u64) as usize;
+    let drawn: Vec<&Endpoint>;
+    let compared = match usable.len() <= MAX_COMPARED_WHOLE {
+        true => usable,
+        false => {
+            let two = [usable[draw(usable.len())], usable[draw(usable.len())]];
+            drawn = two.into_iter().chain(preferred).collect();
+            &drawn
+        }
+    };
+    let cost = |endpoint: &Endpoint| {
+        let mut cost = penalties_of(endpoint, request.zone, preferred);
+        if !has_idle(endpoint) {
+            cost += 10 * NEW_CONNECTION_COST_PERCENT;
+        }
+        let filled = (endpoint.load(now_ms) + 1) * 1_000 / endpoint.slots();
+        cost + filled * endpoint.slowdown_percent(now_ms) / 100
+    };
+    let costs: Vec<u64> = compared.iter().map(|endpoint| cost(endpoint)).collect();
+    let limit = costs.iter().min()? + 10 * EQUAL_COST_PERCENT;
+    let is_equal = |at: &usize| costs[*at] <= limit;
+    let equal: Vec<usize> = (0..compared.len()).filter(is_equal).collect();
+    Some(compared[equal[draw(equal.len())]])
+}
+
 /// The endpoint that most likely has the prefix cached, by rendezvous hashing.
 fn affinity_endpoint<'e>(usable: &[&'e Endpoint], prefix: Option<&str>) -> Option<&'e Endpoint> {
     let prefix = prefix?;
@@ -125,11 +200,16 @@
     usable.iter().max_by_key(weight).copied()
 }
 
-/// Load in thousandths of the slots, less the bonus for a cached prefix, plus the penalty for another zone.
+/// Load in thousandths of the slots, and the penalties.
 fn cost_of(endpoint: &Endpoint, zone: &str, preferred: Option<&Endpoint>, now_ms: u64) -> u64 {
-    let mut cost = 10 * AFFINITY_BONUS_PERCENT + endpoint.load(now_ms) * 1_000 / endpoint.slots();
+    penalties_of(endpoint, zone, preferred) + endpoint.load(now_ms) * 1_000 / endpoint.slots()
+}
+
+/// The penalties for an endpoint without the cached prefix and for one in another zone, in thousandths of the slots.
+fn penalties_of(endpoint: &Endpoint, zone: &str, preferred: Option<&Endpoint>) -> u64 {
+    let mut cost = 10 * AFFINITY_BONUS_PERCENT;
     if preferred.is_some_and(|preferred| preferred.listing.name == endpoint.listing.name) {
-        cost -= 10 * AFFINITY_BONUS_PERCENT;
+        cost = 0;
     }
     if &*endpoint.listing.zone != zone {
         cost += 10 * CROSS_ZONE_COST_PERCENT;
--- a/crates/borageshore_routing/src/endpoint.rs
+++ b/crates/borageshore_routing/src/endpoint.rs
@@ -23,6 +23,12 @@
 const MAX_EJECTED_PERCENT: usize = 50;
 /// Half-life of a load report.
 const REPORT_HALF_LIFE_MS: u64 = 1_000;
+/// A reported slowdown changes within about this time and says nothing about the VM afterwards.
+const SLOWDOWN_LIFETIME_MS: u64 = 600;
+/// A VM that is as fast as usual.
+const NO_SLOWDOWN_PERCENT: u64 = 100;
+/// Reported slowdowns are limited to this, so that one absurd report cannot overflow a cost.
+const MAX_SLOWDOWN_PERCENT: u64 = 10_000;
 
 /// Whether the VM list lets an endpoint receive new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,6 +76,7 @@
     pub report: Option<LoadReport>,
     reported_at_ms: u64,
     in_flight_at_report: u64,
+    has_reported_slowdown: bool,
     consecutive_failures: u32,
     failure_rate_permille: u64,
     ejections: u32,
@@ -84,6 +91,7 @@
             report: None,
             reported_at_ms: 0,
             in_flight_at_report: 0,
+            has_reported_slowdown: false,
             consecutive_failures: 0,
             failure_rate_permille: 0,
             ejections: 0,
@@ -127,6 +135,20 @@
         self.in_flight + self.others_load(now_ms)
     }
 
+    /// How long work takes on its VM, in percent of the usual. The last reported value approaches 100 with the age of
+    /// the report.
+    pub fn slowdown_percent(&self, now_ms: u64) -> u64 {
+        let Some(reported) = self.report.and_then(|report| report.slowdown_percent) else {
+            return NO_SLOWDOWN_PERCENT;
+        };
+        let reported = reported.min(MAX_SLOWDOWN_PERCENT);
+        let age_ms = now_ms.saturating_sub(self.reported_at_ms);
+        let faded_ms = age_ms.min(SLOWDOWN_LIFETIME_MS);
+        let weighted =
+            reported * (SLOWDOWN_LIFETIME_MS - faded_ms) + NO_SLOWDOWN_PERCENT * faded_ms;
+        weighted / SLOWDOWN_LIFETIME_MS
+    }
+
     /// Its number of slots; 1 before the first load report.
     pub fn slots(&self) -> u64 {
         self.report.map_or(1, |report| report.slots.max(1))
@@ -137,6 +159,8 @@
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     endpoints: SortedMap<Arc<str>, Endpoint>,
+    /// How many endpoints of each service have reported a slowdown since they started.
+    slowdown_reporters: SortedMap<Arc<str>, usize>,
 }
 
 impl EndpointTable {
@@ -149,7 +173,14 @@
         for listing in listings {
             self.update(listing);
         }
-        self.endpoints.retain(|_, endpoint| endpoint.is_needed());
+        let reporters = &mut self.slowdown_reporters;
+        self.endpoints.retain(|_, endpoint| {
+            let is_needed = endpoint.is_needed();
+            if !is_needed {
+                uncount_reporter(reporters, endpoint);
+            }
+            is_needed
+        });
     }
 
     /// Applies one entry of a VM list; the cost does not depend on the number of endpoints.
@@ -171,8 +202,12 @@
         match self.endpoints.get_mut(&listing.name) {
             Some(known) if known.listing.address == listing.address => known.listing = listing,
             _ => {
-                self.endpoints
+                let replaced = self
+                    .endpoints
                     .insert(listing.name.clone(), Endpoint::open(listing));
+                if let Some(replaced) = replaced {
+                    uncount_reporter(&mut self.slowdown_reporters, &replaced);
+                }
             }
         }
     }
@@ -182,17 +217,29 @@
             .endpoints
             .get(name)
             .is_some_and(|endpoint| !endpoint.is_needed())
+            && let Some(removed) = self.endpoints.remove(name)
         {
-            self.endpoints.remove(name);
+            uncount_reporter(&mut self.slowdown_reporters, &removed);
         }
     }
 
+    /// Whether endpoints of a service report how slow their VMs are: any known one has done so since it started. The
+    /// cost does not depend on the number of endpoints.
+    pub fn reports_slowdowns(&self, service: &str) -> bool {
+        self.slowdown_reporters.contains_key(service)
+    }
+
     /// Records a load report.
     pub fn on_report(&mut self, name: &str, report: LoadReport, now_ms: u64) {
         if let Some(endpoint) = self.endpoints.get_mut(name) {
             endpoint.report = Some(report);
             endpoint.reported_at_ms = now_ms;
             endpoint.in_flight_at_report = endpoint.in_flight;
+            if report.slowdown_percent.is_some() && !endpoint.has_reported_slowdown {
+                endpoint.has_reported_slowdown = true;
+                let service = endpoint.listing.service.clone();
+                *self.slowdown_reporters.get_or_insert_with(service, || 0) += 1;
+            }
         }
     }
 
@@ -288,3 +335,16 @@
         })
     }
 }
+
+/// Stops counting an endpoint that is no longer known among those that report slowdowns.
+fn uncount_reporter(reporters: &mut SortedMap<Arc<str>, usize>, endpoint: &Endpoint) {
+    if !endpoint.has_reported_slowdown {
+        return;
+    }
+    let service = &*endpoint.listing.service;
+    let left = reporters.get(service).map_or(0, |count| count - 1);
+    match left {
+        0 => reporters.remove(service),
+        _ => reporters.insert(service.into(), left),
+    };
+}
--- a/crates/borageshore_routing/src/lib.rs
+++ b/crates/borageshore_routing/src/lib.rs
@@ -29,7 +29,7 @@
     admission::{Admission, AdmissionDecision, AdmissionLimits, Ticket, TicketId, Workload},
     attempt::{Attempt, AttemptEvent, AttemptState, Idempotent, Outcome, attempt_chart},
     budget::RetryBudget,
-    choice::{ChoiceRequest, choose_endpoint, choose_from_subset},
+    choice::{CallingDaemon, ChoiceRequest, choose_endpoint, choose_from_subset},
     crash_reports::{CrashReport, CrashReports},
     endpoint::{Endpoint, EndpointListing, EndpointState, EndpointTable, LoadReport},
     fingerprint::{Fingerprint, ParseFingerprintError, RequestContent},
--- a/crates/borageshore_routing/tests/routing.rs
+++ b/crates/borageshore_routing/tests/routing.rs
@@ -4,9 +4,9 @@
 
 use borageshore_base::SortedMap;
 use borageshore_routing::{
-    Admission, AdmissionDecision, AdmissionLimits, AttemptEvent, AttemptState, ChoiceRequest,
-    EndpointListing, EndpointState, EndpointTable, LoadReport, RetryBudget, Ticket, Workload,
-    attempt_chart, choose_endpoint, choose_from_subset, subset_of,
+    Admission, AdmissionDecision, AdmissionLimits, AttemptEvent, AttemptState, CallingDaemon,
+    ChoiceRequest, Endpoint, EndpointListing, EndpointState, EndpointTable, LoadReport,
+    RetryBudget, Ticket, Workload, attempt_chart, choose_endpoint, choose_from_subset, subset_of,
 };
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -33,6 +33,13 @@
     table
 }
 
+fn calling(name: &str) -> CallingDaemon<'_, fn(&Endpoint) -> bool> {
+    CallingDaemon {
+        name,
+        has_idle: |_| false,
+    }
+}
+
 fn choices(table: &EndpointTable, prefix: Option<&str>, now_ms: u64) -> Vec<Arc<str>> {
     let mut random = Pcg64Mcg::seed_from_u64(7);
     let request = ChoiceRequest {
@@ -201,7 +208,7 @@
             tried: &[],
         };
         let mut of_daemon: Vec<Arc<str>> = (0..100)
-            .filter_map(|_| choose_from_subset(&large, &own, request, 0, &mut random))
+            .filter_map(|_| choose_from_subset(&large, calling(&own), request, 0, &mut random))
             .collect();
         for chosen in &of_daemon {
             *called.get_or_insert_with(chosen.clone(), || 0) += 1;
@@ -228,7 +235,8 @@
     };
     let mut chosen = Vec::new();
     for _ in 0..150 {
-        let endpoint = choose_from_subset(&large, "vm-1", request, 0, &mut random).unwrap();
+        let endpoint =
+            choose_from_subset(&large, calling("vm-1"), request, 0, &mut random).unwrap();
         large.on_start(&endpoint);
         chosen.push(endpoint);
     }
