A daemon leaves an endpoint in its zone that fails calls

Where endpoints report slowdowns, a daemon keeps to its idle connection in its own zone. A daemon with few calls would so keep to an endpoint that fails part of them: two random draws hit it less often, and it is ejected only after three failures in a row or a third of the last calls. The share of calls that failed lately now counts in the cost; it fades within 10 s of the last failure, so that an endpoint which gets no calls for it comes back. Ruled out: ejecting earlier, as that holds for all services.

--- a/crates/borageshore_routing/src/choice.rs
+++ b/crates/borageshore_routing/src/choice.rs
@@ -17,6 +17,10 @@
 /// slowdowns. A new connection takes one of the endpoint's slots for its handshake, and hundreds of daemons may open
 /// one each to a few endpoints.
 const NEW_CONNECTION_COST_PERCENT: u64 = 25;
+/// How often the share of requests that failed lately counts in the cost, where endpoints report slowdowns. Two failures
+/// in close succession outweigh an idle connection in the own zone; otherwise a daemon that makes few calls would keep to
+/// an endpoint that fails part of them, and is ejected for that only after many.
+const FAILURE_COST_FACTOR: u64 = 3;
 /// Endpoints whose costs differ by no more than this, in percent of their slots, count as equal, and one of them is
 /// drawn. Otherwise all daemons that have read the same reports would turn to the same endpoint.
 const EQUAL_COST_PERCENT: u64 = 5;
@@ -183,6 +187,7 @@
         if !has_idle(endpoint) {
             cost += 10 * NEW_CONNECTION_COST_PERCENT;
         }
+        cost += FAILURE_COST_FACTOR * endpoint.recent_failure_permille(now_ms);
         let filled = (endpoint.load(now_ms) + 1) * 1_000 / endpoint.slots();
         cost + filled * endpoint.slowdown_percent(now_ms) / 100
     };
--- a/crates/borageshore_routing/src/endpoint.rs
+++ b/crates/borageshore_routing/src/endpoint.rs
@@ -25,6 +25,8 @@
 const REPORT_HALF_LIFE_MS: u64 = 1_000;
 /// A reported slowdown changes within about this time and says nothing about the VM afterwards.
 const SLOWDOWN_LIFETIME_MS: u64 = 600;
+/// A failure rate says nothing about an endpoint any more after this time without a failure.
+const FAILURE_RATE_LIFETIME_MS: u64 = 10_000;
 /// A VM that is as fast as usual.
 const NO_SLOWDOWN_PERCENT: u64 = 100;
 /// Reported slowdowns are limited to this, so that one absurd report cannot overflow a cost.
@@ -79,6 +81,7 @@
     has_reported_slowdown: bool,
     consecutive_failures: u32,
     failure_rate_permille: u64,
+    failed_at_ms: u64,
     ejections: u32,
     ejected_until_ms: u64,
 }
@@ -94,6 +97,7 @@
             has_reported_slowdown: false,
             consecutive_failures: 0,
             failure_rate_permille: 0,
+            failed_at_ms: 0,
             ejections: 0,
             ejected_until_ms: 0,
         }
@@ -149,6 +153,14 @@
         weighted / SLOWDOWN_LIFETIME_MS
     }
 
+    /// The share of its requests that failed lately, in thousandths. Approaches 0 with the time since the last failure,
+    /// so that an endpoint that gets no requests for it is not avoided for good.
+    pub fn recent_failure_permille(&self, now_ms: u64) -> u64 {
+        let quiet_ms = now_ms.saturating_sub(self.failed_at_ms);
+        let left_ms = FAILURE_RATE_LIFETIME_MS.saturating_sub(quiet_ms);
+        self.failure_rate_permille * left_ms / FAILURE_RATE_LIFETIME_MS
+    }
+
     /// Its number of slots; 1 before the first load report.
     pub fn slots(&self) -> u64 {
         self.report.map_or(1, |report| report.slots.max(1))
@@ -286,6 +298,7 @@
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         endpoint.consecutive_failures += 1;
         endpoint.update_failure_rate(1_000);
+        endpoint.failed_at_ms = now_ms;
         let is_outlier = endpoint.consecutive_failures >= EJECT_AFTER_CONSECUTIVE_FAILURES
             || endpoint.failure_rate_permille >= EJECT_AT_FAILURE_PERMILLE;
         if !is_outlier {
--- a/crates/borageshore_routing/tests/uneven_endpoints.rs
+++ b/crates/borageshore_routing/tests/uneven_endpoints.rs
@@ -111,6 +111,17 @@
         assert_eq!(shares(&table, &["e0"], 0)[0], 0);
     }
 
+    // Guards against a daemon that makes few calls and keeps to an endpoint that fails part of them.
+    an_endpoint_that_fails_calls_is_left_for_a_while => {
+        let mut table = reported(&[100, 100, 100]);
+        for _ in 0..2 {
+            table.on_start("e0");
+            table.on_failure("e0", 0);
+        }
+        assert_eq!(shares(&table, &["e0"], 100)[0], 0);
+        assert_eq!(shares(&table, &["e0"], 10_000), [300, 0, 0]);
+    }
+
     a_retry_goes_to_an_endpoint_that_was_not_tried => {
         let (table, tried) = (reported(&[100, 900, 900]), [Arc::from("e0")]);
         let mut random = Pcg64Mcg::seed_from_u64(7);
