Items move for lasting differences between engines only

Cause: on VMs that others use, an engine is 2.5 times as slow for some hundred ms at a time. Each cut costs a connection, a prefill and the way there.

A text moves only for 30 % (elsewhere 15 %) and only if that should save 300 ms, taking as many events to be left as it has.

Ruled out, by a play: dividing by the whole reported slowdown.

--- a/crates/borageshore_batch/src/placement.rs
+++ b/crates/borageshore_batch/src/placement.rs
@@ -89,6 +89,8 @@
     pub latency_percent: u64,
     /// Events received so far.
     pub events: u64,
+    /// The median time per event of the service, where its engines report how slow their VMs are.
+    pub median_us: Option<u64>,
 }
 
 /// From this number of events on, a text is treated as long: enough of it is probably left to justify a move.
@@ -98,6 +100,12 @@
 /// A long text moves only if its engine takes more than this many percent longer per event than the other. It lies
 /// above the noise between equal engines.
 const LONG_TEXT_GAIN_PERCENT: u64 = 15;
+/// The same where engines report how slow their VMs are: what other users of a VM do to it for the moment is more than the
+/// noise between equal engines, and not all of it is reported in time.
+const UNEVEN_GAIN_PERCENT: u64 = 30;
+/// Where engines report how slow their VMs are, a text moves only if it is expected to finish this much earlier: a move
+/// costs a connection and the prefill of the prompt and of all events so far, and a step is not later for less.
+const MIN_SAVED_US: u64 = 300_000;
 
 /// Chooses a free engine on which a running item would finish enough earlier to justify a move; `None` if it stays.
 ///
@@ -108,10 +116,24 @@
     item: RunningItem,
 ) -> Option<&'e EngineView> {
     let chosen = choose_engine(engines, request)?;
+    let long_text_gain_percent = match item.median_us {
+        Some(_) => UNEVEN_GAIN_PERCENT,
+        None => LONG_TEXT_GAIN_PERCENT,
+    };
     let is_worthwhile = if item.events >= LONG_TEXT_EVENTS {
-        chosen.latency_percent * (100 + LONG_TEXT_GAIN_PERCENT) < item.latency_percent * 100
+        chosen.latency_percent * (100 + long_text_gain_percent) < item.latency_percent * 100
     } else {
         chosen.latency_percent * SHORT_TEXT_GAIN < item.latency_percent
     };
-    is_worthwhile.then_some(chosen)
+    (is_worthwhile && saves_enough(chosen, item)).then_some(chosen)
+}
+
+/// Whether a move saves enough time, if as many events are left as were generated: the longer a text is, the more of it
+/// is probably left.
+fn saves_enough(chosen: &EngineView, item: RunningItem) -> bool {
+    let Some(median_us) = item.median_us else {
+        return true;
+    };
+    let gain_percent = item.latency_percent.saturating_sub(chosen.latency_percent);
+    item.events * median_us * gain_percent / 100 >= MIN_SAVED_US
 }
--- a/crates/borageshore_batch/tests/event_latencies.rs
+++ b/crates/borageshore_batch/tests/event_latencies.rs
@@ -12,6 +12,39 @@
     latencies
 }
 
+/// The time per event on a VM that is as fast as usual, in microseconds, by engine.
+const ENGINES_US: [u64; 5] = [36_000, 36_000, 36_000, 36_000, 72_000];
+
+/// Plays four texts on each of [`ENGINES_US`] until `until_ms`. Each VM takes twice as long for 600 ms in turn; the last
+/// engine reports that each 200 ms, the others never.
+fn steady(until_ms: u64) -> EventLatencies {
+    let mut latencies = EventLatencies::default();
+    let mut next_ms = [[0; 4]; ENGINES_US.len()];
+    for now_ms in 0..until_ms {
+        for (number, texts) in next_ms.iter_mut().enumerate() {
+            let slowdown = |at_ms: u64| match at_ms / 600 % ENGINES_US.len() as u64 {
+                slow if slow == number as u64 => 200,
+                _ => 100,
+            };
+            let reported = match number + 1 == ENGINES_US.len() {
+                true => slowdown(now_ms / 200 * 200),
+                false => 100,
+            };
+            for due_ms in texts.iter_mut().filter(|due_ms| now_ms >= **due_ms) {
+                let interval_us = ENGINES_US[number] * slowdown(now_ms) / 100;
+                *due_ms = now_ms + interval_us / 1_000;
+                let instance = Arc::from(format!("e-{number}"));
+                latencies.record_steady(&instance, interval_us, reported, now_ms);
+            }
+        }
+    }
+    latencies
+}
+
+fn percent(latencies: &EventLatencies, instance: &str, now_ms: u64) -> u64 {
+    latencies.percent_of_median(instance, latencies.median_us(now_ms), now_ms)
+}
+
 macro_rules! cases {
     ($($name:ident => $body:block)*) => {
         $(#[test] fn $name() $body)*
@@ -38,4 +71,36 @@
         latencies.record(&"e-2".into(), 126_000, 50);
         assert!(latencies.percent_of_median("e-2", latencies.median_us(50), 50) >= 116);
     }
+
+    // Guards against items that move between equal engines because a VM was slow for a moment.
+    momentary_slowdowns_do_not_make_an_engine_slow => {
+        for until_ms in (3_000..9_000).step_by(100) {
+            let latencies = steady(until_ms);
+            for engine in ["e-0", "e-1", "e-2", "e-3"] {
+                let percent = percent(&latencies, engine, until_ms);
+                assert!((75..=140).contains(&percent), "{engine}: {percent} at {until_ms} ms");
+            }
+            let slow = percent(&latencies, "e-4", until_ms);
+            assert!((150..=240).contains(&slow), "{slow} at {until_ms} ms");
+        }
+    }
+
+    // Guards against texts that stay on an engine that has become slow for good, which no report says.
+    an_engine_that_turns_slow_for_good_shows_within_half_a_second => {
+        let mut latencies = steady(6_000);
+        for now_ms in (6_000..6_500).step_by(126) {
+            latencies.record_steady(&"e-3".into(), 126_000, 100, now_ms);
+        }
+        let now = percent(&latencies, "e-3", 6_500);
+        assert!(now >= 116, "{now}");
+    }
+
+    // Guards against one long pause, such as a preemption, that counts as a slow engine.
+    one_long_pause_does_not_make_an_engine_slow => {
+        let mut latencies = steady(6_000);
+        let before = percent(&latencies, "e-1", 6_000);
+        latencies.record_steady(&"e-1".into(), 500_000, 100, 6_010);
+        let after = percent(&latencies, "e-1", 6_010);
+        assert!(after < before + 30, "{before}, then {after}");
+    }
 }
--- a/crates/borageshore_batch/tests/placement.rs
+++ b/crates/borageshore_batch/tests/placement.rs
@@ -30,6 +30,7 @@
     let item = RunningItem {
         latency_percent,
         events,
+        median_us: None,
     };
     choose_better_engine(engines, ANY, item).map(|engine| &*engine.instance)
 }
@@ -102,6 +103,19 @@
         assert_eq!(better(&engines, 108, 40), None);
     }
 
+    // Guards against moves that cost a connection and a prefill and save less than a step notices, where engines report
+    // how slow their VMs are.
+    a_text_moves_only_if_that_saves_enough => {
+        let engines = [engine("fast", 100, 0)];
+        let moves = |latency_percent: u64, events: u64| {
+            let item = RunningItem { latency_percent, events, median_us: Some(36_000) };
+            choose_better_engine(&engines, ANY, item).is_some()
+        };
+        assert!(!moves(140, 16) && moves(140, 32), "230 and 460 ms saved");
+        assert!(!moves(125, 100), "within what other users of the VM do to it");
+        assert!(!moves(250, 4) && moves(250, 16), "216 and 864 ms saved");
+    }
+
     a_text_stays_where_no_better_engine_is_free => {
         let engines = [engine("full", 100, 6), engine("slow", 130, 0)];
         assert_eq!(better(&engines, 130, 40), None);
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -10,7 +10,7 @@
 };
 
 use borageshore_base::{SortedMap, rendezvous_weight};
-use borageshore_batch::{EngineVersions, EngineView, EventLatencies, ModelVersion};
+use borageshore_batch::{EngineVersions, EngineView, EventLatencies, ModelVersion, RunningItem};
 use borageshore_net::Clock;
 use borageshore_platform::{EndpointClient, EndpointEntry, EndpointTarget, Features};
 use borageshore_routing::{
@@ -328,17 +328,37 @@
 
     /// Records the time between two events of a generation.
     pub(crate) fn on_event_gap(&self, instance: &Arc<str>, gap_us: u64) {
-        if self.mechanisms.is_enabled(Mechanism::Pace) {
-            let now_ms = self.clock.now_ms();
-            self.latencies.borrow_mut().record(instance, gap_us, now_ms);
+        if !self.mechanisms.is_enabled(Mechanism::Pace) {
+            return;
+        }
+        let now_ms = self.clock.now_ms();
+        let table = self.table.borrow();
+        let mut latencies = self.latencies.borrow_mut();
+        match table.get(instance) {
+            Some(engine) if engine.has_reported_slowdown() => {
+                let momentary_percent = engine.momentary_slowdown_percent(now_ms);
+                latencies.record_steady(instance, gap_us, momentary_percent, now_ms);
+            }
+            _ => latencies.record(instance, gap_us, now_ms),
         }
     }
 
-    /// The event latency of an engine, in percent of the median of all engines.
-    pub(crate) fn latency_percent_of(&self, instance: &Arc<str>) -> u64 {
+    /// An item that is running at an engine of a service.
+    pub(crate) fn running_item(
+        &self,
+        service: &str,
+        instance: &Arc<str>,
+        events: u64,
+    ) -> RunningItem {
         let now_ms = self.clock.now_ms();
         let latencies = self.latencies.borrow();
-        latencies.percent_of_median(instance, latencies.median_us(now_ms), now_ms)
+        let median_us = latencies.median_us(now_ms);
+        let reports_slowdowns = self.table.borrow().reports_slowdowns(service);
+        RunningItem {
+            latency_percent: latencies.percent_of_median(instance, median_us, now_ms),
+            events,
+            median_us: reports_slowdowns.then_some(median_us),
+        }
     }
 }
 
--- a/crates/borageshore_gateway/src/item/attempt.rs
+++ b/crates/borageshore_gateway/src/item/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use borageshore_batch::{RunningItem, Text};
+use borageshore_batch::Text;
 use borageshore_platform::{AttemptError, Generation, GenerationError, GenerationRequest};
 use borageshore_routing::{Fingerprint, Route};
 
@@ -195,10 +195,8 @@
         if !is_enabled || !events.is_multiple_of(MOVE_CHECK_INTERVAL_EVENTS) {
             return None;
         }
-        let item = RunningItem {
-            latency_percent: self.context.endpoints.latency_percent_of(instance),
-            events,
-        };
+        let endpoints = &self.context.endpoints;
+        let item = endpoints.running_item(&request.service, instance, events);
         if item.latency_percent < MIN_SLOW_PERCENT {
             return None;
         }
--- a/crates/borageshore_routing/src/endpoint.rs
+++ b/crates/borageshore_routing/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! The endpoints that a daemon observes, with their load, failure rate and outlier ejection.
 
-use std::sync::Arc;
+use std::{collections::VecDeque, sync::Arc};
 
 use borageshore_base::SortedMap;
 
@@ -25,6 +25,8 @@
 const REPORT_HALF_LIFE_MS: u64 = 1_000;
 /// A reported slowdown changes within about this time and says nothing about the VM afterwards.
 const SLOWDOWN_LIFETIME_MS: u64 = 600;
+/// The usual slowdown of a VM is the median of this many reports. A momentary slowdown shows in few of them.
+const USUAL_SLOWDOWN_REPORTS: usize = 9;
 /// A failure rate says nothing about an endpoint any more after this time without a failure.
 const FAILURE_RATE_LIFETIME_MS: u64 = 10_000;
 /// A VM that is as fast as usual.
@@ -79,6 +81,9 @@
     reported_at_ms: u64,
     in_flight_at_report: u64,
     has_reported_slowdown: bool,
+    /// The last reported slowdowns, oldest first.
+    slowdowns_percent: VecDeque<u64>,
+    usual_slowdown_percent: u64,
     consecutive_failures: u32,
     failure_rate_permille: u64,
     failed_at_ms: u64,
@@ -95,6 +100,8 @@
             reported_at_ms: 0,
             in_flight_at_report: 0,
             has_reported_slowdown: false,
+            slowdowns_percent: VecDeque::new(),
+            usual_slowdown_percent: NO_SLOWDOWN_PERCENT,
             consecutive_failures: 0,
             failure_rate_permille: 0,
             failed_at_ms: 0,
@@ -114,6 +121,11 @@
         self.reported_at_ms
     }
 
+    /// Whether it has reported since it started how slow its VM is.
+    pub fn has_reported_slowdown(&self) -> bool {
+        self.has_reported_slowdown
+    }
+
     fn is_needed(&self) -> bool {
         self.listing.state == EndpointState::Live || self.in_flight > 0
     }
@@ -145,12 +157,37 @@
         let Some(reported) = self.report.and_then(|report| report.slowdown_percent) else {
             return NO_SLOWDOWN_PERCENT;
         };
-        let reported = reported.min(MAX_SLOWDOWN_PERCENT);
+        self.faded(reported.min(MAX_SLOWDOWN_PERCENT), now_ms)
+    }
+
+    /// How much longer work takes on its VM at the moment than it usually does there, in percent: 100 if not, or if the
+    /// last report is old. A VM that is always slow is as slow as usual.
+    pub fn momentary_slowdown_percent(&self, now_ms: u64) -> u64 {
+        let Some(reported) = self.report.and_then(|report| report.slowdown_percent) else {
+            return NO_SLOWDOWN_PERCENT;
+        };
+        let reported = reported.min(MAX_SLOWDOWN_PERCENT) * 100;
+        let relative = reported / self.usual_slowdown_percent.max(1);
+        self.faded(relative.max(NO_SLOWDOWN_PERCENT), now_ms)
+    }
+
+    /// A slowdown of the last report, nearer to none the older the report is.
+    fn faded(&self, slowdown_percent: u64, now_ms: u64) -> u64 {
         let age_ms = now_ms.saturating_sub(self.reported_at_ms);
         let faded_ms = age_ms.min(SLOWDOWN_LIFETIME_MS);
-        let weighted =
-            reported * (SLOWDOWN_LIFETIME_MS - faded_ms) + NO_SLOWDOWN_PERCENT * faded_ms;
-        weighted / SLOWDOWN_LIFETIME_MS
+        let left_ms = SLOWDOWN_LIFETIME_MS - faded_ms;
+        (slowdown_percent * left_ms + NO_SLOWDOWN_PERCENT * faded_ms) / SLOWDOWN_LIFETIME_MS
+    }
+
+    fn add_slowdown(&mut self, slowdown_percent: u64) {
+        if self.slowdowns_percent.len() == USUAL_SLOWDOWN_REPORTS {
+            self.slowdowns_percent.pop_front();
+        }
+        self.slowdowns_percent
+            .push_back(slowdown_percent.min(MAX_SLOWDOWN_PERCENT));
+        let mut sorted: Vec<u64> = self.slowdowns_percent.iter().copied().collect();
+        sorted.sort_unstable();
+        self.usual_slowdown_percent = sorted[sorted.len() / 2];
     }
 
     /// The share of its requests that failed lately, in thousandths. Approaches 0 with the time since the last failure,
@@ -247,7 +284,11 @@
             endpoint.report = Some(report);
             endpoint.reported_at_ms = now_ms;
             endpoint.in_flight_at_report = endpoint.in_flight;
-            if report.slowdown_percent.is_some() && !endpoint.has_reported_slowdown {
+            let Some(slowdown_percent) = report.slowdown_percent else {
+                return;
+            };
+            endpoint.add_slowdown(slowdown_percent);
+            if !endpoint.has_reported_slowdown {
                 endpoint.has_reported_slowdown = true;
                 let service = endpoint.listing.service.clone();
                 *self.slowdown_reporters.get_or_insert_with(service, || 0) += 1;
--- a/crates/borageshore_routing/tests/uneven_endpoints.rs
+++ b/crates/borageshore_routing/tests/uneven_endpoints.rs
@@ -141,6 +141,24 @@
         }
     }
 
+    // Guards against an engine that is always slow and passes for one that is slow for a moment, and the other way round.
+    a_momentary_slowdown_is_told_from_a_lasting_one => {
+        let mut table = reported(&[170]);
+        let mut momentary_percent = |slowdown_percent: u64, now_ms: u64| {
+            table.on_report("e0", report(0, Some(slowdown_percent)), now_ms);
+            let endpoint = table.get("e0").unwrap();
+            [0, 300, 600].map(|age_ms| endpoint.momentary_slowdown_percent(now_ms + age_ms))
+        };
+        for now_ms in 1..9 {
+            assert_eq!(momentary_percent(170, now_ms), [100; 3]);
+        }
+        for now_ms in 9..13 {
+            assert_eq!(momentary_percent(425, now_ms), [250, 175, 100]);
+        }
+        assert_eq!(momentary_percent(425, 13), [100; 3], "it lasts");
+        assert_eq!(momentary_percent(170, 14), [100; 3], "never faster than usual");
+    }
+
     // Guards against a cost that overflows, or an endpoint that attracts all calls, by one absurd report.
     an_absurd_slowdown_is_limited => {
         let mut table = reported(&[u64::MAX, 100, 100]);
