A successor knows which engines are slow

Cause: each new owner of the work learns the engines' latencies anew, and places its first long texts on any of them. Change: the owner adds the lasting latencies that differ from the median to the records of unfinished texts, each 2 s for each shard, in steps of 10 % and 64 at most, about 3 KB. A successor takes them over with the texts; they count for listed engines that it has not measured, for 15 s. Records older than 15 s and implausible latencies are ignored, with a log line. Where engines report no slowdowns nothing is written, and records are byte for byte what they were.

--- a/crates/borageshore_batch/src/event_latencies.rs
+++ b/crates/borageshore_batch/src/event_latencies.rs
@@ -1,8 +1,9 @@
 //! Time between the events of a stream, by engine.
 
-use std::sync::Arc;
+use std::{cmp::Reverse, sync::Arc};
 
 use borageshore_base::SortedMap;
+use serde::{Deserialize, Serialize};
 
 /// Weight of a new sample in the moving average, in percent.
 const NEW_SAMPLE_WEIGHT_PERCENT: u64 = 25;
@@ -17,6 +18,24 @@
 /// Reported for an engine without a recent sample.
 const MEDIAN_PERCENT: u64 = 100;
 
+/// Steady averages that differ from the median by less than this are not handed over: placement hardly tells them apart.
+const MIN_HANDED_OVER_DIFFERENCE_PERCENT: u64 = 15;
+/// Handed-over latencies are rounded to this, so that they are rarely seen to change.
+const HANDED_OVER_STEP_PERCENT: u64 = 10;
+/// The maximum number of handed-over latencies, about 3 KB in a record.
+const MAX_HANDED_OVER: usize = 64;
+/// Handed-over latencies above this are refused as garbled.
+const MAX_HANDED_OVER_PERCENT: u64 = 10_000;
+
+/// The lasting latency of an engine, as the owner of items hands it over to its successor.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLatency {
+    /// The instance.
+    pub instance: Arc<str>,
+    /// Its time per event in percent of the median.
+    pub percent: u64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Latency {
     us_per_event: u64,
@@ -29,6 +48,9 @@
 #[derive(Debug, Default)]
 pub struct EventLatencies {
     latencies: SortedMap<Arc<str>, Latency>,
+    /// Latencies of another daemon, in percent of its median, with the time at which they were handed over. They count
+    /// for engines without a sample of this daemon.
+    handed_over: SortedMap<Arc<str>, (u64, u64)>,
 }
 
 impl EventLatencies {
@@ -94,13 +116,56 @@
             Some(latency) if median_us > 0 && latency.is_recent(now_ms) => {
                 (latency.us_per_event * 100 / median_us).max(1)
             }
-            _ => MEDIAN_PERCENT,
+            _ => match self.handed_over.get(instance) {
+                Some((percent, at_ms)) if now_ms < at_ms + MAX_AGE_MS => *percent,
+                _ => MEDIAN_PERCENT,
+            },
+        }
+    }
+
+    /// The steady averages that differ from the median, for a successor; the most different ones if there are too many.
+    pub fn to_hand_over(&self, now_ms: u64) -> Vec<EngineLatency> {
+        let is_lasting = |latency: &Latency| {
+            latency.covered_ms * 2 >= STEADY_WINDOW_MS && latency.is_recent(now_ms)
+        };
+        if !self.latencies.values().any(is_lasting) {
+            return Vec::new();
+        }
+        let median_us = self.median_us(now_ms).max(1);
+        let lasting = self
+            .latencies
+            .iter()
+            .filter(|(_, latency)| is_lasting(latency));
+        let differing = lasting.filter_map(|(instance, latency)| {
+            let percent = latency.us_per_event * 100 / median_us;
+            let is_different =
+                percent.abs_diff(MEDIAN_PERCENT) >= MIN_HANDED_OVER_DIFFERENCE_PERCENT;
+            let steps = (percent + HANDED_OVER_STEP_PERCENT / 2) / HANDED_OVER_STEP_PERCENT;
+            is_different.then(|| EngineLatency {
+                instance: instance.clone(),
+                percent: steps.max(1) * HANDED_OVER_STEP_PERCENT,
+            })
+        });
+        let mut differing: Vec<EngineLatency> = differing.collect();
+        differing.sort_by_key(|latency| Reverse(latency.percent.abs_diff(MEDIAN_PERCENT)));
+        differing.truncate(MAX_HANDED_OVER);
+        differing
+    }
+
+    /// Takes over what another daemon measured of an engine; returns whether the latency is plausible.
+    pub fn take_over(&mut self, handed_over: &EngineLatency, now_ms: u64) -> bool {
+        let is_plausible = (1..=MAX_HANDED_OVER_PERCENT).contains(&handed_over.percent);
+        if is_plausible {
+            let taken = (handed_over.percent, now_ms);
+            self.handed_over.insert(handed_over.instance.clone(), taken);
         }
+        is_plausible
     }
 
     /// Forgets an instance that has ended.
     pub fn remove(&mut self, instance: &str) {
         self.latencies.remove(instance);
+        self.handed_over.remove(instance);
     }
 }
 
--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -34,7 +34,7 @@
 mod view_position;
 
 pub use self::{
-    event_latencies::EventLatencies,
+    event_latencies::{EngineLatency, EventLatencies},
     group_placements::GroupPlacements,
     index_entry::{Demand, IndexEntry},
     instance::instance_name,
@@ -52,6 +52,6 @@
         plan_round,
     },
     text::{Text, TextError},
-    text_pieces::{PieceBatch, PieceJoiner, TextPiece},
+    text_pieces::{EngineReport, PieceBatch, PieceJoiner, TextPiece},
     view_position::ViewPosition,
 };
--- a/crates/borageshore_batch/src/text_pieces.rs
+++ b/crates/borageshore_batch/src/text_pieces.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::text::Text;
+use crate::{event_latencies::EngineLatency, text::Text};
 
 /// Consecutive events of one run of an item.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +32,18 @@
     pub needed_from: u64,
     /// The pieces.
     pub pieces: Vec<TextPiece>,
+    /// What the author measured of engines, if it is due.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub engines: Option<EngineReport>,
+}
+
+/// The lasting latencies of engines that the author of a batch measured.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineReport {
+    /// The Unix time at which they were written, in ms.
+    pub at_unix_ms: u64,
+    /// The latencies that differ from the median.
+    pub latencies: Vec<EngineLatency>,
 }
 
 impl PieceBatch {
--- a/crates/borageshore_batch/tests/event_latencies.rs
+++ b/crates/borageshore_batch/tests/event_latencies.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use borageshore_batch::EventLatencies;
+use borageshore_batch::{EngineLatency, EngineReport, EventLatencies, PieceBatch};
 
 fn measured(intervals_us: &[u64]) -> EventLatencies {
     let mut latencies = EventLatencies::default();
@@ -45,6 +45,13 @@
     latencies.percent_of_median(instance, latencies.median_us(now_ms), now_ms)
 }
 
+fn handed_over(instance: &str, percent: u64) -> EngineLatency {
+    EngineLatency {
+        instance: instance.into(),
+        percent,
+    }
+}
+
 macro_rules! cases {
     ($($name:ident => $body:block)*) => {
         $(#[test] fn $name() $body)*
@@ -103,4 +110,53 @@
         let after = percent(&latencies, "e-1", 6_010);
         assert!(after < before + 30, "{before}, then {after}");
     }
+
+    // Guards against a successor that places its first long texts on slow engines.
+    a_successor_knows_the_slow_engines_until_it_has_measured_them => {
+        let saved = steady(6_000).to_hand_over(6_000);
+        let slow = saved.iter().find(|latency| &*latency.instance == "e-4").unwrap();
+        assert!(slow.percent >= 150 && slow.percent.is_multiple_of(10), "{slow:?}");
+        let mut successor = EventLatencies::default();
+        assert!(successor.take_over(slow, 0));
+        assert_eq!(percent(&successor, "e-4", 100), slow.percent);
+        assert_eq!(percent(&successor, "e-4", 15_000), 100, "too old");
+        for engine in ["e-1", "e-2", "e-4"] {
+            successor.record_steady(&engine.into(), 36_000, 100, 200);
+        }
+        assert_eq!(percent(&successor, "e-4", 200), 100, "measured itself");
+        successor.take_over(&handed_over("e-5", 300), 200);
+        successor.remove("e-5");
+        assert_eq!(percent(&successor, "e-5", 200), 100, "ended");
+    }
+
+    // Guards against a record that grows with the number of engines, and against one where engines report nothing.
+    what_is_handed_over_is_bounded => {
+        assert_eq!(measured(&[36_000, 36_000, 48_000]).to_hand_over(0), []);
+        let mut latencies = EventLatencies::default();
+        for now_ms in (0..4_000).step_by(40) {
+            for number in 0..1_000 {
+                let interval_us = 36_000 + 100 * number;
+                latencies.record_steady(&Arc::from(format!("e-{number}")), interval_us, 100, now_ms);
+            }
+        }
+        let saved = latencies.to_hand_over(4_000);
+        assert_eq!(saved.len(), 64);
+        assert!(saved.iter().all(|latency| latency.percent.abs_diff(100) > 40), "the most different ones");
+    }
+
+    // Guards against texts that are lost with an unknown or missing report, and against garbled latencies.
+    garbled_or_missing_reports_change_nothing => {
+        let batch = PieceBatch { author: "vm-1".into(), needed_from: 0, pieces: vec![], engines: None };
+        let without = batch.encode();
+        assert!(!String::from_utf8_lossy(&without).contains("engines"), "as it was before");
+        assert_eq!(PieceBatch::decode(&without).as_ref(), Some(&batch));
+        let engines = Some(EngineReport { at_unix_ms: 7, latencies: vec![handed_over("e-1", 240)] });
+        let with = PieceBatch { engines, ..batch };
+        assert_eq!(PieceBatch::decode(&with.encode()), Some(with));
+        assert_eq!(PieceBatch::decode(br#"{"author":"vm-1","needed_from":0,"pieces":[],"engines":{"at_unix_ms":"x"}}"#), None);
+        let mut latencies = EventLatencies::default();
+        assert!(!latencies.take_over(&handed_over("e-1", 0), 0));
+        assert!(!latencies.take_over(&handed_over("e-1", u64::MAX), 0));
+        assert_eq!(percent(&latencies, "e-1", 0), 100);
+    }
 }
--- a/crates/borageshore_batch/tests/text_pieces.rs
+++ b/crates/borageshore_batch/tests/text_pieces.rs
@@ -73,6 +73,7 @@
             author,
             needed_from: 0,
             pieces: vec![piece],
+            engines: None,
         };
         batch.encode()
     }
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -10,7 +10,9 @@
 };
 
 use borageshore_base::{SortedMap, rendezvous_weight};
-use borageshore_batch::{EngineVersions, EngineView, EventLatencies, ModelVersion, RunningItem};
+use borageshore_batch::{
+    EngineLatency, EngineVersions, EngineView, EventLatencies, ModelVersion, RunningItem,
+};
 use borageshore_net::Clock;
 use borageshore_platform::{EndpointClient, EndpointEntry, EndpointTarget, Features};
 use borageshore_routing::{
@@ -343,6 +345,25 @@
         }
     }
 
+    /// The lasting latencies of engines that differ from the median; none where engines do not report slowdowns.
+    pub(crate) fn latencies_to_hand_over(&self) -> Vec<EngineLatency> {
+        let now_ms = self.clock.now_ms();
+        self.latencies.borrow().to_hand_over(now_ms)
+    }
+
+    /// Takes over latencies that another daemon measured, of the engines that are still listed; returns their number.
+    pub(crate) fn take_over_latencies(&self, handed_over: &[EngineLatency]) -> usize {
+        let now_ms = self.clock.now_ms();
+        let targets = self.targets.borrow();
+        let mut latencies = self.latencies.borrow_mut();
+        let is_listed = |latency: &&EngineLatency| targets.contains_key(&latency.instance);
+        let mut taken = 0;
+        for latency in handed_over.iter().filter(is_listed) {
+            taken += usize::from(latencies.take_over(latency, now_ms));
+        }
+        taken
+    }
+
     /// An item that is running at an engine of a service.
     pub(crate) fn running_item(
         &self,
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -122,6 +122,7 @@
             store.clone(),
             clock,
             members.clone(),
+            endpoints.clone(),
             author.as_str().into(),
             partitions,
             mechanisms.is_enabled(Mechanism::StoredTexts),
--- a/crates/borageshore_gateway/src/progress.rs
+++ b/crates/borageshore_gateway/src/progress.rs
@@ -5,17 +5,18 @@
     cmp::Reverse,
     rc::Rc,
     sync::Arc,
+    time::{SystemTime, UNIX_EPOCH},
 };
 
 use borageshore_base::SortedMap;
-use borageshore_batch::{PieceBatch, PieceJoiner, Text, TextPiece};
+use borageshore_batch::{EngineReport, PieceBatch, PieceJoiner, Text, TextPiece};
 use borageshore_net::{Clock, sleep_ms, within_ms};
 use borageshore_platform::StoreError;
 use bytes::Bytes;
 use futures_util::future::join_all;
 use tokio::sync::Notify;
 
-use crate::{ledger_view::Shard, members::Members, store_transport::Store};
+use crate::{endpoints::Endpoints, ledger_view::Shard, members::Members, store_transport::Store};
 
 /// The minimum interval at which new events are saved; a crash loses the events since the last save.
 const SAVE_INTERVAL_MS: u64 = 250;
@@ -36,6 +37,11 @@
 /// seconds of one daemon's records, or four if two write to the same shard. It must be enough to find the last records
 /// of an owner whose death was detected some seconds later.
 const TAIL_RECORDS: u64 = 32;
+/// The minimum interval at which the latencies of engines are saved in a shard, with the texts. It must be short enough
+/// that the last [`TAIL_RECORDS`] hold one.
+const SAVE_LATENCIES_INTERVAL_MS: u64 = 2_000;
+/// Older latencies of engines are ignored: engines have turned slow or fast again since.
+const MAX_LATENCIES_AGE_MS: u64 = 15_000;
 
 /// The run of an item whose text is being saved.
 #[derive(Debug)]
@@ -72,12 +78,15 @@
     store: Store,
     clock: Clock,
     members: Rc<Members>,
+    endpoints: Rc<Endpoints>,
     /// The name of this process, unique among all processes ever started.
     author: Arc<str>,
     partitions: u64,
     is_enabled: bool,
     runs: RefCell<SortedMap<u64, SavedRun>>,
     next_run: Cell<u64>,
+    /// When the latencies of engines were last saved, by the number of the shard.
+    latencies_saved_at_ms: RefCell<SortedMap<usize, u64>>,
     is_failing: Cell<bool>,
     run_added: Notify,
 }
@@ -87,6 +96,7 @@
         store: Store,
         clock: Clock,
         members: Rc<Members>,
+        endpoints: Rc<Endpoints>,
         author: Arc<str>,
         partitions: u64,
         is_enabled: bool,
@@ -95,11 +105,13 @@
             store,
             clock,
             members,
+            endpoints,
             author,
             partitions,
             is_enabled,
             runs: RefCell::default(),
             next_run: Cell::default(),
+            latencies_saved_at_ms: RefCell::default(),
             is_failing: Cell::default(),
             run_added: Notify::new(),
         });
@@ -234,12 +246,50 @@
         }
         let shard_runs = runs.values().filter(|run| run.shard == shard);
         let needed_from = shard_runs.filter_map(|run| run.first_offset).min();
+        if stored_until.is_empty() {
+            return None;
+        }
         let batch = PieceBatch {
             author: self.author.clone(),
             needed_from: needed_from.unwrap_or(u64::MAX),
             pieces,
+            engines: self.engine_report(shard),
         };
-        (!stored_until.is_empty()).then_some((batch, stored_until))
+        Some((batch, stored_until))
+    }
+
+    /// What to save of the engines' latencies with the next texts of a shard.
+    fn engine_report(&self, shard: Shard) -> Option<EngineReport> {
+        let now_ms = self.clock.now_ms();
+        let mut saved_at_ms = self.latencies_saved_at_ms.borrow_mut();
+        saved_at_ms.retain(|_, at_ms| now_ms < *at_ms + SAVE_LATENCIES_INTERVAL_MS);
+        if saved_at_ms.contains_key(&shard.number()) {
+            return None;
+        }
+        let latencies = self.endpoints.latencies_to_hand_over();
+        if latencies.is_empty() {
+            return None;
+        }
+        saved_at_ms.insert(shard.number(), now_ms);
+        Some(EngineReport {
+            at_unix_ms: unix_ms(),
+            latencies,
+        })
+    }
+
+    /// Takes over what the last owner of a shard measured of the engines.
+    fn take_over_latencies(&self, batches: &[PieceBatch]) {
+        let reports = batches.iter().filter_map(|batch| batch.engines.as_ref());
+        let Some(report) = reports.max_by_key(|report| report.at_unix_ms) else {
+            return;
+        };
+        let age_ms = unix_ms().abs_diff(report.at_unix_ms);
+        if age_ms >= MAX_LATENCIES_AGE_MS {
+            log::info!(age_ms; "saved latencies of engines are too old; all engines count as equal");
+            return;
+        }
+        let taken = self.endpoints.take_over_latencies(&report.latencies);
+        log::info!(engines = report.latencies.len(), taken, age_ms; "took over the latencies of engines");
     }
 
     /// Removes saved events from the runs; an overlapping append may have removed some already.
@@ -296,6 +346,7 @@
         let last = self.read_batches(shard, tail, end).await?;
         let needed_from = last.iter().map(|batch| batch.needed_from).min();
         let needed_from = needed_from.unwrap_or(tail).min(tail);
+        self.take_over_latencies(&last);
         let earlier = self.read_batches(shard, needed_from, tail).await?;
         let mut joiner = PieceJoiner::default();
         for batch in earlier.into_iter().chain(last) {
@@ -330,6 +381,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |since| since.as_millis() as u64)
+}
+
 /// The bytes that this daemon may save at a time: an equal share of `MAX_TOTAL_BYTES_PER_S`.
 fn bytes_per_save(interval_ms: u64, holders: usize) -> usize {
     MAX_TOTAL_BYTES_PER_S * interval_ms as usize / 1_000 / holders
