Log the first reported slowdown of a service

One line for each service and start of a daemon: from then on its endpoints are chosen by slowdown and idle connection, which a reader of the log should see. EndpointTable::on_report tells whether an endpoint is the first of its service.

--- a/crates/borageshore_gateway/src/endpoints/in_flight.rs
+++ b/crates/borageshore_gateway/src/endpoints/in_flight.rs
@@ -24,7 +24,12 @@
         if let Some(load) = load {
             let now_ms = self.endpoints.clock.now_ms();
             let mut table = self.endpoints.table.borrow_mut();
-            table.on_report(&self.instance, load, now_ms);
+            if table.on_report(&self.instance, load, now_ms) {
+                let service = table
+                    .get(&self.instance)
+                    .map(|known| &*known.listing.service);
+                log::info!(service, instance = &*self.instance, slowdown_percent = load.slowdown_percent; "endpoints of a service report slowdowns; counting them in its choice");
+            }
         }
     }
 
--- a/crates/borageshore_routing/src/endpoint.rs
+++ b/crates/borageshore_routing/src/endpoint.rs
@@ -278,22 +278,25 @@
         self.slowdown_reporters.contains_key(service)
     }
 
-    /// Records a load report.
-    pub fn on_report(&mut self, name: &str, report: LoadReport, now_ms: u64) {
-        if let Some(endpoint) = self.endpoints.get_mut(name) {
-            endpoint.report = Some(report);
-            endpoint.reported_at_ms = now_ms;
-            endpoint.in_flight_at_report = endpoint.in_flight;
-            let Some(slowdown_percent) = report.slowdown_percent else {
-                return;
-            };
-            endpoint.add_slowdown(slowdown_percent);
-            if !endpoint.has_reported_slowdown {
-                endpoint.has_reported_slowdown = true;
-                let service = endpoint.listing.service.clone();
-                *self.slowdown_reporters.get_or_insert_with(service, || 0) += 1;
-            }
+    /// Records a load report. Returns whether the endpoint is the first known one of its service to report a slowdown.
+    pub fn on_report(&mut self, name: &str, report: LoadReport, now_ms: u64) -> bool {
+        let Some(endpoint) = self.endpoints.get_mut(name) else {
+            return false;
+        };
+        endpoint.report = Some(report);
+        endpoint.reported_at_ms = now_ms;
+        endpoint.in_flight_at_report = endpoint.in_flight;
+        let Some(slowdown_percent) = report.slowdown_percent else {
+            return false;
+        };
+        endpoint.add_slowdown(slowdown_percent);
+        if std::mem::replace(&mut endpoint.has_reported_slowdown, true) {
+            return false;
         }
+        let service = endpoint.listing.service.clone();
+        let reporters = self.slowdown_reporters.get_or_insert_with(service, || 0);
+        *reporters += 1;
+        *reporters == 1
     }
 
     /// Counts a request that is about to be sent.
--- a/crates/borageshore_routing/tests/uneven_endpoints.rs
+++ b/crates/borageshore_routing/tests/uneven_endpoints.rs
@@ -176,7 +176,8 @@
         let moved = EndpointListing { address: "127.0.0.1:9".into(), ..listing(1) };
         table.on_listed(moved);
         assert!(!table.reports_slowdowns("s"));
-        table.on_report("e1", report(0, Some(120)), 2);
+        assert!(table.on_report("e1", report(0, Some(120)), 2), "the first again");
+        assert!(!table.on_report("e1", report(0, Some(120)), 2));
         assert!(table.reports_slowdowns("s"));
         table.on_start("e1");
         table.on_listing(vec![]);
@@ -208,7 +209,9 @@
     let mut random = Pcg64Mcg::seed_from_u64(7);
     let mut tables: Vec<EndpointTable> = (0..DAEMONS).map(|_| table(3)).collect();
     for table in &mut tables {
-        (0..3).for_each(|number| table.on_report(&format!("e{number}"), report(0, None), 0));
+        for number in 0..3 {
+            table.on_report(&format!("e{number}"), report(0, None), 0);
+        }
     }
     let mut idle = vec![[0; 3]; DAEMONS];
     let mut endpoints: [Vec<Running>; 3] = Default::default();
