Order, share and usual latency of reward calls

Cause: waiting reward calls start in no order, so steps whose texts end together are all complete only with the last of their calls; and each daemon takes 60 % of a service by itself.

Change: pure decisions. Calls whose group waits for scores only start first, then those of the step that was seen first, of the more important route, of the group with the fewest items left; one in four starts goes to the oldest call once it waited a second. The share is what the others' load leaves of 85 % of the slots, between 10 and 60 %. A call takes too long at twice the median of the last 128.

In the pure load test (three steps of 112 texts at once, 60 slots, 200 ms a call) steps are complete at 0.4, 0.8 and 1.2 s instead of 1.2 s for all three.

Ruled out: fewest items left before the older step; a high percentile as the usual latency, see docs/design/reward-calls.md.

--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -26,6 +26,8 @@
 
 mod placement;
 mod record;
+mod reward_latencies;
+mod reward_queue;
 mod submission;
 mod swaps;
 mod text;
@@ -46,6 +48,8 @@
         EngineView, PlacementRequest, RunningItem, can_take, choose_better_engine, choose_engine,
     },
     record::LedgerRecord,
+    reward_latencies::RewardLatencies,
+    reward_queue::{RewardQueue, RewardRank, reward_slot_limit},
     submission::{Item, ItemResult, ItemState, ModelVersion, RewardCall, Submission},
     swaps::{
         EngineState, EngineVersions, ModelTarget, SwapLimits, SwapRound, load_candidates,
