Reward calls in order, within a shared bound, hedged

Change: where `has_contention` of the service holds, calls wait in a queue for a slot, the bound follows the endpoints' reports, and a call that takes twice the usual time is sent to a second endpoint within a budget of 20 %; never as a trial of the quarantine. Each 500 counts once, both endpoints that failed are avoided next. Elsewhere calls wait as before and are not hedged. `rewards/groups.rs` counts the items of groups that run here, so the order needs no look at records. The sums over endpoints are kept for 20 ms, so a call in a large service costs less than before.

Ruled out: a look at the ledger for each call (a search over all items of a step); a place in the queue for hedges.

--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -135,7 +135,6 @@
     }
 
     /// Whether requests to a service may compete for its endpoints: the deployment expects overload.
-    #[allow(dead_code)]
     pub(crate) fn has_contention(&self, _service: &str) -> bool {
         self.features.overload_control
     }
@@ -280,6 +279,16 @@
         of_service.map(|entry| entry.slots).sum()
     }
 
+    /// The estimated running and queued requests of all daemons at a service's endpoints.
+    pub(crate) fn load_of(&self, service: &str) -> u64 {
+        let now_ms = self.clock.now_ms();
+        let table = self.table.borrow();
+        let of_service = table
+            .iter()
+            .filter(|endpoint| &*endpoint.listing.service == service);
+        of_service.map(|endpoint| endpoint.load(now_ms)).sum()
+    }
+
     pub(crate) fn with_versions<Read, Output>(&self, read: Read) -> Output
     where
         Read: FnOnce(&EngineVersions) -> Output,
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -139,6 +139,7 @@
                 client: client.clone(),
                 clock,
                 quarantine: quarantine.clone(),
+                instruments: instruments.clone(),
             }),
             quarantine: quarantine.clone(),
             writer: writer.clone(),
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -8,7 +8,7 @@
     sync::Arc,
 };
 
-use borageshore_batch::{Item, ItemRank, ItemResult, ItemState, Submission, Text};
+use borageshore_batch::{Item, ItemRank, ItemResult, ItemState, RewardCall, Submission, Text};
 use borageshore_diagnostics::Instruments;
 use borageshore_net::{Clock, sleep_ms, within_ms};
 use borageshore_platform::{EndpointClient, item_fingerprint};
@@ -23,7 +23,7 @@
     mechanisms::{Mechanism, Mechanisms},
     progress::{Progress, SaveHandle},
     quarantine::{Permit, Quarantine},
-    rewards::{Reward, Rewards},
+    rewards::{GroupMember, Reward, Rewards, ScoreRequest},
     routes::Routes,
     text_cache::TextCache,
     writer::Writer,
@@ -73,6 +73,7 @@
         timing: Timing::default(),
         save_handle: RefCell::default(),
         content: OnceCell::new(),
+        member: context.rewards.join_group(&submission, item),
     };
     let result = run.finish().await;
     let outcome = match result.state {
@@ -103,6 +104,8 @@
     timing: Timing,
     save_handle: RefCell<Option<SaveHandle>>,
     content: OnceCell<Fingerprint>,
+    /// The item, counted in its group until it has a result.
+    member: GroupMember,
 }
 
 /// Progress of an item; times are in ms since its submission was first seen.
@@ -128,9 +131,10 @@
         }
         self.timing.generated_ms.set(self.waited_ms());
         self.timing.events.set(text.last_event());
+        self.member.on_text_complete();
         let mut score = None;
         if let Some(call) = &self.item.reward {
-            match self.context.rewards.score(call, self.deadline_ms()).await {
+            match self.context.rewards.score(self.score_request(call)).await {
                 Reward::Score(signature) => score = Some(signature),
                 Reward::Failed => {
                     cached.remove();
@@ -176,6 +180,20 @@
         self.seen_at_ms.saturating_add(retention_ms)
     }
 
+    fn score_request<'c>(&'c self, call: &'c RewardCall) -> ScoreRequest<'c> {
+        let Submission { host, path, .. } = self.submission;
+        let organisation = self.submission.organisation.as_deref();
+        let routes = &self.context.routes;
+        let route = routes.find(host, path);
+        ScoreRequest {
+            call,
+            member: &self.member,
+            step_seen_at_ms: self.seen_at_ms,
+            priority: route.map_or(u64::MAX, |route| routes.priority(&route, organisation)),
+            give_up_ms: self.deadline_ms(),
+        }
+    }
+
     fn waited_ms(&self) -> u64 {
         self.context.clock.now_ms() - self.seen_at_ms
     }
