Hedges only for scores that complete a group; a case with real daemons

Change: a call is hedged only once its group waits for scores alone. The soak can set the features of its daemons and silence an endpoint of the plain service; a case plays both.

Ruled out: letting the slower request run on; it would hold a slot, and a silent endpoint's connection is lost anyway.

--- a/crates/borageshore_gateway/src/rewards/attempt.rs
+++ b/crates/borageshore_gateway/src/rewards/attempt.rs
@@ -70,6 +70,11 @@
         let hedge_after_ms = may_hedge.then(|| self.too_long_ms(service)).flatten();
         let started_at_ms = parts.clock.now_ms();
         let start_hedge = || {
+            // While its group is still generating, nobody waits for the score; a hedge costs a connection.
+            if request.member.group().is_generating() {
+                parts.instruments.count("reward", "hedge_not_urgent");
+                return None;
+            }
             let hedge = self.hedge(service, scoring, &instance, deadline)?;
             Some(self.send(scoring, permit, hedge))
         };
--- a/crates/borageshore_soak/src/daemons.rs
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -69,9 +69,10 @@
              store_partitions: 2\naddress_ttl_s: {ADDRESS_TTL_S}\nstop_grace_s: {STOP_GRACE_S}\nresults_kept_s: {}\norder_lease_ms: 3000\n\
              parallel_loads_percent: 50\nload_share_percent: 50\nkey_revocation_ms: {REVOCATION_MS}\n\
              duties:\n  address: {duties}\n  usage_window_s: {WINDOW_S}\n  usage_late_s: {REPORT_DUE_S}\n\
-             mechanisms_off: [{}]\ndeployment: soak\n{}",
+             features: [{}]\nmechanisms_off: [{}]\ndeployment: soak\n{}",
             store.address(),
             options.results_kept_s,
+            options.features.join(", "),
             options.mechanisms_off.join(", "),
             store_limit
         );
--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -163,6 +163,7 @@
                 TimedFault::SlowAllEngines => Fault::SlowAllEngines,
                 TimedFault::RestartEngine => Fault::RestartEngine(0),
                 TimedFault::ForeignEntry => Fault::ForeignEntry(0),
+                TimedFault::SilentService => Fault::ServiceLink(0, ProxyMode::Silent),
                 TimedFault::StoreOutage | TimedFault::LongOutage => Fault::Store(StoreMode::Silent),
                 TimedFault::RevokeKey => Fault::RevokeKey,
                 TimedFault::LoseDutyResponses => Fault::Duties(DutyMode::LostAnswers),
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -62,6 +62,8 @@
     RestartEngine,
     /// Another writer overwrites the entry of the first endpoint of the plain service.
     ForeignEntry,
+    /// The first endpoint of the plain service receives no requests and sends no responses.
+    SilentService,
     /// The store answers no request.
     StoreOutage,
     /// The store answers no request for longer than a revoked key may be accepted.
@@ -109,6 +111,8 @@
     pub has_crashing_reward: bool,
     /// Whether callers belong to organisations and authenticate with keys.
     pub organisations: bool,
+    /// What the settings of the daemons expect beyond the basic service.
+    pub features: Vec<&'static str>,
     /// Disabled mechanisms of the daemons, by their names in the settings.
     pub mechanisms_off: Vec<&'static str>,
     /// Megabytes a second that the daemons are told the store's reads return; few make them read from each other.
@@ -142,6 +146,7 @@
             has_crashing_item: false,
             has_crashing_reward: false,
             organisations: false,
+            features: Vec::new(),
             mechanisms_off: Vec::new(),
             store_read_mb_per_s: None,
             long_generations: false,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -76,6 +76,15 @@
         assert!(pause_ms < 3_000, "{pause_ms}");
     }
 
+    // Where requests compete for endpoints, a reward call that is sent to a second endpoint while the first is silent is
+    // never scored, or an item gets the score of another call.
+    steps_are_scored_while_an_endpoint_is_silent => {
+        let script = Script::Timed(vec![(3_000, TimedFault::SilentService)]);
+        let report = play(&SoakOptions { features: vec!["pressure"], ..options(60, script) });
+        assert!(report.submissions >= 3, "{}", report.submissions);
+        assert!(report.results >= 3 * 15, "{}", report.results);
+    }
+
     // A trainer waits forever for a step whose daemon was killed.
     the_daemon_that_runs_a_step_is_killed => {
         let script = vec![(1_500, TimedFault::KillHolder), (4_500, TimedFault::KillHolder)];
