The holder of the duties orders endpoints within the operator's limits

Cause: the platform takes orders for endpoints (POST /scale) and the routes name the limits; neither was read, and all steps shared the engines that were there.

Change: platform/ decodes services[].scaling (invalid limits leave the routes in force), spot of an entry, and sends orders; 409 is an answer of its own. The holder plans once or twice a second, announces under scale/SERVICE/ZONE in the duties' partition and then calls, on the epoch and lease rules of the usage reports: an announcement is conditional on the offset read, a call leaves within the send window or not at all, and subjects wait for the lease of another holder. On only if the settings list the duty and the routes hold limits for a service in use. The stand-in records orders and can answer 409; the soak checks epochs and that two holders of a zone are a lease apart.

Ruled out: orders one call after the other, as a slow platform would close the send window of the later ones.

--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -101,6 +101,11 @@
         })
     }
 
+    /// Whether the platform takes orders for endpoints.
+    pub(crate) fn has_endpoint_orders(&self) -> bool {
+        self.kinds.contains(&DutyKind::EndpointOrders)
+    }
+
     fn check(&self) -> Result<(), &'static str> {
         match (self.usage_window_s, self.usage_late_s) {
             (Some(0), _) => Err("duties.usage_window_s: must not be 0"),
--- a/crates/borageshore_gateway/src/duties.rs
+++ b/crates/borageshore_gateway/src/duties.rs
@@ -1,4 +1,4 @@
-//! Duties that one daemon holds at a time: orders to engines and reports of usage. All are announced in one partition,
+//! Duties that one daemon holds at a time: orders to engines, orders for endpoints and reports of usage. All are announced in one partition,
 //! so that one conditional append decides the holder and each daemon follows all of them with one long poll.
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
@@ -15,6 +15,7 @@
     feed::FeedTopicSource,
     follow::{FollowSpec, Follower, ONLY_PARTITION, RecordView},
     members::Members,
+    scaling::{EndpointOrders, OrderRecord},
     store_transport::Store,
     usage::{ReportRecord, USAGE_SUBJECT, UsageReports},
 };
@@ -33,6 +34,7 @@
 struct Announcements {
     endpoints: Rc<Endpoints>,
     usage: Rc<UsageReports>,
+    endpoint_orders: Rc<EndpointOrders>,
     leases: RefCell<OrderLeases>,
     round_announced: Notify,
 }
@@ -59,10 +61,29 @@
 impl Announcements {
     fn on_report(&self, report: &ReportRecord) {
         self.usage.on_report(report);
+        self.on_action(&report.holder, USAGE_SUBJECT.into(), &report.others);
+    }
+
+    fn on_endpoint_order(&self, order: &OrderRecord) {
+        self.endpoint_orders.on_order(order, boot_time_ms());
+        self.on_action(&order.holder, order.subject(), &order.others);
+    }
+
+    fn on_action(&self, holder: &Arc<str>, subject: Arc<str>, others: &[Arc<str>]) {
         let mut leases = self.leases.borrow_mut();
-        let subjects = [USAGE_SUBJECT.into()];
         let duties = leases.duties_mut();
-        duties.on_announcement(&report.holder, &subjects, &report.others, boot_time_ms());
+        duties.on_announcement(holder, &[subject], others, boot_time_ms());
+    }
+
+    /// Applies the announcement that a record holds.
+    fn on_announcement(&self, record: &KeyedRecord, value: &[u8]) -> Result<(), serde_json::Error> {
+        if let Some(report) = UsageReports::decode(record) {
+            return report.map(|report| self.on_report(&report));
+        }
+        if let Some(order) = EndpointOrders::decode(record) {
+            return order.map(|order| self.on_endpoint_order(&order));
+        }
+        serde_json::from_slice(value).map(|round| self.on_round(round))
     }
 }
 
@@ -73,11 +94,7 @@
                 self.usage.on_removed(&record.key);
                 continue;
             };
-            let applied = match UsageReports::decode(record) {
-                Some(report) => report.map(|report| self.on_report(&report)),
-                None => serde_json::from_slice(value).map(|round| self.on_round(round)),
-            };
-            if let Err(error) = applied {
+            if let Err(error) = self.on_announcement(record, value) {
                 log::error!(key = &*record.key, error:% = error; "cannot decode an announcement; ignoring it");
             }
         }
@@ -125,6 +142,7 @@
         members: Rc<Members>,
         endpoints: Rc<Endpoints>,
         usage: Rc<UsageReports>,
+        endpoint_orders: Rc<EndpointOrders>,
         lease_ms: u64,
     ) -> Rc<Self> {
         let timing = DutyTiming {
@@ -135,6 +153,7 @@
         let announcements = Rc::new(Announcements {
             endpoints,
             usage,
+            endpoint_orders,
             leases: RefCell::new(OrderLeases::open(
                 boot_time_ms(),
                 timing.takeover_delay_ms(),
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -271,6 +271,18 @@
         })
     }
 
+    /// Visits the entries of a service, draining ones too.
+    pub(crate) fn for_each_entry<Visit>(&self, service: &str, visit: Visit)
+    where
+        Visit: FnMut(&EndpointEntry),
+    {
+        let registry = self.registry.borrow();
+        let entries = registry.values();
+        entries
+            .filter(|entry| &*entry.listing.service == service)
+            .for_each(visit);
+    }
+
     /// The sum of the slots of a service's live endpoints.
     pub(crate) fn slots_of(&self, service: &str) -> u64 {
         let registry = self.registry.borrow();
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -32,6 +32,7 @@
     rewards::{RewardParts, Rewards},
     routes::Routes,
     runner::Runner,
+    scaling::{EndpointOrders, EndpointScaler, ScalerParts},
     server::{MetricsPage, Server, server_limits},
     store_transport::{FailoverTransport, PeerHandler, Store},
     submission_index::SubmissionIndex,
@@ -182,12 +183,14 @@
         let orders = spec(FeedTopic::Orders);
         let time = SharedTime::spawn(members.clone());
         let reports = Rc::<UsageReports>::default();
+        let endpoint_orders = Rc::<EndpointOrders>::default();
         let duties = Duties::spawn(
             orders,
             store.clone(),
             members.clone(),
             endpoints.clone(),
             reports.clone(),
+            endpoint_orders.clone(),
             config.order_lease_ms,
         );
         let usage = spawn_usage(
@@ -202,6 +205,22 @@
                 instruments: instruments.clone(),
             },
         );
+        if let Some(duty) = config
+            .duties
+            .as_ref()
+            .filter(|duty| duty.has_endpoint_orders())
+        {
+            EndpointScaler::spawn(ScalerParts {
+                client: DutyClient::open(duty.address.clone()),
+                duties: duties.clone(),
+                orders: endpoint_orders,
+                endpoints: endpoints.clone(),
+                routes: routes.clone(),
+                index: index.clone(),
+                members: members.clone(),
+                instruments: instruments.clone(),
+            });
+        }
         let parts = OrdererParts {
             duties,
             clock,
--- a/crates/borageshore_gateway/src/lib.rs
+++ b/crates/borageshore_gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod rewards;
 mod routes;
 mod runner;
+mod scaling;
 mod server;
 mod store_transport;
 mod submission_index;
--- a/crates/borageshore_gateway/src/routes.rs
+++ b/crates/borageshore_gateway/src/routes.rs
@@ -8,7 +8,7 @@
 
 use borageshore_access::Organisations;
 use borageshore_batch::ModelVersion;
-use borageshore_platform::{KeyedRecord, OperatorRecord, decode_operator_record};
+use borageshore_platform::{KeyedRecord, OperatorRecord, ServiceLimits, decode_operator_record};
 use borageshore_routing::{Route, RouteTable};
 use tokio::sync::Notify;
 
@@ -21,6 +21,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Routes {
     table: RefCell<Rc<RouteTable>>,
+    scaling_limits: RefCell<Rc<ServiceLimits>>,
     is_known: Cell<bool>,
     /// Whether a record since the routes in force could not be decoded: it may have changed keys.
     is_unreadable: Cell<bool>,
@@ -69,13 +70,18 @@
         self.table.borrow().names_service(service)
     }
 
+    /// The limits on orders for endpoints, by service.
+    pub(crate) fn scaling_limits(&self) -> Rc<ServiceLimits> {
+        self.scaling_limits.borrow().clone()
+    }
+
     /// The newest published version of each model, ordered by model.
     pub(crate) fn published_versions(&self) -> Vec<ModelVersion> {
         self.published_versions.borrow().clone()
     }
 
     /// Applies routes, unless a newer version is already in force.
-    fn set(&self, table: RouteTable) {
+    fn set(&self, table: RouteTable, limits: ServiceLimits) {
         let known = self.table.borrow().version;
         if self.is_known.get() && table.version < known {
             return;
@@ -84,6 +90,7 @@
         self.is_known.set(true);
         self.is_unreadable.set(false);
         *self.table.borrow_mut() = Rc::new(table);
+        *self.scaling_limits.borrow_mut() = Rc::new(limits);
     }
 
     fn on_version_published(&self, published: ModelVersion) {
@@ -101,7 +108,7 @@
     fn apply(&self, records: &[KeyedRecord]) {
         for record in records {
             match decode_operator_record(record) {
-                Some(Ok(OperatorRecord::Routes(table))) => self.set(table),
+                Some(Ok(OperatorRecord::Routes(table, limits))) => self.set(table, limits),
                 Some(Ok(OperatorRecord::Version(version))) => self.on_version_published(version),
                 Some(Err(error)) => {
                     self.is_unreadable.set(true);
--- a/crates/borageshore_gateway/src/submission_index.rs
+++ b/crates/borageshore_gateway/src/submission_index.rs
@@ -17,6 +17,11 @@
     store_transport::Store,
 };
 
+/// A submission that was not ended counts as demand for this long: the longest step of a trainer.
+const OPEN_DEMAND_MS: u64 = 300_000;
+/// One that was ended counts for this long after it was handed in, as its trainer trains before the next one.
+const ENDED_DEMAND_MS: u64 = 60_000;
+
 /// A submission that has not been ended.
 #[derive(Debug, Clone)]
 pub(crate) struct OpenSubmission {
@@ -80,6 +85,30 @@
         demand.get(trainer).copied().unwrap_or_default()
     }
 
+    /// The number of items of each trainer's newest submission, without trainers that have not asked for a long time.
+    pub(crate) fn items_by_trainer(&self) -> SortedMap<Arc<str>, u64> {
+        let mut newest: SortedMap<Arc<str>, &IndexEntry> = SortedMap::default();
+        let entries = self.entries.borrow();
+        for entry in entries.values() {
+            let known = newest.get_or_insert_with(entry.trainer.clone(), || entry);
+            if known.entered_at_ms < entry.entered_at_ms {
+                *known = entry;
+            }
+        }
+        let now_ms = time_of_day_ms();
+        let mut items = SortedMap::default();
+        for (trainer, entry) in newest.iter() {
+            let counts_for_ms = match entry.is_ended {
+                true => ENDED_DEMAND_MS,
+                false => OPEN_DEMAND_MS,
+            };
+            if now_ms < entry.entered_at_ms + counts_for_ms {
+                items.insert(trainer.clone(), entry.demand.items);
+            }
+        }
+        items
+    }
+
     /// Adds a submission whose items run at a service with `slots` slots.
     pub(crate) async fn add(
         &self,
--- a/crates/borageshore_soak/src/daemons.rs
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -62,13 +62,18 @@
         let (metrics, peers) = (free_address()?, free_address()?);
         let limit = |mb: f64| format!("store_read_mb_per_s: {mb}\n");
         let store_limit = options.store_read_mb_per_s.map(limit).unwrap_or_default();
+        let kinds = if options.endpoint_orders {
+            "  kinds: [usage, scale]\n"
+        } else {
+            ""
+        };
         let config = options.folder.join(format!("{name}.yaml"));
         let text = format!(
             "name: {name}\nzone: z1\nhttp_address: {front}\nready_address: {ready}\n\
              directory_address: {directory}\npeer_address: {peers}\nmetrics_address: {metrics}\nprocessor_share: 0.5\nstore_address: {}\n\
              store_partitions: 2\naddress_ttl_s: {ADDRESS_TTL_S}\nstop_grace_s: {STOP_GRACE_S}\nresults_kept_s: {}\norder_lease_ms: 3000\n\
              parallel_loads_percent: 50\nload_share_percent: 50\nkey_revocation_ms: {REVOCATION_MS}\n\
-             duties:\n  address: {duties}\n  usage_window_s: {WINDOW_S}\n  usage_late_s: {REPORT_DUE_S}\n\
+             duties:\n  address: {duties}\n{kinds}  usage_window_s: {WINDOW_S}\n  usage_late_s: {REPORT_DUE_S}\n\
              mechanisms_off: [{}]\ndeployment: soak\n{}",
             store.address(),
             options.results_kept_s,
--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -147,6 +147,8 @@
             let fault = match timed_fault {
                 TimedFault::KillHolder => Fault::Kill(self.holder().await),
                 TimedFault::KillReporter => Fault::Kill(self.reporter().await),
+                TimedFault::KillScaler => Fault::Kill(self.scaler().await),
+                TimedFault::StopScaler => Fault::Stop(self.scaler().await),
                 TimedFault::StopOne => Fault::Stop(0),
                 TimedFault::PartitionHolderMidGeneration => {
                     self.wait_for_nearly_complete_run().await;
@@ -166,6 +168,7 @@
                 TimedFault::StoreOutage | TimedFault::LongOutage => Fault::Store(StoreMode::Silent),
                 TimedFault::RevokeKey => Fault::RevokeKey,
                 TimedFault::LoseDutyResponses => Fault::Duties(DutyMode::LostAnswers),
+                TimedFault::NoEndpoints => Fault::Duties(DutyMode::NoEndpoints),
                 TimedFault::SuspendAllButOne => Fault::Suspend(1),
             };
             self.started_faults
@@ -173,7 +176,9 @@
                 .push(format!("{at_ms} ms: {fault:?}"));
             let length_ms = match timed_fault {
                 TimedFault::PartitionHolderMidGeneration | TimedFault::StoreOutage => PARTITION_MS,
-                TimedFault::LongOutage | TimedFault::SuspendAllButOne => LONG_PARTITION_MS,
+                TimedFault::LongOutage | TimedFault::NoEndpoints | TimedFault::SuspendAllButOne => {
+                    LONG_PARTITION_MS
+                }
                 _ => TIMED_FAULT_MS,
             };
             monoio::spawn(self.clone().inject(fault, length_ms));
@@ -199,18 +204,29 @@
     async fn reporter(&self) -> usize {
         loop {
             let reports = self.duties.reports();
-            let last = reports.last().map(|report| &report.holder);
-            let number = self
-                .daemons
-                .iter()
-                .position(|daemon| Some(&daemon.name) == last);
-            match number {
+            match self.number_of(reports.last().map(|report| &report.holder)) {
+                Some(number) => return number,
+                None => sleep_ms(POLL_MS).await,
+            }
+        }
+    }
+
+    /// Waits for the first order for endpoints if needed; returns the index of the daemon that ordered last.
+    async fn scaler(&self) -> usize {
+        loop {
+            let orders = self.duties.orders();
+            match self.number_of(orders.last().map(|order| &order.holder)) {
                 Some(number) => return number,
                 None => sleep_ms(POLL_MS).await,
             }
         }
     }
 
+    fn number_of(&self, name: Option<&String>) -> Option<usize> {
+        let mut daemons = self.daemons.iter();
+        daemons.position(|daemon| Some(&daemon.name) == name)
+    }
+
     /// Waits until some run is nearly complete, so that losing it would be expensive.
     async fn wait_for_nearly_complete_run(&self) {
         let is_nearly_complete = |(engine, _): &(PlatformEngine, Proxy)| {
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -24,6 +24,7 @@
 use std::path::PathBuf;
 
 use borageshore_net::run_event_loop;
+use borageshore_standins::platform::ReceivedEndpointOrder;
 
 /// The faults injected during a run.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -68,6 +69,12 @@
     LongOutage,
     /// The daemon that last reported usage is killed and restarted.
     KillReporter,
+    /// The daemon that last ordered endpoints is killed and restarted.
+    KillScaler,
+    /// The daemon that last ordered endpoints is stopped with SIGTERM and restarted.
+    StopScaler,
+    /// The platform has no endpoints to order.
+    NoEndpoints,
     /// The platform drops the responses to calls of duties.
     LoseDutyResponses,
     /// The operator revokes the callers' key; they switch to the next one.
@@ -115,6 +122,8 @@
     pub store_read_mb_per_s: Option<f64>,
     /// Whether all items generate many events.
     pub long_generations: bool,
+    /// Whether the daemons may order endpoints of the engines' service.
+    pub endpoint_orders: bool,
     /// The faults to inject.
     pub script: Script,
     /// Folder of the daemons' settings and logs.
@@ -145,6 +154,7 @@
             mechanisms_off: Vec::new(),
             store_read_mb_per_s: None,
             long_generations: false,
+            endpoint_orders: false,
             script: Script::RandomExtended(8),
             folder: std::env::temp_dir()
                 .join(format!("borageshore-soak-{}-{seed}", std::process::id())),
@@ -189,6 +199,8 @@
     pub harmless_held_at_ms: Vec<u64>,
     /// Due usage windows whose report is missing or wrong.
     pub wrong_windows: Vec<String>,
+    /// Orders for endpoints.
+    pub endpoint_orders: Vec<ReceivedEndpointOrder>,
     /// Times at which calls with a valid key were refused as unauthorized.
     pub unauthorized_at_ms: Vec<u64>,
     /// Crashes of endpoints caused by requests.
--- a/crates/borageshore_soak/src/usage.rs
+++ b/crates/borageshore_soak/src/usage.rs
@@ -1,9 +1,11 @@
-//! Checks of usage reports: one holder at a time, one report for each window, correct counts.
+//! Checks of duties: one holder at a time, one usage report for each window, correct counts.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use borageshore_net::Clock;
-use borageshore_standins::platform::{PlatformDuties, PlatformService, ReceivedReport};
+use borageshore_standins::platform::{
+    PlatformDuties, PlatformService, ReceivedEndpointOrder, ReceivedReport,
+};
 
 use crate::{keys::CALLER_ORG, oracle::Oracle};
 
@@ -53,6 +55,20 @@
     }
 }
 
+/// Checks that orders for the endpoints of a zone come from holders that are a lease apart, with increasing epochs.
+pub(crate) fn check_endpoint_orders(oracle: &Oracle, duties: &PlatformDuties) {
+    let mut last: BTreeMap<(String, String), ReceivedEndpointOrder> = BTreeMap::new();
+    for order in duties.orders() {
+        let subject = (order.service.clone(), order.zone.clone());
+        if let Some(last) = last.insert(subject, order.clone()) {
+            let is_early = last.holder != order.holder && order.at_ms < last.at_ms + LEASE_MS;
+            if is_early || order.epoch <= last.epoch {
+                oracle.record_violation(format!("{order:?} after {last:?}"));
+            }
+        }
+    }
+}
+
 /// Returns the windows between two times whose report is missing or wrong.
 pub(crate) fn wrong_windows(
     clock: Clock,
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -38,6 +38,8 @@
 /// Limit on reads of one submission at one daemon, which may answer that its view is out of date.
 const MAX_READS: usize = 20;
 const CALLER_COUNT: usize = 3;
+/// Maximum number of endpoints of the engines' service in a zone.
+const MAX_ENDPOINTS: u64 = 8;
 /// Callers that reuse addresses or connections for several calls.
 const CACHING_CALLERS: &[(&str, Discovery)] = &[
     ("list-keeper", Discovery::CachedList),
@@ -151,6 +153,7 @@
     oracle.check_endpoints(&engines, &services);
     targets.keys.check(&oracle, &engines, &services);
     usage::check_holders(&oracle, &targets.duties);
+    usage::check_endpoint_orders(&oracle, &targets.duties);
     let requests = crashes::crashing_requests(&services, &engines);
     crashes::check_crash_bound(&oracle, requests, options.crash_after_ms);
     for daemon in &targets.daemons {
@@ -185,7 +188,7 @@
 
 fn build(options: &SoakOptions, clock: Clock, oracle: &Rc<Oracle>) -> io::Result<Targets> {
     let store = PlatformStore::bind("127.0.0.1:0")?;
-    let keys = Keys::open(&store, options.organisations, routes(options.objective_ms));
+    let keys = Keys::open(&store, options.organisations, routes(options));
     let duties = PlatformDuties::bind(clock)?;
     let mut engines = Vec::new();
     for number in 0..options.engines {
@@ -226,7 +229,14 @@
     })
 }
 
-fn routes(objective_ms: u64) -> serde_json::Value {
+fn routes(options: &SoakOptions) -> serde_json::Value {
+    let objective_ms = options.objective_ms;
+    let services = match options.endpoint_orders {
+        true => json!([{ "name": "llm", "scaling": {
+            "min": 1, "max": MAX_ENDPOINTS, "boot_s": 0.5, "spot_price": 0.2, "zone_prices": { "z1": 1.0, "z2": 1.5 },
+        } }]),
+        false => json!([]),
+    };
     let route = |name: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
@@ -240,7 +250,7 @@
             route("safe", "safe", "app"), route("once", "unsafe", "app"),
             route("batch", "rollout", "llm"),
         ],
-        "services": [], "limits": {},
+        "services": services, "limits": {},
     })
 }
 
@@ -331,6 +341,7 @@
             options.keeps_logs || !violations.is_empty(),
         ),
         wrong_windows,
+        endpoint_orders: targets.duties.orders(),
         faults: targets.started_faults.borrow().clone(),
         calls_answered: traffic.calls_answered.get(),
         calls: traffic.calls.get(),
--- a/crates/borageshore_standins/src/platform/mod.rs
+++ b/crates/borageshore_standins/src/platform/mod.rs
@@ -14,7 +14,7 @@
 
 pub use self::{
     crash::{CRASH_MARK, CrashingRequest},
-    duties::{DutyMode, PlatformDuties, ReceivedReport},
+    duties::{DutyMode, PlatformDuties, ReceivedEndpointOrder, ReceivedReport},
     engine::{
         EngineSwitches, LONG_EVENT_COUNT, PlatformEngine, ReceivedOrder, RecordedRun, event_count,
         event_text,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -300,6 +300,37 @@
         assert!(report.wrong_windows.len() <= 1, "{:?}", report.wrong_windows);
     }
 
+    // Orders for endpoints end with their holder, or two holders order for one zone within a lease: a successor of one
+    // that stops takes over at once.
+    endpoints_are_ordered_after_their_holder_has_ended => {
+        let script = vec![
+            (0, TimedFault::LoseDutyResponses),
+            (0, TimedFault::StopScaler),
+            (8_000, TimedFault::KillScaler),
+        ];
+        let options = SoakOptions { endpoint_orders: true, engines: 1, ..options(51, Script::Timed(script)) };
+        let report = play(&SoakOptions { duration_ms: 17_000, ..options });
+        let orders = &report.endpoint_orders;
+        assert!(orders.iter().any(|order| order.holder != orders[0].holder), "{orders:?}");
+        assert!(orders.iter().any(|order| order.at_ms > 10_000), "{orders:?}");
+        assert!(orders.iter().all(|order| order.is_spot && order.count < 8), "{orders:?}");
+        for zone in ["z1", "z2"] {
+            assert!(orders.iter().any(|order| order.zone == zone && order.count > 0), "{orders:?}");
+        }
+    }
+
+    // A zone that has no endpoints is asked again and again.
+    zones_without_endpoints_are_left_out_for_a_while => {
+        let script = vec![(0, TimedFault::NoEndpoints)];
+        let options = SoakOptions { endpoint_orders: true, engines: 1, ..options(52, Script::Timed(script)) };
+        let report = play(&SoakOptions { duration_ms: 14_000, ..options });
+        for zone in ["z1", "z2"] {
+            let orders = report.endpoint_orders.iter().filter(|order| order.zone == zone);
+            let at_ms: Vec<u64> = orders.map(|order| order.at_ms).collect();
+            assert!(at_ms.len() >= 2 && at_ms[1] >= at_ms[0] + 9_500, "{at_ms:?}");
+        }
+    }
+
     // A revoked key is accepted for as long as an outage of the store lasts.
     a_key_that_was_taken_away_is_not_good_for_longer_without_the_store => {
         let script = vec![(500, TimedFault::LongOutage), (700, TimedFault::RevokeKey)];
