Spot engines don't raise the number of parallel weight loads

Cause: the limit of parallel loads is a share of the engines, and loads beyond what the weight store gives slow each other down.

Change: the limit counts the engines that are not spot. Without spot engines it is what it was.

Ruled out: a fixed number in the settings, as it would have to follow the deployment's size by hand.

--- a/crates/borageshore_batch/src/swaps.rs
+++ b/crates/borageshore_batch/src/swaps.rs
@@ -68,7 +68,8 @@
 /// Limits on concurrent weight loads.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SwapLimits {
-    /// The share of all engines that may load at once, at least two engines. More loads slow each other down.
+    /// The share of the engines that may load at once, at least two engines. More loads slow each other down. Engines
+    /// that may be reclaimed don't raise the number: the weight store is that of the deployment without them.
     pub parallel_percent: usize,
     /// The share of a model's engines that load each version.
     pub share_percent: usize,
@@ -85,6 +86,8 @@
     pub is_leased: bool,
     /// Requests running on it.
     pub running: u64,
+    /// Whether the platform may reclaim it.
+    pub is_spot: bool,
 }
 
 /// The version of a model that its engines should load.
@@ -161,7 +164,8 @@
 /// The number of loads that may start now.
 fn free_loads(engines: &[EngineState], limits: SwapLimits) -> usize {
     let loading = engines.iter().filter(|engine| engine.is_loading).count();
-    let parallel = (engines.len() * limits.parallel_percent / 100).max(MIN_PARALLEL_LOADS);
+    let regular = engines.iter().filter(|engine| !engine.is_spot).count();
+    let parallel = (regular * limits.parallel_percent / 100).max(MIN_PARALLEL_LOADS);
     parallel.saturating_sub(loading)
 }
 
--- a/crates/borageshore_batch/tests/swaps.rs
+++ b/crates/borageshore_batch/tests/swaps.rs
@@ -18,6 +18,7 @@
         is_loading: false,
         is_leased: false,
         running: 0,
+        is_spot: false,
     };
     (0..count).map(engine).collect()
 }
@@ -239,3 +240,19 @@
     }
     assert!(load_candidates(&engines, &versions, &models, LIMITS).is_empty());
 }
+
+// Loads slow each other down when reclaimable engines come: the weight store does not grow with them.
+#[test]
+fn reclaimable_engines_do_not_raise_the_number_of_parallel_loads() {
+    let mut engines = engines(90);
+    for engine in &mut engines[..45] {
+        engine.is_spot = true;
+    }
+    let round = plan_round(
+        &engines,
+        &EngineVersions::default(),
+        &[target("m", 2, 1)],
+        LIMITS,
+    );
+    assert_eq!(round.len(), 9);
+}
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -47,6 +47,14 @@
     ended: Vec<Arc<str>>,
 }
 
+/// An engine of a service in use by a route.
+#[derive(Debug)]
+pub(crate) struct RoutedEngine {
+    pub(crate) instance: Arc<str>,
+    /// Whether the platform may reclaim it.
+    pub(crate) is_spot: bool,
+}
+
 /// Dependencies of [`Endpoints`].
 #[derive(Debug)]
 pub(crate) struct EndpointParts {
@@ -224,13 +232,17 @@
         engines
     }
 
-    /// The names of the live engines of services in use by a route, ordered by id.
-    pub(crate) fn routed_engines(&self) -> Vec<Arc<str>> {
+    /// The live engines of services in use by a route, ordered by id.
+    pub(crate) fn routed_engines(&self) -> Vec<RoutedEngine> {
         let registry = self.registry.borrow();
         let routed = self.routed(registry.values());
         let live = routed
             .filter(|entry| entry.listing.state == EndpointState::Live && !entry.models.is_empty());
-        live.map(|entry| entry.listing.name.clone()).collect()
+        live.map(|entry| RoutedEngine {
+            instance: entry.listing.name.clone(),
+            is_spot: entry.is_spot,
+        })
+        .collect()
     }
 
     /// The address of an instance; `None` if it is no longer listed.
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -338,6 +338,6 @@
             };
             self.context.endpoints.with_versions(versions)
         };
-        !engines.iter().any(has_version)
+        !engines.iter().any(|engine| has_version(&engine.instance))
     }
 }
--- a/crates/borageshore_gateway/src/orderer.rs
+++ b/crates/borageshore_gateway/src/orderer.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     duties::{Duties, SendPermit},
-    endpoints::Endpoints,
+    endpoints::{Endpoints, RoutedEngine},
     members::Members,
     routes::Routes,
     submission_index::SubmissionIndex,
@@ -105,7 +105,7 @@
     }
 
     /// The engines whose reports are needed to plan the next orders.
-    fn candidates(&self, engines: &[Arc<str>]) -> Vec<Arc<str>> {
+    fn candidates(&self, engines: &[RoutedEngine]) -> Vec<Arc<str>> {
         let states = self.states(engines, &Reports::default());
         let (models, limits) = (self.models(), self.parts.limits);
         let endpoints = &self.parts.endpoints;
@@ -113,7 +113,7 @@
     }
 
     /// Plans the next orders; an engine without a report counts as not busy.
-    fn plan(&self, engines: &[Arc<str>], reports: &Reports) -> Vec<(Arc<str>, ModelVersion)> {
+    fn plan(&self, engines: &[RoutedEngine], reports: &Reports) -> Vec<(Arc<str>, ModelVersion)> {
         let states = self.states(engines, reports);
         let (models, limits) = (self.models(), self.parts.limits);
         let endpoints = &self.parts.endpoints;
@@ -123,9 +123,10 @@
     /// The states of engines. An engine counts as loading if this daemon has a pending order to it or if it reports so.
     /// Orders in rounds read from the store do not count: after a restart of all daemons, the newest round, however
     /// old, would use up the limit of parallel loads.
-    fn states(&self, engines: &[Arc<str>], reports: &Reports) -> Vec<EngineState> {
+    fn states(&self, engines: &[RoutedEngine], reports: &Reports) -> Vec<EngineState> {
         let pending = self.pending.borrow();
-        let state = |instance: &Arc<str>| {
+        let state = |engine: &RoutedEngine| {
+            let instance = &engine.instance;
             let report = reports.get(instance).map(|(_, report)| report);
             EngineState {
                 instance: instance.clone(),
@@ -133,6 +134,7 @@
                     || report.is_some_and(|report| report.is_busy),
                 is_leased: !self.parts.duties.may_order(instance),
                 running: report.map_or(0, |report| report.running),
+                is_spot: engine.is_spot,
             }
         };
         engines.iter().map(state).collect()
