An order that was only announced is not taken for accepted

Cause: whether an order was accepted was noted for the last one that was sent, but asked of the newest one, which may have been announced only: the answer to its append was lost, or another holder announced it. A raise then waited for the time of a boot, and a lower order was never sent, while its count was taken for what the zone has. Change: the note counts only for an order of the count that was sent. Checked by cargo check; its test was not run.

--- a/crates/borageshore_scaling/src/planner.rs
+++ b/crates/borageshore_scaling/src/planner.rs
@@ -79,7 +79,7 @@
 struct ZoneMemory {
     /// The last order that was sent.
     sent: Option<AnnouncedOrder>,
-    /// Whether the last order was accepted.
+    /// Whether the last order that was sent was accepted.
     is_accepted: bool,
     /// Whether the last accepted order was repeated, as endpoints were missing.
     is_repeated: bool,
@@ -145,6 +145,11 @@
         }
     }
 
+    /// Whether an order was accepted. One may be announced without being sent: the answer to its append was lost.
+    fn has_accepted(&self, order: AnnouncedOrder) -> bool {
+        self.is_accepted && self.sent.is_some_and(|sent| sent.count == order.count)
+    }
+
     fn has_ordered(&self, zone: &ZoneView) -> bool {
         self.newest_order(zone).is_some_and(|order| order.count > 0)
     }
@@ -155,7 +160,7 @@
             return false;
         };
         let is_due = now_ms >= order.at_ms + boot_ms + BOOT_MARGIN_MS;
-        !self.is_void && self.is_accepted && is_due && zone.spot.live < order.count
+        !self.is_void && self.has_accepted(order) && is_due && zone.spot.live < order.count
     }
 
     /// The number of endpoints wanted now: raised at once, lowered once the need has been lower for long enough.
@@ -187,7 +192,7 @@
         if self.is_void || wanted != order.count {
             return wanted != self.expected(zone);
         }
-        match self.is_accepted {
+        match self.has_accepted(order) {
             true => self.is_overdue(zone, boot_ms, now_ms),
             false => zone.spot.live != wanted,
         }
--- a/crates/borageshore_scaling/tests/planner.rs
+++ b/crates/borageshore_scaling/tests/planner.rs
@@ -269,6 +269,23 @@
         assert_eq!(counts(&load.plan()), [("a", 5)]);
     }
 
+    // An order whose announcement was appended without an answer is never sent: the accepted one before counts for it.
+    an_order_that_was_announced_only_is_sent_after_a_second => {
+        let mut load = Deployment::open(5, 180);
+        load.run(2 * BOOT_MS);
+        for (needed_slots, count) in [(270, 10), (108, 1)] {
+            load.needed_slots = needed_slots;
+            load.now_ms += 60_000;
+            for zone in &mut load.zones {
+                zone.announced = Some(AnnouncedOrder { count, at_ms: load.now_ms });
+            }
+            load.now_ms += TICK_MS;
+            assert_eq!(counts(&load.run(TICK_MS)), [("a", count), ("b", count), ("c", count)]);
+            load.run(2 * BOOT_MS);
+            assert_eq!(load.spot(), [count; 3]);
+        }
+    }
+
     // Endpoints that never come are waited for without end, or ordered every second.
     missing_endpoints_are_ordered_again_then_elsewhere => {
         let mut load = Deployment::open(5, 180);
