A repeated order that was carried out is forgotten

Cause: the note that an order was repeated stayed after its endpoints had come. The loss of one endpoint much later then counted as 'ordered twice and did not come', and the zone was left out instead of being asked again. Change: the note is cleared once all endpoints of the newest order are there. Checked by cargo check; its test was not run.

--- a/crates/borageshore_scaling/src/planner.rs
+++ b/crates/borageshore_scaling/src/planner.rs
@@ -81,7 +81,7 @@
     sent: Option<AnnouncedOrder>,
     /// Whether the last order that was sent was accepted.
     is_accepted: bool,
-    /// Whether the last accepted order was repeated, as endpoints were missing.
+    /// Whether the last accepted order was repeated, as endpoints were missing, and they have not come since.
     is_repeated: bool,
     /// Whether the endpoints that were ordered don't exist, because of a refusal or a reclaim.
     is_void: bool,
@@ -105,6 +105,14 @@
         }
     }
 
+    /// Notes what the endpoints show of the orders that were sent.
+    fn observe(&mut self, zone: &ZoneView) {
+        let newest = self.newest_order(zone);
+        if newest.is_some_and(|order| zone.spot.live >= order.count) {
+            self.is_repeated = false;
+        }
+    }
+
     fn is_left_out(&self, now_ms: u64) -> bool {
         now_ms < self.left_out_until_ms
     }
@@ -221,6 +229,7 @@
         let service: Arc<str> = service.into();
         for zone in &view.zones {
             let memory = self.memory(&service, &zone.zone);
+            memory.observe(zone);
             if let Some(setback) = memory.setback(zone, limits.boot_ms, now_ms) {
                 self.leave_out(&service, &zone.zone, setback, now_ms);
             }
--- a/crates/borageshore_scaling/tests/planner.rs
+++ b/crates/borageshore_scaling/tests/planner.rs
@@ -298,6 +298,19 @@
         assert_eq!(load.spot(), [0, 8, 7]);
     }
 
+    // A zone whose endpoints came after a repeated order is left out as soon as it loses a single one, much later.
+    an_endpoint_lost_after_a_repeated_order_is_ordered_there => {
+        let mut load = Deployment::open(5, 180);
+        load.run(TICK_MS);
+        load.booting.retain(|(_, zone, _)| *zone != 0);
+        load.run(7 * TICK_MS);
+        load.run(2 * BOOT_MS);
+        assert_eq!(load.spot(), [5, 5, 5]);
+        load.zones[0].spot.live = 4;
+        assert_eq!(counts(&load.run(TICK_MS)), [("a", 5)]);
+        assert_eq!(load.planner.take_left_out(), []);
+    }
+
     // The holder is killed between the announcement and the call: nobody sends the order.
     a_successor_sends_what_was_announced_and_did_not_come => {
         let mut load = Deployment::open(5, 180);
