Endpoints that drain after a lower order are no reclaim of a later one

Cause: a zone without live spot endpoints, some that leave and an order counted as reclaimed. After an order for none that was raised again while the earlier endpoints drained, this held too: the zone was left out and its share ordered elsewhere as well, while its endpoints booted. Change: only endpoints beyond those that left already when the order was planned count. Checked by cargo check; its test was not run.

--- a/crates/borageshore_scaling/src/planner.rs
+++ b/crates/borageshore_scaling/src/planner.rs
@@ -85,6 +85,8 @@
     is_repeated: bool,
     /// Whether the endpoints that were ordered don't exist, because of a refusal or a reclaim.
     is_void: bool,
+    /// Endpoints that left already when the last order was planned, and still do: no reclaim.
+    leaving_when_ordered: u64,
     lower: Option<LowerNeed>,
     /// Refusals and reclaims in short succession.
     setbacks: u32,
@@ -111,6 +113,7 @@
         if newest.is_some_and(|order| zone.spot.live >= order.count) {
             self.is_repeated = false;
         }
+        self.leaving_when_ordered = self.leaving_when_ordered.min(zone.spot.leaving);
     }
 
     fn is_left_out(&self, now_ms: u64) -> bool {
@@ -144,7 +147,8 @@
     /// What the endpoints show: a reclaim, or that ordered endpoints did not come.
     fn setback(&self, zone: &ZoneView, boot_ms: u64, now_ms: u64) -> Option<Setback> {
         // A reclaim takes all spot endpoints of a zone; after a lower order the others stay.
-        let is_reclaimed = zone.spot.leaving > 0 && zone.spot.live == 0 && self.has_ordered(zone);
+        let is_leaving = zone.spot.leaving > self.leaving_when_ordered;
+        let is_reclaimed = is_leaving && zone.spot.live == 0 && self.has_ordered(zone);
         let is_missing = self.is_repeated && self.is_overdue(zone, boot_ms, now_ms);
         match (is_reclaimed, is_missing) {
             (true, _) => Some(Setback::Reclaimed),
@@ -241,6 +245,7 @@
             let Some(desired) = desired else { continue };
             let wanted = memory.settle(memory.expected(zone), desired, now_ms);
             if memory.is_due(zone, wanted, limits.boot_ms, now_ms) {
+                memory.leaving_when_ordered = zone.spot.leaving;
                 orders.push(SpotOrder {
                     service: service.clone(),
                     zone: zone.zone.clone(),
--- a/crates/borageshore_scaling/tests/planner.rs
+++ b/crates/borageshore_scaling/tests/planner.rs
@@ -258,6 +258,24 @@
         assert_eq!(load.run(10_000), []);
     }
 
+    // Endpoints that still drain after an order for none count as a reclaim of those that are ordered next.
+    a_zone_raised_while_its_earlier_endpoints_drain_is_not_a_reclaimed_one => {
+        let mut load = Deployment::open(5, 180);
+        load.run(2 * BOOT_MS);
+        load.needed_slots = 0;
+        load.run(30_000);
+        assert_eq!(load.spot(), [0, 0, 0]);
+        load.zones[0].spot.leaving = 5;
+        load.needed_slots = 180;
+        assert_eq!(counts(&load.run(TICK_MS)), [("a", 5), ("b", 5), ("c", 5)]);
+        assert_eq!(load.run(2 * BOOT_MS), []);
+        assert_eq!(load.planner.take_left_out(), []);
+        load.zones[0].spot = KindCount { live: 0, leaving: 10 };
+        load.run(TICK_MS);
+        let left_out = load.planner.take_left_out();
+        assert_eq!(left_out.iter().map(|zone| zone.setback).collect::<Vec<_>>(), [Setback::Reclaimed]);
+    }
+
     // An order whose answer was lost is never sent again, or sent again at once while it may still arrive.
     an_order_without_an_answer_is_sent_again_after_a_second => {
         let mut load = Deployment::open(5, 180);
