A successor does not send a higher order than needed again

Cause: a lower need holds back for 20 s, and an order that is not known to be accepted is sent again if the zone has another number. Both together made a successor order what was announced long ago or refused, to lower it 20 s later. Change: such an order is sent again only if it lowers, or if the zone has less than is needed. Checked by cargo check; its test was not run.

--- a/crates/borageshore_scaling/src/planner.rs
+++ b/crates/borageshore_scaling/src/planner.rs
@@ -192,8 +192,15 @@
         lower.highest
     }
 
-    /// Whether an order for `wanted` endpoints is to be sent now.
-    fn is_due(&self, zone: &ZoneView, wanted: u64, boot_ms: u64, now_ms: u64) -> bool {
+    /// Whether an order for `wanted` endpoints is to be sent now; `desired` of them are needed.
+    fn is_due(
+        &self,
+        zone: &ZoneView,
+        wanted: u64,
+        desired: u64,
+        boot_ms: u64,
+        now_ms: u64,
+    ) -> bool {
         let Some(order) = self.newest_order(zone) else {
             // Endpoints that nobody ordered are the operator's.
             return wanted > zone.spot.live;
@@ -206,7 +213,8 @@
         }
         match self.has_accepted(order) {
             true => self.is_overdue(zone, boot_ms, now_ms),
-            false => zone.spot.live != wanted,
+            // While it waits to be lowered, a higher order than needed is not sent again.
+            false => zone.spot.live > wanted || zone.spot.live < wanted.min(desired),
         }
     }
 }
@@ -244,7 +252,7 @@
             let memory = self.memory(&service, &zone.zone);
             let Some(desired) = desired else { continue };
             let wanted = memory.settle(memory.expected(zone), desired, now_ms);
-            if memory.is_due(zone, wanted, limits.boot_ms, now_ms) {
+            if memory.is_due(zone, wanted, desired, limits.boot_ms, now_ms) {
                 memory.leaving_when_ordered = zone.spot.leaving;
                 orders.push(SpotOrder {
                     service: service.clone(),
--- a/crates/borageshore_scaling/tests/planner.rs
+++ b/crates/borageshore_scaling/tests/planner.rs
@@ -344,6 +344,18 @@
         assert_eq!(load.run(60_000), [], "a successor orders nothing that is there");
     }
 
+    // A successor sends again what was announced long ago or refused, although less is needed now.
+    a_successor_orders_no_more_than_is_needed => {
+        let mut load = Deployment::open(5, 180);
+        load.run(2 * BOOT_MS);
+        for zone in &mut load.zones {
+            zone.announced = Some(AnnouncedOrder { count: 10, at_ms: load.now_ms });
+        }
+        load.planner = ScalingPlanner::default();
+        assert_eq!(load.run(20_000), []);
+        assert_eq!(counts(&load.run(10_000)), [("a", 5), ("b", 5), ("c", 5)]);
+    }
+
     // A successor that knows no lower need gives endpoints back at once.
     a_successor_waits_before_it_lowers => {
         let mut load = Deployment::open(5, 180);
