Which statuses refuse a call only for a moment is decided in the platform crate

Cause: HTTP statuses of the platform's duty calls were interpreted by the gateway; these belong to platform/.

--- a/crates/borageshore_gateway/src/scaling/orders.rs
+++ b/crates/borageshore_gateway/src/scaling/orders.rs
@@ -29,8 +29,6 @@
 const RETRY_MS: u64 = 250;
 /// The maximum number of orders of an announcement, which are sent together; the platform limits calls a second.
 const MAX_ORDERS: usize = 10;
-/// Statuses with which the platform refuses a call for a moment, whatever it orders.
-const MOMENTARY_STATUSES: [u16; 3] = [408, 429, 503];
 
 /// Dependencies of [`EndpointScaler`].
 #[derive(Debug)]
@@ -197,9 +195,7 @@
         let (outcome, counted) = match &answer {
             Ok(()) => (OrderOutcome::Accepted, "accepted"),
             Err(DutyError::Unavailable) => (OrderOutcome::Refused, "unavailable"),
-            Err(DutyError::Refused(status)) if !MOMENTARY_STATUSES.contains(status) => {
-                (OrderOutcome::Refused, "refused")
-            }
+            Err(error) if error.is_refusal() => (OrderOutcome::Refused, "refused"),
             Err(_) => (OrderOutcome::Unknown, "failed"),
         };
         parts.instruments.count("endpoint_order", counted);
