--- a/crates/borageshore_batch/tests/reward_calls.rs
+++ b/crates/borageshore_batch/tests/reward_calls.rs
@@ -123,6 +123,7 @@
         assert_eq!(started.filter(|call| *call >= 300).count(), 75);
     }
 
+    // A slot goes to a call that nobody waits for any more.
     calls_of_a_cancelled_item_leave_the_queue => {
         let mut queue = RewardQueue::default();
         queue.push(1, 0);
--- a/crates/borageshore_gateway/src/duties.rs
+++ b/crates/borageshore_gateway/src/duties.rs
@@ -1,5 +1,6 @@
-//! Duties that one daemon holds at a time: orders to engines, orders for endpoints and reports of usage. All are announced in one partition,
-//! so that one conditional append decides the holder and each daemon follows all of them with one long poll.
+//! Duties that one daemon holds at a time: orders to engines, orders for endpoints and reports of usage. All are
+//! announced in one partition, so that one conditional append decides the holder and each daemon follows all of them
+//! with one long poll.
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
--- a/crates/borageshore_gateway/src/submission_index.rs
+++ b/crates/borageshore_gateway/src/submission_index.rs
@@ -19,7 +19,7 @@
 
 /// A submission that was not ended counts as demand for this long: the longest step of a trainer.
 const OPEN_DEMAND_MS: u64 = 300_000;
-/// One that was ended counts for this long after it was handed in, as its trainer trains before the next one.
+/// One that was ended counts for this long after it was submitted, as its trainer trains before the next one.
 const ENDED_DEMAND_MS: u64 = 60_000;
 
 /// A submission that has not been ended.
