--- a/crates/borageshore_routing/src/routes.rs
+++ b/crates/borageshore_routing/src/routes.rs
@@ -52,6 +52,8 @@
     pub targets: Vec<RouteTarget>,
     /// Batch: time after its submission from which an item may be abandoned.
     pub retention_ms: u64,
+    /// Batch: time after its submission at which all of its results are due.
+    pub result_due_ms: Option<u64>,
     /// Batch: whether a result must be generated with one version of the weights.
     pub is_single_version: bool,
     /// Whether callers may omit the key.
