Items of several trainers start by least slack

Cause: waiting items were served in the order of their submission's arrival. Where several trainers submit at about the same time (440 items for 270 slots every 4 s), long texts that take most of the time allowed waited behind short texts of a submission that came a moment earlier.

Change: `borageshore_batch::urgency` orders items by least slack; `GenerationTimes` learns the expected time of a text from finished ones. An item for whose expected time not even half fits any more counts as late and lets those in time go first, by priority, step and length among late ones, but for a second only. Positions are computed when an item starts to wait; a round sorts a queue that is almost sorted. In use only where the service has contention and the route says when results are due: elsewhere items start by their rank as before.

Ruled out: counting an item as late by its hint alone (a text that seems too long is over-estimated, or holds up its trainer for longest); a cap by the longest text seen (needs a step of texts after each takeover).

--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod event_latencies;
+mod generation_times;
 mod group_placements;
 mod index_entry;
 mod instance;
@@ -30,11 +31,13 @@
 mod swaps;
 mod text;
 mod text_pieces;
+mod urgency;
 mod value_chunks;
 mod view_position;
 
 pub use self::{
     event_latencies::EventLatencies,
+    generation_times::{FinishedText, GenerationTimes},
     group_placements::GroupPlacements,
     index_entry::{Demand, IndexEntry},
     instance::instance_name,
@@ -53,5 +56,6 @@
     },
     text::{Text, TextError},
     text_pieces::{PieceBatch, PieceJoiner, TextPiece},
+    urgency::{StartOrder, StartPosition, Urgency, UrgencyRequest, mean_hint_tokens},
     view_position::ViewPosition,
 };
--- a/crates/borageshore_gateway/src/dispatch.rs
+++ b/crates/borageshore_gateway/src/dispatch.rs
@@ -2,9 +2,10 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
+use borageshore_base::SortedMap;
 use borageshore_batch::{
-    EngineView, GroupPlacements, ItemRank, PlacementRequest, RunningItem, can_take,
-    choose_better_engine, choose_engine,
+    EngineView, FinishedText, GenerationTimes, GroupPlacements, PlacementRequest, RunningItem,
+    StartOrder, can_take, choose_better_engine, choose_engine,
 };
 use borageshore_net::{sleep_ms, within_ms};
 use borageshore_platform::EndpointTarget;
@@ -23,8 +24,7 @@
     pub(crate) min_version: u64,
     pub(crate) max_version: u64,
     pub(crate) group: Arc<str>,
-    /// The arrival time of the submission, then the rank of the item in it.
-    pub(crate) rank: (u64, ItemRank),
+    pub(crate) order: StartOrder,
     pub(crate) avoid: Vec<Arc<str>>,
 }
 
@@ -63,6 +63,8 @@
     endpoints: Rc<Endpoints>,
     waiting: RefCell<Vec<Waiter>>,
     placed_groups: RefCell<GroupPlacements>,
+    /// Times of finished texts, by service.
+    generation_times: RefCell<SortedMap<Arc<str>, GenerationTimes>>,
 }
 
 impl Dispatch {
@@ -71,18 +73,22 @@
             endpoints,
             waiting: RefCell::default(),
             placed_groups: RefCell::default(),
+            generation_times: RefCell::default(),
         });
         monoio::spawn(dispatch.clone().run());
         dispatch
     }
 
-    /// Waits for a slot; waiting requests are served in the order of their ranks.
+    /// Waits for a slot; waiting requests are served in their start order.
     pub(crate) async fn wait_for_slot(&self, request: SlotRequest) -> EngineSlot {
         loop {
             let (sender, receiver) = oneshot::channel();
             {
                 let mut waiting = self.waiting.borrow_mut();
-                let at = waiting.partition_point(|waiter| waiter.request.rank <= request.rank);
+                let now_ms = self.endpoints.now_ms();
+                let position = request.order.position(now_ms);
+                let is_before = |waiter: &Waiter| waiter.request.order.position(now_ms) <= position;
+                let at = waiting.partition_point(is_before);
                 let request = request.clone();
                 waiting.insert(at, Waiter { request, sender });
             }
@@ -105,6 +111,24 @@
         Some(EngineSlot { target, in_flight })
     }
 
+    /// Records the time that a text of a service took.
+    pub(crate) fn on_text_finished(&self, service: &Arc<str>, text: FinishedText) {
+        let mut times = self.generation_times.borrow_mut();
+        let of_service = times.get_or_insert_with(service.clone(), GenerationTimes::default);
+        of_service.record(text);
+    }
+
+    /// The expected time to generate the rest of a text of which `events` are there; `None` if nothing is known.
+    pub(crate) fn remaining_ms(
+        &self,
+        service: &str,
+        hint_tokens: Option<u64>,
+        events: u64,
+    ) -> Option<u64> {
+        let times = self.generation_times.borrow();
+        times.get(service)?.remaining_ms(hint_tokens, events)
+    }
+
     async fn run(self: Rc<Self>) {
         loop {
             let changed = self.endpoints.changed.notified();
@@ -127,6 +151,9 @@
     fn assign_slots(&self) {
         let mut waiting = std::mem::take(&mut *self.waiting.borrow_mut());
         waiting.retain(|waiter| !waiter.sender.is_closed());
+        // Almost sorted: only items that have become late since the last round change places.
+        let now_ms = self.endpoints.now_ms();
+        waiting.sort_by_key(|waiter| waiter.request.order.position(now_ms));
         let mut looked_up = self.engines_for_all(&waiting);
         let mut unserved = Vec::new();
         for waiter in waiting {
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -135,7 +135,6 @@
     }
 
     /// Whether requests to a service may compete for its endpoints: the deployment expects overload.
-    #[allow(dead_code)]
     pub(crate) fn has_contention(&self, _service: &str) -> bool {
         self.features.overload_control
     }
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -8,7 +8,10 @@
     sync::Arc,
 };
 
-use borageshore_batch::{Item, ItemRank, ItemResult, ItemState, Submission, Text};
+use borageshore_batch::{
+    FinishedText, Item, ItemRank, ItemResult, ItemState, StartOrder, Submission, Text, Urgency,
+    UrgencyRequest,
+};
 use borageshore_diagnostics::Instruments;
 use borageshore_net::{Clock, sleep_ms, within_ms};
 use borageshore_platform::{EndpointClient, item_fingerprint};
@@ -54,13 +57,22 @@
     pub(crate) quarantine: Rc<Quarantine>,
 }
 
+/// What the start order of an item depends on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ItemSchedule {
+    /// When its submission was first seen.
+    pub(crate) seen_at_ms: u64,
+    pub(crate) rank: ItemRank,
+    /// Its length hint, or the mean one of its submission.
+    pub(crate) hint_tokens: Option<u64>,
+}
+
 /// Runs an item until it has a result and queues the result for writing.
 pub(crate) async fn run_item(
     context: Rc<ItemContext>,
     submission: Arc<Submission>,
     index: usize,
-    rank: (u64, ItemRank),
-    seen_at_ms: u64,
+    schedule: ItemSchedule,
 ) {
     let item = &submission.items[index];
     let run = ItemRun {
@@ -68,8 +80,7 @@
         submission: &submission,
         item,
         text_key: submission.scoped_item_id(item),
-        rank,
-        seen_at_ms,
+        schedule,
         timing: Timing::default(),
         save_handle: RefCell::default(),
         content: OnceCell::new(),
@@ -84,7 +95,7 @@
     log::info!(
         submission = &*submission.id, item = &*item.id, group = &*item.group,
         hint_tokens = item.length_hint_tokens.unwrap_or(0), state:? = result.state,
-        versions:? = result.versions, waited_ms = context.clock.now_ms() - seen_at_ms,
+        versions:? = result.versions, waited_ms = context.clock.now_ms() - schedule.seen_at_ms,
         placed_ms = run.timing.placed_ms.get(), generated_ms = run.timing.generated_ms.get(),
         stays = run.timing.attempts.get(), events = run.timing.events.get();
         "item finished"
@@ -98,8 +109,7 @@
     item: &'r Item,
     /// The key of the item's text in the text cache and in the saved progress.
     text_key: Arc<str>,
-    rank: (u64, ItemRank),
-    seen_at_ms: u64,
+    schedule: ItemSchedule,
     timing: Timing,
     save_handle: RefCell<Option<SaveHandle>>,
     content: OnceCell<Fingerprint>,
@@ -173,11 +183,11 @@
         let (host, path) = (&self.submission.host, &self.submission.path);
         let route = self.context.routes.find(host, path);
         let retention_ms = route.map_or(u64::MAX, |route| route.retention_ms);
-        self.seen_at_ms.saturating_add(retention_ms)
+        self.schedule.seen_at_ms.saturating_add(retention_ms)
     }
 
     fn waited_ms(&self) -> u64 {
-        self.context.clock.now_ms() - self.seen_at_ms
+        self.context.clock.now_ms() - self.schedule.seen_at_ms
     }
 
     fn given_up(&self) -> ItemResult {
@@ -198,7 +208,9 @@
         let mut next_slot = None;
         loop {
             let route = self.route().await;
-            if self.context.clock.now_ms() >= self.seen_at_ms.saturating_add(route.retention_ms) {
+            if self.context.clock.now_ms()
+                >= self.schedule.seen_at_ms.saturating_add(route.retention_ms)
+            {
                 return false;
             }
             let Some(permit) = self.admit(&route).await else {
@@ -218,8 +230,15 @@
             if self.timing.attempts.replace(self.timing.attempts.get() + 1) == 0 {
                 self.timing.placed_ms.set(self.waited_ms());
             }
+            let is_whole = text.last_event() == 0;
+            let started_at_ms = self.context.clock.now_ms();
             match self.attempt(slot, &permit, &route, &request, text).await {
-                AttemptOutcome::Complete => return true,
+                AttemptOutcome::Complete => {
+                    if is_whole {
+                        self.record_time(&request.service, text, started_at_ms);
+                    }
+                    return true;
+                }
                 AttemptOutcome::Move(slot) => next_slot = Some(slot),
                 AttemptOutcome::Invalid => return false,
                 AttemptOutcome::Failed => {
@@ -249,7 +268,7 @@
         match context.quarantine.admit(|| self.content()).await {
             Ok(permit) => Some(permit),
             Err(held) => {
-                let deadline_ms = self.seen_at_ms.saturating_add(route.retention_ms);
+                let deadline_ms = self.schedule.seen_at_ms.saturating_add(route.retention_ms);
                 let remaining_ms = deadline_ms.saturating_sub(context.clock.now_ms());
                 context.instruments.count("quarantine", "waits");
                 log::info!(item = &*self.item.id, content:% = self.content(), again_ms = held.retry_after_ms; "item waits: its request is held back for crashing endpoints");
@@ -290,17 +309,54 @@
         let version = text.versions().last().copied();
         let pinned_version = version.filter(|_| route.is_single_version);
         let service = route.service_for(self.context.endpoints.random()).cloned();
+        let service = service.unwrap_or_default();
         SlotRequest {
-            service: service.unwrap_or_default(),
+            order: self.start_order(route, &service, text),
+            service,
             model: self.submission.model.clone(),
             min_version: pinned_version.unwrap_or(self.submission.min_version),
             max_version: pinned_version.unwrap_or(u64::MAX),
             group: self.item.group.clone(),
-            rank: self.rank,
             avoid,
         }
     }
 
+    fn start_order(&self, route: &Route, service: &str, text: &Text) -> StartOrder {
+        let ItemSchedule {
+            seen_at_ms, rank, ..
+        } = self.schedule;
+        let has_contention = self.context.endpoints.has_contention(service);
+        let Some(result_due_ms) = route.result_due_ms.filter(|_| has_contention) else {
+            return StartOrder::Ranked(seen_at_ms, rank);
+        };
+        let organisation = self.submission.organisation.as_deref();
+        let remaining_ms = self.remaining_ms(service, text.last_event());
+        StartOrder::Urgent(Urgency::new(UrgencyRequest {
+            arrived_at_ms: seen_at_ms,
+            rank,
+            result_due_ms,
+            remaining_ms: remaining_ms.unwrap_or(0),
+            priority: self.context.routes.priority(route, organisation),
+        }))
+    }
+
+    /// The expected time to generate the rest of the text after an event.
+    fn remaining_ms(&self, service: &str, last_event: u64) -> Option<u64> {
+        let hint_tokens = self.schedule.hint_tokens;
+        let dispatch = &self.context.dispatch;
+        dispatch.remaining_ms(service, hint_tokens, last_event)
+    }
+
+    /// Records the time of a text that one engine generated from start to end.
+    fn record_time(&self, service: &Arc<str>, text: &Text, started_at_ms: u64) {
+        let finished = FinishedText {
+            hint_tokens: self.item.length_hint_tokens,
+            events: text.last_event(),
+            generation_ms: self.context.clock.now_ms() - started_at_ms,
+        };
+        self.context.dispatch.on_text_finished(service, finished);
+    }
+
     async fn acquire_slot(&self, request: SlotRequest) -> EngineSlot {
         let dispatch = &self.context.dispatch;
         let is_enabled = self.context.mechanisms.is_enabled(Mechanism::Avoidance);
--- a/crates/borageshore_gateway/src/runner.rs
+++ b/crates/borageshore_gateway/src/runner.rs
@@ -8,13 +8,13 @@
 };
 
 use borageshore_base::SortedMap;
-use borageshore_batch::{Submission, SubmissionState, rank_items};
+use borageshore_batch::{Submission, SubmissionState, mean_hint_tokens, rank_items};
 use borageshore_net::{sleep_ms, within_ms};
 use futures_util::future::select;
 use tokio::sync::Notify;
 
 use crate::{
-    item::{ItemContext, run_item},
+    item::{ItemContext, ItemSchedule, run_item},
     ledger_view::LedgerView,
     mechanisms::Mechanism,
     members::Members,
@@ -260,14 +260,16 @@
         log::info!(submission = &**id, items = unfinished.pending.len(); "submission taken over");
         let cancel = Rc::new(Cancel::default());
         let ranks = rank_items(&unfinished.submission);
+        let mean_hint_tokens = mean_hint_tokens(&unfinished.submission);
         for index in unfinished.pending {
-            let item = run_item(
-                self.context.clone(),
-                unfinished.submission.clone(),
-                index,
-                (unfinished.seen_at_ms, ranks[index]),
-                unfinished.seen_at_ms,
-            );
+            let own_hint_tokens = unfinished.submission.items[index].length_hint_tokens;
+            let schedule = ItemSchedule {
+                seen_at_ms: unfinished.seen_at_ms,
+                rank: ranks[index],
+                hint_tokens: own_hint_tokens.or(mean_hint_tokens),
+            };
+            let submission = unfinished.submission.clone();
+            let item = run_item(self.context.clone(), submission, index, schedule);
             let cancel = cancel.clone();
             monoio::spawn(async move {
                 select(pin!(item), pin!(cancel.cancelled())).await;
