Items move off engines that say when they leave

Cause: engines that are reclaimed give notice, a whole zone at once. Their texts ran on until the connection broke, and each then waited for the loss to be noticed and for a slot.

Change: `Endpoints` keeps when an instance leaves, by this daemon's clock, and offers it to no new item. `borageshore_batch::departure` decides for each running item on it: a text that is expected to end before stays; another one moves to a free slot that no waiting item takes, the longest remainder first; 300 ms before the end it gives up its place and waits by its urgency with what is left. It goes on after its last event. Counters `moved_off_leaving` and `released_by_leaving` of `item`, a log line for each. Engines without `leaves_ms` take the path as before.

Ruled out: moving without a free slot earlier, which loses the rest of a good engine's time; waiting in the queue while running, which competes with items that lose time by waiting.

--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert!(ledger.get("s1").unwrap().is_ended());
 //! ```
 
+mod departure;
 mod event_latencies;
 mod generation_times;
 mod group_placements;
@@ -36,6 +37,7 @@
 mod view_position;
 
 pub use self::{
+    departure::{Departure, gets_free_slot, on_departure},
     event_latencies::EventLatencies,
     generation_times::{FinishedText, GenerationTimes},
     group_placements::GroupPlacements,
--- a/crates/borageshore_gateway/src/dispatch.rs
+++ b/crates/borageshore_gateway/src/dispatch.rs
@@ -5,7 +5,7 @@
 use borageshore_base::SortedMap;
 use borageshore_batch::{
     EngineView, FinishedText, GenerationTimes, GroupPlacements, PlacementRequest, RunningItem,
-    StartOrder, can_take, choose_better_engine, choose_engine,
+    StartOrder, can_take, choose_better_engine, choose_engine, gets_free_slot,
 };
 use borageshore_net::{sleep_ms, within_ms};
 use borageshore_platform::EndpointTarget;
@@ -65,6 +65,8 @@
     placed_groups: RefCell<GroupPlacements>,
     /// Times of finished texts, by service.
     generation_times: RefCell<SortedMap<Arc<str>, GenerationTimes>>,
+    /// Items that want to move off leaving engines: the time that the rest of each takes, by text key.
+    departing: RefCell<SortedMap<Arc<str>, u64>>,
 }
 
 impl Dispatch {
@@ -74,6 +76,7 @@
             waiting: RefCell::default(),
             placed_groups: RefCell::default(),
             generation_times: RefCell::default(),
+            departing: RefCell::default(),
         });
         monoio::spawn(dispatch.clone().run());
         dispatch
@@ -111,6 +114,38 @@
         Some(EngineSlot { target, in_flight })
     }
 
+    /// Takes a free slot elsewhere for an item whose engine leaves, if no item with more left to generate needs it.
+    /// `key` and `remaining_ms` take part in that comparison until [`Self::end_departure`].
+    pub(crate) fn try_leave(
+        &self,
+        key: &Arc<str>,
+        remaining_ms: u64,
+        request: &SlotRequest,
+    ) -> Option<EngineSlot> {
+        let mut departing = self.departing.borrow_mut();
+        departing.insert(key.clone(), remaining_ms);
+        let engines = self.endpoints.engines(
+            &request.service,
+            request.model.as_ref(),
+            request.min_version,
+        );
+        let placement = placement(request);
+        let free = engines.iter().filter(|engine| can_take(engine, placement));
+        let free_slots = free.map(|engine| engine.slots - engine.load).sum();
+        let others = departing.iter().filter(|(other, _)| *other != key);
+        if !gets_free_slot(remaining_ms, others.map(|(_, ms)| *ms), free_slots) {
+            return None;
+        }
+        let chosen = choose_engine(&engines, placement)?;
+        let (target, in_flight) = self.endpoints.start(&chosen.instance)?;
+        Some(EngineSlot { target, in_flight })
+    }
+
+    /// Ends the part of an item in the comparison of [`Self::try_leave`].
+    pub(crate) fn end_departure(&self, key: &str) {
+        self.departing.borrow_mut().remove(key);
+    }
+
     /// Records the time that a text of a service took.
     pub(crate) fn on_text_finished(&self, service: &Arc<str>, text: FinishedText) {
         let mut times = self.generation_times.borrow_mut();
--- a/crates/borageshore_gateway/src/endpoints/listing.rs
+++ b/crates/borageshore_gateway/src/endpoints/listing.rs
@@ -43,6 +43,7 @@
                 .borrow_mut()
                 .observe(instance, model, *version);
         }
+        self.update_leaving(&entry);
         if known
             .as_ref()
             .is_some_and(|known| known.listing == entry.listing)
@@ -54,6 +55,22 @@
         self.note_changed(id, ended.as_ref());
     }
 
+    /// Applies the remaining time in an entry. Entries arrive late, so the earliest end that one gave counts.
+    fn update_leaving(&self, entry: &EndpointEntry) {
+        let instance = &entry.listing.name;
+        let mut leaving = self.leaving.borrow_mut();
+        let Some(leaves_ms) = entry.leaves_ms else {
+            leaving.remove(instance);
+            return;
+        };
+        let reported_at_ms = self.clock.now_ms().saturating_add(leaves_ms);
+        let leaves_at_ms = leaving.get_or_insert_with(instance.clone(), || {
+            log::info!(instance = &**instance, service = &*entry.listing.service, leaves_ms; "endpoint has notice to leave; it gets no more items");
+            reported_at_ms
+        });
+        *leaves_at_ms = reported_at_ms.min(*leaves_at_ms);
+    }
+
     /// Notes that the entry of an id has changed, and the entry of an instance that ended by it.
     fn note_changed(&self, id: &Arc<str>, ended: Option<&EndpointEntry>) {
         let mut changes = self.changes.borrow_mut();
@@ -87,6 +104,7 @@
             self.targets.borrow_mut().remove(instance);
             self.versions.borrow_mut().remove(instance);
             self.latencies.borrow_mut().remove(instance);
+            self.leaving.borrow_mut().remove(instance);
         }
         let registry = self.registry.borrow();
         let now_ms = self.clock.now_ms();
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -81,6 +81,8 @@
     versions: RefCell<EngineVersions>,
     loading: RefCell<SortedMap<Arc<str>, Loading>>,
     latencies: RefCell<EventLatencies>,
+    /// When each instance that has notice to leave does so.
+    leaving: RefCell<SortedMap<Arc<str>, u64>>,
     /// Changes that are not yet applied to `table`.
     changes: RefCell<EntryChanges>,
     last_read_at_ms: Cell<u64>,
@@ -112,6 +114,7 @@
             versions: RefCell::default(),
             loading: RefCell::default(),
             latencies: RefCell::default(),
+            leaving: RefCell::default(),
             changes: RefCell::default(),
             last_read_at_ms: Cell::new(0),
             outage_ended_at_ms: Cell::new(None),
@@ -200,11 +203,13 @@
         let table = self.table.borrow();
         let versions = self.versions.borrow();
         let latencies = self.latencies.borrow();
+        let leaving = self.leaving.borrow();
         let median_us = latencies.median_us(now_ms);
         let view = |endpoint: &Endpoint| {
             let instance = &endpoint.listing.name;
             let version = model.map_or(0, |model| versions.get(instance, model));
-            (version >= min_version).then(|| EngineView {
+            let is_eligible = version >= min_version && !leaving.contains_key(instance);
+            is_eligible.then(|| EngineView {
                 instance: instance.clone(),
                 slots: endpoint.slots(),
                 load: endpoint.load(now_ms),
@@ -320,6 +325,12 @@
         })
     }
 
+    /// How long an instance still runs; `None` if it has no notice to leave.
+    pub(crate) fn leaves_in_ms(&self, instance: &Arc<str>) -> Option<u64> {
+        let leaves_at_ms = *self.leaving.borrow().get(instance)?;
+        Some(leaves_at_ms.saturating_sub(self.clock.now_ms()))
+    }
+
     /// Records the time between two events of a generation.
     pub(crate) fn on_event_gap(&self, instance: &Arc<str>, gap_us: u64) {
         if self.mechanisms.is_enabled(Mechanism::Pace) {
--- a/crates/borageshore_gateway/src/item/attempt.rs
+++ b/crates/borageshore_gateway/src/item/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use borageshore_batch::{RunningItem, Text};
+use borageshore_batch::{Departure, RunningItem, Text, on_departure};
 use borageshore_platform::{AttemptError, Generation, GenerationError, GenerationRequest};
 use borageshore_routing::{Fingerprint, Route};
 
@@ -36,6 +36,8 @@
     Complete,
     /// The item continues at a faster engine, in the slot already taken there.
     Move(EngineSlot),
+    /// The engine is about to leave; the item waits for a slot at another one.
+    Released,
     /// The engine refused or was lost; the item continues at another one.
     Retry { is_refused: bool },
     /// The engine failed to run the item.
@@ -85,6 +87,7 @@
             }
             Err(GenerationError::Attempt(error)) => self.on_attempt_error(slot, &error, &mut sent),
         };
+        self.context.dispatch.end_departure(&self.text_key);
         sent.on_end();
         outcome
     }
@@ -175,12 +178,49 @@
                     .endpoints
                     .on_event_gap(&instance, now_us - before_us);
             }
+            if let Some(outcome) = self.departure(&instance, event.id, request) {
+                return outcome;
+            }
             if let Some(better) = self.better_slot(&instance, event.id, request) {
                 return AttemptOutcome::Move(better);
             }
         }
     }
 
+    /// Moves or stops the item if its engine leaves before its text is expected to end.
+    fn departure(
+        &self,
+        instance: &Arc<str>,
+        events: u64,
+        request: &SlotRequest,
+    ) -> Option<AttemptOutcome> {
+        let leaves_in_ms = self.context.endpoints.leaves_in_ms(instance)?;
+        let remaining_ms = self.remaining_ms(&request.service, events);
+        let outcome = match on_departure(remaining_ms, leaves_in_ms) {
+            Departure::MoveIfFree if events.is_multiple_of(MOVE_CHECK_INTERVAL_EVENTS) => {
+                let remaining_ms = remaining_ms.unwrap_or(u64::MAX);
+                let dispatch = &self.context.dispatch;
+                AttemptOutcome::Move(dispatch.try_leave(&self.text_key, remaining_ms, request)?)
+            }
+            Departure::Release => AttemptOutcome::Released,
+            Departure::MoveIfFree => return None,
+            Departure::Stay => {
+                self.context.dispatch.end_departure(&self.text_key);
+                return None;
+            }
+        };
+        let (name, to) = match &outcome {
+            AttemptOutcome::Move(slot) => ("moved_off_leaving", &*slot.target.instance),
+            _ => ("released_by_leaving", ""),
+        };
+        self.context.instruments.count("item", name);
+        log::info!(
+            item = &*self.item.id, instance = &**instance, leaves_in_ms, remaining_ms, events, to;
+            "moving an item off a leaving engine"
+        );
+        Some(outcome)
+    }
+
     /// Takes a slot at a better engine if the current one is slow and moving is worthwhile.
     fn better_slot(
         &self,
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -124,6 +124,13 @@
     events: Cell<u64>,
 }
 
+impl Drop for ItemRun<'_> {
+    /// A cancelled run must not keep its part in the comparison of departures.
+    fn drop(&mut self) {
+        self.context.dispatch.end_departure(&self.text_key);
+    }
+}
+
 impl ItemRun<'_> {
     async fn finish(&self) -> ItemResult {
         if let Some(result) = self.earlier_result() {
@@ -240,6 +247,7 @@
                     return true;
                 }
                 AttemptOutcome::Move(slot) => next_slot = Some(slot),
+                AttemptOutcome::Released => {}
                 AttemptOutcome::Invalid => return false,
                 AttemptOutcome::Failed => {
                     failures += 1;
