--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -15,7 +15,9 @@
 //! assert!(ledger.get("s1").unwrap().is_ended());
 //! ```
 
+mod departure;
 mod event_latencies;
+mod generation_times;
 mod group_placements;
 mod index_entry;
 mod instance;
@@ -32,11 +34,14 @@
 mod swaps;
 mod text;
 mod text_pieces;
+mod urgency;
 mod value_chunks;
 mod view_position;
 
 pub use self::{
+    departure::{Departure, gets_free_slot, on_departure},
     event_latencies::{EngineLatency, EventLatencies},
+    generation_times::{FinishedText, GenerationTimes},
     group_placements::GroupPlacements,
     index_entry::{Demand, IndexEntry},
     instance::instance_name,
@@ -57,5 +62,6 @@
     },
     text::{Text, TextError},
     text_pieces::{EngineReport, PieceBatch, PieceJoiner, TextPiece},
+    urgency::{StartOrder, StartPosition, Urgency, UrgencyRequest, mean_hint_tokens},
     view_position::ViewPosition,
 };
