A budget for what is held for callers who send or read slowly

Cause: nothing bounded the request bodies (32 MiB each) and the responses (results up to 1 MB each) that a daemon holds; the smallest VM has 120 MB, and everybody on it is cut off when it is killed for its memory.

Change: MemoryBudget counts request bodies while they come in and until their call is answered, and responses until the socket took them. Above 35 %, the connections whose responses are unread longest are closed. Only where the settings expect overload; elsewhere bodies are read and responses written as before. Three gauges: memory_held_bytes, memory_refused_bodies, memory_closed_connections.

Ruled out: counting a response until its body is dropped (hyper drops it when it is buffered, not when it is written); a wait of the next request for the last response (hyper reads no request before; a test holds that); refusing small bodies (live callers would pay for slow submitters).

--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -4,6 +4,7 @@
 
 use borageshore_base::{Fault, ResultCode};
 use borageshore_feed::FeedLimits;
+use borageshore_net::MemoryLimits;
 use borageshore_platform::{DutyKind, Features};
 use borageshore_settings::{FileFault, malformed_file};
 use borageshore_usage::UsageTiming;
@@ -125,6 +126,13 @@
         Features::decode(&self.features)
     }
 
+    /// Limits on what is held for callers, where callers may overload the daemon.
+    pub fn memory_limits(&self) -> Option<MemoryLimits> {
+        let memory_mb = self.memory_mb.filter(|memory_mb| *memory_mb > 0)?;
+        let is_needed = self.features().overload_control;
+        is_needed.then(|| MemoryLimits::of_process(memory_mb))
+    }
+
     /// What the store gives to all daemons together.
     pub(crate) fn feed_limits(&self) -> FeedLimits {
         FeedLimits {
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use borageshore_batch::SwapLimits;
 use borageshore_diagnostics::Instruments;
 use borageshore_membership::{Presence, PresenceState};
-use borageshore_net::{Clock, HttpServer, boot_time_ms};
+use borageshore_net::{Clock, HttpServer, MemoryBudget, boot_time_ms};
 use borageshore_platform::{DutyClient, EndpointClient};
 
 use crate::{
@@ -229,6 +229,8 @@
         monoio::spawn(members.clone().expire_suspicions());
         Watch::bind(&config.peer_address, members.clone(), store.clone())?;
         let lifecycle = Lifecycle::open();
+        let limits = config.memory_limits();
+        let memory = limits.map(|limits| MemoryBudget::spawn(limits, clock));
         let server = Server {
             lifecycle: lifecycle.clone(),
             routes: routes.clone(),
@@ -245,6 +247,7 @@
             ),
             peers: Rc::new(Peers::open(clock)),
             submissions,
+            memory: memory.clone(),
             address_ttl_s: config.address_ttl_s,
         };
         let addresses = [
@@ -252,7 +255,9 @@
             &config.ready_address,
             &config.directory_address,
         ];
-        let bind = |address| HttpServer::bind(address, server_limits(), server.clone());
+        let bind = |address| {
+            HttpServer::bind_within(address, server_limits(), memory.clone(), server.clone())
+        };
         let mut servers = addresses
             .into_iter()
             .map(|address| bind(address))
@@ -271,6 +276,7 @@
         let metrics_page = MetricsPage {
             instruments,
             lifecycle: lifecycle.clone(),
+            memory,
         };
         let metrics = HttpServer::bind(&config.metrics_address, server_limits(), metrics_page)?;
         log::info!(zone = &*config.zone, http_address = &*config.http_address, incarnation; "daemon started");
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -8,7 +8,8 @@
 use borageshore_diagnostics::Instruments;
 use borageshore_membership::PresenceState;
 use borageshore_net::{
-    BodyError, EdgeRequest, EdgeResponse, Handler, ServerLimits, full_body, read_body,
+    BodyError, EdgeRequest, EdgeResponse, Handler, HeldBody, HeldBodyError, MemoryBudget,
+    ServerLimits, full_body, read_body,
 };
 use borageshore_platform::{
     CallHead, CallerRequest, SubmissionRequest, addresses_response, caller_host, caller_key,
@@ -35,6 +36,13 @@
 
 /// The retry delay given to callers while the daemon starts; routes are read within a second.
 const NOT_READY_RETRY_MS: u64 = 300;
+/// The shortest retry delay given to callers whose body does not fit the memory budget, about the time in which some
+/// bodies in use are done with.
+const OVER_MEMORY_RETRY_MS: u64 = 400;
+/// The delays of callers that are refused one after the other differ by this, up to [`MAX_OVER_MEMORY_RETRY_MS`].
+const OVER_MEMORY_SPREAD_MS: u64 = 60;
+/// The longest retry delay given to callers whose body does not fit.
+const MAX_OVER_MEMORY_RETRY_MS: u64 = 1_000;
 /// The idle timeout of connections. Longer than the platform's 15 s, so that no connection is closed that a caller is
 /// about to reuse.
 const IDLE_TIMEOUT_MS: u64 = 20_000;
@@ -59,10 +67,17 @@
 pub(crate) struct MetricsPage {
     pub(crate) instruments: Rc<Instruments>,
     pub(crate) lifecycle: Rc<Lifecycle>,
+    pub(crate) memory: Option<MemoryBudget>,
 }
 
 impl Handler for MetricsPage {
     async fn handle(&self, _request: EdgeRequest, _remote: SocketAddr) -> EdgeResponse {
+        if let Some(memory) = &self.memory {
+            let instruments = &self.instruments;
+            instruments.set("memory_held_bytes", memory.held_bytes());
+            instruments.set("memory_refused_bodies", memory.refused_bodies());
+            instruments.set("memory_closed_connections", memory.closed_connections());
+        }
         self.instruments
             .set("requests_in_flight", self.lifecycle.in_flight() as u64);
         Response::new(full_body(self.instruments.to_text()))
@@ -79,6 +94,8 @@
     pub(crate) calls: Rc<Calls>,
     pub(crate) submissions: Rc<Submissions>,
     pub(crate) peers: Rc<Peers>,
+    /// Limits what is held for callers, if the deployment expects overload.
+    pub(crate) memory: Option<MemoryBudget>,
     pub(crate) address_ttl_s: u64,
 }
 
@@ -212,10 +229,15 @@
         {
             call.remove_api_key();
         }
-        let body = match read_body(body, server_limits()).await {
-            Ok(body) => body,
-            Err(body_error) => return refusal(&body_fault(body_error), None),
+        // Counts the body until the call is answered.
+        let held = match self.read_body(body).await {
+            Ok(held) => held,
+            Err(HeldBodyError::OverMemory) => return self.refuse_body(&call.id, &route.name),
+            Err(HeldBodyError::Body(body_error)) => {
+                return refusal(&body_fault(body_error), None);
+            }
         };
+        let body = held.bytes.clone();
         if route.kind != RouteKind::Batch {
             return self.calls.forward(call, caller, &route, body).await;
         }
@@ -232,6 +254,28 @@
         }
     }
 
+    async fn read_body(&self, body: Incoming) -> Result<HeldBody, HeldBodyError> {
+        match &self.memory {
+            Some(memory) => memory.read_body(body, server_limits()).await,
+            None => {
+                let read = read_body(body, server_limits()).await;
+                read.map(HeldBody::uncounted).map_err(HeldBodyError::Body)
+            }
+        }
+    }
+
+    /// Refuses a request whose body does not fit the memory budget; nothing of it was run.
+    fn refuse_body(&self, request: &str, route: &str) -> EdgeResponse {
+        let memory = self.memory.as_ref();
+        let refused = memory.map_or(0, MemoryBudget::refused_bodies);
+        let held_bytes = memory.map_or(0, MemoryBudget::held_bytes);
+        // Callers that are refused together return one after the other.
+        let spread_ms = MAX_OVER_MEMORY_RETRY_MS - OVER_MEMORY_RETRY_MS;
+        let again_ms = OVER_MEMORY_RETRY_MS + refused * OVER_MEMORY_SPREAD_MS % spread_ms;
+        log::info!(request, route, held_bytes, again_ms; "refusing a body: too much is held for callers");
+        refusal(&Fault::new(ResultCode::OverMemory, ""), Some(again_ms))
+    }
+
     /// Accepts a submission, through a peer if the store does not accept it from this VM.
     async fn submit(
         &self,
--- a/crates/borageshore_net/src/lib.rs
+++ b/crates/borageshore_net/src/lib.rs
@@ -8,12 +8,14 @@
 mod client;
 mod event_loop;
 mod frame;
+mod memory;
 mod server;
 
 pub use self::{
     client::{CallError, Connection, HttpClient, Timeouts, response_body_error, response_error},
     event_loop::{Clock, Deadline, boot_time_ms, run_event_loop, sleep_ms, within_ms},
     frame::{FrameError, read_frame, write_frame},
+    memory::{HeldBody, HeldBodyError, MemoryBudget, MemoryLimits},
     server::{
         BodyError, EdgeBody, EdgeRequest, EdgeResponse, Handler, HttpServer, ServerLimits,
         StreamBodyError, bind_listener, empty_body, full_body, json_response, read_body,
--- a/crates/borageshore_net/src/server.rs
+++ b/crates/borageshore_net/src/server.rs
@@ -26,7 +26,10 @@
 use serde::Serialize;
 use tokio::sync::Notify;
 
-use crate::event_loop::{sleep_ms, within_ms};
+use crate::{
+    event_loop::{sleep_ms, within_ms},
+    memory::{AccountedIo, ConnectionAccount, MemoryBudget},
+};
 
 /// The pause after a failed accept.
 const ACCEPT_RETRY_MS: u64 = 50;
@@ -91,6 +94,15 @@
     closed: Notify,
 }
 
+/// What the connections of a server share.
+#[derive(Debug)]
+struct ServerParts<Service> {
+    limits: ServerLimits,
+    budget: Option<MemoryBudget>,
+    handler: Service,
+    shared: Rc<ServerState>,
+}
+
 /// A handle to a running server.
 #[derive(Debug, Clone)]
 pub struct HttpServer {
@@ -101,6 +113,19 @@
 impl HttpServer {
     /// Binds an address and serves it on the current event loop.
     pub fn bind<Service>(address: &str, limits: ServerLimits, handler: Service) -> io::Result<Self>
+    where
+        Service: Handler + 'static,
+    {
+        Self::bind_within(address, limits, None, handler)
+    }
+
+    /// Like [`HttpServer::bind`]; responses count in a budget of memory until they are written out, if there is one.
+    pub fn bind_within<Service>(
+        address: &str,
+        limits: ServerLimits,
+        budget: Option<MemoryBudget>,
+        handler: Service,
+    ) -> io::Result<Self>
     where
         Service: Handler + 'static,
     {
@@ -109,12 +134,13 @@
             address: listener.local_addr()?,
             shared: Rc::default(),
         };
-        monoio::spawn(accept_loop(
-            listener,
+        let server_parts = ServerParts {
             limits,
-            Rc::new(handler),
-            server.shared.clone(),
-        ));
+            budget,
+            handler,
+            shared: server.shared.clone(),
+        };
+        monoio::spawn(accept_loop(listener, Rc::new(server_parts)));
         Ok(server)
     }
 
@@ -155,18 +181,15 @@
     TcpListener::bind_with_config(address, &ListenerOpts::new().reuse_port(false))
 }
 
-async fn accept_loop<Service>(
-    listener: TcpListener,
-    limits: ServerLimits,
-    handler: Rc<Service>,
-    shared: Rc<ServerState>,
-) where
+async fn accept_loop<Service>(listener: TcpListener, server: Rc<ServerParts<Service>>)
+where
     Service: Handler + 'static,
 {
+    let shared = &server.shared;
     while !shared.is_closed.get() {
         let closed = shared.closed.notified();
         match select(pin!(listener.accept()), pin!(closed)).await {
-            Race::Left((Ok(accepted), _)) => spawn_connection(accepted, limits, &handler, &shared),
+            Race::Left((Ok(accepted), _)) => spawn_connection(accepted, &server),
             // Probably out of file descriptors: pause instead of spinning.
             Race::Left((Err(_), _)) => sleep_ms(ACCEPT_RETRY_MS).await,
             Race::Right(_) => {}
@@ -174,29 +197,38 @@
     }
     // Dropping the listener would reset the connections in its accept queue.
     while let Some(Ok(accepted)) = within_ms(ACCEPT_DRAIN_MS, listener.accept()).await {
-        spawn_connection(accepted, limits, &handler, &shared);
+        spawn_connection(accepted, &server);
     }
 }
 
 fn spawn_connection<Service>(
     (stream, remote): (TcpStream, SocketAddr),
-    limits: ServerLimits,
-    handler: &Rc<Service>,
-    shared: &Rc<ServerState>,
+    server: &Rc<ServerParts<Service>>,
 ) where
     Service: Handler + 'static,
 {
-    if shared.open.get() >= limits.connections {
+    let shared = &server.shared;
+    if shared.open.get() >= server.limits.connections {
         shared.refused.set(shared.refused.get() + 1);
         return;
     }
     shared.open.set(shared.open.get() + 1);
-    let (handler, shared) = (handler.clone(), shared.clone());
+    let server = server.clone();
     monoio::spawn(async move {
-        let served = serve_connection(stream, remote, limits, handler, shared.clone()).await;
+        let budget = server.budget.as_ref();
+        let account = budget.map(|budget| Rc::new(budget.connection(remote)));
+        let serving = serve_connection(stream, remote, server.clone(), account.clone());
+        let served = match &account {
+            Some(account) => match select(pin!(serving), pin!(account.closing())).await {
+                Race::Left((served, _)) => served,
+                Race::Right(_) => Ok(()),
+            },
+            None => serving.await,
+        };
         if let Err(error) = served {
             log::debug!("connection from {remote} ended: {error}");
         }
+        let shared = &server.shared;
         shared.open.set(shared.open.get() - 1);
     });
 }
@@ -204,25 +236,28 @@
 async fn serve_connection<Service>(
     stream: TcpStream,
     remote: SocketAddr,
-    limits: ServerLimits,
-    handler: Rc<Service>,
-    shared: Rc<ServerState>,
+    server: Rc<ServerParts<Service>>,
+    account: Option<Rc<ConnectionAccount>>,
 ) -> Result<(), Box<dyn std::error::Error>>
 where
     Service: Handler + 'static,
 {
+    let (limits, shared) = (server.limits, &server.shared);
     let _ = stream.set_nodelay(true);
-    let io = MonoioIo::new(stream.into_poll_io()?);
+    let io = AccountedIo::new(MonoioIo::new(stream.into_poll_io()?), account.clone());
     let has_request = Rc::new(Cell::new(false));
     let service = service_fn(|request| {
         has_request.set(true);
-        let (handler, shared) = (handler.clone(), shared.clone());
+        let (server, account) = (server.clone(), account.clone());
         async move {
-            let mut response = handler.handle(request, remote).await;
-            if shared.is_stopping.get() {
+            let mut response = server.handler.handle(request, remote).await;
+            if server.shared.is_stopping.get() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
+            if let Some(account) = &account {
+                account.on_response(response.body());
+            }
             Ok::<_, Infallible>(response)
         }
     });
