Calls of an overloaded service are refused at once, in a fixed order

Cause: a daemon sent a call to one endpoint after the other and, when all refused, answered with a fixed delay of 150 ms, whoever called: all organisations alike, also those that asked for little.

Change: borageshore_routing::overload decides from the reports of endpoints, a running estimate of the service time, and what the caller has left: admitted while a slot may be free, refused at once if the deadline would be missed, in between by level: less important calls first, then organisations over their share, then those that were not refused before. The delay is computed, also after all endpoints refused. Used only where Endpoints::has_contention says so; a trial of a quarantined request is never refused.

--- a/crates/borageshore_gateway/src/access.rs
+++ b/crates/borageshore_gateway/src/access.rs
@@ -30,6 +30,11 @@
     pub(crate) fn organisation(&self) -> Option<&Arc<str>> {
         self.organisation.as_ref().map(|owner| &owner.name)
     }
+
+    /// The priority of the caller's requests, if its organisation sets one.
+    pub(crate) fn priority(&self) -> Option<u64> {
+        self.organisation.as_ref()?.priority
+    }
 }
 
 /// Why a caller was refused.
--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -15,7 +15,8 @@
     refusal,
 };
 use borageshore_routing::{
-    AttemptEvent, Fingerprint, Idempotent, Outcome, RequestAttempts, RetryBudget, Route, RouteKind,
+    AttemptEvent, CallTerms, Fingerprint, Idempotent, Outcome, RequestAttempts, RetryBudget, Route,
+    RouteKind,
 };
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -23,6 +24,7 @@
 use crate::{
     access::{AuthorizedCaller, CallerAccess, Denial},
     endpoints::Endpoints,
+    overload::{Overload, OverloadRefusal},
     quarantine::{Held, Permit, Quarantine},
     usage::{RequestUsage, UsageCounter},
 };
@@ -35,7 +37,8 @@
 /// Hedges are limited to this share of the calls, in percent, so that a slow endpoint does not double the load of the
 /// others.
 const HEDGE_BUDGET_PERCENT: u64 = 20;
-/// The delay after which callers should retry a call that found all endpoints full or loading.
+/// The delay after which callers should retry a call that found all endpoints full or loading, in a service without
+/// contention.
 const RETRY_AFTER_MS: u64 = 150;
 
 /// Forwards calls and answers each before its deadline.
@@ -48,6 +51,7 @@
     client: EndpointClient,
     clock: Clock,
     hedges: RefCell<RetryBudget>,
+    overload: Overload,
     quarantine: Rc<Quarantine>,
     instruments: Rc<Instruments>,
 }
@@ -59,12 +63,24 @@
     caller: AuthorizedCaller,
     usage: RequestUsage,
     content: OnceCell<Fingerprint>,
+    /// When the caller stops waiting; it may allow more time than the route.
+    caller_deadline: Deadline,
 }
 
 impl PendingCall {
     fn content(&self) -> Fingerprint {
         *self.content.get_or_init(|| self.outbound.fingerprint())
     }
+
+    fn terms(&self, route: &Route) -> CallTerms<'_> {
+        CallTerms {
+            organisation: self.caller.organisation(),
+            priority: self.caller.priority().unwrap_or(route.priority),
+            objective_ms: route.objective_ms,
+            limit_ms: route.timeout_ms,
+            left_ms: self.caller_deadline.remaining_ms(),
+        }
+    }
 }
 
 /// The outcome of a call's attempts so far.
@@ -88,6 +104,7 @@
         Rc::new(Self {
             access,
             usage,
+            overload: Overload::open(endpoints.clone(), clock),
             endpoints,
             client,
             clock,
@@ -122,6 +139,7 @@
             usage: RequestUsage::begin(self.usage.as_ref(), caller.organisation()),
             caller,
             content: OnceCell::new(),
+            caller_deadline: Deadline::after(self.clock, head.deadline_ms),
         };
         let permit = match self.quarantine.admit(|| call.content()).await {
             Ok(permit) => permit,
@@ -131,6 +149,12 @@
             let fault = Fault::new(ResultCode::NoEndpoint, "the route names no service");
             return refusal(&fault, Some(RETRY_AFTER_MS));
         };
+        // A trial shows whether a request crashes endpoints, so it goes on.
+        if !permit.is_trial()
+            && let Some(refused) = self.overload.refuse(service, call.terms(route))
+        {
+            return self.refuse_overload(&call, route, refused);
+        }
         let mut outcome = CallOutcome::default();
         let attempts = self.run_attempts(route, service, &call, &permit, deadline, &mut outcome);
         let endpoint_response = attempts.await.or(outcome.error_response.take());
@@ -143,7 +167,10 @@
             {
                 Denial::ViewTooOld.response()
             }
-            None => failure_response(&outcome, deadline),
+            None => {
+                let not_run = || self.overload.on_not_run(service, call.terms(route));
+                failure_response(&outcome, deadline, not_run)
+            }
         };
         let status = response.status().as_u16();
         self.instruments.count("call", outcome_of(status));
@@ -169,6 +196,29 @@
         response
     }
 
+    /// Refuses a call of an overloaded service before it is sent to any endpoint.
+    fn refuse_overload(
+        &self,
+        call: &PendingCall,
+        route: &Route,
+        refused: OverloadRefusal,
+    ) -> EdgeResponse {
+        let reason = refused.reason.name();
+        let response = refusal(
+            &Fault::new(ResultCode::NoEndpoint, reason),
+            Some(refused.retry_after_ms),
+        );
+        self.instruments.count("overload", reason);
+        self.instruments.count("call", "not_run");
+        log::info!(
+            request = &*call.outbound.id, route = &*route.name, reason, again_ms = refused.retry_after_ms,
+            queued = refused.summary.queued, slots = refused.summary.slots,
+            left_ms = call.caller_deadline.remaining_ms();
+            "call refused: the endpoints of its service are overloaded"
+        );
+        response
+    }
+
     /// Tries one endpoint after the other, and hedges a slow one, as the route permits.
     async fn run_attempts(
         &self,
@@ -254,7 +304,9 @@
             }
         };
         let number = outcome.attempts.add_sent(target.instance.clone());
+        let service = service.clone();
         Some(async move {
+            let started_at_ms = self.clock.now_ms();
             let outbound = &call.outbound;
             let content = || call.content();
             let mut sent = self
@@ -268,6 +320,8 @@
             }
             match &result {
                 Ok(response) => {
+                    let took_ms = self.clock.now_ms() - started_at_ms;
+                    self.overload.on_answer(&service, took_ms, response.load);
                     in_flight.on_load(response.load);
                     in_flight.end(!response.status.is_server_error());
                 }
@@ -282,11 +336,19 @@
     }
 }
 
-/// The final response if no endpoint gave one.
-fn failure_response(outcome: &CallOutcome, deadline: Deadline) -> EdgeResponse {
+/// The final response if no endpoint gave one; `not_run` computes when the call should be repeated.
+fn failure_response<NotRun>(
+    outcome: &CallOutcome,
+    deadline: Deadline,
+    not_run: NotRun,
+) -> EdgeResponse
+where
+    NotRun: FnOnce() -> Option<u64>,
+{
     if outcome.attempts.outcome() == Outcome::NotRun {
         let fault = Fault::new(ResultCode::NoEndpoint, "");
-        return refusal(&fault, Some(RETRY_AFTER_MS));
+        let retry_after_ms = not_run().unwrap_or(RETRY_AFTER_MS);
+        return refusal(&fault, Some(retry_after_ms));
     }
     let code = match deadline.has_passed() {
         true => ResultCode::TimeoutAfterHandover,
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -15,7 +15,7 @@
 use borageshore_platform::{EndpointClient, EndpointEntry, EndpointTarget, Features};
 use borageshore_routing::{
     ChoiceRequest, Endpoint, EndpointListing, EndpointRegistry, EndpointState, EndpointTable,
-    choose_from_subset,
+    LoadSummary, choose_from_subset,
 };
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -135,11 +135,17 @@
     }
 
     /// Whether requests to a service may compete for its endpoints: the deployment expects overload.
-    #[allow(dead_code)]
     pub(crate) fn has_contention(&self, _service: &str) -> bool {
         self.features.overload_control
     }
 
+    /// The load of a service's usable endpoints; the cost grows with the number of endpoints.
+    pub(crate) fn load_summary(&self, service: &str) -> LoadSummary {
+        let now_ms = self.clock.now_ms();
+        let table = self.table.borrow();
+        LoadSummary::of(table.usable(service, now_ms), now_ms)
+    }
+
     /// Whether any endpoint is known.
     pub(crate) fn is_known(&self) -> bool {
         !self.registry.borrow().is_empty()
--- a/crates/borageshore_gateway/src/lib.rs
+++ b/crates/borageshore_gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod mechanisms;
 mod members;
 mod orderer;
+mod overload;
 mod peers;
 mod progress;
 mod quarantine;
--- a/crates/borageshore_routing/src/lib.rs
+++ b/crates/borageshore_routing/src/lib.rs
@@ -18,6 +18,7 @@
 mod endpoint;
 mod fingerprint;
 mod keys;
+mod overload;
 mod quarantine;
 mod registry;
 mod request_attempts;
@@ -34,6 +35,7 @@
     endpoint::{Endpoint, EndpointListing, EndpointState, EndpointTable, LoadReport},
     fingerprint::{Fingerprint, ParseFingerprintError, RequestContent},
     keys::{KeyDecision, KeyPrefix, KeyTable, StoredAnswer},
+    overload::{CallTerms, LoadSummary, OverloadControl, OverloadDecision, OverloadReason},
     quarantine::{Crash, CrashEffect, HoldDecision, Quarantine},
     registry::{EndpointRegistry, EntryEffect},
     request_attempts::RequestAttempts,
