--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -17,7 +17,7 @@
 use borageshore_platform::{EndpointClient, EndpointEntry, EndpointTarget, Features};
 use borageshore_routing::{
     CallingDaemon, ChoiceRequest, Endpoint, EndpointListing, EndpointRegistry, EndpointState,
-    EndpointTable, choose_from_subset,
+    EndpointTable, LoadSummary, choose_from_subset,
 };
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -153,6 +153,13 @@
         self.features.overload_control || self.table.borrow().reports_slowdowns(service)
     }
 
+    /// The load of a service's usable endpoints; the cost grows with the number of endpoints.
+    pub(crate) fn load_summary(&self, service: &str) -> LoadSummary {
+        let now_ms = self.clock.now_ms();
+        let table = self.table.borrow();
+        LoadSummary::of(table.usable(service, now_ms), now_ms)
+    }
+
     /// Whether any endpoint is known.
     pub(crate) fn is_known(&self) -> bool {
         !self.registry.borrow().is_empty()
--- a/crates/borageshore_net/src/lib.rs
+++ b/crates/borageshore_net/src/lib.rs
@@ -9,6 +9,7 @@
 mod event_loop;
 mod frame;
 mod hedge;
+mod memory;
 mod server;
 
 pub use self::{
@@ -16,6 +17,7 @@
     event_loop::{Clock, Deadline, boot_time_ms, run_event_loop, sleep_ms, within_ms},
     frame::{FrameError, read_frame, write_frame},
     hedge::hedged,
+    memory::{HeldBody, HeldBodyError, MemoryBudget, MemoryLimits},
     server::{
         BodyError, EdgeBody, EdgeRequest, EdgeResponse, Handler, HttpServer, ServerLimits,
         StreamBodyError, bind_listener, empty_body, full_body, json_response, read_body,
