--- a/crates/borageshore_bench/src/page.rs
+++ b/crates/borageshore_bench/src/page.rs
@@ -153,6 +153,12 @@
 | every daemon: true time | an offset | five peers asked every 10 s, 0.3 KB each | nothing | what most peers agree on |
 | holder of the duties, one | all totals of 40 s, the reports of 40 s | waiting reads of the totals, one a partition; a record and a call a window | daemons times organisations | the orderer's announcements |
 | orderer of weights, one | rounds | a report from each engine that loads; an order each | engines and versions | rounds by conditional append, a share of the engines a version |
+| holder of the duties: orders for endpoints | a count and a back-off a zone | a record and a call a zone when the need changes; all entries looked through once in 0.5 to 1 s | endpoints, at the holder only; zones | a number for each zone, not a difference; announcements of the duties |
+| owner of steps: start order, engines that leave | a position a waiting item; a median time per token | nothing | items that wait | least slack, computed as an item starts to wait |
+| owner of steps: engine latencies | 12 B an engine that differs, 64 at most | 3 KB in the records of texts each 2 s | nothing: capped | steps of 10 % of the median |
+| owner of steps: reward calls | a waiting call each, counts a group, 64 durations a service | a second request for a slow call, 20 % of the calls at most | its own waiting calls | a queue by what completes groups |
+| every daemon: overload | counts of 2,048 organisations a service at most, which fade within seconds | nothing | organisations that call it; a look at the endpoints of a service each 10 ms at most | reports of endpoints |
+| every daemon: memory for callers | a count a connection | nothing | connections | a share of `memory_mb` |
 | watcher of 3 others | when each was heard | see the first row; a suspicion a death | nothing | [`WatchTable`](../crates/borageshore_membership/src/watch.rs) |
 
 ## The store
