Leaving engines are asked when they leave

Change: a daemon with items on such an engine asks it once, 300 ms after the listing, and takes 200 ms off for the age of the report. Only where the service has contention. Not covered by a test: the stand-in engine doesn't drain.

--- a/crates/borageshore_gateway/src/endpoints/listing.rs
+++ b/crates/borageshore_gateway/src/endpoints/listing.rs
@@ -1,15 +1,21 @@
 //! Endpoint entries of the platform: how they are added, changed, expired and removed.
 
-use std::sync::Arc;
+use std::{rc::Rc, sync::Arc};
 
-use borageshore_platform::{EndpointEntry, KeyedRecord, decode_endpoint};
-use borageshore_routing::{EndpointTable, EntryEffect, LoadReport};
+use borageshore_net::sleep_ms;
+use borageshore_platform::{EndpointEntry, EngineReport, KeyedRecord, decode_endpoint};
+use borageshore_routing::{EndpointState, EndpointTable, EntryEffect, LoadReport};
+use futures_util::future::join_all;
 
 use super::{Endpoints, target};
 use crate::follow::RecordView;
 
 /// How long entries that expired around a store outage are kept: live endpoints are listed again within this time.
 const EXPIRY_GRACE_MS: u64 = 2_300;
+/// The maximum age of what an engine reports.
+const MAX_REPORT_AGE_MS: u64 = 200;
+/// The delay before a leaving engine is asked: by then its report is from after the notice.
+const ASK_DELAY_MS: u64 = MAX_REPORT_AGE_MS + 100;
 /// A longer gap between two reads counts as a store outage; a read waits for 1.2 s at most.
 const OUTAGE_GAP_MS: u64 = 2_000;
 
@@ -44,6 +50,12 @@
                 .observe(instance, model, *version);
         }
         self.update_leaving(&entry);
+        if known
+            .as_ref()
+            .is_none_or(|known| known.listing.state == EndpointState::Live)
+        {
+            self.note_unannounced_departure(&entry);
+        }
         if known
             .as_ref()
             .is_some_and(|known| known.listing == entry.listing)
@@ -55,17 +67,73 @@
         self.note_changed(id, ended.as_ref());
     }
 
-    /// Applies the remaining time in an entry. Entries arrive late, so the earliest end that one gave counts.
     fn update_leaving(&self, entry: &EndpointEntry) {
         let instance = &entry.listing.name;
-        let mut leaving = self.leaving.borrow_mut();
-        let Some(leaves_ms) = entry.leaves_ms else {
-            leaving.remove(instance);
-            return;
+        match entry.leaves_ms {
+            Some(leaves_ms) => self.on_notice(instance, &entry.listing.service, leaves_ms),
+            None if entry.listing.state == EndpointState::Live => {
+                self.leaving.borrow_mut().remove(instance);
+            }
+            // The time may be known from its report.
+            None => {}
+        }
+    }
+
+    /// Notes an engine that runs items of this daemon and is leaving, but whose entry does not say when.
+    fn note_unannounced_departure(&self, entry: &EndpointEntry) {
+        let listing = &entry.listing;
+        let is_unannounced = listing.state == EndpointState::Leaving && entry.leaves_ms.is_none();
+        let runs_items = || {
+            let table = self.table.borrow();
+            table
+                .get(&listing.name)
+                .is_some_and(|engine| engine.in_flight > 0)
         };
+        let is_engine = !entry.models.is_empty();
+        if is_unannounced && is_engine && self.has_contention(&listing.service) && runs_items() {
+            let engine = (listing.name.clone(), listing.service.clone());
+            self.unannounced.borrow_mut().push(engine);
+            self.departure_noted.notify_one();
+        }
+    }
+
+    /// Asks leaving engines whose entries do not say when they leave for their reports, which may.
+    pub(crate) async fn ask_leaving_engines(self: Rc<Self>) {
+        loop {
+            if self.unannounced.borrow().is_empty() {
+                self.departure_noted.notified().await;
+            }
+            sleep_ms(ASK_DELAY_MS).await;
+            let engines = self.unannounced.take();
+            let client = &self.client;
+            let asking = engines.iter().filter_map(|(instance, service)| {
+                let target = self.target_of(instance)?;
+                Some(async move { (instance, service, client.report(&target).await) })
+            });
+            for (instance, service, report) in join_all(asking).await {
+                match report {
+                    Ok(EngineReport {
+                        leaves_ms: Some(leaves_ms),
+                        ..
+                    }) => {
+                        let leaves_ms = leaves_ms.saturating_sub(MAX_REPORT_AGE_MS);
+                        self.on_notice(instance, service, leaves_ms);
+                    }
+                    Ok(_) => {}
+                    Err(error) => {
+                        log::info!(instance = &**instance, error:% = error; "leaving engine did not report when it leaves; its items stay until they are cut");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Applies the remaining time of an instance. Notices arrive late, so the earliest end that one gave counts.
+    fn on_notice(&self, instance: &Arc<str>, service: &Arc<str>, leaves_ms: u64) {
+        let mut leaving = self.leaving.borrow_mut();
         let reported_at_ms = self.clock.now_ms().saturating_add(leaves_ms);
         let leaves_at_ms = leaving.get_or_insert_with(instance.clone(), || {
-            log::info!(instance = &**instance, service = &*entry.listing.service, leaves_ms; "endpoint has notice to leave; it gets no more items");
+            log::info!(instance = &**instance, service = &**service, leaves_ms; "endpoint has notice to leave; it gets no more items");
             reported_at_ms
         });
         *leaves_at_ms = reported_at_ms.min(*leaves_at_ms);
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -93,6 +93,10 @@
     latencies: RefCell<EventLatencies>,
     /// When each instance that has notice to leave does so.
     leaving: RefCell<SortedMap<Arc<str>, u64>>,
+    /// Leaving engines that run items of this daemon and have not said when they leave, with their services.
+    unannounced: RefCell<Vec<(Arc<str>, Arc<str>)>>,
+    /// Notified when an engine is added to `unannounced`.
+    departure_noted: Notify,
     /// Changes that are not yet applied to `table`.
     changes: RefCell<EntryChanges>,
     last_read_at_ms: Cell<u64>,
@@ -125,6 +129,8 @@
             loading: RefCell::default(),
             latencies: RefCell::default(),
             leaving: RefCell::default(),
+            unannounced: RefCell::default(),
+            departure_noted: Notify::new(),
             changes: RefCell::default(),
             last_read_at_ms: Cell::new(0),
             outage_ended_at_ms: Cell::new(None),
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -176,6 +176,7 @@
             instruments.clone(),
         );
         Follower::spawn(spec(FeedTopic::Endpoints), endpoints.clone());
+        monoio::spawn(endpoints.clone().ask_leaving_engines());
         let fleet_records = FleetRecords {
             members: members.clone(),
             quarantine: quarantine.clone(),
