An engine whose first events were read at once is measured again

Cause: a steady average counts a sample for at most four times the average. After events that were read from one buffer, whose interval is a few microseconds, that bound was 0 ms: no later sample counted, and the engine passed for the fastest of its service (1 % of the median) as long as it ran. Change: a sample may always count for 1 ms at least; the average recovers within a few samples. The new test fails without the change (1 instead of 75..=140).

--- a/crates/borageshore_batch/src/event_latencies.rs
+++ b/crates/borageshore_batch/src/event_latencies.rs
@@ -89,7 +89,9 @@
                 covered_ms: 0,
             });
         let since_ms = now_ms.saturating_sub(latency.sampled_at_ms);
-        let added_ms = since_ms.min(latency.us_per_event * MAX_SAMPLE_INTERVALS / 1_000);
+        // Events that were read at once give an average near 0, which must not keep later samples from counting.
+        let max_added_ms = (latency.us_per_event * MAX_SAMPLE_INTERVALS / 1_000).max(1);
+        let added_ms = since_ms.min(max_added_ms);
         let covered_ms = latency.covered_ms + added_ms;
         let weighted = latency.us_per_event * latency.covered_ms + interval_us * added_ms;
         if let Some(us_per_event) = weighted.checked_div(covered_ms) {
--- a/crates/borageshore_batch/tests/event_latencies.rs
+++ b/crates/borageshore_batch/tests/event_latencies.rs
@@ -111,6 +111,19 @@
         assert!(after < before + 30, "{before}, then {after}");
     }
 
+    // Guards against an engine that counts as the fastest for good because its first events were read at once.
+    events_that_were_read_at_once_do_not_make_an_engine_fast => {
+        let mut latencies = steady(6_000);
+        for now_ms in [6_000, 6_030] {
+            latencies.record_steady(&"e-5".into(), 5, 100, now_ms);
+        }
+        for now_ms in (6_040..8_500).step_by(18) {
+            latencies.record_steady(&"e-5".into(), 36_000, 100, now_ms);
+        }
+        let now = percent(&latencies, "e-5", 8_500);
+        assert!((75..=140).contains(&now), "{now}");
+    }
+
     // Guards against a successor that places its first long texts on slow engines.
     a_successor_knows_the_slow_engines_until_it_has_measured_them => {
         let saved = steady(6_000).to_hand_over(6_000);
