A garbled report of engines does not lose the texts of its record

Cause: the engines' latencies are a field of the records that hold unfinished texts; a record in which that field could not be decoded counted as no batch at all, and its texts were lost. Change: such a field counts as absent. The test that expected None for the whole record is replaced by one that checks, for four garbled values, that the pieces and the offset are there.

--- a/crates/borageshore_batch/src/text_pieces.rs
+++ b/crates/borageshore_batch/src/text_pieces.rs
@@ -4,7 +4,7 @@
 
 use borageshore_base::SortedMap;
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::{event_latencies::EngineLatency, text::Text};
 
@@ -32,8 +32,12 @@
     pub needed_from: u64,
     /// The pieces.
     pub pieces: Vec<TextPiece>,
-    /// What the author measured of engines, if it is due.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    /// What the author measured of engines, if it is due. A garbled report counts as absent: the pieces matter more.
+    #[serde(
+        default,
+        deserialize_with = "readable",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub engines: Option<EngineReport>,
 }
 
@@ -46,6 +50,14 @@
     pub latencies: Vec<EngineLatency>,
 }
 
+/// Decodes a field that counts as absent if it is garbled.
+fn readable<'de, Reader>(reader: Reader) -> Result<Option<EngineReport>, Reader::Error>
+where
+    Reader: Deserializer<'de>,
+{
+    serde_json::Value::deserialize(reader).map(|value| serde_json::from_value(value).ok())
+}
+
 impl PieceBatch {
     /// Encodes the batch as a record.
     pub fn encode(&self) -> Bytes {
