One function for the time of day

Cause: the same reading of the time of day was written five times in the gateway, once with the standard library. Change: the one beside the estimate of true time is used by all of them.

--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -38,7 +38,7 @@
     submission_index::SubmissionIndex,
     submissions::Submissions,
     text_cache::TextCache,
-    true_time::SharedTime,
+    true_time::{SharedTime, time_of_day_ms},
     usage::{Reporter, ReporterParts, UsageCounter, UsageReports},
     watch::Watch,
     writer::Writer,
@@ -76,7 +76,7 @@
         let clock = Clock::start();
         let instruments = Rc::new(Instruments::open());
         // Increases with every start unless the VM's clock was set back by more than the previous run lasted.
-        let incarnation = jiff::Timestamp::now().as_millisecond() as u64;
+        let incarnation = time_of_day_ms();
         let mechanisms = Rc::new(Mechanisms::without(config.mechanisms_off.clone()));
         let transport = FailoverTransport::open(
             config.store_address.clone(),
--- a/crates/borageshore_gateway/src/progress.rs
+++ b/crates/borageshore_gateway/src/progress.rs
@@ -5,7 +5,6 @@
     cmp::Reverse,
     rc::Rc,
     sync::Arc,
-    time::{SystemTime, UNIX_EPOCH},
 };
 
 use borageshore_base::SortedMap;
@@ -16,7 +15,10 @@
 use futures_util::future::join_all;
 use tokio::sync::Notify;
 
-use crate::{endpoints::Endpoints, ledger_view::Shard, members::Members, store_transport::Store};
+use crate::{
+    endpoints::Endpoints, ledger_view::Shard, members::Members, store_transport::Store,
+    true_time::time_of_day_ms,
+};
 
 /// The minimum interval at which new events are saved; a crash loses the events since the last save.
 const SAVE_INTERVAL_MS: u64 = 250;
@@ -272,7 +274,7 @@
         }
         saved_at_ms.insert(shard.number(), now_ms);
         Some(EngineReport {
-            at_unix_ms: unix_ms(),
+            at_unix_ms: time_of_day_ms(),
             latencies,
         })
     }
@@ -283,7 +285,7 @@
         let Some(report) = reports.max_by_key(|report| report.at_unix_ms) else {
             return;
         };
-        let age_ms = unix_ms().abs_diff(report.at_unix_ms);
+        let age_ms = time_of_day_ms().abs_diff(report.at_unix_ms);
         if age_ms >= MAX_LATENCIES_AGE_MS {
             log::info!(age_ms; "saved latencies of engines are too old; all engines count as equal");
             return;
@@ -381,11 +383,6 @@
     }
 }
 
-fn unix_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |since| since.as_millis() as u64)
-}
-
 /// The bytes that this daemon may save at a time: an equal share of `MAX_TOTAL_BYTES_PER_S`.
 fn bytes_per_save(interval_ms: u64, holders: usize) -> usize {
     MAX_TOTAL_BYTES_PER_S * interval_ms as usize / 1_000 / holders
--- a/crates/borageshore_gateway/src/quarantine/mod.rs
+++ b/crates/borageshore_gateway/src/quarantine/mod.rs
@@ -32,7 +32,10 @@
     sent::SentRequest,
     trials::Permit,
 };
-use crate::{endpoints::Endpoints, follow::RecordView, members::Members, store_transport::Store};
+use crate::{
+    endpoints::Endpoints, follow::RecordView, members::Members, store_transport::Store,
+    true_time::time_of_day_ms,
+};
 
 /// How long a caller waits for a trial claim to be stored and read back.
 const CLAIM_TIMEOUT_MS: u64 = 400;
@@ -91,7 +94,7 @@
         clock: Clock,
         instruments: Rc<Instruments>,
     ) -> Rc<Self> {
-        let unix_ms = jiff::Timestamp::now().as_millisecond() as u64;
+        let unix_ms = time_of_day_ms();
         let quarantine = Rc::new(Self {
             clock,
             start_unix_ms: unix_ms.saturating_sub(clock.now_ms()),
--- a/crates/borageshore_gateway/src/submission_index.rs
+++ b/crates/borageshore_gateway/src/submission_index.rs
@@ -15,6 +15,7 @@
 use crate::{
     follow::{ONLY_PARTITION, RecordView},
     store_transport::Store,
+    true_time::time_of_day_ms,
 };
 
 /// A submission that was not ended counts as demand for this long: the longest step of a trainer.
@@ -160,10 +161,6 @@
     }
 }
 
-fn time_of_day_ms() -> u64 {
-    jiff::Timestamp::now().as_millisecond() as u64
-}
-
 impl RecordView for SubmissionIndex {
     fn apply(&self, records: &[KeyedRecord]) {
         for record in records {
--- a/crates/borageshore_gateway/src/true_time.rs
+++ b/crates/borageshore_gateway/src/true_time.rs
@@ -114,6 +114,7 @@
     }
 }
 
-fn time_of_day_ms() -> u64 {
+/// The VM's time of day as Unix time, which may be wrong or set back.
+pub(crate) fn time_of_day_ms() -> u64 {
     jiff::Timestamp::now().as_millisecond() as u64
 }
