Handed-over latencies are taken in the order of the store

Cause: a successor took the report with the highest time of day among the last records. And while no engine differed from the median, all engines were compared anew with each save of a shard. Change: the last report in the order of the store counts; a comparison without a result counts for its interval too.

--- a/crates/borageshore_gateway/src/progress.rs
+++ b/crates/borageshore_gateway/src/progress.rs
@@ -87,8 +87,8 @@
     is_enabled: bool,
     runs: RefCell<SortedMap<u64, SavedRun>>,
     next_run: Cell<u64>,
-    /// When the latencies of engines were last saved, by the number of the shard.
-    latencies_saved_at_ms: RefCell<SortedMap<usize, u64>>,
+    /// When the latencies of engines were last compared for saving, by the number of the shard.
+    latencies_compared_at_ms: RefCell<SortedMap<usize, u64>>,
     is_failing: Cell<bool>,
     run_added: Notify,
 }
@@ -113,7 +113,7 @@
             is_enabled,
             runs: RefCell::default(),
             next_run: Cell::default(),
-            latencies_saved_at_ms: RefCell::default(),
+            latencies_compared_at_ms: RefCell::default(),
             is_failing: Cell::default(),
             run_added: Notify::new(),
         });
@@ -263,17 +263,15 @@
     /// What to save of the engines' latencies with the next texts of a shard.
     fn engine_report(&self, shard: Shard) -> Option<EngineReport> {
         let now_ms = self.clock.now_ms();
-        let mut saved_at_ms = self.latencies_saved_at_ms.borrow_mut();
-        saved_at_ms.retain(|_, at_ms| now_ms < *at_ms + SAVE_LATENCIES_INTERVAL_MS);
-        if saved_at_ms.contains_key(&shard.number()) {
+        let mut compared_at_ms = self.latencies_compared_at_ms.borrow_mut();
+        compared_at_ms.retain(|_, at_ms| now_ms < *at_ms + SAVE_LATENCIES_INTERVAL_MS);
+        if compared_at_ms.contains_key(&shard.number()) {
             return None;
         }
+        // Counts without a report too: the cost of the comparison grows with the number of engines.
+        compared_at_ms.insert(shard.number(), now_ms);
         let latencies = self.endpoints.latencies_to_hand_over();
-        if latencies.is_empty() {
-            return None;
-        }
-        saved_at_ms.insert(shard.number(), now_ms);
-        Some(EngineReport {
+        (!latencies.is_empty()).then(|| EngineReport {
             at_unix_ms: time_of_day_ms(),
             latencies,
         })
@@ -281,8 +279,9 @@
 
     /// Takes over what the last owner of a shard measured of the engines.
     fn take_over_latencies(&self, batches: &[PieceBatch]) {
-        let reports = batches.iter().filter_map(|batch| batch.engines.as_ref());
-        let Some(report) = reports.max_by_key(|report| report.at_unix_ms) else {
+        // The last one in the order of the store: the VMs' times of day differ.
+        let mut reports = batches.iter().filter_map(|batch| batch.engines.as_ref());
+        let Some(report) = reports.next_back() else {
             return;
         };
         let age_ms = time_of_day_ms().abs_diff(report.at_unix_ms);
