Items on leaving engines compete for slots of their own service and model only

Cause: the items that want to move off leaving engines were compared across all services and models. While long items of one service waited for a slot, shorter ones of another service did not take the free slots of theirs, and were released 300 ms before the end of their engine. Change: an item is compared with those of its service and model.

--- a/crates/borageshore_gateway/src/dispatch.rs
+++ b/crates/borageshore_gateway/src/dispatch.rs
@@ -57,6 +57,21 @@
     }
 }
 
+/// An item that wants to move off a leaving engine.
+#[derive(Debug)]
+struct Departing {
+    service: Arc<str>,
+    model: Option<Arc<str>>,
+    /// The time that the rest of its text takes.
+    remaining_ms: u64,
+}
+
+impl Departing {
+    fn competes_with(&self, request: &SlotRequest) -> bool {
+        self.service == request.service && self.model == request.model
+    }
+}
+
 /// The queue of items that wait for a slot, and the engines on which each group runs.
 #[derive(Debug)]
 pub(crate) struct Dispatch {
@@ -65,8 +80,8 @@
     placed_groups: RefCell<GroupPlacements>,
     /// Times of finished texts, by service.
     generation_times: RefCell<SortedMap<Arc<str>, GenerationTimes>>,
-    /// Items that want to move off leaving engines: the time that the rest of each takes, by text key.
-    departing: RefCell<SortedMap<Arc<str>, u64>>,
+    /// Items that want to move off leaving engines, by text key.
+    departing: RefCell<SortedMap<Arc<str>, Departing>>,
 }
 
 impl Dispatch {
@@ -123,7 +138,12 @@
         request: &SlotRequest,
     ) -> Option<EngineSlot> {
         let mut departing = self.departing.borrow_mut();
-        departing.insert(key.clone(), remaining_ms);
+        let own = Departing {
+            service: request.service.clone(),
+            model: request.model.clone(),
+            remaining_ms,
+        };
+        departing.insert(key.clone(), own);
         let engines = self.endpoints.engines(
             &request.service,
             request.model.as_ref(),
@@ -133,7 +153,9 @@
         let free = engines.iter().filter(|engine| can_take(engine, placement));
         let free_slots = free.map(|engine| engine.slots - engine.load).sum();
         let others = departing.iter().filter(|(other, _)| *other != key);
-        if !gets_free_slot(remaining_ms, others.map(|(_, ms)| *ms), free_slots) {
+        let competing = others.filter(|(_, other)| other.competes_with(request));
+        let other_remaining_ms = competing.map(|(_, other)| other.remaining_ms);
+        if !gets_free_slot(remaining_ms, other_remaining_ms, free_slots) {
             return None;
         }
         let chosen = choose_engine(&engines, placement)?;
