Whole steps start while a service can't serve all waiting items in time

Cause: when more waits than all slots can serve before it is due, least slack first starts a part of each step and completes fewer steps in time than the order of arrival. Change: once a round the expected times of a service's waiting items are added up. If they exceed slots x time until the last due time, items start by priority and age of their step; one that has taken twice the time allowed leads. Below that the order is unchanged, and services without contention are not looked at.

--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -62,6 +62,8 @@
     },
     text::{Text, TextError},
     text_pieces::{EngineReport, PieceBatch, PieceJoiner, TextPiece},
-    urgency::{StartOrder, StartPosition, Urgency, UrgencyRequest, mean_hint_tokens},
+    urgency::{
+        Backlog, ServiceLoad, StartOrder, StartPosition, Urgency, UrgencyRequest, mean_hint_tokens,
+    },
     view_position::ViewPosition,
 };
--- a/crates/borageshore_batch/src/urgency.rs
+++ b/crates/borageshore_batch/src/urgency.rs
@@ -45,6 +45,9 @@
     latest_start_ms: u64,
     /// From when on the item counts as late.
     late_at_ms: u64,
+    /// From when on it starts before others even in an overload: twice the time allowed after its arrival.
+    overdue_at_ms: u64,
+    needed_ms: u64,
     priority: u64,
     rank: (u64, ItemRank),
 }
@@ -60,12 +63,50 @@
         Self {
             latest_start_ms: due_at_ms - needed_ms,
             late_at_ms: due_at_ms - needed_ms / HINT_TOLERANCE,
+            overdue_at_ms: due_at_ms.saturating_add(request.result_due_ms),
+            needed_ms,
             priority: request.priority,
             rank: (request.arrived_at_ms, request.rank),
         }
     }
 }
 
+/// Whether the waiting items of a service can be in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServiceLoad {
+    /// They may be, as far as the sum of their expected times tells.
+    Normal,
+    /// Not all of them can be, in whatever order they start.
+    Overloaded,
+}
+
+/// The expected times of the waiting items of a service, added up once a round.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Backlog {
+    needed_ms: u64,
+    last_due_at_ms: u64,
+}
+
+impl Backlog {
+    /// Adds an item; one without an urgency does not count.
+    pub fn add(&mut self, order: &StartOrder) {
+        if let StartOrder::Urgent(urgency) = order {
+            let due_at_ms = urgency.latest_start_ms.saturating_add(urgency.needed_ms);
+            self.last_due_at_ms = self.last_due_at_ms.max(due_at_ms);
+            self.needed_ms = self.needed_ms.saturating_add(urgency.needed_ms);
+        }
+    }
+
+    /// Whether the items take longer than all slots have until the last of them is due.
+    pub fn service_load(&self, slots: u64, now_ms: u64) -> ServiceLoad {
+        let left_ms = self.last_due_at_ms.saturating_sub(now_ms);
+        match self.needed_ms > slots.saturating_mul(left_ms) {
+            true => ServiceLoad::Overloaded,
+            false => ServiceLoad::Normal,
+        }
+    }
+}
+
 /// How the start of an item is ordered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartOrder {
@@ -90,13 +131,22 @@
 
 impl StartOrder {
     /// The item's place at a time.
-    pub fn position(&self, now_ms: u64) -> StartPosition {
+    ///
+    /// In an overload, least slack first would start a part of each step and complete none in time. So all items count as
+    /// late then, which completes whole steps, and their wait is bounded by twice the time allowed.
+    pub fn position(&self, now_ms: u64, load: ServiceLoad) -> StartPosition {
         let urgency = match self {
             StartOrder::Ranked(arrived_at_ms, rank) => {
                 return StartPosition::Ranked(*arrived_at_ms, *rank);
             }
             StartOrder::Urgent(urgency) => urgency,
         };
+        if load == ServiceLoad::Overloaded {
+            return match now_ms < urgency.overdue_at_ms {
+                true => StartPosition::Late(urgency.priority, urgency.rank),
+                false => StartPosition::Aged(urgency.late_at_ms, urgency.rank),
+            };
+        }
         if now_ms < urgency.late_at_ms {
             StartPosition::InTime(urgency.latest_start_ms, urgency.rank)
         } else if now_ms < urgency.late_at_ms.saturating_add(MAX_LATE_WAIT_MS) {
--- a/crates/borageshore_batch/tests/urgency.rs
+++ b/crates/borageshore_batch/tests/urgency.rs
@@ -1,8 +1,8 @@
 //! The start order of items across submissions.
 
 use borageshore_batch::{
-    FinishedText, GenerationTimes, Item, StartOrder, Submission, Urgency, UrgencyRequest,
-    mean_hint_tokens, rank_items,
+    Backlog, FinishedText, GenerationTimes, Item, ServiceLoad, StartOrder, Submission, Urgency,
+    UrgencyRequest, mean_hint_tokens, rank_items,
 };
 
 const DUE_MS: u64 = 7_500;
@@ -47,7 +47,7 @@
 /// The indices of items in their start order at a time.
 fn order(items: &[(u64, u64, u64)], now_ms: u64) -> Vec<usize> {
     let mut places: Vec<usize> = (0..items.len()).collect();
-    places.sort_by_key(|place| item(items[*place]).position(now_ms));
+    places.sort_by_key(|place| item(items[*place]).position(now_ms, ServiceLoad::Normal));
     places
 }
 
@@ -80,15 +80,39 @@
 #[test]
 fn items_without_an_urgency_keep_their_rank() {
     let ranks = rank_items(&submission(&[Some(5), Some(90), None]));
-    let ranked = |at: u64, index: usize| StartOrder::Ranked(at, ranks[index]).position(1_000_000);
+    let ranked = |at: u64, index: usize| {
+        StartOrder::Ranked(at, ranks[index]).position(1_000_000, ServiceLoad::Normal)
+    };
     assert!(ranked(1, 0) < ranked(2, 1));
     assert!(ranked(1, 1) < ranked(1, 0));
     assert!(ranked(1, 0) < ranked(1, 2));
     // A service may come under contention while items wait.
-    let late = item((0, 100, 0)).position(1_000_000);
+    let late = item((0, 100, 0)).position(1_000_000, ServiceLoad::Normal);
     assert!(late < ranked(1, 0));
 }
 
+#[test]
+fn a_service_is_overloaded_if_its_slots_cannot_serve_all_in_time() {
+    let mut backlog = Backlog::default();
+    assert_eq!(backlog.service_load(1, 0), ServiceLoad::Normal);
+    backlog.add(&item((0, 5_000, 0)));
+    backlog.add(&item((100, 10_000, 0)));
+    assert_eq!(backlog.service_load(2, 100), ServiceLoad::Normal);
+    assert_eq!(backlog.service_load(2, 1_400), ServiceLoad::Overloaded);
+    assert_eq!(backlog.service_load(1, 100), ServiceLoad::Overloaded);
+    assert_eq!(backlog.service_load(0, 100), ServiceLoad::Overloaded);
+}
+
+/// Guards against an overload in which a part of each step starts, and against starvation in it.
+#[test]
+fn whole_steps_start_in_an_overload() {
+    let position = |values, now_ms| item(values).position(now_ms, ServiceLoad::Overloaded);
+    assert!(position((0, 300, 1), 100) < position((50, 6_900, 1), 100));
+    assert!(position((50, 300, 0), 100) < position((0, 6_900, 1), 100));
+    let overdue_at_ms = 2 * DUE_MS;
+    assert!(position((0, 300, 1), overdue_at_ms) < position((50, 300, 0), overdue_at_ms));
+}
+
 fn times(texts: &[(Option<u64>, u64)]) -> GenerationTimes {
     let mut times = GenerationTimes::default();
     for (hint_tokens, events) in texts {
@@ -208,7 +232,10 @@
             while let Some(text) = arriving.next_if(|text| text.arrived_at_ms <= now_ms) {
                 waiting.push(text);
             }
-            let position = |place: &usize| waiting[*place].order.position(now_ms);
+            let mut backlog = Backlog::default();
+            waiting.iter().for_each(|text| backlog.add(&text.order));
+            let load = backlog.service_load(SLOTS as u64, now_ms);
+            let position = |place: &usize| waiting[*place].order.position(now_ms, load);
             let next = (0..waiting.len()).min_by_key(position).unwrap();
             let text = waiting.swap_remove(next);
             let wait_ms = now_ms - text.arrived_at_ms;
@@ -234,18 +261,34 @@
         );
     }
 
-    // Guards against trainers with long texts losing all their steps when a third more is asked.
+    // Guards against trainers with long texts losing all their steps when a third or a half more is asked.
     #[test]
     fn most_steps_are_in_time_under_more_load() {
-        let ((arrival, _), (urgency, _)) = (play(false, 130), play(true, 130));
-        assert!(
-            urgency.iter().sum::<u64>() > arrival.iter().sum(),
-            "{urgency:?} {arrival:?}"
-        );
-        assert!(
-            urgency.iter().all(|steps| *steps > ROUNDS / 2),
-            "{urgency:?}"
-        );
+        for load_percent in [130, 150] {
+            let ((arrival, _), (urgency, _)) =
+                (play(false, load_percent), play(true, load_percent));
+            assert!(
+                urgency.iter().sum::<u64>() > arrival.iter().sum(),
+                "{urgency:?} {arrival:?}"
+            );
+            assert!(
+                urgency.iter().all(|steps| *steps > ROUNDS / 2),
+                "{urgency:?}"
+            );
+        }
+    }
+
+    // Guards against an overload in which least slack first completes fewer steps than the order of arrival.
+    #[test]
+    fn more_steps_are_in_time_than_in_the_order_of_arrival_under_lasting_overload() {
+        for load_percent in [200, 225] {
+            let ((arrival, _), (urgency, _)) =
+                (play(false, load_percent), play(true, load_percent));
+            assert!(
+                urgency.iter().sum::<u64>() > arrival.iter().sum(),
+                "{urgency:?} {arrival:?}"
+            );
+        }
     }
 
     // Guards against starvation under lasting overload, when there are always items that are still in time.
--- a/crates/borageshore_gateway/src/dispatch.rs
+++ b/crates/borageshore_gateway/src/dispatch.rs
@@ -4,8 +4,9 @@
 
 use borageshore_base::SortedMap;
 use borageshore_batch::{
-    EngineView, FinishedText, GenerationTimes, GroupPlacements, PlacementRequest, RunningItem,
-    StartOrder, can_take, choose_better_engine, choose_engine, gets_free_slot,
+    Backlog, EngineView, FinishedText, GenerationTimes, GroupPlacements, PlacementRequest,
+    RunningItem, ServiceLoad, StartOrder, can_take, choose_better_engine, choose_engine,
+    gets_free_slot,
 };
 use borageshore_net::{sleep_ms, within_ms};
 use borageshore_platform::EndpointTarget;
@@ -104,9 +105,11 @@
             {
                 let mut waiting = self.waiting.borrow_mut();
                 let now_ms = self.endpoints.now_ms();
-                let position = request.order.position(now_ms);
-                let is_before = |waiter: &Waiter| waiter.request.order.position(now_ms) <= position;
-                let at = waiting.partition_point(is_before);
+                // Its place in an overload is found in the next round.
+                let position_of =
+                    |request: &SlotRequest| request.order.position(now_ms, ServiceLoad::Normal);
+                let position = position_of(&request);
+                let at = waiting.partition_point(|waiter| position_of(&waiter.request) <= position);
                 let request = request.clone();
                 waiting.insert(at, Waiter { request, sender });
             }
@@ -208,9 +211,16 @@
     fn assign_slots(&self) {
         let mut waiting = std::mem::take(&mut *self.waiting.borrow_mut());
         waiting.retain(|waiter| !waiter.sender.is_closed());
-        // Almost sorted: only items that have become late since the last round change places.
         let now_ms = self.endpoints.now_ms();
-        waiting.sort_by_key(|waiter| waiter.request.order.position(now_ms));
+        let overloaded = self.overloaded_services(&waiting, now_ms);
+        // Almost sorted: only items that have become late since the last round change places.
+        waiting.sort_by_key(|Waiter { request, .. }| {
+            let load = match overloaded.contains(&request.service) {
+                true => ServiceLoad::Overloaded,
+                false => ServiceLoad::Normal,
+            };
+            request.order.position(now_ms, load)
+        });
         let mut looked_up = self.engines_for_all(&waiting);
         let mut unserved = Vec::new();
         for waiter in waiting {
@@ -229,6 +239,25 @@
         *waiting = unserved;
     }
 
+    /// The services that cannot serve all items that wait here in time. Items that wait at other daemons do not count, so
+    /// a service that is listed is overloaded, but not the other way round.
+    fn overloaded_services(&self, waiting: &[Waiter], now_ms: u64) -> Vec<Arc<str>> {
+        let mut backlogs: SortedMap<Arc<str>, Backlog> = SortedMap::default();
+        for Waiter { request, .. } in waiting {
+            if let StartOrder::Urgent(_) = request.order {
+                let backlog =
+                    backlogs.get_or_insert_with(request.service.clone(), Backlog::default);
+                backlog.add(&request.order);
+            }
+        }
+        let is_overloaded = |(service, backlog): &(&Arc<str>, &Backlog)| {
+            let slots = self.endpoints.slots_of(service);
+            backlog.service_load(slots, now_ms) == ServiceLoad::Overloaded
+        };
+        let overloaded = backlogs.iter().filter(is_overloaded);
+        overloaded.map(|(service, _)| service.clone()).collect()
+    }
+
     /// The engines of each service and model that waiting requests need, looked up once per round, without those whose
     /// versions are too old for all of them.
     fn engines_for_all(&self, waiting: &[Waiter]) -> Vec<ServiceEngines> {
