--- a/crates/borageshore_batch/tests/event_latencies.rs
+++ b/crates/borageshore_batch/tests/event_latencies.rs
@@ -111,6 +111,19 @@
         assert!(after < before + 30, "{before}, then {after}");
     }
 
+    // Guards against an engine that counts as the fastest for good because its first events were read at once.
+    events_that_were_read_at_once_do_not_make_an_engine_fast => {
+        let mut latencies = steady(6_000);
+        for now_ms in [6_000, 6_030] {
+            latencies.record_steady(&"e-5".into(), 5, 100, now_ms);
+        }
+        for now_ms in (6_040..8_500).step_by(18) {
+            latencies.record_steady(&"e-5".into(), 36_000, 100, now_ms);
+        }
+        let now = percent(&latencies, "e-5", 8_500);
+        assert!((75..=140).contains(&now), "{now}");
+    }
+
     // Guards against a successor that places its first long texts on slow engines.
     a_successor_knows_the_slow_engines_until_it_has_measured_them => {
         let saved = steady(6_000).to_hand_over(6_000);
@@ -153,7 +166,13 @@
         let engines = Some(EngineReport { at_unix_ms: 7, latencies: vec![handed_over("e-1", 240)] });
         let with = PieceBatch { engines, ..batch };
         assert_eq!(PieceBatch::decode(&with.encode()), Some(with));
-        assert_eq!(PieceBatch::decode(br#"{"author":"vm-1","needed_from":0,"pieces":[],"engines":{"at_unix_ms":"x"}}"#), None);
+        let piece = r#"{"item":"i","run":1,"first_event":1,"events":["a"],"versions":[2]}"#;
+        for engines in ["null", "7", r#"{"at_unix_ms":"x"}"#, r#"{"at_unix_ms":7,"latencies":[{"instance":1}]}"#] {
+            let garbled = format!(r#"{{"author":"vm-1","needed_from":3,"pieces":[{piece}],"engines":{engines}}}"#);
+            let decoded = PieceBatch::decode(garbled.as_bytes()).expect("the texts are there");
+            assert_eq!((decoded.engines, decoded.needed_from, decoded.pieces.len()), (None, 3, 1));
+            assert_eq!(decoded.pieces[0].events, ["a"]);
+        }
         let mut latencies = EventLatencies::default();
         assert!(!latencies.take_over(&handed_over("e-1", 0), 0));
         assert!(!latencies.take_over(&handed_over("e-1", u64::MAX), 0));
--- a/crates/borageshore_gateway/src/progress.rs
+++ b/crates/borageshore_gateway/src/progress.rs
@@ -5,7 +5,6 @@
     cmp::Reverse,
     rc::Rc,
     sync::Arc,
-    time::{SystemTime, UNIX_EPOCH},
 };
 
 use borageshore_base::SortedMap;
@@ -16,7 +15,10 @@
 use futures_util::future::join_all;
 use tokio::sync::Notify;
 
-use crate::{endpoints::Endpoints, ledger_view::Shard, members::Members, store_transport::Store};
+use crate::{
+    endpoints::Endpoints, ledger_view::Shard, members::Members, store_transport::Store,
+    true_time::time_of_day_ms,
+};
 
 /// The minimum interval at which new events are saved; a crash loses the events since the last save.
 const SAVE_INTERVAL_MS: u64 = 250;
@@ -85,8 +87,8 @@
     is_enabled: bool,
     runs: RefCell<SortedMap<u64, SavedRun>>,
     next_run: Cell<u64>,
-    /// When the latencies of engines were last saved, by the number of the shard.
-    latencies_saved_at_ms: RefCell<SortedMap<usize, u64>>,
+    /// When the latencies of engines were last compared for saving, by the number of the shard.
+    latencies_compared_at_ms: RefCell<SortedMap<usize, u64>>,
     is_failing: Cell<bool>,
     run_added: Notify,
 }
@@ -111,7 +113,7 @@
             is_enabled,
             runs: RefCell::default(),
             next_run: Cell::default(),
-            latencies_saved_at_ms: RefCell::default(),
+            latencies_compared_at_ms: RefCell::default(),
             is_failing: Cell::default(),
             run_added: Notify::new(),
         });
@@ -261,29 +263,28 @@
     /// What to save of the engines' latencies with the next texts of a shard.
     fn engine_report(&self, shard: Shard) -> Option<EngineReport> {
         let now_ms = self.clock.now_ms();
-        let mut saved_at_ms = self.latencies_saved_at_ms.borrow_mut();
-        saved_at_ms.retain(|_, at_ms| now_ms < *at_ms + SAVE_LATENCIES_INTERVAL_MS);
-        if saved_at_ms.contains_key(&shard.number()) {
+        let mut compared_at_ms = self.latencies_compared_at_ms.borrow_mut();
+        compared_at_ms.retain(|_, at_ms| now_ms < *at_ms + SAVE_LATENCIES_INTERVAL_MS);
+        if compared_at_ms.contains_key(&shard.number()) {
             return None;
         }
+        // Counts without a report too: the cost of the comparison grows with the number of engines.
+        compared_at_ms.insert(shard.number(), now_ms);
         let latencies = self.endpoints.latencies_to_hand_over();
-        if latencies.is_empty() {
-            return None;
-        }
-        saved_at_ms.insert(shard.number(), now_ms);
-        Some(EngineReport {
-            at_unix_ms: unix_ms(),
+        (!latencies.is_empty()).then(|| EngineReport {
+            at_unix_ms: time_of_day_ms(),
             latencies,
         })
     }
 
     /// Takes over what the last owner of a shard measured of the engines.
     fn take_over_latencies(&self, batches: &[PieceBatch]) {
-        let reports = batches.iter().filter_map(|batch| batch.engines.as_ref());
-        let Some(report) = reports.max_by_key(|report| report.at_unix_ms) else {
+        // The last one in the order of the store: the VMs' times of day differ.
+        let mut reports = batches.iter().filter_map(|batch| batch.engines.as_ref());
+        let Some(report) = reports.next_back() else {
             return;
         };
-        let age_ms = unix_ms().abs_diff(report.at_unix_ms);
+        let age_ms = time_of_day_ms().abs_diff(report.at_unix_ms);
         if age_ms >= MAX_LATENCIES_AGE_MS {
             log::info!(age_ms; "saved latencies of engines are too old; all engines count as equal");
             return;
@@ -381,11 +382,6 @@
     }
 }
 
-fn unix_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |since| since.as_millis() as u64)
-}
-
 /// The bytes that this daemon may save at a time: an equal share of `MAX_TOTAL_BYTES_PER_S`.
 fn bytes_per_save(interval_ms: u64, holders: usize) -> usize {
     MAX_TOTAL_BYTES_PER_S * interval_ms as usize / 1_000 / holders
