A pause of the process is no stall of its callers

Cause: after a pause of over 2 s (a frozen VM), all unread responses looked stalled at the first check, so callers that read were cut off while much was held. A closing connection was also looked at after hyper had its turn, so it could write out its response, take the next request and then be dropped. A caller's limit near the largest number overflowed when its deadline was computed.

Change: a check that comes a second late gives all responses time again; the close is looked at first; the deadline saturates.

--- a/crates/borageshore_net/src/event_loop.rs
+++ b/crates/borageshore_net/src/event_loop.rs
@@ -78,7 +78,7 @@
 
     /// Creates a deadline after a duration from now.
     pub fn after(clock: Clock, duration_ms: u64) -> Self {
-        Self::at(clock, clock.now_ms() + duration_ms)
+        Self::at(clock, clock.now_ms().saturating_add(duration_ms))
     }
 
     /// Returns the time until the deadline, or 0 once it has passed.
--- a/crates/borageshore_net/src/memory.rs
+++ b/crates/borageshore_net/src/memory.rs
@@ -38,6 +38,8 @@
 const STALLED_MS: u64 = 2_000;
 /// The interval at which stalled responses are looked for.
 const CHECK_INTERVAL_MS: u64 = 250;
+/// A check that comes this long after the last one shows that the process did not run: its callers could not read.
+const PAUSED_MS: u64 = STALLED_MS / 2;
 /// The rest of a refused body is received for this long and up to this size, without being held: closing a connection
 /// on which bytes arrive would destroy the response before the caller has read it.
 const DISCARD_MS: u64 = 1_000;
@@ -231,6 +233,14 @@
         }
     }
 
+    /// Gives all responses time again, after a pause in which this process could not write.
+    fn restart_stalls(&self) {
+        let now_ms = self.clock.now_ms();
+        for account in self.unread.borrow().iter() {
+            account.progress_at_ms.set(now_ms);
+        }
+    }
+
     fn close(&self, account: &Rc<ResponseAccount>) {
         let stalled_ms = self.clock.now_ms() - account.progress_at_ms.get();
         log::warn!(
@@ -425,12 +435,17 @@
 }
 
 async fn watch_stalled(budget: Weak<BudgetState>) {
-    loop {
-        sleep_ms(CHECK_INTERVAL_MS).await;
-        match budget.upgrade() {
-            Some(state) => state.close_stalled(),
-            None => return,
+    let mut checked_at_ms = None;
+    while let Some(state) = budget.upgrade() {
+        let now_ms = state.clock.now_ms();
+        let since_ms = checked_at_ms.map_or(0, |at_ms| now_ms - at_ms);
+        match since_ms < PAUSED_MS {
+            true => state.close_stalled(),
+            false => state.restart_stalls(),
         }
+        checked_at_ms = Some(now_ms);
+        drop(state);
+        sleep_ms(CHECK_INTERVAL_MS).await;
     }
 }
 
--- a/crates/borageshore_net/src/server.rs
+++ b/crates/borageshore_net/src/server.rs
@@ -219,9 +219,10 @@
         let account = budget.map(|budget| Rc::new(budget.connection(remote)));
         let serving = serve_connection(stream, remote, server.clone(), account.clone());
         let served = match &account {
-            Some(account) => match select(pin!(serving), pin!(account.closing())).await {
-                Race::Left((served, _)) => served,
-                Race::Right(_) => Ok(()),
+            // First, so that a connection that is to be closed takes no other request.
+            Some(account) => match select(pin!(account.closing()), pin!(serving)).await {
+                Race::Left(_) => Ok(()),
+                Race::Right((served, _)) => served,
             },
             None => serving.await,
         };
