Calls are not judged by the long work of another route

Cause: the mean service time of a service counted in full for every route, so that a call with less time left than another route's work takes was refused as late whenever all slots were taken, and never served. `left_ms * 100` could overflow with what a caller sent. Services without calls were never forgotten, as counts faded only with calls.

Change: no more than half of the route's objective counts as the work of a call, as already for the order of refusals; the wait still counts in full. The limit of a new call is computed from the route's time limit. Counts fade before unused services are looked for. No allocation to place a call in the order.

--- a/crates/borageshore_routing/src/lib.rs
+++ b/crates/borageshore_routing/src/lib.rs
@@ -35,7 +35,10 @@
     endpoint::{Endpoint, EndpointListing, EndpointState, EndpointTable, LoadReport},
     fingerprint::{Fingerprint, ParseFingerprintError, RequestContent},
     keys::{KeyDecision, KeyPrefix, KeyTable, StoredAnswer},
-    overload::{CallTerms, LoadSummary, OverloadControl, OverloadDecision, OverloadReason},
+    overload::{
+        CallTerms, LoadSummary, MAX_RETRY_AFTER_PART, OverloadControl, OverloadDecision,
+        OverloadReason,
+    },
     quarantine::{Crash, CrashEffect, HoldDecision, Quarantine},
     registry::{EndpointRegistry, EntryEffect},
     request_attempts::RequestAttempts,
--- a/crates/borageshore_routing/src/overload.rs
+++ b/crates/borageshore_routing/src/overload.rs
@@ -6,7 +6,7 @@
 //! not been refused before. A call that was refused before is told from a new one by the time that its caller has left,
 //! since its next attempt reaches any daemon.
 
-use std::sync::Arc;
+use std::{ops::Range, sync::Arc};
 
 use borageshore_base::SortedMap;
 
@@ -49,7 +49,7 @@
 /// Assumed as the time until there is room where no load is known: endpoints that are gone are unlisted within a second.
 const DEFAULT_ROOM_MS: u64 = 200;
 /// Callers honour a delay of up to this part of the time that they have left.
-const MAX_RETRY_AFTER_PART: u64 = 3;
+pub const MAX_RETRY_AFTER_PART: u64 = 3;
 /// The delay grows with the ratio of calls to admitted calls, up to this one.
 const MAX_DEMAND_RATIO: u64 = 8;
 
@@ -229,6 +229,7 @@
         random: u64,
     ) -> OverloadDecision {
         let organisation = terms.organisation.unwrap_or(&self.no_organisation).clone();
+        self.forget_unused(service, now_ms);
         let calls = self.calls(service);
         calls.fade(now_ms);
         calls.offered += CALL;
@@ -273,11 +274,18 @@
         calls.map_or(0, |calls| calls.by_organisation.len())
     }
 
-    fn calls(&mut self, service: &Arc<str>) -> &mut ServiceCalls {
-        if !self.services.contains_key(service) {
-            // The operator may rename services; those without calls are forgotten.
-            self.services.retain(|_, calls| calls.offered >= FORGOTTEN);
+    /// Forgets services without recent calls when another one gets its first: the operator may rename services.
+    fn forget_unused(&mut self, service: &Arc<str>, now_ms: u64) {
+        if self.services.contains_key(service) {
+            return;
         }
+        self.services.retain(|_, calls| {
+            calls.fade(now_ms);
+            calls.offered >= FORGOTTEN
+        });
+    }
+
+    fn calls(&mut self, service: &Arc<str>) -> &mut ServiceCalls {
         self.services
             .get_or_insert_with(service.clone(), ServiceCalls::default)
     }
@@ -326,24 +334,28 @@
         let total: u64 = self.by_priority.iter().sum();
         let is_present =
             |index: &usize| self.by_priority[*index] * 100 >= (total * MIN_PRIORITY_PERCENT).max(1);
-        let others = (0..PRIORITIES).filter(|index| *index != own);
-        let present: Vec<usize> = others.filter(is_present).collect();
-        let less_important = present.iter().filter(|index| **index > own).count() as u64;
+        let count = |indices: Range<usize>| indices.filter(is_present).count() as u64;
+        let (more_important, less_important) = (count(0..own), count(own + 1..PRIORITIES));
         let is_over_share = self.is_over_share(organisation);
-        let was_refused = terms.left_ms * 100 < terms.limit_ms * NEW_CALL_PERCENT;
+        let new_call_ms = terms.limit_ms.saturating_mul(NEW_CALL_PERCENT) / 100;
+        let was_refused = terms.left_ms < new_call_ms;
         let class = 2 * u64::from(!is_over_share) + u64::from(was_refused);
         Standing {
             level: less_important * CLASSES + class,
-            levels: (present.len() as u64 + 1) * CLASSES,
+            levels: (more_important + less_important + 1) * CLASSES,
             is_over_share,
         }
     }
 
+    /// The time that the work of a call is expected to take. Other routes of the service may take longer, so no more
+    /// than half of the route's objective counts: where the work alone takes longer, refusals would not save it.
+    fn work_ms(&self, terms: CallTerms<'_>) -> u64 {
+        self.service_time_ms().min(terms.objective_ms / 2)
+    }
+
     /// By how much the wait exceeds what the objective allows, in thousandths of the objective.
     fn pressure(&self, wait_ms: u64, terms: CallTerms<'_>) -> u64 {
-        // Where the work alone takes longer than the objective, refusals would not save it.
-        let service_time_ms = self.service_time_ms().min(terms.objective_ms / 2);
-        let answered_after_ms = WAIT_SPREAD * wait_ms + service_time_ms;
+        let answered_after_ms = WAIT_SPREAD * wait_ms + self.work_ms(terms);
         let late_ms = answered_after_ms.saturating_sub(terms.objective_ms);
         late_ms * 1_000 / terms.objective_ms.max(1)
     }
@@ -359,7 +371,7 @@
             return None;
         }
         let wait_ms = summary.wait_ms(self.service_time_ms());
-        if wait_ms + self.service_time_ms() > terms.left_ms {
+        if wait_ms + self.work_ms(terms) > terms.left_ms {
             return Some(OverloadReason::Deadline);
         }
         let excess = self
--- a/crates/borageshore_routing/tests/overload.rs
+++ b/crates/borageshore_routing/tests/overload.rs
@@ -228,6 +228,36 @@
         }
     }
 
+    // Guards against short calls that are never served because another route of the service has long ones.
+    long_work_of_another_route_is_not_expected_of_a_call => {
+        let service: Arc<str> = "s".into();
+        let mut control = OverloadControl::default();
+        control.on_answer(&service, 5_000, Some(report(1)));
+        let organisation: Arc<str> = "a".into();
+        let terms = CallTerms { objective_ms: 3_000, limit_ms: 4_000, ..terms(&organisation, 0, 4_000) };
+        // A slot is free after a second.
+        assert_eq!(refusal(&mut control, 0, terms, 0), None);
+    }
+
+    // Guards against a limit of a caller that is so long that computing with it fails.
+    a_caller_may_allow_any_time => {
+        let mut control = control(&"s".into());
+        let organisation: Arc<str> = "a".into();
+        assert_eq!(refusal(&mut control, 0, terms(&organisation, 0, u64::MAX), 0), None);
+        assert!(refusal(&mut control, 2_000, terms(&organisation, 0, u64::MAX), 0).is_some());
+    }
+
+    // Guards against memory that grows with the names that services had.
+    services_without_calls_are_forgotten => {
+        let organisation: Arc<str> = "a".into();
+        let (old, new): (Arc<str>, Arc<str>) = ("old".into(), "new".into());
+        let mut control = control(&old);
+        control.decide(&old, summary(0, 0), terms(&organisation, 0, LIMIT_MS), 0, 0);
+        assert_eq!(control.counted_organisations(&old), 1);
+        control.decide(&new, summary(0, 0), terms(&organisation, 0, LIMIT_MS), 60_000, 0);
+        assert_eq!(control.counted_organisations(&old), 0);
+    }
+
     // Guards against refusals by a daemon that heard nothing, or nothing lately, of the endpoints.
     without_current_reports_all_calls_are_admitted => {
         let listing = |number: usize| EndpointListing {
