A refused body's delay fits the time that its caller has left

Cause: the delay after a body that does not fit the memory was 400 to 1,000 ms whatever the caller had left, though callers honour a third of it. The time left was also counted from the end of the body, so a caller that sent slowly seemed to have more.

The limit of attempts is computed as before.

--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -114,6 +114,11 @@
         })
     }
 
+    /// When the caller of a request that has just arrived stops waiting.
+    pub(crate) fn deadline_of(&self, head: &CallHead) -> Deadline {
+        Deadline::after(self.clock, head.deadline_ms)
+    }
+
     /// Forwards a call and responds before its deadline.
     pub(crate) async fn forward(
         &self,
@@ -121,6 +126,7 @@
         caller: AuthorizedCaller,
         route: &Route,
         body: Bytes,
+        caller_deadline: Deadline,
     ) -> EdgeResponse {
         let started_at_ms = self.clock.now_ms();
         let wait_ms = head.deadline_ms.min(route.timeout_ms);
@@ -139,7 +145,7 @@
             usage: RequestUsage::begin(self.usage.as_ref(), caller.organisation()),
             caller,
             content: OnceCell::new(),
-            caller_deadline: Deadline::after(self.clock, head.deadline_ms),
+            caller_deadline,
         };
         let permit = match self.quarantine.admit(|| call.content()).await {
             Ok(permit) => permit,
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -8,14 +8,14 @@
 use borageshore_diagnostics::Instruments;
 use borageshore_membership::PresenceState;
 use borageshore_net::{
-    BodyError, EdgeRequest, EdgeResponse, Handler, HeldBody, HeldBodyError, MemoryBudget,
+    BodyError, Deadline, EdgeRequest, EdgeResponse, Handler, HeldBody, HeldBodyError, MemoryBudget,
     ServerLimits, full_body, read_body,
 };
 use borageshore_platform::{
     CallHead, CallerRequest, SubmissionRequest, addresses_response, caller_host, caller_key,
     decode_caller, decode_submission, ok_response, refusal,
 };
-use borageshore_routing::RouteKind;
+use borageshore_routing::{MAX_RETRY_AFTER_PART, RouteKind};
 use bytes::Bytes;
 use hyper::{
     Response, StatusCode,
@@ -218,6 +218,7 @@
             key,
             is_public: route.is_public,
         };
+        let caller_deadline = self.calls.deadline_of(&call);
         // Before the body is read, so that a refused caller need not send it.
         let caller = match self.access.admit(credentials).await {
             Ok(caller) => caller,
@@ -232,14 +233,19 @@
         // Counts the body until the call is answered.
         let held = match self.read_body(body).await {
             Ok(held) => held,
-            Err(HeldBodyError::OverMemory) => return self.refuse_body(&call.id, &route.name),
+            Err(HeldBodyError::OverMemory) => {
+                return self.refuse_body(&call.id, &route.name, caller_deadline);
+            }
             Err(HeldBodyError::Body(body_error)) => {
                 return refusal(&body_fault(body_error), None);
             }
         };
         let body = held.bytes.clone();
         if route.kind != RouteKind::Batch {
-            return self.calls.forward(call, caller, &route, body).await;
+            let calls = &self.calls;
+            return calls
+                .forward(call, caller, &route, body, caller_deadline)
+                .await;
         }
         let organisation = caller.organisation();
         match decode_submission(organisation, &call.id, &call.host, &call.path, &body) {
@@ -265,13 +271,15 @@
     }
 
     /// Refuses a request whose body does not fit the memory budget; nothing of it was run.
-    fn refuse_body(&self, request: &str, route: &str) -> EdgeResponse {
+    fn refuse_body(&self, request: &str, route: &str, caller_deadline: Deadline) -> EdgeResponse {
         let memory = self.memory.as_ref();
         let refused = memory.map_or(0, MemoryBudget::refused_bodies);
         let held_bytes = memory.map_or(0, MemoryBudget::held_bytes);
         // Callers that are refused together return one after the other.
         let spread_ms = MAX_OVER_MEMORY_RETRY_MS - OVER_MEMORY_RETRY_MS;
         let again_ms = OVER_MEMORY_RETRY_MS + refused * OVER_MEMORY_SPREAD_MS % spread_ms;
+        let longest_ms = caller_deadline.remaining_ms() / MAX_RETRY_AFTER_PART;
+        let again_ms = again_ms.min(longest_ms).max(1);
         log::info!(request, route, held_bytes, again_ms; "refusing a body: too much is held for callers");
         refusal(&Fault::new(ResultCode::OverMemory, ""), Some(again_ms))
     }
