No organisation or priority is starved by overload control

Cause: the order of refusals is strict. The platform wants each served at least a quarter as often as all.

Change: a call that others go before is admitted with a third of the probability of all calls, whatever its level, until the wait is as long as any may be.

--- a/crates/borageshore_routing/src/overload.rs
+++ b/crates/borageshore_routing/src/overload.rs
@@ -46,6 +46,9 @@
 const MIN_PRIORITY_PERCENT: u64 = 2;
 /// The classes of calls of one priority; see [`CallTerms`].
 const CLASSES: u64 = 4;
+/// Calls that others go before are admitted at least with this part of the probability of all calls, so that each
+/// organisation and priority is served.
+const GUARANTEED_PART: u64 = 3;
 /// Assumed as the time until there is room where no load is known: endpoints that are gone are unlisted within a second.
 const DEFAULT_ROOM_MS: u64 = 200;
 /// Callers honour a delay of up to this part of the time that they have left.
@@ -171,6 +174,8 @@
     level: u64,
     levels: u64,
     is_over_share: bool,
+    /// Whether calls of other organisations or priorities go first.
+    has_others_before: bool,
 }
 
 impl Standing {
@@ -178,6 +183,14 @@
     fn tolerance(self) -> u64 {
         self.level * 1_000 / self.levels
     }
+
+    /// After all levels, refused only when the wait is as long as any may be.
+    fn guaranteed(self) -> Self {
+        Self {
+            level: self.levels,
+            ..self
+        }
+    }
 }
 
 /// The recent calls for a service, as counts that fade within seconds.
@@ -234,7 +247,10 @@
         calls.fade(now_ms);
         calls.offered += CALL;
         calls.by_priority[priority_index(terms.priority)] += CALL;
-        let standing = calls.standing(&organisation, terms);
+        let mut standing = calls.standing(&organisation, terms);
+        if standing.has_others_before && calls.draws_guarantee(random) {
+            standing = standing.guaranteed();
+        }
         let Some(reason) = calls.reason_to_refuse(summary, terms, standing, random) else {
             calls.on_admitted(organisation);
             return OverloadDecision::Admit;
@@ -329,6 +345,12 @@
         used.is_some_and(|used| *used > share.max(CALL) + by_chance)
     }
 
+    /// Whether a call is among those that are admitted whoever goes first.
+    fn draws_guarantee(&self, random: u64) -> bool {
+        let admitted = self.admitted * 1_000 / self.offered.max(CALL);
+        (random >> 16) % 1_000 < admitted / GUARANTEED_PART
+    }
+
     fn standing(&self, organisation: &str, terms: CallTerms<'_>) -> Standing {
         let own = priority_index(terms.priority);
         let total: u64 = self.by_priority.iter().sum();
@@ -344,6 +366,7 @@
             level: less_important * CLASSES + class,
             levels: (more_important + less_important + 1) * CLASSES,
             is_over_share,
+            has_others_before: is_over_share || more_important > 0,
         }
     }
 
