--- a/crates/borageshore_net/tests/memory.rs
+++ b/crates/borageshore_net/tests/memory.rs
@@ -24,7 +24,7 @@
 /// In which a server that does what it should not would do it.
 const SETTLED_MS: u64 = 150;
 /// What should happen is awaited for this long, so that a busy machine fails no test.
-const PATIENCE_MS: u64 = 20_000;
+const WAIT_TIMEOUT_MS: u64 = 20_000;
 const POLL_MS: u64 = 5;
 /// Longer than a response may stall.
 const STALLED_MS: u64 = 2_600;
@@ -128,7 +128,7 @@
 where
     Condition: Fn() -> bool,
 {
-    for _ in 0..PATIENCE_MS / POLL_MS {
+    for _ in 0..WAIT_TIMEOUT_MS / POLL_MS {
         if condition() {
             return;
         }
@@ -147,7 +147,11 @@
             Ok(bytes) => read.extend_from_slice(&buffer[..bytes]),
             Err(error) if error.kind() == ErrorKind::WouldBlock => {
                 pauses += 1;
-                assert!(pauses < PATIENCE_MS / POLL_MS, "{} bytes came", read.len());
+                assert!(
+                    pauses < WAIT_TIMEOUT_MS / POLL_MS,
+                    "{} bytes came",
+                    read.len()
+                );
                 sleep_ms(POLL_MS).await;
             }
             Err(_) => return (read, true),
