Endpoints are ordered only where the deployment expects overload

Change: the feature in the settings is a condition too. Ruled out: only asking spot engines when they leave; it would not take back the connections.

--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -211,7 +211,7 @@
         if let Some(duty) = config
             .duties
             .as_ref()
-            .filter(|duty| duty.has_endpoint_orders())
+            .filter(|duty| duty.has_endpoint_orders() && config.features().overload_control)
         {
             EndpointScaler::spawn(ScalerParts {
                 client: DutyClient::open(duty.address.clone()),
