--- a/crates/borageshore_bench/src/bin/capacity.rs
+++ b/crates/borageshore_bench/src/bin/capacity.rs
@@ -6,12 +6,14 @@
 
 const DOCS: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs");
 /// The deployments of `tools/run-sweep`, the largest first.
-const DEPLOYMENTS: [&str; 5] = [
+const DEPLOYMENTS: [&str; 7] = [
     "navua-feedlog-large",
     "navua-feedlog-grown",
     "navua-feedlog-now-grown",
     "lsgm-rollout-grown",
     "cmaa-cobranca-grown",
+    "utitars-hq-grown",
+    "teranga-rollouts-grown",
 ];
 
 fn main() -> io::Result<()> {
