--- a/crates/borageshore_bench/tests/page.rs
+++ b/crates/borageshore_bench/tests/page.rs
@@ -16,8 +16,8 @@
         "navua-feedlog-now-grown",
         "lsgm-rollout-grown",
         "cmaa-cobranca-grown",
-    "utitars-hq-grown",
-    "teranga-rollouts-grown",
+        "utitars-hq-grown",
+        "teranga-rollouts-grown",
     ];
     for sweep in &sweeps {
         assert!(
