Interfaces for regions, residency, evacuations and cold endpoints

Cause: two deployments ask for behaviour that no part of the code knows: zones that lie in regions, requests that may be served in some regions only, zones that are evacuated and endpoints that tolerate few requests after a start.

Change: a crate without I/O for zones, regions and residency; a trait for conditions under which endpoints may be sent to, asked by the endpoint table for every kind of request; the residency of routes and organisations is decoded and reaches each choice of an endpoint; the settings name the region of each zone. Evacuations and cold endpoints have their types only.

Ruled out: checks at each place that sends, of which there are seven.

Without the new settings and routes no decision changes.

--- a/crates/borageshore_access/src/lib.rs
+++ b/crates/borageshore_access/src/lib.rs
@@ -4,8 +4,9 @@
 //!
 //! ```
 //! use borageshore_access::{KeyDigest, Organisation, Organisations};
+//! use borageshore_topology::Residency;
 //!
-//! let organisation = Organisation { name: "mill".into(), priority: None };
+//! let organisation = Organisation { name: "mill".into(), priority: None, residency: Residency::anywhere() };
 //! let organisations = Organisations::open(vec![(organisation, vec![KeyDigest::of(b"k-1")])]);
 //! let owner = organisations.owner_of(&KeyDigest::of(b"k-1")).unwrap();
 //! assert_eq!(&*owner.name, "mill");
--- a/crates/borageshore_access/src/organisations.rs
+++ b/crates/borageshore_access/src/organisations.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use borageshore_topology::Residency;
+
 use crate::key::KeyDigest;
 
 /// A tenant, which callers belong to.
@@ -11,6 +13,8 @@
     pub name: Arc<str>,
     /// The priority of its requests, 0 first; overrides the priority of a route.
     pub priority: Option<u64>,
+    /// The regions in which its requests may be served, cached and stored.
+    pub residency: Residency,
 }
 
 /// The current organisations, by key digest and by name.
--- a/crates/borageshore_access/tests/access.rs
+++ b/crates/borageshore_access/tests/access.rs
@@ -3,6 +3,7 @@
 use borageshore_access::{
     Access, Credentials, KeyDigest, KeyView, Organisation, Organisations, authorize, scoped,
 };
+use borageshore_topology::Residency;
 
 const MAX_AGE_MS: u64 = 5_000;
 
@@ -11,6 +12,7 @@
         let organisation = Organisation {
             name: (*name).into(),
             priority: None,
+            residency: Residency::anywhere(),
         };
         let keys = keys.iter().map(|key| KeyDigest::of(key.as_bytes()));
         (organisation, keys.collect())
@@ -130,7 +132,7 @@
     // Random tables against a linear search: a key belongs to the only organisation that has it.
     lookups_agree_with_a_plain_list => {
         bolero::check!().with_type::<Vec<(u8, u8)>>().for_each(|pairs| {
-            let organisation = |name: u8| Organisation { name: name.to_string().into(), priority: None };
+            let organisation = |name: u8| Organisation { name: name.to_string().into(), priority: None, residency: Residency::anywhere() };
             let listed = pairs.iter().map(|(name, key)| (organisation(*name), vec![KeyDigest::of(&[*key])]));
             let table = Organisations::open(listed.collect());
             for asked in 0..=u8::MAX {
--- a/crates/borageshore_daemon/src/calls.rs
+++ b/crates/borageshore_daemon/src/calls.rs
@@ -9,6 +9,7 @@
     Attempt, ChoiceRequest, Idempotent, KeyDecision, KeyPrefix, Outcome, StoredAnswer, Workload,
     choose_endpoint,
 };
+use borageshore_topology::Residency;
 use borageshore_wire::{CallReply, CallRequest, PeerReply, PeerRequest};
 use bytes::Bytes;
 
@@ -327,7 +328,8 @@
     let request = ChoiceRequest {
         service: &call.service,
         prefix: None,
-        zone: &daemon.config.zone,
+        topology: &daemon.topology,
+        residency: &Residency::anywhere(),
         tried,
     };
     let now_ms = daemon.now_ms();
--- a/crates/borageshore_daemon/src/daemon.rs
+++ b/crates/borageshore_daemon/src/daemon.rs
@@ -13,6 +13,7 @@
 use borageshore_net::{Clock, HttpClient, HttpServer, ServerLimits};
 use borageshore_routing::{AdmissionLimits, EndpointTable, KeyTable, RetryBudget};
 use borageshore_settings::{ROOT, SettingsFold};
+use borageshore_topology::Topology;
 use monoio::net::udp::UdpSocket;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -55,6 +56,8 @@
 #[derive(Debug)]
 pub struct Daemon {
     pub(crate) config: Config,
+    /// This shell knows zones only; all of them count as one region.
+    pub(crate) topology: Topology,
     pub(crate) incarnation: u64,
     pub(crate) session: Arc<str>,
     pub(crate) settings: Rc<SharedStream<SettingsFold>>,
@@ -119,7 +122,9 @@
         let seeds = config.gossip_seeds.clone();
         let keys = KeyTable::open(config.name.clone(), incarnation, 600_000, KEY_MEMORY_BYTES);
         let seed = borageshore_base::rendezvous_weight(&session, "random");
+        let topology = Topology::single_region(config.zone.clone());
         Self {
+            topology,
             settings: Rc::new(SharedStream::open(
                 SETTINGS_STREAM.into(),
                 session.clone(),
--- a/crates/borageshore_daemon/src/generation.rs
+++ b/crates/borageshore_daemon/src/generation.rs
@@ -7,6 +7,7 @@
 use borageshore_routing::{
     Attempt, AttemptEvent, ChoiceRequest, Idempotent, Outcome, Workload, choose_endpoint,
 };
+use borageshore_topology::Residency;
 
 use crate::{
     admission::AdmissionRequest,
@@ -166,7 +167,8 @@
     let request = ChoiceRequest {
         service: &generation.service,
         prefix: Some(&generation.prompt[..prefix_end]),
-        zone: &daemon.config.zone,
+        topology: &daemon.topology,
+        residency: &Residency::anywhere(),
         tried,
     };
     let now_ms = daemon.now_ms();
--- a/crates/borageshore_gateway/src/access.rs
+++ b/crates/borageshore_gateway/src/access.rs
@@ -7,6 +7,8 @@
 use borageshore_diagnostics::Instruments;
 use borageshore_net::{EdgeResponse, boot_time_ms, within_ms};
 use borageshore_platform::refusal;
+use borageshore_routing::Route;
+use borageshore_topology::Residency;
 use tokio::sync::Mutex;
 
 use crate::{feed::FeedTopicSource, follow::Follower, routes::Routes};
@@ -119,6 +121,11 @@
         Err(denial)
     }
 
+    /// The regions in which a request of a route may be served, for an organisation.
+    pub(crate) fn residency(&self, route: &Route, organisation: Option<&str>) -> Residency {
+        self.routes.residency(route, organisation)
+    }
+
     /// Checks an admitted caller again before each attempt: its key may have been revoked, or the VM suspended, in the
     /// meantime.
     pub(crate) fn is_still_authorized(&self, caller: &AuthorizedCaller) -> bool {
--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -18,6 +18,7 @@
     AttemptEvent, CallTerms, Fingerprint, Idempotent, Outcome, RequestAttempts, RetryBudget, Route,
     RouteKind,
 };
+use borageshore_topology::Residency;
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 
@@ -63,6 +64,7 @@
     caller: AuthorizedCaller,
     usage: RequestUsage,
     content: OnceCell<Fingerprint>,
+    residency: Residency,
     /// When the caller stops waiting; it may allow more time than the route.
     caller_deadline: Deadline,
 }
@@ -140,8 +142,10 @@
             body,
             organisation: caller.organisation().cloned(),
         };
+        let organisation = caller.organisation().map(|name| &**name);
         let call = PendingCall {
             outbound,
+            residency: self.access.residency(route, organisation),
             usage: RequestUsage::begin(self.usage.as_ref(), caller.organisation()),
             caller,
             content: OnceCell::new(),
@@ -300,13 +304,17 @@
             log::info!(request = &*call.outbound.id; "call not sent: its key is no longer accepted");
             return None;
         }
+        let residency = &call.residency;
         let (target, in_flight) = match permit.is_trial() {
-            true => self
-                .endpoints
-                .choose(service, &self.quarantine.recently_crashed())?,
+            true => {
+                self.endpoints
+                    .choose(service, residency, &self.quarantine.recently_crashed())?
+            }
             false => {
-                let untried = self.endpoints.choose(service, outcome.attempts.tried());
-                untried.or_else(|| self.endpoints.choose(service, &[]))?
+                let untried = self
+                    .endpoints
+                    .choose(service, residency, outcome.attempts.tried());
+                untried.or_else(|| self.endpoints.choose(service, residency, &[]))?
             }
         };
         let number = outcome.attempts.add_sent(target.instance.clone());
--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -7,6 +7,7 @@
 use borageshore_net::MemoryLimits;
 use borageshore_platform::{DutyKind, Features};
 use borageshore_settings::{FileFault, malformed_file};
+use borageshore_topology::Topology;
 use borageshore_usage::UsageTiming;
 use serde::Deserialize;
 
@@ -20,6 +21,9 @@
     pub name: Arc<str>,
     /// Its availability zone.
     pub zone: Arc<str>,
+    /// The region of each zone of the deployment; without it, all zones count as one region.
+    #[serde(default)]
+    pub zone_regions: Vec<ZoneRegion>,
     /// Where callers connect.
     pub http_address: Arc<str>,
     /// Where the platform checks whether this daemon is ready.
@@ -78,6 +82,16 @@
     pub mechanisms_off: Vec<Mechanism>,
 }
 
+/// The region of an availability zone.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZoneRegion {
+    /// The zone.
+    pub zone: Arc<str>,
+    /// The region that it belongs to.
+    pub region: Arc<str>,
+}
+
 /// The duties that the platform expects of one daemon at a time.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -126,6 +140,25 @@
             .clone()
     }
 
+    /// The deployment's zones and regions, seen from this daemon's zone.
+    pub(crate) fn topology(&self) -> Topology {
+        let pair = |entry: &ZoneRegion| (entry.zone.clone(), entry.region.clone());
+        Topology::open(
+            self.zone.clone(),
+            self.zone_regions.iter().map(pair).collect(),
+        )
+    }
+
+    /// Each zone has one region.
+    fn check_zone_regions(&self) -> Result<(), &'static str> {
+        let mut zones: Vec<&Arc<str>> = self.zone_regions.iter().map(|entry| &entry.zone).collect();
+        zones.sort_unstable();
+        match zones.windows(2).any(|pair| pair[0] == pair[1]) {
+            true => Err("zone_regions: a zone stands twice"),
+            false => Ok(()),
+        }
+    }
+
     /// What the deployment expects beyond the basic service.
     pub(crate) fn features(&self) -> Features {
         Features::decode(&self.features)
@@ -164,6 +197,7 @@
         let duties = config.duties.as_ref().map_or(Ok(()), DutyConfig::check);
         duties
             .and(config.check_store_limits())
+            .and(config.check_zone_regions())
             .map_err(|reason| FileFault {
                 file: file.into(),
                 line: None,
--- a/crates/borageshore_gateway/src/dispatch.rs
+++ b/crates/borageshore_gateway/src/dispatch.rs
@@ -10,6 +10,7 @@
 };
 use borageshore_net::{sleep_ms, within_ms};
 use borageshore_platform::EndpointTarget;
+use borageshore_topology::Residency;
 use tokio::sync::oneshot;
 
 use crate::endpoints::{Endpoints, InFlight};
@@ -24,6 +25,8 @@
     pub(crate) model: Option<Arc<str>>,
     pub(crate) min_version: u64,
     pub(crate) max_version: u64,
+    /// The regions in which the item may run.
+    pub(crate) residency: Residency,
     pub(crate) group: Arc<str>,
     pub(crate) order: StartOrder,
     pub(crate) avoid: Vec<Arc<str>>,
@@ -47,6 +50,7 @@
 struct ServiceEngines {
     service: Arc<str>,
     model: Option<Arc<str>>,
+    residency: Residency,
     /// The oldest version that a waiting request accepts.
     min_version: u64,
     engines: Vec<EngineView>,
@@ -54,7 +58,9 @@
 
 impl ServiceEngines {
     fn serves(&self, request: &SlotRequest) -> bool {
-        self.service == request.service && self.model == request.model
+        self.service == request.service
+            && self.model == request.model
+            && self.residency == request.residency
     }
 }
 
@@ -124,6 +130,7 @@
     pub(crate) fn try_move(&self, request: &SlotRequest, item: RunningItem) -> Option<EngineSlot> {
         let engines = self.endpoints.engines(
             &request.service,
+            &request.residency,
             request.model.as_ref(),
             request.min_version,
         );
@@ -149,6 +156,7 @@
         departing.insert(key.clone(), own);
         let engines = self.endpoints.engines(
             &request.service,
+            &request.residency,
             request.model.as_ref(),
             request.min_version,
         );
@@ -268,6 +276,7 @@
                 None => needed.push(ServiceEngines {
                     service: request.service.clone(),
                     model: request.model.clone(),
+                    residency: request.residency.clone(),
                     min_version: request.min_version,
                     engines: Vec::new(),
                 }),
@@ -276,9 +285,12 @@
         for of_service in &mut needed {
             let model = of_service.model.as_ref();
             let min_version = of_service.min_version;
-            of_service.engines = self
-                .endpoints
-                .engines(&of_service.service, model, min_version);
+            of_service.engines = self.endpoints.engines(
+                &of_service.service,
+                &of_service.residency,
+                model,
+                min_version,
+            );
         }
         needed
     }
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -19,6 +19,7 @@
     CallingDaemon, ChoiceRequest, Endpoint, EndpointListing, EndpointRegistry, EndpointState,
     EndpointTable, LoadSummary, choose_from_subset,
 };
+use borageshore_topology::{Distance, Residency, Topology};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
@@ -62,7 +63,7 @@
 #[derive(Debug)]
 pub(crate) struct EndpointParts {
     pub(crate) own_name: Arc<str>,
-    pub(crate) zone: Arc<str>,
+    pub(crate) topology: Rc<Topology>,
     pub(crate) seed: u64,
     pub(crate) clock: Clock,
     pub(crate) routes: Rc<Routes>,
@@ -76,7 +77,7 @@
 pub(crate) struct Endpoints {
     clock: Clock,
     own_name: Arc<str>,
-    zone: Arc<str>,
+    topology: Rc<Topology>,
     mechanisms: Rc<Mechanisms>,
     features: Features,
     routes: Rc<Routes>,
@@ -116,7 +117,7 @@
         Rc::new(Self {
             clock: parts.clock,
             own_name: parts.own_name,
-            zone: parts.zone,
+            topology: parts.topology,
             mechanisms: parts.mechanisms,
             features: parts.features,
             routes: parts.routes,
@@ -180,16 +181,18 @@
         self.random.borrow_mut().next_u64()
     }
 
-    /// Chooses an endpoint of a service for a call and counts the call there.
+    /// Chooses an endpoint of a service in an allowed region for a call and counts the call there.
     pub(crate) fn choose(
         self: &Rc<Self>,
         service: &str,
+        residency: &Residency,
         tried: &[Arc<str>],
     ) -> Option<(EndpointTarget, InFlight)> {
         let request = ChoiceRequest {
             service,
             prefix: None,
-            zone: &self.zone,
+            topology: &self.topology,
+            residency,
             tried,
         };
         let now_ms = self.clock.now_ms();
@@ -213,6 +216,7 @@
         let mut table = self.table.borrow_mut();
         let target = self.targets.borrow().get(instance)?.clone();
         table.on_start(instance);
+        table.on_send(instance, self.clock.now_ms());
         let in_flight = InFlight {
             endpoints: self.clone(),
             instance: instance.clone(),
@@ -221,10 +225,12 @@
         Some((target, in_flight))
     }
 
-    /// The usable engines of a service, in an order that differs between daemons, that have at least `min_version` of a model, for the placement of items.
+    /// The usable engines of a service in allowed regions, in an order that differs between daemons, that have at least
+    /// `min_version` of a model, for the placement of items.
     pub(crate) fn engines(
         &self,
         service: &str,
+        residency: &Residency,
         model: Option<&Arc<str>>,
         min_version: u64,
     ) -> Vec<EngineView> {
@@ -237,7 +243,10 @@
         let view = |endpoint: &Endpoint| {
             let instance = &endpoint.listing.name;
             let version = model.map_or(0, |model| versions.get(instance, model));
-            let is_eligible = version >= min_version && !leaving.contains_key(instance);
+            let zone = &endpoint.listing.zone;
+            let is_eligible = version >= min_version
+                && !leaving.contains_key(instance)
+                && self.topology.allows(residency, zone);
             is_eligible.then(|| EngineView {
                 instance: instance.clone(),
                 slots: endpoint.slots(),
@@ -245,7 +254,7 @@
                 version,
                 is_loading: self.is_loading(instance),
                 latency_percent: latencies.percent_of_median(instance, median_us, now_ms),
-                is_same_zone: endpoint.listing.zone == self.zone,
+                is_same_zone: self.topology.distance_to(zone) == Distance::SameZone,
                 has_group: false,
             })
         };
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -89,7 +89,7 @@
         let routes = Rc::new(Routes::default());
         let endpoints = Endpoints::open(EndpointParts {
             own_name: config.name.clone(),
-            zone: config.zone.clone(),
+            topology: Rc::new(config.topology()),
             seed,
             clock,
             routes: routes.clone(),
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -16,6 +16,7 @@
 use borageshore_net::{Clock, sleep_ms, within_ms};
 use borageshore_platform::{EndpointClient, item_fingerprint};
 use borageshore_routing::{Fingerprint, Route};
+use borageshore_topology::Residency;
 use bytes::Bytes;
 
 use self::attempt::AttemptOutcome;
@@ -205,6 +206,7 @@
         ScoreRequest {
             call,
             member: &self.member,
+            organisation,
             step_seen_at_ms: self.schedule.seen_at_ms,
             priority: route.map_or(u64::MAX, |route| routes.priority(&route, organisation)),
             give_up_ms: self.deadline_ms(),
@@ -342,11 +344,18 @@
             model: self.submission.model.clone(),
             min_version: pinned_version.unwrap_or(self.submission.min_version),
             max_version: pinned_version.unwrap_or(u64::MAX),
+            residency: self.residency(route),
             group: self.item.group.clone(),
             avoid,
         }
     }
 
+    /// The regions in which the item may run.
+    fn residency(&self, route: &Route) -> Residency {
+        let organisation = self.submission.organisation.as_deref();
+        self.context.routes.residency(route, organisation)
+    }
+
     fn start_order(&self, route: &Route, service: &str, text: &Text) -> StartOrder {
         let ItemSchedule {
             seen_at_ms, rank, ..
--- a/crates/borageshore_gateway/src/rewards/attempt.rs
+++ b/crates/borageshore_gateway/src/rewards/attempt.rs
@@ -5,6 +5,7 @@
 use borageshore_net::{Deadline, hedged};
 use borageshore_platform::{AttemptError, EndpointTarget};
 use borageshore_routing::Route;
+use borageshore_topology::Residency;
 
 use super::{Rewards, ScoreRequest, Scoring, TIMEOUT_MS, slots::RewardSlot};
 use crate::{endpoints::InFlight, quarantine::Permit};
@@ -43,6 +44,7 @@
         let parts = &self.parts;
         let service = route.service_for(parts.endpoints.random());
         let service = service.ok_or(NoScore::NoResponse)?;
+        let residency = parts.routes.residency(route, request.organisation);
         let slot = self.slots.acquire(service, request).await;
         // The request may have been held back during the wait for a slot.
         if !permit.is_trial() && !parts.quarantine.may_repeat(|| scoring.content()) {
@@ -52,7 +54,7 @@
         if permit.is_trial() {
             avoided.extend(parts.quarantine.recently_crashed());
         }
-        let chosen = parts.endpoints.choose(service, &avoided);
+        let chosen = parts.endpoints.choose(service, &residency, &avoided);
         let (target, in_flight) = chosen.ok_or(NoScore::NoResponse)?;
         let deadline = Deadline::after(parts.clock, route.timeout_ms.min(TIMEOUT_MS));
         let instance = target.instance.clone();
@@ -75,7 +77,7 @@
                 parts.instruments.count("reward", "hedge_not_urgent");
                 return None;
             }
-            let hedge = self.hedge(service, scoring, &instance, deadline)?;
+            let hedge = self.hedge(service, &residency, scoring, &instance, deadline)?;
             Some(self.send(scoring, permit, hedge))
         };
         let first = self.send(scoring, permit, first);
@@ -94,6 +96,7 @@
     fn hedge(
         &self,
         service: &Arc<str>,
+        residency: &Residency,
         scoring: &Scoring,
         first: &Arc<str>,
         deadline: Deadline,
@@ -106,9 +109,10 @@
             parts.instruments.count("reward", "hedge_over_budget");
             return None;
         }
-        let (target, in_flight) = parts
-            .endpoints
-            .choose(service, std::slice::from_ref(first))?;
+        let (target, in_flight) =
+            parts
+                .endpoints
+                .choose(service, residency, std::slice::from_ref(first))?;
         parts.instruments.count("reward", "hedged");
         log::info!(
             call = &*scoring.outbound.id, instance = &**first, to = &*target.instance,
--- a/crates/borageshore_gateway/src/rewards/mod.rs
+++ b/crates/borageshore_gateway/src/rewards/mod.rs
@@ -55,6 +55,8 @@
     pub(crate) call: &'r RewardCall,
     /// The item, counted in its group.
     pub(crate) member: &'r GroupMember,
+    /// The organisation that submitted the item.
+    pub(crate) organisation: Option<&'r str>,
     /// When the submission was first seen, in ms of the daemon's clock.
     pub(crate) step_seen_at_ms: u64,
     /// The priority of the submission's route for its organisation.
--- a/crates/borageshore_gateway/src/routes.rs
+++ b/crates/borageshore_gateway/src/routes.rs
@@ -10,6 +10,7 @@
 use borageshore_batch::ModelVersion;
 use borageshore_platform::{KeyedRecord, OperatorRecord, ServiceLimits, decode_operator_record};
 use borageshore_routing::{Route, RouteTable};
+use borageshore_topology::Residency;
 use tokio::sync::Notify;
 
 use crate::follow::RecordView;
@@ -61,6 +62,11 @@
         own.unwrap_or(route.priority).min(MAX_PRIORITY)
     }
 
+    /// The regions in which a request may be served: those that its route and its organisation both allow.
+    pub(crate) fn residency(&self, route: &Route, organisation: Option<&str>) -> Residency {
+        self.table.borrow().residency(route, organisation)
+    }
+
     pub(crate) fn find(&self, host: &str, path: &str) -> Option<Arc<Route>> {
         self.table.borrow().find(host, path).cloned()
     }
--- a/crates/borageshore_routing/src/choice.rs
+++ b/crates/borageshore_routing/src/choice.rs
@@ -3,6 +3,7 @@
 use std::{cmp::Reverse, sync::Arc};
 
 use borageshore_base::rendezvous_weight;
+use borageshore_topology::{Distance, Residency, Topology};
 use rand_core::Rng;
 
 use crate::endpoint::{Endpoint, EndpointTable};
@@ -40,8 +41,10 @@
     pub service: &'r str,
     /// The prompt prefix, if the request has one.
     pub prefix: Option<&'r str>,
-    /// The availability zone of this daemon.
-    pub zone: &'r str,
+    /// The deployment's zones, seen from this daemon's.
+    pub topology: &'r Topology,
+    /// The regions in which the request may be served.
+    pub residency: &'r Residency,
     /// The endpoints that earlier attempts were sent to.
     pub tried: &'r [Arc<str>],
 }
@@ -92,7 +95,7 @@
     HasIdle: Fn(&Endpoint) -> bool,
 {
     let usable = untried(table, request, now_ms);
-    let subset = subset_of_usable(&usable, daemon.name, request.zone);
+    let subset = subset_of_usable(&usable, daemon.name, request.topology);
     let is_uneven = table.reports_slowdowns(request.service);
     let choose = |among: &[&'t Endpoint], random: &mut Random| -> Option<&'t Endpoint> {
         match is_uneven {
@@ -114,15 +117,23 @@
     now_ms: u64,
 ) -> Vec<&'t Endpoint> {
     let is_untried = |endpoint: &&Endpoint| !request.tried.contains(&endpoint.listing.name);
+    let is_allowed = |endpoint: &&Endpoint| {
+        let zone = &endpoint.listing.zone;
+        request.topology.allows(request.residency, zone)
+    };
     let usable = table.usable(request.service, now_ms);
-    usable.filter(is_untried).collect()
+    usable.filter(is_untried).filter(is_allowed).collect()
 }
 
-fn subset_of_usable<'e>(usable: &[&'e Endpoint], own: &str, zone: &str) -> Vec<&'e Endpoint> {
+fn subset_of_usable<'e>(
+    usable: &[&'e Endpoint],
+    own: &str,
+    topology: &Topology,
+) -> Vec<&'e Endpoint> {
     if usable.len() <= MIN_SUBSET_SERVICE {
         return usable.to_vec();
     }
-    let is_near = |endpoint: &&&Endpoint| &*endpoint.listing.zone == zone;
+    let is_near = |endpoint: &&&Endpoint| endpoint.listing.zone == *topology.own_zone();
     let mut subset: Vec<&Endpoint> = usable.iter().filter(is_near).copied().collect();
     if subset.len() < SUBSET_SIZE {
         subset = usable.to_vec();
@@ -149,7 +160,7 @@
     let first = usable[(random.next_u64() % count) as usize];
     let second = usable[(random.next_u64() % count) as usize];
     let candidates = [first, second].into_iter().chain(preferred);
-    let cost = |endpoint: &&Endpoint| cost_of(endpoint, request.zone, preferred, now_ms);
+    let cost = |endpoint: &&Endpoint| cost_of(endpoint, request.topology, preferred, now_ms);
     candidates.min_by_key(cost)
 }
 
@@ -183,7 +194,7 @@
         }
     };
     let cost = |endpoint: &Endpoint| {
-        let mut cost = penalties_of(endpoint, request.zone, preferred);
+        let mut cost = penalties_of(endpoint, request.topology, preferred);
         if !has_idle(endpoint) {
             cost += 10 * NEW_CONNECTION_COST_PERCENT;
         }
@@ -206,17 +217,22 @@
 }
 
 /// Load in thousandths of the slots, and the penalties.
-fn cost_of(endpoint: &Endpoint, zone: &str, preferred: Option<&Endpoint>, now_ms: u64) -> u64 {
-    penalties_of(endpoint, zone, preferred) + endpoint.load(now_ms) * 1_000 / endpoint.slots()
+fn cost_of(
+    endpoint: &Endpoint,
+    topology: &Topology,
+    preferred: Option<&Endpoint>,
+    now_ms: u64,
+) -> u64 {
+    penalties_of(endpoint, topology, preferred) + endpoint.load(now_ms) * 1_000 / endpoint.slots()
 }
 
 /// The penalties for an endpoint without the cached prefix and for one in another zone, in thousandths of the slots.
-fn penalties_of(endpoint: &Endpoint, zone: &str, preferred: Option<&Endpoint>) -> u64 {
+fn penalties_of(endpoint: &Endpoint, topology: &Topology, preferred: Option<&Endpoint>) -> u64 {
     let mut cost = 10 * AFFINITY_BONUS_PERCENT;
     if preferred.is_some_and(|preferred| preferred.listing.name == endpoint.listing.name) {
         cost = 0;
     }
-    if &*endpoint.listing.zone != zone {
+    if topology.distance_to(&endpoint.listing.zone) != Distance::SameZone {
         cost += 10 * CROSS_ZONE_COST_PERCENT;
     }
     cost
--- a/crates/borageshore_routing/src/endpoint.rs
+++ b/crates/borageshore_routing/src/endpoint.rs
@@ -4,6 +4,8 @@
 
 use borageshore_base::SortedMap;
 
+use crate::{cold_endpoints::ColdEndpoints, evacuations::Evacuations, send_gate::SendGate};
+
 /// Consecutive failures after which an endpoint is ejected.
 const EJECT_AFTER_CONSECUTIVE_FAILURES: u32 = 3;
 /// Failure rate, in thousandths, at which an endpoint is ejected although some of its requests succeed. An endpoint
@@ -211,6 +213,8 @@
     endpoints: SortedMap<Arc<str>, Endpoint>,
     /// How many endpoints of each service have reported a slowdown since they started.
     slowdown_reporters: SortedMap<Arc<str>, usize>,
+    evacuations: Evacuations,
+    cold: ColdEndpoints,
 }
 
 impl EndpointTable {
@@ -300,6 +304,34 @@
         *reporters == 1
     }
 
+    /// The zones whose endpoints are offered for no request.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// The zones whose endpoints are offered for no request, to change them.
+    pub fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
+    /// The endpoints that are offered for few requests only.
+    pub fn cold(&self) -> &ColdEndpoints {
+        &self.cold
+    }
+
+    /// The endpoints that are offered for few requests only, to change them.
+    pub fn cold_mut(&mut self) -> &mut ColdEndpoints {
+        &mut self.cold
+    }
+
+    /// Tells the gates that a request is about to be sent.
+    pub fn on_send(&mut self, name: &str, now_ms: u64) {
+        if let Some(endpoint) = self.endpoints.get(name) {
+            self.evacuations.on_send(&endpoint.listing, now_ms);
+            self.cold.on_send(&endpoint.listing, now_ms);
+        }
+    }
+
     /// Counts a request that is about to be sent.
     pub fn on_start(&mut self, name: &str) {
         if let Some(endpoint) = self.endpoints.get_mut(name) {
@@ -382,14 +414,17 @@
         self.endpoints.values()
     }
 
-    /// The endpoints of a service that may receive new work.
+    /// The endpoints of a service that may receive new work: live ones that are not ejected and that no gate keeps back.
     pub fn usable<'t>(
         &'t self,
         service: &'t str,
         now_ms: u64,
     ) -> impl Iterator<Item = &'t Endpoint> {
         self.endpoints.values().filter(move |endpoint| {
-            &*endpoint.listing.service == service && endpoint.is_usable(now_ms)
+            &*endpoint.listing.service == service
+                && endpoint.is_usable(now_ms)
+                && self.evacuations.may_send(&endpoint.listing, now_ms)
+                && self.cold.may_send(&endpoint.listing, now_ms)
         })
     }
 }
--- a/crates/borageshore_routing/src/lib.rs
+++ b/crates/borageshore_routing/src/lib.rs
@@ -14,8 +14,10 @@
 mod attempt;
 mod budget;
 mod choice;
+mod cold_endpoints;
 mod crash_reports;
 mod endpoint;
+mod evacuations;
 mod fingerprint;
 mod keys;
 mod overload;
@@ -23,6 +25,7 @@
 mod registry;
 mod request_attempts;
 mod routes;
+mod send_gate;
 mod subset;
 
 pub use self::{
@@ -31,8 +34,10 @@
     attempt::{Attempt, AttemptEvent, AttemptState, Idempotent, Outcome, attempt_chart},
     budget::RetryBudget,
     choice::{CallingDaemon, ChoiceRequest, choose_endpoint, choose_from_subset},
+    cold_endpoints::{ColdEndpoints, ColdLimits},
     crash_reports::{CrashReport, CrashReports},
     endpoint::{Endpoint, EndpointListing, EndpointState, EndpointTable, LoadReport},
+    evacuations::Evacuations,
     fingerprint::{Fingerprint, ParseFingerprintError, RequestContent},
     keys::{KeyDecision, KeyPrefix, KeyTable, StoredAnswer},
     overload::{
@@ -43,5 +48,6 @@
     registry::{EndpointRegistry, EntryEffect},
     request_attempts::RequestAttempts,
     routes::{Route, RouteKind, RouteTable, RouteTarget},
+    send_gate::SendGate,
     subset::subset_of,
 };
--- a/crates/borageshore_routing/src/routes.rs
+++ b/crates/borageshore_routing/src/routes.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use borageshore_access::Organisations;
+use borageshore_topology::Residency;
 
 /// How the requests of a route may be run and repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,6 +59,8 @@
     pub is_single_version: bool,
     /// Whether callers may omit the key.
     pub is_public: bool,
+    /// The regions in which its requests may be served, cached and stored.
+    pub residency: Residency,
 }
 
 impl Route {
@@ -116,6 +119,16 @@
         }
     }
 
+    /// The regions in which a request of a route may be served, cached and stored. Where the caller's organisation has a
+    /// restriction too, both hold.
+    pub fn residency(&self, route: &Route, organisation: Option<&str>) -> Residency {
+        let organisation = organisation.and_then(|name| self.organisations.named(name));
+        match organisation {
+            Some(organisation) => route.residency.intersect(&organisation.residency),
+            None => route.residency.clone(),
+        }
+    }
+
     /// The organisations that may use the routes.
     pub fn organisations(&self) -> &Organisations {
         &self.organisations
--- a/crates/borageshore_routing/tests/outliers.rs
+++ b/crates/borageshore_routing/tests/outliers.rs
@@ -3,6 +3,7 @@
 use borageshore_routing::{
     ChoiceRequest, EndpointListing, EndpointState, EndpointTable, choose_endpoint,
 };
+use borageshore_topology::{Residency, Topology};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -51,7 +52,8 @@
             let request = ChoiceRequest {
                 service: "s",
                 prefix: None,
-                zone: "a",
+                topology: &Topology::single_region("a".into()),
+                residency: &Residency::anywhere(),
                 tried: &[],
             };
             let chosen = choose_endpoint(&self.table, request, self.now_ms, &mut self.random);
--- a/crates/borageshore_routing/tests/routing.rs
+++ b/crates/borageshore_routing/tests/routing.rs
@@ -8,6 +8,7 @@
     ChoiceRequest, Endpoint, EndpointListing, EndpointState, EndpointTable, LoadReport,
     RetryBudget, Ticket, Workload, attempt_chart, choose_endpoint, choose_from_subset, subset_of,
 };
+use borageshore_topology::{Residency, Topology};
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -45,7 +46,8 @@
     let request = ChoiceRequest {
         service: "s",
         prefix,
-        zone: "a",
+        topology: &Topology::single_region("a".into()),
+        residency: &Residency::anywhere(),
         tried: &[],
     };
     (0..200)
@@ -204,7 +206,8 @@
         let request = ChoiceRequest {
             service: "s",
             prefix: None,
-            zone: zone(daemon),
+            topology: &Topology::single_region(zone(daemon).into()),
+            residency: &Residency::anywhere(),
             tried: &[],
         };
         let mut of_daemon: Vec<Arc<str>> = (0..100)
@@ -230,7 +233,8 @@
     let request = ChoiceRequest {
         service: "s",
         prefix: None,
-        zone: "a",
+        topology: &Topology::single_region("a".into()),
+        residency: &Residency::anywhere(),
         tried: &[],
     };
     let mut chosen = Vec::new();
--- a/crates/borageshore_routing/tests/uneven_endpoints.rs
+++ b/crates/borageshore_routing/tests/uneven_endpoints.rs
@@ -6,6 +6,7 @@
     CallingDaemon, ChoiceRequest, Endpoint, EndpointListing, EndpointState, EndpointTable,
     LoadReport, choose_from_subset,
 };
+use borageshore_topology::{Residency, Topology};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -59,7 +60,8 @@
     let request = ChoiceRequest {
         service: "s",
         prefix: None,
-        zone: "a",
+        topology: &Topology::single_region("a".into()),
+        residency: &Residency::anywhere(),
         tried,
     };
     let daemon = CallingDaemon {
@@ -132,7 +134,8 @@
     services_without_reported_slowdowns_are_chosen_from_as_before => {
         let mut table = table(3);
         table.on_report("e0", report(2, None), 0);
-        let request = ChoiceRequest { service: "s", prefix: None, zone: "a", tried: &[] };
+        let request = ChoiceRequest { service: "s", prefix: None, topology: &Topology::single_region("a".into()),
+ residency: &Residency::anywhere(), tried: &[] };
         let daemon = CallingDaemon { name: "vm-1", has_idle: |_: &Endpoint| unreachable!("not asked") };
         let (mut one, mut other) = (Pcg64Mcg::seed_from_u64(7), Pcg64Mcg::seed_from_u64(7));
         for _ in 0..100 {
@@ -231,7 +234,8 @@
             let request = ChoiceRequest {
                 service: "s",
                 prefix: None,
-                zone: ZONES[daemon % 3],
+                topology: &Topology::single_region(ZONES[daemon % 3].into()),
+                residency: &Residency::anywhere(),
                 tried: &[],
             };
             let name = format!("vm-{daemon}");
--- /dev/null
+++ b/crates/borageshore_topology/tests/topology.rs
@@ -0,0 +1,59 @@
+//! Distances between zones, and the regions that requests may be served in.
+
+use std::sync::Arc;
+
+use borageshore_topology::{Distance, Residency, Topology};
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[test] fn $name() $body)*
+    };
+}
+
+fn names(names: &[&str]) -> Vec<Arc<str>> {
+    names.iter().map(|name| Arc::from(*name)).collect()
+}
+
+fn two_regions() -> Topology {
+    let zones = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+    let zones = zones.map(|(zone, region)| (zone.into(), region.into()));
+    Topology::open("a1".into(), zones.to_vec())
+}
+
+cases! {
+    nearer_zones_come_first => {
+        let topology = two_regions();
+        let distances = ["a1", "a2", "b1", "elsewhere"].map(|zone| topology.distance_to(zone));
+        let expected = [Distance::SameZone, Distance::SameRegion, Distance::OtherRegion, Distance::Unknown];
+        assert_eq!(distances, expected);
+        assert!(distances.is_sorted());
+    }
+
+    // Settings of a single region change nothing: no zone is farther away than another.
+    settings_without_zones_have_one_region => {
+        let topology = Topology::single_region("a1".into());
+        assert_eq!(topology.distance_to("z9"), Distance::SameRegion);
+        assert!(!topology.has_regions());
+    }
+
+    // Data leaves its region by way of a zone of which nobody knows where it is.
+    an_unknown_zone_is_in_no_allowed_region => {
+        let topology = two_regions();
+        let residency = Residency::within(names(&["a"]));
+        assert!(topology.allows(&residency, "a2"));
+        assert!(!topology.allows(&residency, "b1"));
+        assert!(!topology.allows(&residency, "elsewhere"));
+        assert!(topology.allows(&Residency::anywhere(), "elsewhere"));
+    }
+
+    // One of two restrictions is lost where both a route and an organisation have one.
+    both_restrictions_hold => {
+        let route = Residency::within(names(&["b", "a"]));
+        let organisation = Residency::within(names(&["c", "b"]));
+        assert_eq!(route.intersect(&organisation).regions(), Some(&names(&["b"])[..]));
+        assert_eq!(route.intersect(&Residency::anywhere()), route);
+        assert_eq!(Residency::anywhere().intersect(&route), route);
+        let none = route.intersect(&Residency::within(names(&["c"])));
+        assert!(none.is_empty() && none.is_restricted() && !none.allows(Some("a")));
+    }
+}
