--- a/crates/borageshore_topology/src/lib.rs
+++ b/crates/borageshore_topology/src/lib.rs
@@ -15,10 +15,12 @@
 //! assert!(!topology.allows(&residency, "b1"));
 //! ```
 
+mod directory;
 mod residency;
 mod topology;
 
 pub use self::{
+    directory::directory_regions,
     residency::Residency,
     topology::{Distance, Topology},
 };
--- a/crates/borageshore_topology/src/residency.rs
+++ b/crates/borageshore_topology/src/residency.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 /// The regions in which a request may be served, cached and stored.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Residency {
     /// Sorted; `None` for any region.
     regions: Option<Arc<[Arc<str>]>>,
--- a/crates/borageshore_topology/src/topology.rs
+++ b/crates/borageshore_topology/src/topology.rs
@@ -93,4 +93,18 @@
     pub fn allows(&self, residency: &Residency, zone: &str) -> bool {
         residency.allows(self.region_of(zone).map(|region| &**region))
     }
+
+    /// Whether any zone of the deployment is in a region that a residency allows. Where none is, a request cannot be
+    /// served until the routes or the settings change.
+    pub fn has_region_of(&self, residency: &Residency) -> bool {
+        let mut regions = self.region_of.values();
+        !residency.is_restricted() || regions.any(|region| residency.allows(Some(region)))
+    }
+
+    /// The allowed regions that have no zone in the deployment.
+    pub fn regions_without_zones(&self, residency: &Residency) -> Vec<Arc<str>> {
+        let named = residency.regions().unwrap_or_default().iter();
+        let has_zone = |region: &&Arc<str>| self.region_of.values().any(|known| known == *region);
+        named.filter(|region| !has_zone(region)).cloned().collect()
+    }
 }
--- a/crates/borageshore_topology/tests/topology.rs
+++ b/crates/borageshore_topology/tests/topology.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use borageshore_topology::{Distance, Residency, Topology};
+use borageshore_topology::{Distance, Residency, Topology, directory_regions};
 
 macro_rules! cases {
     ($($name:ident => $body:block)*) => {
@@ -56,4 +56,31 @@
         let none = route.intersect(&Residency::within(names(&["c"])));
         assert!(none.is_empty() && none.is_restricted() && !none.allows(Some("a")));
     }
+
+    // A request waits for its deadline although no zone of the deployment is in any region that it allows.
+    regions_without_zones_serve_nothing => {
+        let topology = two_regions();
+        let served = |regions: &[&str]| topology.has_region_of(&Residency::within(names(regions)));
+        assert!(served(&["b", "nowhere"]) && topology.has_region_of(&Residency::anywhere()));
+        assert!(!served(&["nowhere"]) && !served(&[]));
+        assert!(!Topology::single_region("a1".into()).has_region_of(&Residency::within(names(&["a"]))));
+        let residency = Residency::within(names(&["nowhere", "b"]));
+        assert_eq!(topology.regions_without_zones(&residency), names(&["nowhere"]));
+    }
+
+    // Callers send bodies to a region that is neither allowed nor theirs because the directory names it.
+    callers_of_restricted_routes_are_sent_home => {
+        let (a, ab, any) = (Residency::within(names(&["a"])), Residency::within(names(&["a", "b"])), Residency::anywhere());
+        let regions = |routes: &[&Residency], caller: &str, ready: &[&str]| {
+            directory_regions(routes.iter().copied(), Some(&caller.into()), &names(ready))
+        };
+        let within = |allowed: &[&str]| Residency::within(names(allowed));
+        assert_eq!(regions(&[&any], "c", &["a"]), any);
+        assert_eq!(regions(&[&a, &any], "c", &["a", "b", "c"]), within(&["c"]));
+        assert_eq!(regions(&[&a, &any], "c", &["a", "b"]), within(&["a"]));
+        assert_eq!(regions(&[&a, &ab], "c", &["a", "b"]), within(&["a"]));
+        assert_eq!(regions(&[&a, &ab], "c", &["b"]), within(&["a", "b"]));
+        assert_eq!(regions(&[&a], "c", &["b"]), any);
+        assert_eq!(directory_regions([&a], None, &names(&["a", "b"])), within(&["a"]));
+    }
 }
