--- a/crates/borageshore_access/src/organisations.rs
+++ b/crates/borageshore_access/src/organisations.rs
@@ -63,6 +63,11 @@
         index.ok().map(|index| &self.by_key[index].1)
     }
 
+    /// All organisations, by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+        self.by_name.iter()
+    }
+
     /// Looks up an organisation by name.
     pub fn named(&self, name: &str) -> Option<&Arc<Organisation>> {
         let index = self
--- a/crates/borageshore_base/src/code.rs
+++ b/crates/borageshore_base/src/code.rs
@@ -85,6 +85,8 @@
     TimeoutAfterHandover = 4009, 504, "No endpoint answered in time; whether the request ran is unknown.";
     HeldBack = 4010, 503, "The request has crashed endpoints and is held back; it was not run.";
     OverMemory = 4011, 503, "The daemon holds too much for its callers to read this body now; the request was not run.";
+    NoAllowedRegion = 4012, 503, "No region of the deployment is allowed by the request's route and its organisation; it was not run.";
+    NoEndpointInRegion = 4013, 503, "No endpoint of the service is in a region that the request's route and organisation allow; it was not run.";
     LogUnavailable = 5001, 503, "The log service does not answer; whether the change will take effect is unknown.";
     NotOwner = 5002, 503, "No daemon owns this job now; ask again.";
     StaleEpoch = 5003, 409, "The trainer has seen a newer owner of this job than this daemon.";
--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -43,7 +43,7 @@
     event_latencies::{EngineLatency, EventLatencies},
     generation_times::{FinishedText, GenerationTimes},
     group_placements::GroupPlacements,
-    index_entry::{Demand, IndexEntry},
+    index_entry::{Demand, IndexEntry, SubmissionOrigin},
     instance::instance_name,
     item_rank::{ItemRank, rank_items},
     ledger::{Ledger, LedgerEntry, SubmissionState},
--- a/crates/borageshore_diagnostics/src/instruments.rs
+++ b/crates/borageshore_diagnostics/src/instruments.rs
@@ -1,5 +1,7 @@
 //! The metrics of a daemon, recorded by OpenTelemetry instruments.
 
+use std::sync::Arc;
+
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
@@ -47,6 +49,16 @@
         self.events.add(1, &labels);
     }
 
+    /// Counts an event `what` with its outcome at a service.
+    pub fn count_at(&self, what: &'static str, outcome: &'static str, service: &Arc<str>) {
+        let labels = [
+            KeyValue::new("what", what),
+            KeyValue::new("outcome", outcome),
+            KeyValue::new("service", service.clone()),
+        ];
+        self.events.add(1, &labels);
+    }
+
     /// Records the duration of `what`.
     pub fn record_ms(&self, what: &'static str, duration_ms: u64) {
         let labels = [KeyValue::new("what", what)];
@@ -58,6 +70,15 @@
         self.state.record(value, &[KeyValue::new("what", what)]);
     }
 
+    /// Sets the gauge of `what` for a service.
+    pub fn set_at(&self, what: &'static str, service: &Arc<str>, value: u64) {
+        let labels = [
+            KeyValue::new("what", what),
+            KeyValue::new("service", service.clone()),
+        ];
+        self.state.record(value, &labels);
+    }
+
     /// Encodes all instruments as Prometheus text.
     pub fn to_text(&self) -> Vec<u8> {
         self.exposition.to_text()
--- a/crates/borageshore_gateway/src/access.rs
+++ b/crates/borageshore_gateway/src/access.rs
@@ -126,6 +126,16 @@
         self.routes.residency(route, organisation)
     }
 
+    /// The regions in which a request that was admitted under a residency may still be sent.
+    pub(crate) fn residency_now(
+        &self,
+        admitted: &Residency,
+        route: (&str, &str),
+        organisation: Option<&str>,
+    ) -> Residency {
+        self.routes.residency_now(admitted, route, organisation)
+    }
+
     /// Checks an admitted caller again before each attempt: its key may have been revoked, or the VM suspended, in the
     /// meantime.
     pub(crate) fn is_still_authorized(&self, caller: &AuthorizedCaller) -> bool {
--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -15,8 +15,8 @@
     refusal,
 };
 use borageshore_routing::{
-    AttemptEvent, CallTerms, Fingerprint, Idempotent, Outcome, RequestAttempts, RetryBudget, Route,
-    RouteKind,
+    AttemptEvent, CallTerms, Fingerprint, Idempotent, MAX_RETRY_AFTER_PART, Outcome,
+    RequestAttempts, RetryBudget, Route, RouteKind,
 };
 use borageshore_topology::Residency;
 use bytes::Bytes;
@@ -41,6 +41,9 @@
 /// The delay after which callers should retry a call that found all endpoints full or loading, in a service without
 /// contention. A queued call there takes 25 to 200 ms.
 const RETRY_AFTER_MS: u64 = 150;
+/// The delay after which callers should retry a call that no endpoint or region may serve for its residency. Endpoints
+/// return, and routes change, within seconds at best.
+const RESIDENCY_RETRY_AFTER_MS: u64 = 1_000;
 
 /// Forwards calls and answers each before its deadline.
 #[derive(Debug)]
@@ -64,7 +67,10 @@
     caller: AuthorizedCaller,
     usage: RequestUsage,
     content: OnceCell<Fingerprint>,
+    /// The regions that were allowed when the call was admitted.
     residency: Residency,
+    /// The path by which its route is looked up again before each attempt.
+    path: Arc<str>,
     /// When the caller stops waiting; it may allow more time than the route.
     caller_deadline: Deadline,
 }
@@ -134,7 +140,7 @@
         let wait_ms = head.deadline_ms.min(route.timeout_ms);
         let deadline = Deadline::after(self.clock, wait_ms.saturating_sub(RESPONSE_MARGIN_MS));
         let outbound = OutboundRequest {
-            id: head.id,
+            id: head.id.clone(),
             host: head.host,
             method: head.method,
             target: head.target,
@@ -146,6 +152,7 @@
         let call = PendingCall {
             outbound,
             residency: self.access.residency(route, organisation),
+            path: head.path,
             usage: RequestUsage::begin(self.usage.as_ref(), caller.organisation()),
             caller,
             content: OnceCell::new(),
@@ -159,6 +166,11 @@
             let fault = Fault::new(ResultCode::NoEndpoint, "the route names no service");
             return refusal(&fault, Some(RETRY_AFTER_MS));
         };
+        if call.residency.is_restricted() && !self.endpoints.has_live(service, &call.residency) {
+            let code = ResultCode::NoEndpointInRegion;
+            let id = call.outbound.id.clone();
+            return self.refuse_residency(code, &id, route, service, call.caller_deadline);
+        }
         // A trial shows whether a request crashes endpoints, so it goes on.
         if !permit.is_trial()
             && let Some(refused) = self.overload.refuse(service, call.terms(route))
@@ -206,6 +218,30 @@
         response
     }
 
+    /// Refuses a request at once that no region, or no endpoint of a service in the allowed ones, can serve.
+    pub(crate) fn refuse_residency(
+        &self,
+        code: ResultCode,
+        request: &str,
+        route: &Route,
+        service: &Arc<str>,
+        caller_deadline: Deadline,
+    ) -> EdgeResponse {
+        let longest_ms = caller_deadline.remaining_ms() / MAX_RETRY_AFTER_PART;
+        let again_ms = RESIDENCY_RETRY_AFTER_MS.min(longest_ms).max(1);
+        let reason = match code {
+            ResultCode::NoAllowedRegion => "no_region",
+            _ => "no_endpoint",
+        };
+        self.instruments.count_at("residency", reason, service);
+        self.instruments.count("call", "not_run");
+        log::info!(
+            request, route = &*route.name, service = &**service, reason, again_ms;
+            "request refused for its residency"
+        );
+        refusal(&Fault::new(code, &*route.name), Some(again_ms))
+    }
+
     /// Refuses a call of an overloaded service before it is sent to any endpoint.
     fn refuse_overload(
         &self,
@@ -291,6 +327,14 @@
         }
     }
 
+    /// The regions in which the next attempt of a call may run; the routes may have changed since the last one.
+    fn residency_now(&self, call: &PendingCall) -> Residency {
+        let organisation = call.caller.organisation().map(|name| &**name);
+        let route = (&*call.outbound.host, &*call.path);
+        self.access
+            .residency_now(&call.residency, route, organisation)
+    }
+
     fn start_attempt<'c>(
         &'c self,
         service: &Arc<str>,
@@ -304,7 +348,7 @@
             log::info!(request = &*call.outbound.id; "call not sent: its key is no longer accepted");
             return None;
         }
-        let residency = &call.residency;
+        let residency = &self.residency_now(call);
         let (target, in_flight) = match permit.is_trial() {
             true => {
                 self.endpoints
--- a/crates/borageshore_gateway/src/dispatch.rs
+++ b/crates/borageshore_gateway/src/dispatch.rs
@@ -8,15 +8,21 @@
     RunningItem, ServiceLoad, StartOrder, can_take, choose_better_engine, choose_engine,
     gets_free_slot,
 };
+use borageshore_diagnostics::Instruments;
 use borageshore_net::{sleep_ms, within_ms};
 use borageshore_platform::EndpointTarget;
 use borageshore_topology::Residency;
 use tokio::sync::oneshot;
 
-use crate::endpoints::{Endpoints, InFlight};
+use crate::{
+    endpoints::{Endpoints, InFlight},
+    waits::ResidencyWaits,
+};
 
 /// Waiting items are reconsidered at this interval, because load reports age and ejections end without a notification.
 const RECHECK_INTERVAL_MS: u64 = 100;
+/// The gauge of the items that no endpoint in their allowed regions can run.
+const WAITING_GAUGE: &str = "items_waiting_for_residency";
 
 /// What an item requires of an engine.
 #[derive(Debug, Clone)]
@@ -89,16 +95,18 @@
     generation_times: RefCell<SortedMap<Arc<str>, GenerationTimes>>,
     /// Items that want to move off leaving engines, by text key.
     departing: RefCell<SortedMap<Arc<str>, Departing>>,
+    residency_waits: ResidencyWaits,
 }
 
 impl Dispatch {
-    pub(crate) fn spawn(endpoints: Rc<Endpoints>) -> Rc<Self> {
+    pub(crate) fn spawn(endpoints: Rc<Endpoints>, instruments: Rc<Instruments>) -> Rc<Self> {
         let dispatch = Rc::new(Self {
             endpoints,
             waiting: RefCell::default(),
             placed_groups: RefCell::default(),
             generation_times: RefCell::default(),
             departing: RefCell::default(),
+            residency_waits: ResidencyWaits::open(WAITING_GAUGE, instruments),
         });
         monoio::spawn(dispatch.clone().run());
         dispatch
@@ -126,11 +134,16 @@
         }
     }
 
-    /// Takes a slot for a running item at a better engine, if there is one.
-    pub(crate) fn try_move(&self, request: &SlotRequest, item: RunningItem) -> Option<EngineSlot> {
+    /// Takes a slot for a running item at a better engine in the regions that are allowed now, if there is one.
+    pub(crate) fn try_move(
+        &self,
+        request: &SlotRequest,
+        residency: &Residency,
+        item: RunningItem,
+    ) -> Option<EngineSlot> {
         let engines = self.endpoints.engines(
             &request.service,
-            &request.residency,
+            residency,
             request.model.as_ref(),
             request.min_version,
         );
@@ -139,13 +152,15 @@
         Some(EngineSlot { target, in_flight })
     }
 
-    /// Takes a free slot elsewhere for an item whose engine leaves, if no item with more left to generate needs it.
+    /// Takes a free slot elsewhere, in the regions that are allowed now, for an item whose engine leaves, if no item with
+    /// more left to generate needs it.
     /// `key` and `remaining_ms` take part in that comparison until [`Self::end_departure`].
     pub(crate) fn try_leave(
         &self,
         key: &Arc<str>,
         remaining_ms: u64,
         request: &SlotRequest,
+        residency: &Residency,
     ) -> Option<EngineSlot> {
         let mut departing = self.departing.borrow_mut();
         let own = Departing {
@@ -156,7 +171,7 @@
         departing.insert(key.clone(), own);
         let engines = self.endpoints.engines(
             &request.service,
-            &request.residency,
+            residency,
             request.model.as_ref(),
             request.min_version,
         );
@@ -219,6 +234,7 @@
     fn assign_slots(&self) {
         let mut waiting = std::mem::take(&mut *self.waiting.borrow_mut());
         waiting.retain(|waiter| !waiter.sender.is_closed());
+        self.report_residency_waits(&waiting);
         let now_ms = self.endpoints.now_ms();
         let overloaded = self.overloaded_services(&waiting, now_ms);
         // Almost sorted: only items that have become late since the last round change places.
@@ -247,6 +263,32 @@
         *waiting = unserved;
     }
 
+    /// Reports the items that wait although endpoints elsewhere may be free: none is in a region that they allow.
+    fn report_residency_waits(&self, waiting: &[Waiter]) {
+        let mut counts: SortedMap<Arc<str>, u64> = SortedMap::default();
+        let mut looked_up: Vec<(&SlotRequest, bool)> = Vec::new();
+        let restricted = waiting.iter().map(|waiter| &waiter.request);
+        for request in restricted.filter(|request| request.residency.is_restricted()) {
+            let is_same = |(known, _): &&(&SlotRequest, bool)| {
+                known.service == request.service && known.residency == request.residency
+            };
+            let has_live = match looked_up.iter().find(is_same) {
+                Some((_, has_live)) => *has_live,
+                None => {
+                    let has_live = self
+                        .endpoints
+                        .has_live(&request.service, &request.residency);
+                    looked_up.push((request, has_live));
+                    has_live
+                }
+            };
+            if !has_live {
+                *counts.get_or_insert_with(request.service.clone(), || 0) += 1;
+            }
+        }
+        self.residency_waits.report(counts);
+    }
+
     /// The services that cannot serve all items that wait here in time. Items that wait at other daemons do not count, so
     /// a service that is listed is overloaded, but not the other way round.
     fn overloaded_services(&self, waiting: &[Waiter], now_ms: u64) -> Vec<Arc<str>> {
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -181,6 +181,19 @@
         self.random.borrow_mut().next_u64()
     }
 
+    /// Whether any endpoint of a service is listed as live in an allowed region.
+    pub(crate) fn has_live(&self, service: &str, residency: &Residency) -> bool {
+        let allows = |zone: &str| self.topology.allows(residency, zone);
+        self.table.borrow().has_live(service, allows)
+    }
+
+    /// Whether an instance is in an allowed region; one that is no longer listed is in none.
+    pub(crate) fn allows(&self, residency: &Residency, instance: &str) -> bool {
+        let table = self.table.borrow();
+        let zone = table.get(instance).map(|endpoint| &*endpoint.listing.zone);
+        !residency.is_restricted() || zone.is_some_and(|zone| self.topology.allows(residency, zone))
+    }
+
     /// Chooses an endpoint of a service in an allowed region for a call and counts the call there.
     pub(crate) fn choose(
         self: &Rc<Self>,
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -35,7 +35,7 @@
     scaling::{EndpointOrders, EndpointScaler, ScalerParts},
     server::{MetricsPage, Server, server_limits},
     store_transport::{FailoverTransport, PeerHandler, Store},
-    submission_index::SubmissionIndex,
+    submission_index::{IndexParts, SubmissionIndex},
     submissions::Submissions,
     text_cache::TextCache,
     true_time::{SharedTime, time_of_day_ms},
@@ -78,18 +78,20 @@
         // Increases with every start unless the VM's clock was set back by more than the previous run lasted.
         let incarnation = time_of_day_ms();
         let mechanisms = Rc::new(Mechanisms::without(config.mechanisms_off.clone()));
+        let topology = Rc::new(config.topology());
         let transport = FailoverTransport::open(
             config.store_address.clone(),
             clock,
+            topology.clone(),
             mechanisms.is_enabled(Mechanism::StoreDetour),
         );
         let store = Store::open(transport.clone());
         let client = EndpointClient::open();
         let seed = rendezvous_weight(&config.name, &incarnation.to_string());
-        let routes = Rc::new(Routes::default());
+        let routes = Routes::open(topology.clone(), instruments.clone());
         let endpoints = Endpoints::open(EndpointParts {
             own_name: config.name.clone(),
-            topology: Rc::new(config.topology()),
+            topology: topology.clone(),
             seed,
             clock,
             routes: routes.clone(),
@@ -97,7 +99,12 @@
             mechanisms: mechanisms.clone(),
             features: config.features(),
         });
-        let members = Members::open(own_presence(&config, incarnation), clock, transport.clone());
+        let members = Members::open(
+            own_presence(&config, incarnation),
+            clock,
+            topology.clone(),
+            transport.clone(),
+        );
         let quarantine = Quarantine::spawn(
             store.clone(),
             members.clone(),
@@ -108,32 +115,37 @@
         // The boot clock distinguishes two incarnations that started at the same time of day.
         let author = format!("{}.{incarnation}.{}", config.name, boot_time_ms());
         let partitions = config.store_partitions;
-        let view = LedgerView::spawn(store.clone(), partitions, clock);
-        let index = SubmissionIndex::open(store.clone());
-        let submissions = Submissions::open(
-            store.clone(),
+        let index = SubmissionIndex::open(IndexParts {
+            store: store.clone(),
+            routes: routes.clone(),
+            topology,
             partitions,
+        });
+        let view = LedgerView::spawn(store.clone(), index.clone(), clock);
+        let submissions = Rc::new(Submissions {
+            store: store.clone(),
             clock,
-            view.clone(),
-            index.clone(),
-            endpoints.clone(),
-            instruments.clone(),
-        );
+            view: view.clone(),
+            index: index.clone(),
+            routes: routes.clone(),
+            endpoints: endpoints.clone(),
+            instruments: instruments.clone(),
+        });
         let progress = Progress::spawn(
             store.clone(),
             clock,
             members.clone(),
             endpoints.clone(),
             author.as_str().into(),
-            partitions,
+            index.clone(),
             mechanisms.is_enabled(Mechanism::StoredTexts),
         );
-        let writer = Writer::spawn(store.clone(), author, partitions);
+        let writer = Writer::open(store.clone(), author, index.clone());
         let context = ItemContext {
             clock,
             routes: routes.clone(),
             endpoints: endpoints.clone(),
-            dispatch: Dispatch::spawn(endpoints.clone()),
+            dispatch: Dispatch::spawn(endpoints.clone(), instruments.clone()),
             client: client.clone(),
             rewards: Rewards::open(RewardParts {
                 endpoints: endpoints.clone(),
@@ -146,12 +158,19 @@
             quarantine: quarantine.clone(),
             writer: writer.clone(),
             view: view.clone(),
+            index: index.clone(),
             texts: Rc::new(TextCache::open(mechanisms.is_enabled(Mechanism::KeptTexts))),
             mechanisms,
             progress,
             instruments: instruments.clone(),
         };
-        let runner = Runner::spawn(view, index.clone(), members.clone(), Rc::new(context));
+        let runner = Runner::spawn(
+            view,
+            index.clone(),
+            members.clone(),
+            Rc::new(context),
+            instruments.clone(),
+        );
         let feed = Feed::spawn(FeedParts {
             store: store.clone(),
             transport: transport.clone(),
@@ -240,7 +259,6 @@
         Orderer::spawn(parts);
         let cleaner = Cleaner {
             store: store.clone(),
-            partitions,
             index,
             members: members.clone(),
             quarantine: quarantine.clone(),
--- a/crates/borageshore_gateway/src/item/attempt.rs
+++ b/crates/borageshore_gateway/src/item/attempt.rs
@@ -201,7 +201,9 @@
             Departure::MoveIfFree if events.is_multiple_of(MOVE_CHECK_INTERVAL_EVENTS) => {
                 let remaining_ms = remaining_ms.unwrap_or(u64::MAX);
                 let dispatch = &self.context.dispatch;
-                AttemptOutcome::Move(dispatch.try_leave(&self.text_key, remaining_ms, request)?)
+                let residency = self.residency_now();
+                let slot = dispatch.try_leave(&self.text_key, remaining_ms, request, &residency)?;
+                AttemptOutcome::Move(slot)
             }
             Departure::Release => AttemptOutcome::Released,
             Departure::MoveIfFree => return None,
@@ -241,7 +243,8 @@
         if item.latency_percent < MIN_SLOW_PERCENT {
             return None;
         }
-        let better = self.context.dispatch.try_move(request, item)?;
+        let dispatch = &self.context.dispatch;
+        let better = dispatch.try_move(request, &self.residency_now(), item)?;
         log::info!(
             item = &*self.item.id, instance = &**instance, pace_percent = item.latency_percent, events,
             to = &*better.target.instance;
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -29,6 +29,7 @@
     quarantine::{Permit, Quarantine},
     rewards::{GroupMember, Reward, Rewards, ScoreRequest},
     routes::Routes,
+    submission_index::SubmissionIndex,
     text_cache::TextCache,
     writer::Writer,
 };
@@ -39,6 +40,8 @@
 const REFUSED_RETRY_MS: u64 = 30;
 /// The pause before a missing route is looked up again.
 const NO_ROUTE_RETRY_MS: u64 = 500;
+/// The interval at which an item that waits for an engine in some regions looks up whether they still are the allowed ones.
+const RESIDENCY_RECHECK_MS: u64 = 1_000;
 
 /// The parts of the daemon that running items use.
 #[derive(Debug)]
@@ -51,6 +54,7 @@
     pub(crate) client: EndpointClient,
     pub(crate) rewards: Rc<Rewards>,
     pub(crate) view: Rc<LedgerView>,
+    pub(crate) index: Rc<SubmissionIndex>,
     pub(crate) texts: Rc<TextCache>,
     pub(crate) progress: Rc<Progress>,
     pub(crate) instruments: Rc<Instruments>,
@@ -247,8 +251,20 @@
             let request = self.slot_request(&route, text, std::mem::take(&mut avoid));
             let slot = match next_slot.take() {
                 Some(slot) => slot,
-                None => self.acquire_slot(request.clone()).await,
+                None => match self.acquire_slot(request.clone()).await {
+                    Some(slot) => slot,
+                    None => continue,
+                },
             };
+            let is_inside = {
+                let residency = self.residency_now();
+                let endpoints = &self.context.endpoints;
+                endpoints.allows(&residency, &slot.target.instance)
+            };
+            // The routes in force may have become narrower during the wait for a slot.
+            if !is_inside {
+                continue;
+            }
             // The request may have been quarantined during the wait for a slot.
             if !permit.is_trial() && !self.context.quarantine.may_repeat(|| self.content()) {
                 continue;
@@ -344,16 +360,20 @@
             model: self.submission.model.clone(),
             min_version: pinned_version.unwrap_or(self.submission.min_version),
             max_version: pinned_version.unwrap_or(u64::MAX),
-            residency: self.residency(route),
+            residency: self.residency_now(),
             group: self.item.group.clone(),
             avoid,
         }
     }
 
-    /// The regions in which the item may run.
-    fn residency(&self, route: &Route) -> Residency {
+    /// The regions in which the item may run: those that were allowed when its submission was accepted and that the
+    /// routes in force allow as well.
+    fn residency_now(&self) -> Residency {
+        let Submission { id, host, path, .. } = self.submission;
+        let stored = self.context.index.stored_within(id);
         let organisation = self.submission.organisation.as_deref();
-        self.context.routes.residency(route, organisation)
+        let routes = &self.context.routes;
+        routes.residency_now(&stored, (&**host, &**path), organisation)
     }
 
     fn start_order(&self, route: &Route, service: &str, text: &Text) -> StartOrder {
@@ -392,7 +412,16 @@
         self.context.dispatch.on_text_finished(service, finished);
     }
 
-    async fn acquire_slot(&self, request: SlotRequest) -> EngineSlot {
+    /// Waits for a slot; `None` after a while if the regions in which the item may run are restricted, since the routes
+    /// may allow others by then.
+    async fn acquire_slot(&self, request: SlotRequest) -> Option<EngineSlot> {
+        match request.residency.is_restricted() {
+            true => within_ms(RESIDENCY_RECHECK_MS, self.wait_for_slot(request)).await,
+            false => Some(self.wait_for_slot(request).await),
+        }
+    }
+
+    async fn wait_for_slot(&self, request: SlotRequest) -> EngineSlot {
         let dispatch = &self.context.dispatch;
         let is_enabled = self.context.mechanisms.is_enabled(Mechanism::Avoidance);
         if request.avoid.is_empty() || !is_enabled {
--- a/crates/borageshore_gateway/src/ledger_view.rs
+++ b/crates/borageshore_gateway/src/ledger_view.rs
@@ -6,23 +6,22 @@
     sync::Arc,
 };
 
-use borageshore_base::{SortedMap, rendezvous_weight};
+use borageshore_base::SortedMap;
 use borageshore_batch::{Ledger, LedgerRecord, SubmissionState};
 use borageshore_net::{Clock, sleep_ms, within_ms};
-use borageshore_platform::{KeyedRecord, Topic};
+use borageshore_platform::KeyedRecord;
 use bytes::Bytes;
 use tokio::sync::Notify;
 
 use crate::{
     follow::{FollowSpec, Follower, RecordView, StartFrom, StorePartition},
+    shard::Shard,
     store_transport::Store,
+    submission_index::SubmissionIndex,
 };
 
 /// The pause between reads of a shard: results come in bursts, and reading them together saves most of the reads.
 const FOLLOW_PAUSE_MS: u64 = 25;
-/// The number of topics over whose partitions submissions are spread. With 8 partitions each, a daemon that
-/// follows one submission also reads a 32nd of the others.
-const BATCH_TOPICS: u64 = 4;
 /// How long a shard is followed after its last use; trainers read twice a second.
 const IDLE_TIMEOUT_MS: u64 = 15_000;
 /// The interval at which idle shards are released.
@@ -30,50 +29,6 @@
 /// The maximum wait for a shard's first read, which takes a few ms, or 200 ms if the store is slow.
 const START_TIMEOUT_MS: u64 = 1_500;
 
-/// The partition of the batch topics that holds a submission's records.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Shard {
-    number: u64,
-    partitions: u64,
-}
-
-impl Shard {
-    /// The shard of a submission, with `partitions` partitions per topic.
-    pub(crate) fn of(submission: &str, partitions: u64) -> Self {
-        let partitions = partitions.max(1);
-        Self {
-            number: rendezvous_weight("shard", submission) % (partitions * BATCH_TOPICS),
-            partitions,
-        }
-    }
-
-    /// All shards.
-    pub(crate) fn all(partitions: u64) -> impl Iterator<Item = Self> {
-        let partitions = partitions.max(1);
-        (0..partitions * BATCH_TOPICS).map(move |number| Self { number, partitions })
-    }
-
-    /// The index of the shard among all shards.
-    pub(crate) fn number(self) -> usize {
-        self.number as usize
-    }
-
-    /// The topic of its submissions' records.
-    pub(crate) fn topic(self) -> Topic {
-        Topic::Batch(self.number / self.partitions)
-    }
-
-    /// The topic of its saved unfinished texts.
-    pub(crate) fn progress_topic(self) -> Topic {
-        Topic::Progress(self.number / self.partitions)
-    }
-
-    /// Its partition in both topics.
-    pub(crate) fn partition(self) -> u64 {
-        self.number % self.partitions
-    }
-}
-
 #[derive(Debug)]
 struct Followed {
     follower: Rc<Follower<ShardView>>,
@@ -85,8 +40,10 @@
 pub(crate) struct LedgerView {
     store: Store,
     clock: Clock,
-    partitions: u64,
+    index: Rc<SubmissionIndex>,
     ledger: RefCell<Ledger>,
+    /// The shard from which each submission was loaded.
+    placed: RefCell<SortedMap<Arc<str>, Shard>>,
     loading: RefCell<Vec<Arc<str>>>,
     shards: RefCell<SortedMap<Shard, Followed>>,
     /// Notified on each change.
@@ -95,12 +52,13 @@
 
 impl LedgerView {
     /// Starts an empty view.
-    pub(crate) fn spawn(store: Store, partitions: u64, clock: Clock) -> Rc<Self> {
+    pub(crate) fn spawn(store: Store, index: Rc<SubmissionIndex>, clock: Clock) -> Rc<Self> {
         let view = Rc::new(Self {
             store,
             clock,
-            partitions,
+            index,
             ledger: RefCell::default(),
+            placed: RefCell::default(),
             loading: RefCell::default(),
             shards: RefCell::default(),
             changed: Notify::new(),
@@ -129,6 +87,7 @@
 
     /// Marks a submission's shard as in use, which keeps it followed.
     pub(crate) fn touch(&self, id: &str) {
+        self.remove_misplaced(id);
         if let Some(followed) = self.shards.borrow().get(&self.shard_of(id)) {
             followed.used_at_ms.set(self.clock.now_ms());
         }
@@ -136,18 +95,29 @@
 
     /// Brings the view of a submission to an age of at most `age_ms`; returns whether that succeeded.
     pub(crate) async fn confirm(self: &Rc<Self>, id: &str, age_ms: u64) -> bool {
+        if !self.index.may_hold(id) {
+            return false;
+        }
         let follower = self.follow(self.shard_of(id));
         follower.confirm(age_ms).await
     }
 
     /// Brings the view of a submission up to the present end of the store; returns whether that succeeded.
     pub(crate) async fn confirm_now(self: &Rc<Self>, id: &str) -> bool {
+        if !self.index.may_hold(id) {
+            return false;
+        }
         let follower = self.follow(self.shard_of(id));
         follower.confirm_now().await
     }
 
-    /// Loads the records of a submission unless they are loaded; returns whether they are now.
+    /// Loads the records of a submission unless they are loaded; returns whether they are now. Never loads those of one
+    /// that this daemon's region may not hold.
     pub(crate) async fn load(self: &Rc<Self>, id: &Arc<str>) -> bool {
+        if !self.index.may_hold(id) {
+            return false;
+        }
+        self.remove_misplaced(id);
         let follower = self.follow(self.shard_of(id));
         loop {
             let changed = self.changed.notified();
@@ -182,9 +152,10 @@
         let shard = self.shard_of(id);
         let now_ms = self.clock.now_ms();
         self.ledger.borrow_mut().track(id, now_ms);
+        self.placed.borrow_mut().insert(id.clone(), shard.clone());
         let prefix = LedgerRecord::key_prefix(id);
-        let newest = self
-            .store
+        let newest = shard
+            .store(&self.store)
             .newest(shard.topic(), shard.partition(), &prefix)
             .await;
         match newest {
@@ -205,13 +176,9 @@
     fn follow(self: &Rc<Self>, shard: Shard) -> Rc<Follower<ShardView>> {
         let now_ms = self.clock.now_ms();
         let mut shards = self.shards.borrow_mut();
-        let followed = shards.get_or_insert_with(shard, || {
-            let shard_view = ShardView {
-                view: self.clone(),
-                shard,
-            };
+        let followed = shards.get_or_insert_with(shard.clone(), || {
             let source = StorePartition {
-                store: self.store.clone(),
+                store: shard.store(&self.store),
                 topic: shard.topic(),
                 partition: shard.partition(),
                 start_from: StartFrom::End,
@@ -221,6 +188,10 @@
                 clock: self.clock,
                 pause_ms: FOLLOW_PAUSE_MS,
             };
+            let shard_view = ShardView {
+                view: self.clone(),
+                shard,
+            };
             let follower = Follower::spawn(spec, Rc::new(shard_view));
             Followed {
                 follower,
@@ -240,24 +211,57 @@
                 let is_used = now_ms < followed.used_at_ms.get() + IDLE_TIMEOUT_MS;
                 if !is_used {
                     followed.follower.stop();
-                    released.push(*shard);
+                    released.push(shard.clone());
                 }
                 is_used
             });
             for shard in released {
-                self.remove_shard(shard);
+                self.remove_shard(&shard);
             }
+            // The routes in force may have become narrower.
+            self.remove_where(|id, _| !self.index.may_hold(id));
         }
     }
 
-    fn remove_shard(&self, shard: Shard) {
-        let is_of_shard = |id: &str| self.shard_of(id) == shard;
-        self.ledger.borrow_mut().remove_if(is_of_shard);
+    fn remove_shard(&self, shard: &Shard) {
+        self.remove_where(|_, placed| placed == shard);
+    }
+
+    /// Removes a submission that was loaded from another shard than its own, before this daemon knew in which regions it
+    /// may be: its records never arrive there.
+    fn remove_misplaced(&self, id: &str) {
+        let is_misplaced = {
+            let placed = self.placed.borrow();
+            let shard = placed.get(id);
+            shard.is_some_and(|shard| *shard != self.shard_of(id))
+        };
+        if is_misplaced {
+            self.remove_where(|other, _| other == id);
+        }
+    }
+
+    fn remove_where<Remove>(&self, is_removed: Remove)
+    where
+        Remove: Fn(&str, &Shard) -> bool,
+    {
+        let mut removed: Vec<Arc<str>> = Vec::new();
+        self.placed.borrow_mut().retain(|id, shard| {
+            let is_kept = !is_removed(id, shard);
+            if !is_kept {
+                removed.push(id.clone());
+            }
+            is_kept
+        });
+        if removed.is_empty() {
+            return;
+        }
+        let is_listed = |id: &str| removed.iter().any(|removed| &**removed == id);
+        self.ledger.borrow_mut().remove_if(is_listed);
         self.changed.notify_waiters();
     }
 
     fn shard_of(&self, id: &str) -> Shard {
-        Shard::of(id, self.partitions)
+        self.index.shard_of(id)
     }
 }
 
@@ -303,6 +307,6 @@
     }
 
     fn on_gap(&self) {
-        self.view.remove_shard(self.shard);
+        self.view.remove_shard(&self.shard);
     }
 }
--- a/crates/borageshore_gateway/src/lib.rs
+++ b/crates/borageshore_gateway/src/lib.rs
@@ -36,12 +36,14 @@
 mod runner;
 mod scaling;
 mod server;
+mod shard;
 mod store_transport;
 mod submission_index;
 mod submissions;
 mod text_cache;
 mod true_time;
 mod usage;
+mod waits;
 mod watch;
 mod writer;
 
--- a/crates/borageshore_gateway/src/members/mod.rs
+++ b/crates/borageshore_gateway/src/members/mod.rs
@@ -8,7 +8,7 @@
     sync::Arc,
 };
 
-use borageshore_base::rank_by_rendezvous;
+use borageshore_base::{first_by_rendezvous, rank_by_rendezvous};
 use borageshore_feed::FeedCandidate;
 use borageshore_membership::{
     HEARTBEAT_LOG_TIMEOUT_MS, Presence, PresenceState, PresenceTable, SUSPICION_TIMEOUT_MS,
@@ -16,6 +16,7 @@
 };
 use borageshore_net::{Clock, sleep_ms};
 use borageshore_platform::KeyedRecord;
+use borageshore_topology::{Residency, Topology};
 use tokio::sync::Notify;
 
 use crate::{follow::RecordView, store_transport::FailoverTransport};
@@ -33,6 +34,7 @@
     own: RefCell<Presence>,
     table: RefCell<PresenceTable>,
     clock: Clock,
+    topology: Rc<Topology>,
     transport: FailoverTransport,
     watch: RefCell<WatchTable>,
     ring: RefCell<CachedRing>,
@@ -62,11 +64,17 @@
 }
 
 impl Members {
-    pub(crate) fn open(own: Presence, clock: Clock, transport: FailoverTransport) -> Rc<Self> {
+    pub(crate) fn open(
+        own: Presence,
+        clock: Clock,
+        topology: Rc<Topology>,
+        transport: FailoverTransport,
+    ) -> Rc<Self> {
         Rc::new(Self {
             own: RefCell::new(own),
             table: RefCell::default(),
             clock,
+            topology,
             transport,
             watch: RefCell::default(),
             ring: RefCell::default(),
@@ -193,17 +201,44 @@
         }
     }
 
-    /// Whether this daemon owns a piece of work; if nobody holds it, the rendezvous hash of `key` decides.
-    pub(crate) fn owns(&self, work: &str, key: &str) -> bool {
+    /// Whether this daemon owns a piece of work that only daemons in allowed regions may hold; if none of them holds it,
+    /// the rendezvous hash of `key` decides.
+    pub(crate) fn owns(&self, work: &str, key: &str, residency: &Residency) -> bool {
         let own = self.own.borrow();
         let table = self.table.borrow();
+        let allows = self.inside(residency);
+        if !allows(&own) {
+            return false;
+        }
         if own.holds.iter().any(|held| &**held == work) {
             // If two daemons hold it, the one with the greater name yields.
             return table
-                .holder_of(work)
+                .holder_within(work, allows)
                 .is_none_or(|holder| holder >= &*own.name);
         }
-        own.state == PresenceState::Ready && table.owner_of(work, key) == Some(&own.name)
+        own.state == PresenceState::Ready
+            && table.owner_within(work, key, allows) == Some(&own.name)
+    }
+
+    /// Whether this daemon reports that a piece of work waits because no daemon in allowed regions may own it: the one
+    /// that would own it without the restriction.
+    pub(crate) fn reports_wait(&self, work: &str, key: &str, residency: &Residency) -> bool {
+        let table = self.table.borrow();
+        let inside = self.inside(residency);
+        residency.is_restricted()
+            && table.owner_within(work, key, inside).is_none()
+            && table.owner_of(work, key) == Some(&*self.own.borrow().name)
+    }
+
+    /// Whether this daemon may hold data that may be in some regions only.
+    pub(crate) fn may_hold(&self, residency: &Residency) -> bool {
+        self.inside(residency)(&self.own.borrow())
+    }
+
+    /// Selects the daemons in allowed regions.
+    fn inside(&self, residency: &Residency) -> impl Fn(&Presence) -> bool + Copy {
+        let topology = &self.topology;
+        move |presence: &Presence| topology.allows(residency, &presence.zone)
     }
 
     /// The number of daemons that run submissions.
@@ -215,15 +250,31 @@
             .count()
     }
 
-    /// The address of the daemon that serves requests about a submission: its holder, else the one that the rendezvous
-    /// hash selects; `None` if that is this daemon.
-    pub(crate) fn owner_address(&self, submission: &str) -> Option<Arc<str>> {
+    /// The addresses of the daemons that are asked in turn about a submission: its holder, else the one that the
+    /// rendezvous hash selects; none if that is this daemon. One that may not hold the submission itself asks another one
+    /// as well.
+    pub(crate) fn reader_addresses(
+        &self,
+        submission: &str,
+        residency: &Residency,
+    ) -> Vec<Arc<str>> {
+        let own = self.own.borrow();
         let table = self.table.borrow();
-        let owner = table.owner_of(submission, submission)?;
-        if owner == &*self.own.borrow().name {
-            return None;
+        let allows = self.inside(residency);
+        let Some(owner) = table.owner_within(submission, submission, allows) else {
+            return Vec::new();
+        };
+        if owner == &*own.name {
+            return Vec::new();
         }
-        table.address_of(owner)
+        let others = table.eligible_within(allows);
+        let others = others.filter(|name| *name != owner && *name != &*own.name);
+        let second = match allows(&own) {
+            true => None,
+            false => first_by_rendezvous(submission, others),
+        };
+        let asked = std::iter::once(owner).chain(second);
+        asked.filter_map(|name| table.address_of(name)).collect()
     }
 
     /// Whether this daemon is selected, by its view of the members, for a piece of work that nobody holds.
@@ -231,12 +282,20 @@
         self.table.borrow().owner_of(work, work) == Some(&*self.own.borrow().name)
     }
 
-    /// HTTP addresses of up to `count` other eligible daemons, in an order that varies with time.
-    pub(crate) fn choose_eligible(&self, count: usize) -> Vec<Arc<str>> {
+    /// Whether this daemon is the first of the eligible ones in allowed regions for a piece of work.
+    pub(crate) fn is_first_eligible(&self, work: &str, residency: &Residency) -> bool {
+        let table = self.table.borrow();
+        let eligible = table.eligible_within(self.inside(residency));
+        first_by_rendezvous(work, eligible) == Some(&*self.own.borrow().name)
+    }
+
+    /// HTTP addresses of up to `count` other eligible daemons in allowed regions, in an order that varies with time.
+    pub(crate) fn choose_eligible(&self, count: usize, residency: &Residency) -> Vec<Arc<str>> {
         let own_name = self.own_name();
         let table = self.table.borrow();
         let salt = self.clock.now_ms().to_string();
-        let others = table.eligible().filter(|name| *name != &*own_name);
+        let eligible = table.eligible_within(self.inside(residency));
+        let others = eligible.filter(|name| *name != &*own_name);
         let ranked = rank_by_rendezvous(&salt, others);
         let picked = ranked.into_iter().take(count);
         picked.filter_map(|name| table.address_of(name)).collect()
@@ -261,10 +320,31 @@
         self.table.borrow().eligible().map(Into::into).collect()
     }
 
-    /// The HTTP addresses for a caller in a zone.
-    pub(crate) fn addresses_for(&self, zone: &str) -> Vec<Arc<str>> {
+    /// The regions in which a daemon is ready, sorted.
+    pub(crate) fn ready_regions(&self) -> Vec<Arc<str>> {
+        let table = self.table.borrow();
+        let region = |presence: &Presence| self.topology.region_of(&presence.zone).cloned();
+        let mut regions: Vec<Arc<str>> = table.ready().filter_map(region).collect();
+        regions.sort_unstable();
+        regions.dedup();
+        regions
+    }
+
+    /// The region of a caller: the one that it says, if the deployment has it, else that of its zone.
+    pub(crate) fn region_of_caller(&self, region: &str, zone: &str) -> Option<Arc<str>> {
+        let said = Residency::within(vec![region.into()]);
+        match self.topology.has_region_of(&said) {
+            true => Some(region.into()),
+            false => self.topology.region_of(zone).cloned(),
+        }
+    }
+
+    /// The HTTP addresses for a caller in a zone, of daemons in `regions`.
+    pub(crate) fn addresses_for(&self, zone: &str, regions: &Residency) -> Vec<Arc<str>> {
         let own = self.own.borrow();
-        let mut addresses = self.table.borrow().addresses_for(zone, MIN_ADDRESSES);
+        let allows = self.inside(regions);
+        let table = self.table.borrow();
+        let mut addresses = table.addresses_within(zone, MIN_ADDRESSES, allows);
         if addresses.is_empty() && own.state == PresenceState::Ready {
             addresses.push(own.http_address.clone());
         }
@@ -295,15 +375,19 @@
         (self.feed_candidate(), serving.map(candidate).collect())
     }
 
-    /// Whether this daemon has enough capacity to own work once it is ready.
+    /// Whether this daemon has enough capacity to own work once it is ready, at least such as has to stay in its region.
     pub(crate) fn may_become_eligible(&self) -> bool {
-        let capacity_percent = self.own.borrow().capacity_percent;
-        self.table.borrow().has_eligible_capacity(capacity_percent)
+        let own = self.own.borrow();
+        let own_region = self.topology.region_of(&own.zone);
+        let is_same_region =
+            |presence: &Presence| self.topology.region_of(&presence.zone) == own_region;
+        let table = self.table.borrow();
+        table.has_eligible_capacity(own.capacity_percent, is_same_region)
     }
 
     fn update_peers(&self) {
         let own = self.own.borrow();
-        let peers = self.table.borrow().peer_addresses(&own.name, &own.zone);
+        let peers = self.table.borrow().store_peers(&own.name, &own.zone);
         self.transport.set_peers(peers);
     }
 
--- a/crates/borageshore_gateway/src/progress.rs
+++ b/crates/borageshore_gateway/src/progress.rs
@@ -16,8 +16,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    endpoints::Endpoints, ledger_view::Shard, members::Members, store_transport::Store,
-    true_time::time_of_day_ms,
+    endpoints::Endpoints, members::Members, shard::Shard, store_transport::Store,
+    submission_index::SubmissionIndex, true_time::time_of_day_ms,
 };
 
 /// The minimum interval at which new events are saved; a crash loses the events since the last save.
@@ -86,12 +86,12 @@
     endpoints: Rc<Endpoints>,
     /// The name of this process, unique among all processes ever started.
     author: Arc<str>,
-    partitions: u64,
+    index: Rc<SubmissionIndex>,
     is_enabled: bool,
     runs: RefCell<SortedMap<u64, SavedRun>>,
     next_run: Cell<u64>,
-    /// When the latencies of engines were last compared for saving, by the number of the shard.
-    latencies_compared_at_ms: RefCell<SortedMap<usize, u64>>,
+    /// When the latencies of engines were last compared for saving, by shard.
+    latencies_compared_at_ms: RefCell<SortedMap<Shard, u64>>,
     is_failing: Cell<bool>,
     run_added: Notify,
 }
@@ -103,7 +103,7 @@
         members: Rc<Members>,
         endpoints: Rc<Endpoints>,
         author: Arc<str>,
-        partitions: u64,
+        index: Rc<SubmissionIndex>,
         is_enabled: bool,
     ) -> Rc<Self> {
         let progress = Rc::new(Self {
@@ -112,7 +112,7 @@
             members,
             endpoints,
             author,
-            partitions,
+            index,
             is_enabled,
             runs: RefCell::default(),
             next_run: Cell::default(),
@@ -135,7 +135,7 @@
         self.next_run.set(run);
         let saved = SavedRun {
             item: item.clone(),
-            shard: Shard::of(submission, self.partitions),
+            shard: self.index.shard_of(submission),
             next_event: 1,
             unsaved: text.events().to_vec(),
             versions: text.versions().to_vec(),
@@ -171,7 +171,7 @@
                 None => shards.push((shard, vec![run])),
             }
         }
-        join_all(shards.iter().map(|(shard, runs)| self.append(*shard, runs))).await;
+        join_all(shards.iter().map(|(shard, runs)| self.append(shard, runs))).await;
     }
 
     /// The runs to save now, with their shards: the longest texts first, up to a total of `bytes`.
@@ -187,17 +187,18 @@
             is_first || total_bytes <= bytes
         };
         let due = due.into_iter().take_while(fits);
-        due.map(|(number, run)| (run.shard, number)).collect()
+        due.map(|(number, run)| (run.shard.clone(), number))
+            .collect()
     }
 
-    async fn append(&self, shard: Shard, due: &[u64]) {
+    async fn append(&self, shard: &Shard, due: &[u64]) {
+        let store = shard.store(&self.store);
         for numbers in self.records(due) {
             let Some((batch, stored_until)) = self.batch(shard, &numbers) else {
                 continue;
             };
             let record = [(Arc::from(""), batch.encode())];
-            let appended = self
-                .store
+            let appended = store
                 .append(shard.progress_topic(), shard.partition(), &record, None)
                 .await;
             match appended {
@@ -231,7 +232,7 @@
     }
 
     /// The unsaved pieces of some runs, and the number after the last event of each; `None` if all runs have ended.
-    fn batch(&self, shard: Shard, numbers: &[u64]) -> Option<(PieceBatch, Vec<(u64, u64)>)> {
+    fn batch(&self, shard: &Shard, numbers: &[u64]) -> Option<(PieceBatch, Vec<(u64, u64)>)> {
         let runs = self.runs.borrow();
         let known = numbers
             .iter()
@@ -249,7 +250,7 @@
                 versions: run.versions.clone(),
             });
         }
-        let shard_runs = runs.values().filter(|run| run.shard == shard);
+        let shard_runs = runs.values().filter(|run| run.shard == *shard);
         let needed_from = shard_runs.filter_map(|run| run.first_offset).min();
         if stored_until.is_empty() {
             return None;
@@ -264,15 +265,15 @@
     }
 
     /// What to save of the engines' latencies with the next texts of a shard.
-    fn engine_report(&self, shard: Shard) -> Option<EngineReport> {
+    fn engine_report(&self, shard: &Shard) -> Option<EngineReport> {
         let now_ms = self.clock.now_ms();
         let mut compared_at_ms = self.latencies_compared_at_ms.borrow_mut();
         compared_at_ms.retain(|_, at_ms| now_ms < *at_ms + SAVE_LATENCIES_INTERVAL_MS);
-        if compared_at_ms.contains_key(&shard.number()) {
+        if compared_at_ms.contains_key(shard) {
             return None;
         }
         // Counts without a report too: the cost of the comparison grows with the number of engines.
-        compared_at_ms.insert(shard.number(), now_ms);
+        compared_at_ms.insert(shard.clone(), now_ms);
         let latencies = self.endpoints.latencies_to_hand_over();
         (!latencies.is_empty()).then(|| EngineReport {
             at_unix_ms: time_of_day_ms(),
@@ -323,7 +324,7 @@
         let started_at_ms = self.clock.now_ms();
         match within_ms(
             timeout_ms,
-            self.read_texts(Shard::of(submission, self.partitions)),
+            self.read_texts(&self.index.shard_of(submission)),
         )
         .await
         {
@@ -343,9 +344,9 @@
         }
     }
 
-    async fn read_texts(&self, shard: Shard) -> Result<Vec<(Arc<str>, Text)>, StoreError> {
+    async fn read_texts(&self, shard: &Shard) -> Result<Vec<(Arc<str>, Text)>, StoreError> {
         let (topic, partition) = (shard.progress_topic(), shard.partition());
-        let end = self.store.end(topic, partition).await?;
+        let end = shard.store(&self.store).end(topic, partition).await?;
         let tail = end.saturating_sub(TAIL_RECORDS);
         let last = self.read_batches(shard, tail, end).await?;
         let needed_from = last.iter().map(|batch| batch.needed_from).min();
@@ -362,15 +363,16 @@
     /// Reads the batches between two offsets; skips those that have expired in the store.
     async fn read_batches(
         &self,
-        shard: Shard,
+        shard: &Shard,
         from: u64,
         end: u64,
     ) -> Result<Vec<PieceBatch>, StoreError> {
+        let store = shard.store(&self.store);
         let mut next = from;
         let mut batches = Vec::new();
         while next < end {
             let (topic, partition) = (shard.progress_topic(), shard.partition());
-            match self.store.read(topic, partition, next, 0).await {
+            match store.read(topic, partition, next, 0).await {
                 Ok(page) if page.records.is_empty() => break,
                 Ok(page) => {
                     next += page.records.len() as u64;
--- a/crates/borageshore_gateway/src/rewards/attempt.rs
+++ b/crates/borageshore_gateway/src/rewards/attempt.rs
@@ -44,7 +44,6 @@
         let parts = &self.parts;
         let service = route.service_for(parts.endpoints.random());
         let service = service.ok_or(NoScore::NoResponse)?;
-        let residency = parts.routes.residency(route, request.organisation);
         let slot = self.slots.acquire(service, request).await;
         // The request may have been held back during the wait for a slot.
         if !permit.is_trial() && !parts.quarantine.may_repeat(|| scoring.content()) {
@@ -54,6 +53,8 @@
         if permit.is_trial() {
             avoided.extend(parts.quarantine.recently_crashed());
         }
+        // The routes may have changed during the wait for a slot.
+        let residency = self.residency_now(request);
         let chosen = parts.endpoints.choose(service, &residency, &avoided);
         let (target, in_flight) = chosen.ok_or(NoScore::NoResponse)?;
         let deadline = Deadline::after(parts.clock, route.timeout_ms.min(TIMEOUT_MS));
@@ -77,7 +78,13 @@
                 parts.instruments.count("reward", "hedge_not_urgent");
                 return None;
             }
-            let hedge = self.hedge(service, &residency, scoring, &instance, deadline)?;
+            let hedge = self.hedge(
+                service,
+                &self.residency_now(request),
+                scoring,
+                &instance,
+                deadline,
+            )?;
             Some(self.send(scoring, permit, hedge))
         };
         let first = self.send(scoring, permit, first);
@@ -91,6 +98,16 @@
         Ok(score)
     }
 
+    /// The regions in which a reward call may run now; none while its route is missing.
+    fn residency_now(&self, request: &ScoreRequest<'_>) -> Residency {
+        let routes = &self.parts.routes;
+        let route = routes.find(&request.call.host, request.path());
+        match route {
+            Some(route) => routes.residency(&route, request.organisation),
+            None => Residency::within(Vec::new()),
+        }
+    }
+
     /// Chooses a second endpoint for a call that takes long; `None` if there is none, the budget is spent or the request
     /// is now suspected of crashing endpoints.
     fn hedge(
--- a/crates/borageshore_gateway/src/rewards/mod.rs
+++ b/crates/borageshore_gateway/src/rewards/mod.rs
@@ -65,6 +65,14 @@
     pub(crate) give_up_ms: u64,
 }
 
+impl ScoreRequest<'_> {
+    /// The path of the call, without its query.
+    fn path(&self) -> &str {
+        let path = &self.call.path;
+        path.split('?').next().unwrap_or(path)
+    }
+}
+
 /// A reward call in progress.
 #[derive(Debug)]
 struct Scoring {
@@ -122,8 +130,7 @@
         let call = request.call;
         let scoring = Scoring::open(call);
         loop {
-            let path = call.path.split('?').next().unwrap_or(&call.path);
-            let Some(route) = self.parts.routes.find(&call.host, path) else {
+            let Some(route) = self.parts.routes.find(&call.host, request.path()) else {
                 log::warn!(call = &*call.id; "no route for a reward call; retrying");
                 sleep_ms(TIMEOUT_MS).await;
                 continue;
--- a/crates/borageshore_gateway/src/routes.rs
+++ b/crates/borageshore_gateway/src/routes.rs
@@ -8,30 +8,54 @@
 
 use borageshore_access::Organisations;
 use borageshore_batch::ModelVersion;
+use borageshore_diagnostics::Instruments;
 use borageshore_platform::{KeyedRecord, OperatorRecord, ServiceLimits, decode_operator_record};
-use borageshore_routing::{Route, RouteTable};
-use borageshore_topology::Residency;
+use borageshore_routing::{
+    Route, RouteTable, UnservableRoute, regions_without_zones, unservable_routes,
+};
+use borageshore_topology::{Residency, Topology, directory_regions};
 use tokio::sync::Notify;
 
 use crate::follow::RecordView;
 
 /// The largest priority value that engines accept; 0 is the highest priority.
 const MAX_PRIORITY: u64 = 9;
+/// The maximum number of routes in a log line about several of them.
+const MAX_ROUTES_LOGGED: usize = 8;
 
 /// The routes in force and the published model versions.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Routes {
+    topology: Rc<Topology>,
+    instruments: Rc<Instruments>,
     table: RefCell<Rc<RouteTable>>,
     scaling_limits: RefCell<Rc<ServiceLimits>>,
     is_known: Cell<bool>,
     /// Whether a record since the routes in force could not be decoded: it may have changed keys.
     is_unreadable: Cell<bool>,
+    /// Whether any routes since the start restricted the regions of requests.
+    has_seen_residency: Cell<bool>,
     published_versions: RefCell<Vec<ModelVersion>>,
     /// Notified when a trainer publishes a version.
     pub(crate) version_published: Notify,
 }
 
 impl Routes {
+    /// Creates a view without routes.
+    pub(crate) fn open(topology: Rc<Topology>, instruments: Rc<Instruments>) -> Rc<Self> {
+        Rc::new(Self {
+            topology,
+            instruments,
+            table: RefCell::default(),
+            scaling_limits: RefCell::default(),
+            is_known: Cell::default(),
+            is_unreadable: Cell::default(),
+            has_seen_residency: Cell::default(),
+            published_versions: RefCell::default(),
+            version_published: Notify::new(),
+        })
+    }
+
     /// Whether any routes were received; no request can be served before.
     pub(crate) fn is_known(&self) -> bool {
         self.is_known.get()
@@ -67,6 +91,46 @@
         self.table.borrow().residency(route, organisation)
     }
 
+    /// The regions in which a request that was admitted under a residency may still be sent: those that the routes in
+    /// force allow as well.
+    pub(crate) fn residency_now(
+        &self,
+        admitted: &Residency,
+        (host, path): (&str, &str),
+        organisation: Option<&str>,
+    ) -> Residency {
+        let table = self.table.borrow();
+        match table.find(host, path) {
+            Some(route) => admitted.intersect(&table.residency(route, organisation)),
+            None => admitted.clone(),
+        }
+    }
+
+    /// Whether any routes since the start of this daemon restricted the regions of requests.
+    pub(crate) fn has_seen_residency(&self) -> bool {
+        self.has_seen_residency.get()
+    }
+
+    /// Whether any region of the deployment may serve requests with this residency.
+    pub(crate) fn is_servable(&self, residency: &Residency) -> bool {
+        self.topology.has_region_of(residency)
+    }
+
+    /// The regions whose daemons are named to a caller of a host.
+    pub(crate) fn directory_regions(
+        &self,
+        host: &str,
+        caller_region: Option<&Arc<str>>,
+        ready_regions: &[Arc<str>],
+    ) -> Residency {
+        let table = self.table.borrow();
+        directory_regions(
+            table.residencies_of_host(host),
+            caller_region,
+            ready_regions,
+        )
+    }
+
     pub(crate) fn find(&self, host: &str, path: &str) -> Option<Arc<Route>> {
         self.table.borrow().find(host, path).cloned()
     }
@@ -93,12 +157,40 @@
             return;
         }
         log::info!(version = table.version, routes = table.iter().count(); "routes in force");
+        self.check_residency(&table);
         self.is_known.set(true);
         self.is_unreadable.set(false);
         *self.table.borrow_mut() = Rc::new(table);
         *self.scaling_limits.borrow_mut() = Rc::new(limits);
     }
 
+    /// Reports routes whose requests have to be refused because no region of the deployment may serve them.
+    fn check_residency(&self, table: &RouteTable) {
+        let has_residency = table.has_residency();
+        if !has_residency && !self.has_seen_residency.get() {
+            return;
+        }
+        self.has_seen_residency.set(true);
+        let unservable = unservable_routes(table, &self.topology);
+        let count = unservable.len();
+        self.instruments.set("routes_without_region", count as u64);
+        if count > 0 {
+            let name = |unservable: &UnservableRoute| match &unservable.organisation {
+                Some(organisation) => format!("{} for {organisation}", unservable.route),
+                None => unservable.route.to_string(),
+            };
+            let some = unservable.iter().take(MAX_ROUTES_LOGGED);
+            let some: Vec<String> = some.map(name).collect();
+            log::warn!(version = table.version, count, routes:? = some; "no region may serve some routes; refusing their requests");
+        }
+        let mut missing = regions_without_zones(table, &self.topology);
+        if !missing.is_empty() {
+            let count = missing.len();
+            missing.truncate(MAX_ROUTES_LOGGED);
+            log::warn!(version = table.version, count, regions:? = missing; "routes allow regions without zones in this deployment; they allow nothing");
+        }
+    }
+
     fn on_version_published(&self, published: ModelVersion) {
         log::info!(model = &*published.model, version = published.version; "trainer published a model version");
         let mut all = self.published_versions.borrow_mut();
--- a/crates/borageshore_gateway/src/runner.rs
+++ b/crates/borageshore_gateway/src/runner.rs
@@ -9,6 +9,7 @@
 
 use borageshore_base::SortedMap;
 use borageshore_batch::{Submission, SubmissionState, mean_hint_tokens, rank_items};
+use borageshore_diagnostics::Instruments;
 use borageshore_net::{sleep_ms, within_ms};
 use futures_util::future::select;
 use tokio::sync::Notify;
@@ -19,6 +20,7 @@
     mechanisms::Mechanism,
     members::Members,
     submission_index::{OpenSubmission, SubmissionIndex},
+    waits::ResidencyWaits,
 };
 
 /// The interval at which ownership is checked while submissions are open; the death of a daemon causes no notification.
@@ -31,6 +33,11 @@
 /// to seven seconds more.
 const RESTORE_TIMEOUT_MS: u64 = 1_000;
 
+/// The gauge of the submissions that no daemon in their allowed regions can run.
+const WAITING_GAUGE: &str = "submissions_waiting_for_residency";
+/// Cancelled items return their texts to the cache within this time.
+const CANCEL_MS: u64 = 100;
+
 /// Cancels the tasks of a submission.
 #[derive(Debug, Default)]
 struct Cancel {
@@ -70,6 +77,7 @@
     /// Whether the index was loaded at the last call of `update_origins`.
     has_read_index: Cell<bool>,
     restoring: RefCell<Vec<Arc<str>>>,
+    residency_waits: ResidencyWaits,
 }
 
 /// Whether saved texts of a submission have to be restored before it is run.
@@ -94,6 +102,7 @@
         index: Rc<SubmissionIndex>,
         members: Rc<Members>,
         context: Rc<ItemContext>,
+        instruments: Rc<Instruments>,
     ) -> Rc<Self> {
         let runner = Rc::new(Self {
             view,
@@ -105,6 +114,7 @@
             origins: RefCell::default(),
             has_read_index: Cell::new(false),
             restoring: RefCell::default(),
+            residency_waits: ResidencyWaits::open(WAITING_GAUGE, instruments),
         });
         monoio::spawn(runner.clone().run());
         runner
@@ -135,7 +145,15 @@
     /// submission is open.
     fn reconcile(self: &Rc<Self>) -> bool {
         let open = self.index.open_submissions();
-        let is_own = |known: &&OpenSubmission| self.members.owns(&known.id, &known.work_key);
+        let is_own = |known: &&OpenSubmission| {
+            let OpenSubmission {
+                id,
+                work_key,
+                residency,
+                ..
+            } = known;
+            self.members.owns(id, work_key, residency)
+        };
         let own: Vec<&OpenSubmission> = open.iter().filter(is_own).collect();
         self.update_origins(&open, &own);
         self.running.borrow_mut().retain(|id, cancel| {
@@ -146,6 +164,9 @@
             if !keeps_running {
                 log::info!(submission = &**id; "submission ended or owned by another daemon; cancelling its items");
                 cancel.cancel();
+                if !self.index.may_hold(id) {
+                    self.remove_texts(id);
+                }
             }
             keeps_running
         });
@@ -156,9 +177,37 @@
             }
         }
         self.members.set_holds(self.held_submissions(&own));
+        self.report_waiting(&open);
         !open.is_empty()
     }
 
+    /// Reports the open submissions that wait because no daemon in their allowed regions may own them.
+    fn report_waiting(&self, open: &[OpenSubmission]) {
+        let mut waiting: SortedMap<Arc<str>, u64> = SortedMap::default();
+        for known in open {
+            let (id, work_key) = (&known.id, &known.work_key);
+            if self.members.reports_wait(id, work_key, &known.residency) {
+                *waiting.get_or_insert_with(known.service.clone(), || 0) += 1;
+            }
+        }
+        self.residency_waits.report(waiting);
+    }
+
+    /// Removes the texts of a submission that this daemon may no longer hold.
+    fn remove_texts(self: &Rc<Self>, id: &str) {
+        let submission = |state: &SubmissionState| state.submission().cloned();
+        let Some(Some(submission)) = self.view.with_loaded(id, submission) else {
+            return;
+        };
+        let texts = self.context.texts.clone();
+        monoio::spawn(async move {
+            sleep_ms(CANCEL_MS).await;
+            for item in &submission.items {
+                texts.remove(&submission.scoped_item_id(item));
+            }
+        });
+    }
+
     /// The submissions that this daemon runs, and the complete ones that are not ended yet.
     ///
     /// Readers are sent to the holder. A complete submission stays held so that the trainer's last read of a step does
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -16,6 +16,7 @@
     decode_caller, decode_submission, ok_response, refusal,
 };
 use borageshore_routing::{MAX_RETRY_AFTER_PART, RouteKind};
+use borageshore_topology::Residency;
 use bytes::Bytes;
 use hyper::{
     Response, StatusCode,
@@ -122,7 +123,9 @@
         };
         match decoded {
             CallerRequest::Ready => self.ready(),
-            CallerRequest::Addresses { zone } => self.addresses(&zone),
+            CallerRequest::Addresses { host, region, zone } => {
+                self.addresses(&host, &region, &zone)
+            }
             CallerRequest::Submission { id, operation } => {
                 self.submission(&id, &operation, key, &head).await
             }
@@ -153,9 +156,16 @@
         let Some(id) = scoped(caller.organisation().map(|name| &**name), id) else {
             return refusal(&Fault::new(ResultCode::UnknownSubmission, &**id), None);
         };
-        if let Some(answer) = self.ask_owner(&id, request, head).await {
+        let residency = match self.submissions.residency_of(&id).await {
+            Ok(residency) => residency,
+            Err(refused) => return refused,
+        };
+        if let Some(answer) = self.ask_owner(&id, &residency, request, head).await {
             return answer;
         }
+        if !self.members.may_hold(&residency) {
+            return self.submissions.refuse_elsewhere(&id);
+        }
         match request {
             SubmissionRequest::Results { after, wait_ms } => {
                 self.submissions.results(&id, *after, *wait_ms).await
@@ -170,6 +180,7 @@
     async fn ask_owner(
         &self,
         submission: &str,
+        residency: &Residency,
         request: &SubmissionRequest,
         head: &Parts,
     ) -> Option<EdgeResponse> {
@@ -180,8 +191,13 @@
         if head.headers.contains_key(FORWARDED_HEADER) {
             return None;
         }
-        let owner = self.members.owner_address(submission)?;
-        self.peers.ask(&owner, head, wait_ms).await
+        for reader in self.members.reader_addresses(submission, residency) {
+            let answer = self.peers.ask(&reader, head, wait_ms).await;
+            if answer.is_some() {
+                return answer;
+            }
+        }
+        None
     }
 
     fn ready(&self) -> EdgeResponse {
@@ -192,8 +208,13 @@
         }
     }
 
-    fn addresses(&self, zone: &str) -> EdgeResponse {
-        let addresses = self.members.addresses_for(zone);
+    fn addresses(&self, host: &str, region: &str, zone: &str) -> EdgeResponse {
+        let caller_region = self.members.region_of_caller(region, zone);
+        let ready = self.members.ready_regions();
+        let regions = self
+            .routes
+            .directory_regions(host, caller_region.as_ref(), &ready);
+        let addresses = self.members.addresses_for(zone, &regions);
         if addresses.is_empty() {
             return not_ready();
         }
@@ -224,6 +245,14 @@
             Ok(caller) => caller,
             Err(denial) => return denial.response(),
         };
+        let organisation = caller.organisation().map(|name| &**name);
+        let residency = self.access.residency(&route, organisation);
+        if !self.routes.is_servable(&residency) {
+            let service = route.main_service().cloned().unwrap_or_default();
+            let code = ResultCode::NoAllowedRegion;
+            let calls = &self.calls;
+            return calls.refuse_residency(code, &call.id, &route, &service, caller_deadline);
+        }
         if self
             .routes
             .with_organisations(Organisations::are_configured)
@@ -251,7 +280,8 @@
         match decode_submission(organisation, &call.id, &call.host, &call.path, &body) {
             Ok(submission) => {
                 let service = route.main_service().cloned().unwrap_or_default();
-                self.submit(submission, &service, head, &body).await
+                self.submit(submission, &service, residency, head, &body)
+                    .await
             }
             Err(fault) => {
                 log::info!(submission = &*call.id, fault:% = fault; "malformed submission");
@@ -288,17 +318,21 @@
     async fn submit(
         &self,
         submission: Submission,
-        service: &str,
+        service: &Arc<str>,
+        residency: Residency,
         head: &Parts,
         body: &Bytes,
     ) -> EdgeResponse {
         let id = submission.id.clone();
-        let response = self.submissions.accept(submission, service).await;
+        let accepted = self
+            .submissions
+            .accept(submission, service, residency.clone());
+        let response = accepted.await;
         let is_refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
         if !is_refused || head.headers.contains_key(FORWARDED_HEADER) {
             return response;
         }
-        let peers = self.members.choose_eligible(MAX_SUBMIT_PEERS);
+        let peers = self.members.choose_eligible(MAX_SUBMIT_PEERS, &residency);
         match self.peers.submit(&peers, head, body).await {
             SubmitOutcome::Accepted(accepted) => {
                 log::info!(submission = &*id; "submission accepted by a peer");
--- a/crates/borageshore_gateway/src/store_transport.rs
+++ b/crates/borageshore_gateway/src/store_transport.rs
@@ -8,9 +8,10 @@
     sync::Arc,
 };
 
-use borageshore_membership::{StoreCallOutcome, StoreFailover, StoreRoute};
+use borageshore_membership::{StoreCallOutcome, StoreFailover, StorePeer, StoreRoute};
 use borageshore_net::{CallError, Clock, EdgeRequest, EdgeResponse, Handler, full_body, read_body};
 use borageshore_platform::{StoreCall, StoreConnections, StoreTransport, is_store_response};
+use borageshore_topology::Topology;
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 use hyper::{Response, StatusCode};
@@ -46,10 +47,11 @@
 struct Inner {
     address: Arc<str>,
     clock: Clock,
+    topology: Rc<Topology>,
     connections: StoreConnections,
     may_use_peers: bool,
     failover: RefCell<StoreFailover>,
-    peers: RefCell<Vec<Arc<str>>>,
+    peers: RefCell<Vec<StorePeer>>,
     next_peer: Cell<usize>,
     /// When the store last answered, on either route, or a peer passed on that it had.
     responded_at_ms: Cell<u64>,
@@ -60,11 +62,17 @@
 }
 
 impl FailoverTransport {
-    pub(crate) fn open(address: Arc<str>, clock: Clock, may_use_peers: bool) -> Self {
+    pub(crate) fn open(
+        address: Arc<str>,
+        clock: Clock,
+        topology: Rc<Topology>,
+        may_use_peers: bool,
+    ) -> Self {
         Self {
             inner: Rc::new(Inner {
                 address,
                 clock,
+                topology,
                 connections: StoreConnections::default(),
                 may_use_peers,
                 failover: RefCell::default(),
@@ -77,8 +85,8 @@
         }
     }
 
-    /// Replaces the addresses of peers that forward calls, nearest first.
-    pub(crate) fn set_peers(&self, peers: Vec<Arc<str>>) {
+    /// Replaces the peers that forward calls, nearest first.
+    pub(crate) fn set_peers(&self, peers: Vec<StorePeer>) {
         if self.inner.may_use_peers {
             self.inner.peers.replace(peers);
         }
@@ -124,10 +132,19 @@
         answer
     }
 
+    /// The addresses of the peers that may see what a call writes or reads.
+    fn peers_for(&self, call: &StoreCall) -> Vec<Arc<str>> {
+        let topology = &self.inner.topology;
+        let is_allowed = |peer: &&StorePeer| topology.allows(&call.residency, &peer.zone);
+        let peers = self.inner.peers.borrow();
+        let allowed = peers.iter().filter(is_allowed);
+        allowed.map(|peer| peer.address.clone()).collect()
+    }
+
     /// Makes a call through a peer. If none returns the store's answer, returns the failure that [`dominant_result`]
     /// selects; `None` if there are no peers.
     async fn call_via_peer(&self, call: &StoreCall) -> Option<CallResult> {
-        let peers: Vec<Arc<str>> = self.inner.peers.borrow().clone();
+        let peers = self.peers_for(call);
         let call = StoreCall {
             first_byte_ms: call.first_byte_ms + PEER_SLACK_MS,
             ..call.clone()
@@ -149,8 +166,12 @@
         failed
     }
 
-    fn on_peer_result(&self, answer: Option<&CallResult>) {
+    fn on_peer_result(&self, call: &StoreCall, answer: Option<&CallResult>) {
         let has_answered = answer.is_some_and(is_answered);
+        if call.residency.is_restricted() && !has_answered {
+            // Says nothing about the peers that may not see this call.
+            return;
+        }
         let now_ms = self.inner.clock.now_ms();
         if self
             .inner
@@ -165,7 +186,7 @@
 
     /// Tries the direct route, then peers if the call has no answer and may be repeated.
     async fn call_direct_first(&self, call: &StoreCall) -> CallResult {
-        let has_peers = !self.inner.peers.borrow().is_empty();
+        let has_peers = !self.peers_for(call).is_empty();
         let direct_call = StoreCall {
             first_byte_ms: match call.is_append() && has_peers {
                 true => call.first_byte_ms.min(DIRECT_APPEND_TIMEOUT_MS),
@@ -196,7 +217,7 @@
         }
         let peer_result = self.call_via_peer(call).await;
         if is_direct_suspect {
-            self.on_peer_result(peer_result.as_ref());
+            self.on_peer_result(call, peer_result.as_ref());
         } else {
             let is_done = peer_result.as_ref().is_some_and(is_answered);
             log::info!(is_done; "connection broke during an append; peers were asked to repeat it");
@@ -205,11 +226,15 @@
     }
 
     async fn call_via_peer_first(&self, call: &StoreCall) -> CallResult {
+        if call.residency.is_restricted() && self.peers_for(call).is_empty() {
+            let why = "no direct answer of the store, and no peer in an allowed region";
+            return Err(CallError::NotSent(why.into()));
+        }
         let peer_result = self.call_via_peer(call).await;
         match peer_result {
             Some(answer) if !outcome_of(&answer).may_try_other_route(call.is_idempotent) => answer,
             peer_result => {
-                self.on_peer_result(peer_result.as_ref());
+                self.on_peer_result(call, peer_result.as_ref());
                 let direct_result = self.call_direct(call).await;
                 dominant_result(direct_result, peer_result)
             }
--- a/crates/borageshore_gateway/src/submission_index.rs
+++ b/crates/borageshore_gateway/src/submission_index.rs
@@ -7,13 +7,16 @@
 };
 
 use borageshore_base::SortedMap;
-use borageshore_batch::{Demand, IndexEntry, Submission, work_key};
+use borageshore_batch::{Demand, IndexEntry, Submission, SubmissionOrigin, work_key};
 use borageshore_platform::{KeyedRecord, StoreError, Topic};
+use borageshore_topology::{Residency, Topology};
 use bytes::Bytes;
 use tokio::sync::Notify;
 
 use crate::{
     follow::{ONLY_PARTITION, RecordView},
+    routes::Routes,
+    shard::Shard,
     store_transport::Store,
     true_time::time_of_day_ms,
 };
@@ -22,6 +25,8 @@
 const OPEN_DEMAND_MS: u64 = 300_000;
 /// One that was ended counts for this long after it was submitted, as its trainer trains before the next one.
 const ENDED_DEMAND_MS: u64 = 60_000;
+/// The maximum number of entries that are kept of those that were looked up one by one.
+const MAX_LOOKED_UP: usize = 512;
 
 /// A submission that has not been ended.
 #[derive(Debug, Clone)]
@@ -29,14 +34,31 @@
     pub(crate) id: Arc<str>,
     /// The key that selects the daemon that runs it.
     pub(crate) work_key: Arc<str>,
+    /// The service that runs it; empty if the entry does not say so.
+    pub(crate) service: Arc<str>,
+    /// The regions whose daemons may run it now.
+    pub(crate) residency: Residency,
+}
+
+/// Dependencies of [`SubmissionIndex`].
+#[derive(Debug)]
+pub(crate) struct IndexParts {
+    pub(crate) store: Store,
+    pub(crate) routes: Rc<Routes>,
+    pub(crate) topology: Rc<Topology>,
+    pub(crate) partitions: u64,
 }
 
 /// The index entries by submission.
 #[derive(Debug)]
 pub(crate) struct SubmissionIndex {
-    store: Store,
+    parts: IndexParts,
     is_known: Cell<bool>,
     entries: RefCell<SortedMap<Arc<str>, IndexEntry>>,
+    /// Entries that were looked up in the store because they are not, or not yet, among `entries`.
+    looked_up: RefCell<SortedMap<Arc<str>, IndexEntry>>,
+    /// Where restricted submissions may be stored. Outlasts a gap in the records, as running items write meanwhile.
+    restricted: RefCell<SortedMap<Arc<str>, Residency>>,
     /// The demand of the newest submission of each trainer.
     demand: RefCell<SortedMap<Arc<str>, Demand>>,
     /// Notified when the index changes.
@@ -44,11 +66,13 @@
 }
 
 impl SubmissionIndex {
-    pub(crate) fn open(store: Store) -> Rc<Self> {
+    pub(crate) fn open(parts: IndexParts) -> Rc<Self> {
         Rc::new(Self {
-            store,
+            parts,
             is_known: Cell::new(false),
             entries: RefCell::default(),
+            looked_up: RefCell::default(),
+            restricted: RefCell::default(),
             demand: RefCell::default(),
             changed: Notify::new(),
         })
@@ -66,10 +90,98 @@
         open.map(|(id, entry)| OpenSubmission {
             id: id.clone(),
             work_key: entry.work_key.clone(),
+            service: entry
+                .origin
+                .as_ref()
+                .map_or_else(|| "".into(), |origin| origin.service.clone()),
+            residency: self.residency_now(entry),
         })
         .collect()
     }
 
+    /// Where the records of a submission may be stored: the regions that were allowed when it was accepted.
+    pub(crate) fn stored_within(&self, id: &str) -> Residency {
+        let restricted = self.restricted.borrow();
+        restricted.get(id).cloned().unwrap_or_default()
+    }
+
+    /// The shard of a submission's records.
+    pub(crate) fn shard_of(&self, id: &str) -> Shard {
+        Shard::of(id, self.parts.partitions, self.stored_within(id))
+    }
+
+    /// The regions whose daemons may hold a submission now; any for one that is not known.
+    pub(crate) fn residency_of(&self, id: &str) -> Residency {
+        let now = self.with_entry(id, |entry| self.residency_now(entry));
+        now.unwrap_or_else(|| self.stored_within(id))
+    }
+
+    /// Whether this daemon may hold a submission's records.
+    pub(crate) fn may_hold(&self, id: &str) -> bool {
+        let own_zone = self.parts.topology.own_zone();
+        let residency = self.residency_of(id);
+        self.parts.topology.allows(&residency, own_zone)
+    }
+
+    /// Whether the entry of a submission is known.
+    pub(crate) fn knows(&self, id: &str) -> bool {
+        self.with_entry(id, |_| ()).is_some()
+    }
+
+    /// Reads the entry of a submission from the store; returns whether there is one.
+    pub(crate) async fn look_up(&self, id: &Arc<str>) -> Result<bool, StoreError> {
+        let newest = self
+            .parts
+            .store
+            .newest(Topic::Index, ONLY_PARTITION, id)
+            .await?;
+        let is_same = |record: &&KeyedRecord| record.key == *id;
+        let record = newest.records.iter().find(is_same);
+        let Some(value) = record.and_then(|record| record.value.as_ref()) else {
+            return Ok(false);
+        };
+        let entry: IndexEntry = serde_json::from_slice(value)
+            .map_err(|error| StoreError::NotDone(error.to_string()))?;
+        self.on_residency(id, &entry);
+        let mut looked_up = self.looked_up.borrow_mut();
+        if looked_up.len() >= MAX_LOOKED_UP {
+            looked_up.retain(|_, _| false);
+        }
+        looked_up.insert(id.clone(), entry);
+        Ok(true)
+    }
+
+    /// The regions that the acceptance and the routes in force both allow.
+    fn residency_now(&self, entry: &IndexEntry) -> Residency {
+        let stored = entry.residency();
+        let Some(origin) = &entry.origin else {
+            return stored;
+        };
+        let organisation = origin.organisation.as_deref();
+        let route = (&*origin.host, &*origin.path);
+        self.parts
+            .routes
+            .residency_now(&stored, route, organisation)
+    }
+
+    fn with_entry<Read, Output>(&self, id: &str, read: Read) -> Option<Output>
+    where
+        Read: FnOnce(&IndexEntry) -> Output,
+    {
+        let entries = self.entries.borrow();
+        let looked_up = self.looked_up.borrow();
+        entries.get(id).or_else(|| looked_up.get(id)).map(read)
+    }
+
+    fn on_residency(&self, id: &Arc<str>, entry: &IndexEntry) {
+        let residency = entry.residency();
+        let mut restricted = self.restricted.borrow_mut();
+        match residency.is_restricted() {
+            true => restricted.insert(id.clone(), residency),
+            false => restricted.remove(id),
+        };
+    }
+
     /// The submissions whose records may be removed.
     pub(crate) fn expired(&self, retention_ms: u64, clock_skew_ms: u64) -> Vec<Arc<str>> {
         let now_ms = time_of_day_ms();
@@ -111,12 +223,24 @@
     }
 
     /// Adds a submission whose items run at a service with `slots` slots.
+    ///
+    /// One that is sent again after the routes have changed stays in the regions, and so in the shard, of its first
+    /// acceptance; in another shard it would be run a second time.
     pub(crate) async fn add(
         &self,
         submission: &Submission,
-        service: &str,
+        service: &Arc<str>,
         slots: u64,
+        residency: Residency,
     ) -> Result<(), StoreError> {
+        let id = &submission.id;
+        if self.parts.routes.has_seen_residency() && !self.knows(id) {
+            let looked_up = self.look_up(id).await;
+            // Nothing has been written so far.
+            looked_up.map_err(|error| StoreError::NotDone(error.to_string()))?;
+        }
+        let known = self.with_entry(id, IndexEntry::residency);
+        let residency = known.unwrap_or(residency);
         let trainer = submission.trainer().clone();
         let entry = IndexEntry {
             work_key: work_key(service, &trainer, slots),
@@ -127,14 +251,26 @@
             },
             entered_at_ms: time_of_day_ms(),
             is_ended: false,
+            allowed_regions: residency.regions().map(<[Arc<str>]>::to_vec),
+            origin: self.origin(submission, service),
         };
-        self.write(&submission.id, Some(&entry)).await
+        self.on_residency(id, &entry);
+        self.write(id, Some(&entry)).await
+    }
+
+    fn origin(&self, submission: &Submission, service: &Arc<str>) -> Option<SubmissionOrigin> {
+        let has_regions = self.parts.topology.has_regions();
+        has_regions.then(|| SubmissionOrigin {
+            host: submission.host.clone(),
+            path: submission.path.clone(),
+            organisation: submission.organisation.clone(),
+            service: service.clone(),
+        })
     }
 
     /// Marks a submission as ended. If that fails, the submission's owner retries it.
     pub(crate) async fn mark_ended(&self, id: &Arc<str>) {
-        let entry = self.entries.borrow().get(id).cloned();
-        let Some(entry) = entry else {
+        let Some(entry) = self.with_entry(id, IndexEntry::clone) else {
             return;
         };
         let ended = IndexEntry {
@@ -154,7 +290,8 @@
     async fn write(&self, id: &Arc<str>, entry: Option<&IndexEntry>) -> Result<(), StoreError> {
         let value = entry.map(|entry| serde_json::to_vec(entry).expect("plain data"));
         let record = [(id.clone(), Bytes::from(value.unwrap_or_default()))];
-        self.store
+        self.parts
+            .store
             .append(Topic::Index, ONLY_PARTITION, &record, None)
             .await
             .map(|_| ())
@@ -166,6 +303,8 @@
         for record in records {
             let Some(value) = &record.value else {
                 self.entries.borrow_mut().remove(&record.key);
+                self.looked_up.borrow_mut().remove(&record.key);
+                self.restricted.borrow_mut().remove(&record.key);
                 continue;
             };
             match serde_json::from_slice::<IndexEntry>(value) {
@@ -174,6 +313,7 @@
                         let mut demand = self.demand.borrow_mut();
                         demand.insert(entry.trainer.clone(), entry.demand);
                     }
+                    self.on_residency(&record.key, &entry);
                     self.entries.borrow_mut().insert(record.key.clone(), entry);
                 }
                 Err(error) => {
--- a/crates/borageshore_gateway/src/submissions.rs
+++ b/crates/borageshore_gateway/src/submissions.rs
@@ -9,13 +9,12 @@
 use borageshore_platform::{
     StoreError, accepted_response, body_response, ok_response, refusal, results_response,
 };
+use borageshore_topology::Residency;
 use bytes::Bytes;
 
 use crate::{
-    endpoints::Endpoints,
-    ledger_view::{LedgerView, Shard},
-    store_transport::Store,
-    submission_index::SubmissionIndex,
+    endpoints::Endpoints, ledger_view::LedgerView, routes::Routes, shard::Shard,
+    store_transport::Store, submission_index::SubmissionIndex,
 };
 
 /// The maximum age of a view from which a read is answered without results. Every daemon must show a result within one
@@ -34,34 +33,41 @@
 /// Handles the requests of trainers about submissions.
 #[derive(Debug)]
 pub(crate) struct Submissions {
-    store: Store,
-    clock: Clock,
-    partitions: u64,
-    view: Rc<LedgerView>,
-    index: Rc<SubmissionIndex>,
-    endpoints: Rc<Endpoints>,
-    instruments: Rc<Instruments>,
+    pub(crate) store: Store,
+    pub(crate) clock: Clock,
+    pub(crate) view: Rc<LedgerView>,
+    pub(crate) index: Rc<SubmissionIndex>,
+    pub(crate) routes: Rc<Routes>,
+    pub(crate) endpoints: Rc<Endpoints>,
+    pub(crate) instruments: Rc<Instruments>,
 }
 
 impl Submissions {
-    pub(crate) fn open(
-        store: Store,
-        partitions: u64,
-        clock: Clock,
-        view: Rc<LedgerView>,
-        index: Rc<SubmissionIndex>,
-        endpoints: Rc<Endpoints>,
-        instruments: Rc<Instruments>,
-    ) -> Rc<Self> {
-        Rc::new(Self {
-            store,
-            clock,
-            partitions,
-            view,
-            index,
-            endpoints,
-            instruments,
-        })
+    /// The regions whose daemons may hold a submission. Its entry is looked up in the store if this daemon does not know
+    /// it and submissions may be restricted.
+    ///
+    /// # Errors
+    ///
+    /// The refusal for the caller, if there is no such submission or the store does not say.
+    pub(crate) async fn residency_of(&self, id: &Arc<str>) -> Result<Residency, EdgeResponse> {
+        if !self.index.knows(id) && self.routes.has_seen_residency() {
+            match self.index.look_up(id).await {
+                Ok(true) => {}
+                Ok(false) => return Err(unknown_submission(id)),
+                Err(error) => {
+                    log::info!(submission = &**id, error:% = error; "index entry not read; refusing a request about the submission");
+                    return Err(view_too_old(id));
+                }
+            }
+        }
+        Ok(self.index.residency_of(id))
+    }
+
+    /// Refuses a request about a submission that this daemon may not hold, after the daemons that may gave no answer.
+    pub(crate) fn refuse_elsewhere(&self, id: &Arc<str>) -> EdgeResponse {
+        self.instruments.count("residency", "not_read_here");
+        log::info!(submission = &**id; "submission not read: it may not be held in this region, and no daemon inside answered");
+        view_too_old(id)
     }
 
     /// Accepts a submission: the response is sent after all of it is in the store. Accepting it twice writes the
@@ -69,7 +75,12 @@
     ///
     /// The index entry is written first: a submission without one would be accepted but never run, while an entry
     /// without a submission only costs its owner a read.
-    pub(crate) async fn accept(&self, submission: Submission, service: &str) -> EdgeResponse {
+    pub(crate) async fn accept(
+        &self,
+        submission: Submission,
+        service: &Arc<str>,
+        residency: Residency,
+    ) -> EdgeResponse {
         let id = submission.id.clone();
         if self.is_accepted(&id) {
             log::info!(submission = &*id; "submission accepted before");
@@ -78,7 +89,8 @@
         let started_at_ms = self.clock.now_ms();
         let items = submission.items.len();
         let slots = self.endpoints.slots_of(service);
-        let indexed = self.index.add(&submission, service, slots).await;
+        let indexed = self.index.add(&submission, service, slots, residency);
+        let indexed = indexed.await;
         let record = LedgerRecord::Accept(Arc::new(submission));
         let appended = match indexed {
             Ok(()) => self.append(&record).await,
@@ -122,28 +134,29 @@
     /// Appends a record; appending it again has no further effect. A large record needs several appends and takes
     /// effect with its last chunk.
     async fn append(&self, record: &LedgerRecord) -> Result<(), StoreError> {
-        let shard = Shard::of(record.submission(), self.partitions);
+        let shard = self.index.shard_of(record.submission());
         let mut batch: Vec<(Arc<str>, Bytes)> = Vec::new();
         let mut bytes = 0;
         for chunk in record.encode("") {
             if bytes + chunk.1.len() > MAX_APPEND_BYTES {
                 let full = std::mem::take(&mut batch);
-                self.append_chunks(shard, &full).await?;
+                self.append_chunks(&shard, &full).await?;
                 bytes = 0;
             }
             bytes += chunk.1.len();
             batch.push(chunk);
         }
-        self.append_chunks(shard, &batch).await
+        self.append_chunks(&shard, &batch).await
     }
 
     async fn append_chunks(
         &self,
-        shard: Shard,
+        shard: &Shard,
         chunks: &[(Arc<str>, Bytes)],
     ) -> Result<(), StoreError> {
         let (topic, partition) = (shard.topic(), shard.partition());
-        let appended = self.store.append(topic, partition, chunks, None).await;
+        let store = shard.store(&self.store);
+        let appended = store.append(topic, partition, chunks, None).await;
         appended.map(|_| ())
     }
 
--- a/crates/borageshore_gateway/src/text_cache.rs
+++ b/crates/borageshore_gateway/src/text_cache.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Removes the texts of an item.
+    pub(crate) fn remove(&self, item: &str) {
+        self.items.borrow_mut().remove(item);
+    }
+
     fn put(&self, item: Arc<str>, text: Text) {
         let mut last_sequence = self.last_sequence.borrow_mut();
         *last_sequence += 1;
--- a/crates/borageshore_gateway/src/writer.rs
+++ b/crates/borageshore_gateway/src/writer.rs
@@ -2,13 +2,14 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
+use borageshore_base::SortedMap;
 use borageshore_batch::{ItemResult, LedgerRecord};
 use borageshore_net::sleep_ms;
 
 use bytes::Bytes;
 use tokio::sync::Notify;
 
-use crate::{ledger_view::Shard, store_transport::Store};
+use crate::{shard::Shard, store_transport::Store, submission_index::SubmissionIndex};
 
 /// Results that arrive within this time are appended together; trainers read twice a second.
 const BATCH_WINDOW_MS: u64 = 15;
@@ -23,8 +24,8 @@
     store: Store,
     /// The name of this process, unique among all processes ever started.
     author: String,
-    queues: Vec<Queue>,
-    partitions: u64,
+    index: Rc<SubmissionIndex>,
+    queues: RefCell<SortedMap<Shard, Rc<Queue>>>,
     attempts: RefCell<u64>,
 }
 
@@ -36,24 +37,19 @@
 }
 
 impl Writer {
-    pub(crate) fn spawn(store: Store, author: String, partitions: u64) -> Rc<Self> {
-        let writer = Rc::new(Self {
+    pub(crate) fn open(store: Store, author: String, index: Rc<SubmissionIndex>) -> Rc<Self> {
+        Rc::new(Self {
             store,
             author,
-            queues: Shard::all(partitions).map(|_| Queue::default()).collect(),
-            partitions,
+            index,
+            queues: RefCell::default(),
             attempts: RefCell::default(),
-        });
-        for shard in Shard::all(partitions) {
-            monoio::spawn(writer.clone().run(shard));
-        }
-        writer
+        })
     }
 
     /// Queues a result.
-    pub(crate) fn write(&self, submission: Arc<str>, result: ItemResult) {
-        let shard = Shard::of(&submission, self.partitions);
-        let queue = &self.queues[shard.number()];
+    pub(crate) fn write(self: &Rc<Self>, submission: Arc<str>, result: ItemResult) {
+        let queue = self.queue(self.index.shard_of(&submission));
         queue.waiting.borrow_mut().push(LedgerRecord::Result {
             submission,
             result: Arc::new(result),
@@ -61,14 +57,26 @@
         queue.added.notify_one();
     }
 
+    /// The queue of a shard; its task is spawned with it.
+    fn queue(self: &Rc<Self>, shard: Shard) -> Rc<Queue> {
+        let mut queues = self.queues.borrow_mut();
+        let queue = queues.get_or_insert_with(shard.clone(), || {
+            let queue = Rc::<Queue>::default();
+            monoio::spawn(self.clone().run(shard, queue.clone()));
+            queue
+        });
+        queue.clone()
+    }
+
     /// The number of results that the store does not have yet.
     pub(crate) fn unwritten(&self) -> usize {
-        let queue_len = |queue: &Queue| queue.waiting.borrow().len() + *queue.in_flight.borrow();
-        self.queues.iter().map(queue_len).sum()
+        let queue_len =
+            |queue: &Rc<Queue>| queue.waiting.borrow().len() + *queue.in_flight.borrow();
+        self.queues.borrow().values().map(queue_len).sum()
     }
 
-    async fn run(self: Rc<Self>, shard: Shard) {
-        let queue = &self.queues[shard.number()];
+    async fn run(self: Rc<Self>, shard: Shard, queue: Rc<Queue>) {
+        let store = shard.store(&self.store);
         loop {
             if queue.waiting.borrow().is_empty() {
                 queue.added.notified().await;
@@ -76,7 +84,7 @@
             }
             let records = queue.waiting.take();
             *queue.in_flight.borrow_mut() = records.len();
-            self.append(shard, records).await;
+            self.append(&store, &shard, records).await;
             *queue.in_flight.borrow_mut() = 0;
         }
     }
@@ -85,20 +93,19 @@
     ///
     /// An append without a response may have succeeded, or succeed later. The retry uses a new key: the ledger takes
     /// the first result of an item and ignores the second.
-    async fn append(&self, shard: Shard, records: Vec<LedgerRecord>) {
+    async fn append(&self, store: &Store, shard: &Shard, records: Vec<LedgerRecord>) {
         let mut next = 0;
         let mut is_failing = false;
         while next < records.len() {
             let (count, batch) = self.encode(&records[next..]);
-            match self
-                .store
+            match store
                 .append_once(shard.topic(), shard.partition(), &batch)
                 .await
             {
                 Ok(_) => next += count,
                 Err(error) => {
                     if !std::mem::replace(&mut is_failing, true) {
-                        log::warn!(shard = shard.number(), results = records.len(), error:% = error; "results not written to the store; retrying");
+                        log::warn!(shard = shard.number(), topic:? = shard.topic(), results = records.len(), error:% = error; "results not written to the store; retrying");
                     }
                     sleep_ms(RETRY_MS).await;
                 }
--- a/crates/borageshore_membership/src/presence.rs
+++ b/crates/borageshore_membership/src/presence.rs
@@ -65,6 +65,15 @@
     pub holds: Vec<Arc<str>>,
 }
 
+/// A daemon that forwards calls to the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StorePeer {
+    /// Its address for other daemons.
+    pub address: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+}
+
 #[derive(Debug)]
 struct KnownDaemon {
     presence: Presence,
@@ -210,39 +219,78 @@
     ///
     /// Daemons may disagree for a short time, so the work must tolerate two owners.
     pub fn owner_of(&self, work: &str, key: &str) -> Option<&str> {
-        if let Some(holder) = self.holder_of(work) {
+        self.owner_within(work, key, |_| true)
+    }
+
+    /// The owner of a piece of work that only daemons for which `allows` returns true may hold: like
+    /// [`Self::owner_of`] among these.
+    pub fn owner_within<Allows>(&self, work: &str, key: &str, allows: Allows) -> Option<&str>
+    where
+        Allows: Fn(&Presence) -> bool + Copy,
+    {
+        if let Some(holder) = self.holder_within(work, allows) {
             return Some(holder);
         }
-        first_by_rendezvous(key, self.eligible())
+        first_by_rendezvous(key, self.eligible_within(allows))
     }
 
     /// The names of the daemons that may own work: ready ones with at least half of the largest CPU capacity.
     /// Smaller ones could not keep up with the engines.
     pub fn eligible(&self) -> impl Iterator<Item = &str> {
-        let min_percent = self.min_eligible_percent();
+        self.eligible_within(|_| true)
+    }
+
+    /// The names of the daemons that may own work among those for which `allows` returns true.
+    pub fn eligible_within<Allows>(&self, allows: Allows) -> impl Iterator<Item = &str>
+    where
+        Allows: Fn(&Presence) -> bool + Copy,
+    {
+        let min_percent = self.min_eligible_percent(allows);
         self.ready()
-            .filter(move |presence| presence.capacity_percent >= min_percent)
+            .filter(move |presence| allows(presence) && presence.capacity_percent >= min_percent)
             .map(|presence| &*presence.name)
     }
 
-    /// Whether a ready daemon with this CPU capacity may own work.
-    pub fn has_eligible_capacity(&self, capacity_percent: u64) -> bool {
-        capacity_percent >= self.min_eligible_percent()
+    /// Whether a ready daemon with this CPU capacity may own work among those for which `allows` returns true.
+    pub fn has_eligible_capacity<Allows>(&self, capacity_percent: u64, allows: Allows) -> bool
+    where
+        Allows: Fn(&Presence) -> bool + Copy,
+    {
+        capacity_percent >= self.min_eligible_percent(allows)
     }
 
-    fn min_eligible_percent(&self) -> u64 {
-        let largest = self.ready().map(|presence| presence.capacity_percent).max();
+    fn min_eligible_percent<Allows>(&self, allows: Allows) -> u64
+    where
+        Allows: Fn(&Presence) -> bool + Copy,
+    {
+        let allowed = self.ready().filter(|presence| allows(presence));
+        let largest = allowed.map(|presence| presence.capacity_percent).max();
         largest.unwrap_or(0) / 2
     }
 
     /// The first live daemon, by name, whose record lists a piece of work.
     pub fn holder_of(&self, work: &str) -> Option<&str> {
+        self.holder_within(work, |_| true)
+    }
+
+    /// The first live daemon, by name, for which `allows` returns true and whose record lists a piece of work.
+    pub fn holder_within<Allows>(&self, work: &str, allows: Allows) -> Option<&str>
+    where
+        Allows: Fn(&Presence) -> bool,
+    {
         let holds = |presence: &&Presence| presence.holds.iter().any(|held| &**held == work);
-        self.live().find(holds).map(|holder| &*holder.name)
+        let mut allowed = self.live().filter(|presence| allows(presence));
+        allowed.find(holds).map(|holder| &*holder.name)
     }
 
     /// The addresses of eligible daemons that forward calls to the store, those of `zone` first.
     pub fn peer_addresses(&self, own_name: &str, zone: &str) -> Vec<Arc<str>> {
+        let peers = self.store_peers(own_name, zone).into_iter();
+        peers.map(|peer| peer.address).collect()
+    }
+
+    /// The eligible daemons that forward calls to the store, those of `zone` first.
+    pub fn store_peers(&self, own_name: &str, zone: &str) -> Vec<StorePeer> {
         let eligible: Vec<&str> = self.eligible().collect();
         let others = self.ready().filter(|presence| {
             &*presence.name != own_name
@@ -252,7 +300,11 @@
         let (same_zone, other_zones): (Vec<_>, Vec<_>) =
             others.partition(|presence| &*presence.zone == zone);
         let all = same_zone.into_iter().chain(other_zones);
-        all.map(|presence| presence.peer_address.clone()).collect()
+        let peer = |presence: &Presence| StorePeer {
+            address: presence.peer_address.clone(),
+            zone: presence.zone.clone(),
+        };
+        all.map(peer).collect()
     }
 
     /// The latest known incarnation of a daemon.
@@ -270,13 +322,25 @@
     /// those in all zones. At most 64, the same ones on all daemons, as callers close their connections
     /// to addresses that a newer list lacks.
     pub fn addresses_for(&self, zone: &str, min_count: usize) -> Vec<Arc<str>> {
-        let same_zone: Vec<&Presence> = self
-            .ready()
-            .filter(|presence| &*presence.zone == zone)
-            .collect();
+        self.addresses_within(zone, min_count, |_| true)
+    }
+
+    /// The addresses for a caller, of daemons for which `allows` returns true: like [`Self::addresses_for`] among these.
+    pub fn addresses_within<Allows>(
+        &self,
+        zone: &str,
+        min_count: usize,
+        allows: Allows,
+    ) -> Vec<Arc<str>>
+    where
+        Allows: Fn(&Presence) -> bool,
+    {
+        let allowed: Vec<&Presence> = self.ready().filter(|presence| allows(presence)).collect();
+        let is_same_zone = |presence: &&Presence| &*presence.zone == zone;
+        let same_zone: Vec<&Presence> = allowed.iter().copied().filter(is_same_zone).collect();
         let mut listed = match same_zone.len() >= min_count {
             true => same_zone,
-            false => self.ready().collect(),
+            false => allowed,
         };
         if listed.len() > MAX_ADDRESSES {
             listed.sort_by_cached_key(|presence| {
--- a/crates/borageshore_routing/src/endpoint.rs
+++ b/crates/borageshore_routing/src/endpoint.rs
@@ -414,6 +414,19 @@
         self.endpoints.values()
     }
 
+    /// Whether any endpoint of a service is listed as live in a zone for which `allows` returns true, ejected or not.
+    pub fn has_live<Allows>(&self, service: &str, allows: Allows) -> bool
+    where
+        Allows: Fn(&str) -> bool,
+    {
+        self.endpoints.values().any(|endpoint| {
+            let listing = &endpoint.listing;
+            &*listing.service == service
+                && listing.state == EndpointState::Live
+                && allows(&listing.zone)
+        })
+    }
+
     /// The endpoints of a service that may receive new work: live ones that are not ejected and that no gate keeps back.
     pub fn usable<'t>(
         &'t self,
--- a/crates/borageshore_routing/src/lib.rs
+++ b/crates/borageshore_routing/src/lib.rs
@@ -24,6 +24,7 @@
 mod quarantine;
 mod registry;
 mod request_attempts;
+mod residency;
 mod routes;
 mod send_gate;
 mod subset;
@@ -47,6 +48,7 @@
     quarantine::{Crash, CrashEffect, HoldDecision, Quarantine},
     registry::{EndpointRegistry, EntryEffect},
     request_attempts::RequestAttempts,
+    residency::{UnservableRoute, regions_without_zones, residencies, unservable_routes},
     routes::{Route, RouteKind, RouteTable, RouteTarget},
     send_gate::SendGate,
     subset::subset_of,
--- a/crates/borageshore_routing/src/routes.rs
+++ b/crates/borageshore_routing/src/routes.rs
@@ -5,6 +5,8 @@
 use borageshore_access::Organisations;
 use borageshore_topology::Residency;
 
+use crate::residency::residencies;
+
 /// How the requests of a route may be run and repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteKind {
@@ -129,6 +131,17 @@
         }
     }
 
+    /// Whether any route or organisation restricts the regions of its requests.
+    pub fn has_residency(&self) -> bool {
+        residencies(self).any(Residency::is_restricted)
+    }
+
+    /// The residencies of a host's routes.
+    pub fn residencies_of_host(&self, host: &str) -> impl Iterator<Item = &Residency> {
+        let of_host = self.routes.iter().filter(move |route| &*route.host == host);
+        of_host.map(|route| &route.residency)
+    }
+
     /// The organisations that may use the routes.
     pub fn organisations(&self) -> &Organisations {
         &self.organisations
