--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -173,7 +173,9 @@
         }
         // A trial shows whether a request crashes endpoints, so it goes on.
         if !permit.is_trial()
-            && let Some(refused) = self.overload.refuse(service, call.terms(route))
+            && let Some(refused) = self
+                .overload
+                .refuse(service, &call.residency, call.terms(route))
         {
             return self.refuse_overload(&call, route, refused);
         }
@@ -190,7 +192,10 @@
                 Denial::ViewTooOld.response()
             }
             None => {
-                let not_run = || self.overload.on_not_run(service, call.terms(route));
+                let not_run = || {
+                    let terms = call.terms(route);
+                    self.overload.on_not_run(service, &call.residency, terms)
+                };
                 failure_response(&outcome, deadline, not_run)
             }
         };
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -161,11 +161,14 @@
         self.features.overload_control || self.table.borrow().reports_slowdowns(service)
     }
 
-    /// The load of a service's usable endpoints; the cost grows with the number of endpoints.
-    pub(crate) fn load_summary(&self, service: &str) -> LoadSummary {
+    /// The load of a service's usable endpoints in allowed regions; the cost grows with the number of endpoints.
+    pub(crate) fn load_summary(&self, service: &str, residency: &Residency) -> LoadSummary {
         let now_ms = self.clock.now_ms();
         let table = self.table.borrow();
-        LoadSummary::of(table.usable(service, now_ms), now_ms)
+        let usable = table.usable(service, now_ms);
+        let is_inside =
+            |endpoint: &&Endpoint| self.topology.allows(residency, &endpoint.listing.zone);
+        LoadSummary::of(usable.filter(is_inside), now_ms)
     }
 
     /// Whether any endpoint is known.
--- a/crates/borageshore_gateway/src/overload.rs
+++ b/crates/borageshore_gateway/src/overload.rs
@@ -8,6 +8,8 @@
     CallTerms, LoadReport, LoadSummary, OverloadControl, OverloadDecision, OverloadReason,
 };
 
+use borageshore_topology::Residency;
+
 use crate::endpoints::Endpoints;
 
 /// How long the summary of a service's load is used, with the calls that were admitted since. Bounds the cost where a
@@ -34,7 +36,8 @@
     endpoints: Rc<Endpoints>,
     clock: Clock,
     control: RefCell<OverloadControl>,
-    summaries: RefCell<SortedMap<Arc<str>, CachedSummary>>,
+    /// By service and the regions whose endpoints count.
+    summaries: RefCell<SortedMap<(Arc<str>, Residency), CachedSummary>>,
 }
 
 impl Overload {
@@ -51,17 +54,19 @@
     pub(crate) fn refuse(
         &self,
         service: &Arc<str>,
+        residency: &Residency,
         terms: CallTerms<'_>,
     ) -> Option<OverloadRefusal> {
         if !self.endpoints.has_contention(service) {
             return None;
         }
-        let summary = self.summary(service);
+        let summary = self.summary(service, residency);
         let (now_ms, random) = (self.clock.now_ms(), self.endpoints.random());
         let mut control = self.control.borrow_mut();
         match control.decide(service, summary, terms, now_ms, random) {
             OverloadDecision::Admit => {
-                if let Some(cached) = self.summaries.borrow_mut().get_mut(service) {
+                let key = (service.clone(), residency.clone());
+                if let Some(cached) = self.summaries.borrow_mut().get_mut(&key) {
                     cached.summary.on_admitted();
                 }
                 None
@@ -78,11 +83,16 @@
     }
 
     /// Records an admitted call that no endpoint ran; returns when it should be repeated, if the service has contention.
-    pub(crate) fn on_not_run(&self, service: &Arc<str>, terms: CallTerms<'_>) -> Option<u64> {
+    pub(crate) fn on_not_run(
+        &self,
+        service: &Arc<str>,
+        residency: &Residency,
+        terms: CallTerms<'_>,
+    ) -> Option<u64> {
         if !self.endpoints.has_contention(service) {
             return None;
         }
-        let summary = self.summary(service);
+        let summary = self.summary(service, residency);
         let (now_ms, random) = (self.clock.now_ms(), self.endpoints.random());
         let mut control = self.control.borrow_mut();
         Some(control.on_not_run(service, summary, terms, now_ms, random))
@@ -96,20 +106,21 @@
         }
     }
 
-    fn summary(&self, service: &Arc<str>) -> LoadSummary {
+    fn summary(&self, service: &Arc<str>, residency: &Residency) -> LoadSummary {
+        let key = (service.clone(), residency.clone());
         let now_ms = self.clock.now_ms();
         let mut summaries = self.summaries.borrow_mut();
         let is_current = |cached: &CachedSummary| now_ms < cached.at_ms + SUMMARY_AGE_MS;
-        if let Some(cached) = summaries.get(service).filter(|cached| is_current(cached)) {
+        if let Some(cached) = summaries.get(&key).filter(|cached| is_current(cached)) {
             return cached.summary;
         }
         summaries.retain(|_, cached| is_current(cached));
-        let summary = self.endpoints.load_summary(service);
+        let summary = self.endpoints.load_summary(service, residency);
         let cached = CachedSummary {
             summary,
             at_ms: now_ms,
         };
-        summaries.insert(service.clone(), cached);
+        summaries.insert(key, cached);
         summary
     }
 }
--- a/crates/borageshore_membership/tests/presence.rs
+++ b/crates/borageshore_membership/tests/presence.rs
@@ -209,3 +209,59 @@
         assert_eq!(table.addresses_for("z1", 1), ["vm-1:80".into()]);
     }
 }
+
+/// Three daemons in zones of region `a` ("a1") and one in another, which holds a submission and is the largest.
+fn daemons_of_two_regions() -> PresenceTable {
+    let mut table = PresenceTable::default();
+    table.on_read(0);
+    for name in ["vm-1", "vm-2", "vm-3"] {
+        table.on_presence(presence(name, "a1", PresenceState::Ready));
+    }
+    table.on_presence(Presence {
+        capacity_percent: 400,
+        zone: "b1".into(),
+        ..presence_with_work("vm-4", "s1")
+    });
+    table
+}
+
+fn is_inside(presence: &Presence) -> bool {
+    &*presence.zone == "a1"
+}
+
+cases! {
+    // A daemon outside reads the bodies of a submission that may not leave its region, because it holds it, or because
+    // those inside are smaller.
+    work_that_must_stay_inside_has_an_owner_inside => {
+        let table = daemons_of_two_regions();
+        assert_eq!(table.owner_of("s1", "model"), Some("vm-4"));
+        for step in 0..20 {
+            let owner = table.owner_within("s1", &format!("key-{step}"), is_inside).unwrap();
+            assert_ne!(owner, "vm-4");
+        }
+        assert_eq!(table.eligible_within(is_inside).count(), 3);
+        assert!(table.has_eligible_capacity(50, is_inside) && !table.has_eligible_capacity(50, |_| true));
+    }
+
+    // The successor of an owner that died is outside.
+    the_successor_of_an_owner_inside_is_inside => {
+        let mut table = daemons_of_two_regions();
+        let mut left = ["vm-1", "vm-2", "vm-3"].len();
+        while let Some(owner) = table.owner_within("s2", "model", is_inside).map(str::to_owned) {
+            assert_ne!(owner, "vm-4");
+            table.on_suspicion(&suspicion(&owner, 1), 100);
+            table.advance(100 + SUSPICION_TIMEOUT_MS);
+            left -= 1;
+        }
+        // Nobody inside is left: the work waits instead of going outside.
+        assert_eq!(left, 0);
+        assert_eq!(table.owner_of("s2", "model"), Some("vm-4"));
+    }
+
+    // The directory names daemons of a region to which callers may not send their bodies.
+    addresses_within_a_region_name_no_daemon_outside => {
+        let table = daemons_of_two_regions();
+        assert_eq!(table.addresses_within("b1", 1, is_inside), ["vm-1:80", "vm-2:80", "vm-3:80"].map(Arc::from));
+        assert_eq!(table.addresses_within("b1", 1, |_| true), table.addresses_for("b1", 1));
+    }
+}
