--- a/crates/borageshore_soak/src/daemons.rs
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -148,8 +148,8 @@
     }
 }
 
-/// Returns a free loopback address from the port range that this process has reserved.
-fn free_address() -> io::Result<SocketAddr> {
+/// Returns a free loopback address from the port range that this process has reserved, for a daemon to listen on.
+pub fn free_address() -> io::Result<SocketAddr> {
     let start = port_range_start()?;
     let offset = 1 + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % (PORTS_PER_RANGE - 1);
     match TcpListener::bind(("127.0.0.1", start + offset)) {
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -21,6 +21,8 @@
 mod usage;
 mod world;
 
+pub use self::daemons::free_address;
+
 use std::path::PathBuf;
 
 use borageshore_net::run_event_loop;
