--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -133,8 +133,8 @@
         let outside = service(store, "s-3", "b1", clock);
         let elsewhere = service(store, "s-4", "nowhere", clock);
         let organisation = json!({ "name": "mill", "api_keys": [support::KEY], "allowed_regions": ["a", "c"] });
-        let routes = |of_home: Value| [route("home", "safe", "app", of_home), route("free", "safe", "app", json!([]))];
-        put_routes(store, 1, &routes(json!(["a", "b"])), std::slice::from_ref(&organisation));
+        let routes = [route("home", "safe", "app", json!(["a", "b"])), route("free", "safe", "app", json!([]))];
+        put_routes(store, 1, &routes, &[organisation]);
         fleet.wait_until_ready().await;
         for (switches, calls) in [
             (PlainSwitches { work_ms: 5, lose_every: 0, wrong_id_every: 0 }, 10),
@@ -152,21 +152,35 @@
         let runs: usize = inside.iter().map(|service| service.runs().values().map(Vec::len).sum::<usize>()).sum();
         assert!(runs > 26, "neither hedged nor repeated: {runs}");
         assert!(outside.runs().is_empty() && elsewhere.runs().is_empty());
+    };
 
-        // The routes move to the other region while a call runs whose answer is lost.
+    // A hedge or a retry goes out under routes that were replaced while the call ran.
+    calls_follow_routes_that_change_while_they_run => async {
+        let clock = Clock::start();
+        let fleet = Fleet::open(&["b1"]).await;
+        let store = &fleet.store;
+        let inside = ["s-1", "s-2"].map(|id| service(store, id, "a1", clock));
+        let outside = service(store, "s-3", "b1", clock);
+        let routes = |region: &str| {
+            let mut home = route("home", "safe", "app", json!([region]));
+            // The hedge is due long after the routes have changed.
+            home["target_latency_ms"] = json!(1_000);
+            [home]
+        };
+        put_routes(store, 1, &routes("a"), &[]);
+        fleet.wait_until_ready().await;
         let lost = PlainSwitches { work_ms: 5, lose_every: 1, wrong_id_every: 0 };
         inside.iter().for_each(|service| service.set_switches(lost));
-        let moved = async {
+        let changed = async {
             sleep_ms(20).await;
-            let open = json!({ "name": "mill", "api_keys": [support::KEY] });
-            put_routes(store, 2, &routes(json!(["b"])), &[open]);
+            put_routes(store, 2, &routes("b"), &[]);
         };
-        let call = fleet.request(0, "POST", "/home/x", "moved", "body".into());
-        monoio::join!(call, moved);
-        assert!(!outside.runs().contains_key("moved"));
-        sleep_ms(APPLY_MS).await;
-        fleet.request(0, "POST", "/home/x", "later", "body".into()).await;
-        assert!(outside.runs().contains_key("later"));
+        let call = fleet.request(0, "POST", "/home/x", "first", "body".into());
+        monoio::join!(call, changed);
+        let sent = |service: &PlatformService| service.runs().get("first").map_or(0, Vec::len);
+        assert_eq!((inside.iter().map(sent).sum::<usize>(), sent(&outside)), (1, 0));
+        assert_eq!(fleet.request(0, "POST", "/home/x", "second", "body".into()).await.status, 200);
+        assert!(outside.runs().contains_key("second"));
     };
 
     // A request that nothing may serve is held until its deadline, or is refused for a reason that sends operators
