Items and reward calls stay inside; entries are looked up by their exact key

Cause: the store returns the keys after the one it is asked for, so an index entry was not found by its own key, and a daemon that does not follow the index would have said that there is no such submission.

Change: a read of the newest record of one key; a daemon without the index looks a submission up before it denies it; a case with engines that leave and crash and reward calls that are repeated.

--- a/crates/borageshore_gateway/src/submission_index.rs
+++ b/crates/borageshore_gateway/src/submission_index.rs
@@ -128,19 +128,20 @@
         self.with_entry(id, |_| ()).is_some()
     }
 
+    /// Whether a submission may be in another shard than the one that this daemon takes for its own, as its entry was
+    /// never seen.
+    pub(crate) fn may_be_elsewhere(&self, id: &str) -> bool {
+        self.parts.topology.has_regions() && !self.is_known() && !self.knows(id)
+    }
+
     /// Reads the entry of a submission from the store; returns whether there is one.
     pub(crate) async fn look_up(&self, id: &Arc<str>) -> Result<bool, StoreError> {
-        let newest = self
-            .parts
-            .store
-            .newest(Topic::Index, ONLY_PARTITION, id)
-            .await?;
-        let is_same = |record: &&KeyedRecord| record.key == *id;
-        let record = newest.records.iter().find(is_same);
-        let Some(value) = record.and_then(|record| record.value.as_ref()) else {
+        let store = &self.parts.store;
+        let newest = store.newest_of(Topic::Index, ONLY_PARTITION, id).await?;
+        let Some(value) = newest.and_then(|record| record.value) else {
             return Ok(false);
         };
-        let entry: IndexEntry = serde_json::from_slice(value)
+        let entry: IndexEntry = serde_json::from_slice(&value)
             .map_err(|error| StoreError::NotDone(error.to_string()))?;
         self.on_residency(id, &entry);
         let mut looked_up = self.looked_up.borrow_mut();
--- a/crates/borageshore_gateway/src/submissions.rs
+++ b/crates/borageshore_gateway/src/submissions.rs
@@ -63,6 +63,20 @@
         Ok(self.index.residency_of(id))
     }
 
+    /// The refusal for a submission of which there are no records where this daemon looked.
+    ///
+    /// Guards against "no such submission" from a daemon that does not follow the index, for one that was accepted under
+    /// restrictions which were lifted before this daemon started: it is in another shard.
+    async fn unknown(&self, id: &Arc<str>) -> EdgeResponse {
+        if !self.index.may_be_elsewhere(id) {
+            return unknown_submission(id);
+        }
+        match self.index.look_up(id).await {
+            Ok(false) => unknown_submission(id),
+            Ok(true) | Err(_) => view_too_old(id),
+        }
+    }
+
     /// Refuses a request about a submission that this daemon may not hold, after the daemons that may gave no answer.
     pub(crate) fn refuse_elsewhere(&self, id: &Arc<str>) -> EdgeResponse {
         self.instruments.count("residency", "not_read_here");
@@ -187,9 +201,10 @@
         match self.page(id, after, true) {
             Some(page) => page,
             None if !self.view.confirm_now(id).await => view_too_old(id),
-            None => self
-                .page(id, after, true)
-                .unwrap_or_else(|| unknown_submission(id)),
+            None => match self.page(id, after, true) {
+                Some(page) => page,
+                None => self.unknown(id).await,
+            },
         }
     }
 
@@ -229,8 +244,10 @@
         if !self.view.confirm_now(id).await {
             return view_too_old(id);
         }
-        self.item_body(id, item)
-            .unwrap_or_else(|| unknown_submission(id))
+        match self.item_body(id, item) {
+            Some(body) => body,
+            None => self.unknown(id).await,
+        }
     }
 
     fn item_body(&self, id: &str, item: &str) -> Option<EdgeResponse> {
@@ -250,7 +267,7 @@
             return view_too_old(id);
         }
         if !self.is_accepted(id) {
-            return unknown_submission(id);
+            return self.unknown(id).await;
         }
         let record = LedgerRecord::End {
             submission: id.clone(),
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -8,6 +8,7 @@
 use borageshore_net::{Clock, run_event_loop, sleep_ms};
 use borageshore_standins::platform::{
     EngineSwitches, PlainSwitches, PlatformEngine, PlatformService, PlatformStore, ProxyMode,
+    RecordedRun,
 };
 use serde_json::{Value, json};
 use support::{Answer, Fleet, HOST, Spy};
@@ -49,27 +50,41 @@
 
 fn engine(store: &PlatformStore, id: &str, zone: &str, clock: Clock) -> PlatformEngine {
     let engine = PlatformEngine::bind("llm", id, MODEL, 1, clock).unwrap();
+    list_engine(store, &engine, id, zone, "ready");
+    engine
+}
+
+fn list_engine(store: &PlatformStore, engine: &PlatformEngine, id: &str, zone: &str, state: &str) {
     let entry = json!({
         "service": "llm", "address": engine.address().to_string(), "zone": zone, "stage": "both",
-        "born": engine.started_at_ms(), "models": [{ "name": MODEL, "version": 1, "adapters": [] }],
+        "state": state, "born": engine.started_at_ms(),
+        "models": [{ "name": MODEL, "version": 1, "adapters": [] }],
     });
     list(store, id, entry);
-    engine
 }
 
-/// A submission of items whose names and bodies contain `mark`.
+/// A submission of items with reward calls, whose names and bodies contain `mark`.
 fn submission(mark: &str) -> String {
     let item = |number: usize| {
         json!({
             "id": format!("{mark}-{number}"), "path": "/batch/x", "num_tokens": 20, "group": "g",
             "headers": { "X-Model": MODEL, "X-Token-Count": "10,10" },
             "body": BASE64_STANDARD.encode(format!("{mark} body")),
+            "scorer": { "id": format!("{mark}-score-{number}"), "host": HOST, "path": "/score/x", "body": "" },
         })
     };
     let items: Vec<Value> = (0..6).map(item).collect();
     json!({ "step": 1, "model": MODEL, "min_version": 1, "items": items }).to_string()
 }
 
+/// Routes for submissions and for their reward calls, which endpoints in region `a` serve.
+fn batch_routes(allowed_regions: Value) -> [Value; 2] {
+    [
+        route("batch", "rollout", "llm", allowed_regions),
+        route("score", "safe", "app", json!(["a"])),
+    ]
+}
+
 async fn submit(fleet: &Fleet, daemon: usize, id: &str, route: &str, mark: &str) -> Answer {
     let path = format!("/{route}/x");
     fleet
@@ -226,7 +241,8 @@
         let store = &fleet.store;
         let (inside, outside) = (engine(store, "e-1", "a1", clock), engine(store, "e-2", "b1", clock));
         inside.set_switches(EngineSwitches { event_ms: 40, ..inside.switches() });
-        put_routes(store, 1, &[route("batch", "rollout", "llm", json!(["a"]))], &[]);
+        let _scorer = service(store, "s-1", "a1", clock);
+        put_routes(store, 1, &batch_routes(json!(["a"])), &[]);
         fleet.wait_until_ready().await;
         assert_eq!(submit(&fleet, 2, "step", "batch", "secret").await.status, 202);
         let first = wait_for_holder(&fleet, "step").await;
@@ -248,13 +264,46 @@
         assert_eq!(fleet.resolve(2, "b", "b1").await, [fleet.front(2)].into());
     };
 
+    // An item goes on outside when its engine leaves or crashes, or moves there because engines outside are faster; or a
+    // reward call is repeated outside.
+    items_and_reward_calls_stay_inside => async {
+        let clock = Clock::start();
+        let fleet = Fleet::open(&["a1", "b1"]).await;
+        let store = &fleet.store;
+        let inside = ["e-1", "e-2"].map(|id| engine(store, id, "a1", clock));
+        for engine in &inside {
+            engine.set_switches(EngineSwitches { event_ms: 80, cut_every: 3, ..engine.switches() });
+        }
+        let outside = ["e-3", "e-4"].map(|id| engine(store, id, "b1", clock));
+        let scorers = [service(store, "s-1", "a1", clock), service(store, "s-2", "b1", clock)];
+        scorers[0].set_switches(PlainSwitches { work_ms: 5, lose_every: 0, wrong_id_every: 7 });
+        let mut routes = batch_routes(json!(["a"])).to_vec();
+        routes.push(route("free", "rollout", "llm", json!([])));
+        put_routes(store, 1, &routes, &[]);
+        fleet.wait_until_ready().await;
+        // Shows how fast the engines outside are.
+        assert_eq!(submit(&fleet, 0, "free", "free", "public").await.status, 202);
+        assert_eq!(submit(&fleet, 0, "step", "batch", "secret").await.status, 202);
+        sleep_ms(500).await;
+        inside[0].restart(1);
+        list_engine(store, &inside[0], "e-1", "a1", "draining");
+        wait_for_results(&fleet, 0, "step", 6).await;
+        let is_restricted = |run: &RecordedRun| run.item.starts_with("secret");
+        let resumed = |run: &RecordedRun| is_restricted(run) && run.after_event > 0;
+        assert!(inside[1].runs().iter().any(resumed));
+        assert!(!outside.iter().any(|engine| engine.runs().iter().any(is_restricted)));
+        assert!(outside.iter().any(|engine| !engine.runs().is_empty()));
+        assert!(scorers[0].runs().len() >= 6 && scorers[1].runs().is_empty());
+    };
+
     // A submission is lost, or run outside, while no daemon inside is there.
     submissions_wait_for_a_daemon_inside => async {
         let clock = Clock::start();
         let fleet = Fleet::open(&["a1", "b1"]).await;
         let store = &fleet.store;
         let (inside, outside) = (engine(store, "e-1", "a1", clock), engine(store, "e-2", "b1", clock));
-        put_routes(store, 1, &[route("batch", "rollout", "llm", json!(["a"]))], &[]);
+        let _scorer = service(store, "s-1", "a1", clock);
+        put_routes(store, 1, &batch_routes(json!(["a"])), &[]);
         fleet.wait_until_ready().await;
         fleet.kill(0);
         assert_eq!(submit(&fleet, 1, "step", "batch", "secret").await.status, 202);
@@ -280,16 +329,17 @@
         for engine in &engines {
             engine.set_switches(EngineSwitches { event_ms: 150, ..engine.switches() });
         }
-        put_routes(store, 1, &[route("batch", "rollout", "llm", json!([]))], &[]);
+        let _scorer = service(store, "s-1", "a1", clock);
+        put_routes(store, 1, &batch_routes(json!([])), &[]);
         fleet.wait_until_ready().await;
         assert_eq!(submit(&fleet, 0, "step", "batch", "secret").await.status, 202);
         let first = wait_for_holder(&fleet, "step").await;
         let (region, other) = [("b", 1), ("a", 0)][first];
-        put_routes(store, 2, &[route("batch", "rollout", "llm", json!([region]))], &[]);
+        put_routes(store, 2, &batch_routes(json!([region])), &[]);
         sleep_ms(APPLY_MS).await;
         let narrowed_at_ms = clock.now_ms();
         wait_for_results(&fleet, first, "step", 6).await;
-        let late = |run: &borageshore_standins::platform::RecordedRun| run.at_ms > narrowed_at_ms;
+        let late = |run: &RecordedRun| run.at_ms > narrowed_at_ms;
         assert!(!engines[first].runs().iter().any(late));
         assert!(fleet.log(other).contains("submission taken over"));
     };
