Texts of a submission are removed where they may no longer be held

Cause: if the view of the submission was released before its owner noticed that the routes had become narrower, its unfinished texts stayed in the cache.

Change: the owner keeps the submission with its cancellation.

--- a/crates/borageshore_gateway/src/cleaner.rs
+++ b/crates/borageshore_gateway/src/cleaner.rs
@@ -5,9 +5,8 @@
 use borageshore_batch::LedgerRecord;
 use borageshore_net::sleep_ms;
 use borageshore_platform::StoreError;
-use bytes::Bytes;
-
 use borageshore_topology::Residency;
+use bytes::Bytes;
 
 use crate::{
     members::Members, quarantine::Quarantine, store_transport::Store,
--- a/crates/borageshore_gateway/src/overload.rs
+++ b/crates/borageshore_gateway/src/overload.rs
@@ -7,7 +7,6 @@
 use borageshore_routing::{
     CallTerms, LoadReport, LoadSummary, OverloadControl, OverloadDecision, OverloadReason,
 };
-
 use borageshore_topology::Residency;
 
 use crate::endpoints::Endpoints;
--- a/crates/borageshore_gateway/src/runner.rs
+++ b/crates/borageshore_gateway/src/runner.rs
@@ -39,13 +39,22 @@
 const CANCEL_MS: u64 = 100;
 
 /// Cancels the tasks of a submission.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Cancel {
+    submission: Arc<Submission>,
     is_cancelled: Cell<bool>,
     notify: Notify,
 }
 
 impl Cancel {
+    fn of(submission: Arc<Submission>) -> Self {
+        Self {
+            submission,
+            is_cancelled: Cell::default(),
+            notify: Notify::new(),
+        }
+    }
+
     fn cancel(&self) {
         self.is_cancelled.set(true);
         self.notify.notify_waiters();
@@ -165,7 +174,7 @@
                 log::info!(submission = &**id; "submission ended or owned by another daemon; cancelling its items");
                 cancel.cancel();
                 if !self.index.may_hold(id) {
-                    self.remove_texts(id);
+                    self.remove_texts(&cancel.submission);
                 }
             }
             keeps_running
@@ -194,12 +203,8 @@
     }
 
     /// Removes the texts of a submission that this daemon may no longer hold.
-    fn remove_texts(self: &Rc<Self>, id: &str) {
-        let submission = |state: &SubmissionState| state.submission().cloned();
-        let Some(Some(submission)) = self.view.with_loaded(id, submission) else {
-            return;
-        };
-        let texts = self.context.texts.clone();
+    fn remove_texts(&self, submission: &Arc<Submission>) {
+        let (submission, texts) = (submission.clone(), self.context.texts.clone());
         monoio::spawn(async move {
             sleep_ms(CANCEL_MS).await;
             for item in &submission.items {
@@ -307,7 +312,7 @@
             return;
         };
         log::info!(submission = &**id, items = unfinished.pending.len(); "submission taken over");
-        let cancel = Rc::new(Cancel::default());
+        let cancel = Rc::new(Cancel::of(unfinished.submission.clone()));
         let ranks = rank_items(&unfinished.submission);
         let mean_hint_tokens = mean_hint_tokens(&unfinished.submission);
         for index in unfinished.pending {
