Cold endpoints get few requests from all daemons together

Cause: an endpoint that has just started, or says that it is cold again, tolerates few requests a second and crashes well above that. Its entry says so, but the time was dropped, and only the small number of slots of engines kept the requests low.

Change: limits of services and the coldness of endpoints are decoded; the bounds are settings. The daemons that run submissions share the budget of each cold engine, ready daemons that of endpoints of other services: up to four by rendezvous hash, each by its own log of sends. A daemon takes a share only if its views of members, routes and endpoints have been current for six seconds, and counts all members that may believe to have one; so the shares add up to no more than the budget under any two views. Warm endpoints come first. Items wait for the next permitted send, calls that find only cold endpoints are refused with that time.

Ruled out: messages about what was sent, which a cut would stop; a budget for all daemons, which leaves each of 87 less than one request; a lease in the store, a write for each cold endpoint.

Figures: tests of the routing crate pass; the bound is played over joins, losses, cuts, freezes and restarts of one daemon with differing lags, and fails if the settling time, the age check, the hold after a freeze or the lingering is taken out.

--- a/crates/borageshore_batch/src/placement.rs
+++ b/crates/borageshore_batch/src/placement.rs
@@ -13,6 +13,10 @@
 /// Surcharge for another availability zone: traffic between zones is billed, but adds little latency.
 const OTHER_ZONE_THOUSANDTHS: u64 = 20;
 
+/// Surcharge for a cold engine, which tolerates few requests: at equal latency, a warm engine with a free slot comes
+/// first.
+const COLD_THOUSANDTHS: u64 = FULL_LOAD_THOUSANDTHS;
+
 /// The state of an engine that placement depends on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineView {
@@ -30,6 +34,8 @@
     pub latency_percent: u64,
     /// Whether it is in the same availability zone as this daemon.
     pub is_same_zone: bool,
+    /// Whether it tolerates few requests only, after a start or as it says.
+    pub is_cold: bool,
     /// Whether items of the same group were placed on it.
     pub has_group: bool,
 }
@@ -76,6 +82,9 @@
     if !engine.is_same_zone {
         cost += OTHER_ZONE_THOUSANDTHS;
     }
+    if engine.is_cold {
+        cost += COLD_THOUSANDTHS;
+    }
     if engine.has_group {
         cost = cost.saturating_sub(SAME_GROUP_THOUSANDTHS);
     }
--- a/crates/borageshore_batch/tests/placement.rs
+++ b/crates/borageshore_batch/tests/placement.rs
@@ -21,6 +21,7 @@
         is_loading: false,
         latency_percent,
         is_same_zone: true,
+        is_cold: false,
         has_group: false,
     }
 }
--- a/crates/borageshore_diagnostics/src/instruments.rs
+++ b/crates/borageshore_diagnostics/src/instruments.rs
@@ -58,6 +58,15 @@
         self.state.record(value, &[KeyValue::new("what", what)]);
     }
 
+    /// Sets the gauge of `what` for a service.
+    pub fn set_of(&self, what: &'static str, service: &str, value: u64) {
+        let labels = [
+            KeyValue::new("what", what),
+            KeyValue::new("service", service.to_string()),
+        ];
+        self.state.record(value, &labels);
+    }
+
     /// Encodes all instruments as Prometheus text.
     pub fn to_text(&self) -> Vec<u8> {
         self.exposition.to_text()
--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -15,8 +15,8 @@
     refusal,
 };
 use borageshore_routing::{
-    AttemptEvent, CallTerms, Fingerprint, Idempotent, Outcome, RequestAttempts, RetryBudget, Route,
-    RouteKind,
+    AttemptEvent, CallTerms, Fingerprint, Idempotent, MAX_RETRY_AFTER_PART, Outcome,
+    RequestAttempts, RetryBudget, Route, RouteKind,
 };
 use borageshore_topology::Residency;
 use bytes::Bytes;
@@ -159,6 +159,9 @@
             let fault = Fault::new(ResultCode::NoEndpoint, "the route names no service");
             return refusal(&fault, Some(RETRY_AFTER_MS));
         };
+        if let Some(wait_ms) = self.endpoints.cold_refusal_ms(service, &call.residency) {
+            return self.refuse_cold(&call, route, wait_ms);
+        }
         // A trial shows whether a request crashes endpoints, so it goes on.
         if !permit.is_trial()
             && let Some(refused) = self.overload.refuse(service, call.terms(route))
@@ -206,6 +209,22 @@
         response
     }
 
+    /// Refuses a call for which only cold endpoints are left that may get no request now.
+    fn refuse_cold(&self, call: &PendingCall, route: &Route, wait_ms: u64) -> EdgeResponse {
+        let left_ms = call.caller_deadline.remaining_ms();
+        let retry_after_ms =
+            Some(wait_ms).filter(|wait_ms| wait_ms * MAX_RETRY_AFTER_PART <= left_ms);
+        let fault = Fault::new(ResultCode::NoEndpoint, "all endpoints are cold");
+        let response = refusal(&fault, retry_after_ms);
+        self.instruments.count("cold_send", "refused");
+        self.instruments.count("call", "not_run");
+        log::info!(
+            request = &*call.outbound.id, route = &*route.name, wait_ms, left_ms;
+            "call refused: all endpoints of its service are cold and have got this daemon's share of requests"
+        );
+        response
+    }
+
     /// Refuses a call of an overloaded service before it is sent to any endpoint.
     fn refuse_overload(
         &self,
@@ -337,6 +356,7 @@
                     let took_ms = self.clock.now_ms() - started_at_ms;
                     self.overload.on_answer(&service, took_ms, response.load);
                     in_flight.on_load(response.load);
+                    in_flight.on_cold_left(response.cold_left_ms);
                     in_flight.end(!response.status.is_server_error());
                 }
                 Err(AttemptError::Refused { load, .. }) => in_flight.on_load(*load),
--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -6,6 +6,7 @@
 use borageshore_feed::FeedLimits;
 use borageshore_net::MemoryLimits;
 use borageshore_platform::{DutyKind, Features};
+use borageshore_routing::ColdBounds;
 use borageshore_settings::{FileFault, malformed_file};
 use borageshore_topology::Topology;
 use borageshore_usage::UsageTiming;
@@ -13,6 +14,9 @@
 
 use crate::mechanisms::Mechanism;
 
+/// The largest bound on requests to cold endpoints that makes sense.
+const MAX_COLD_BOUND: f64 = 1_000.0;
+
 /// The settings of one daemon process, read at its start.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -64,6 +68,13 @@
     /// How long requests with a revoked key may still run; without it, as long as the store is unreachable.
     #[serde(default)]
     pub key_revocation_ms: Option<u64>,
+    /// The factor by which all daemons together may exceed what a cold endpoint tolerates in a second; without it, cold
+    /// endpoints are sent to like others.
+    #[serde(default)]
+    pub cold_excess: Option<f64>,
+    /// The requests to a cold endpoint in a second beyond that.
+    #[serde(default)]
+    pub cold_slack: Option<f64>,
     /// The names by which the deployment says what it expects of the system; see [`Features`].
     #[serde(default)]
     pub features: Vec<Arc<str>>,
@@ -179,6 +190,26 @@
         }
     }
 
+    /// How far requests to cold endpoints may exceed what these tolerate.
+    pub(crate) fn cold_bounds(&self) -> Option<ColdBounds> {
+        Some(ColdBounds {
+            excess: self.cold_excess?,
+            slack: self.cold_slack.unwrap_or(0.0),
+        })
+    }
+
+    fn check_cold_bounds(&self) -> Result<(), &'static str> {
+        let is_valid =
+            |bound: Option<f64>| bound.is_none_or(|bound| (0.0..=MAX_COLD_BOUND).contains(&bound));
+        if !is_valid(self.cold_excess) {
+            return Err("cold_excess: must be from 0 to 1000");
+        }
+        if !is_valid(self.cold_slack) {
+            return Err("cold_slack: must be from 0 to 1000");
+        }
+        Ok(())
+    }
+
     fn check_store_limits(&self) -> Result<(), &'static str> {
         let is_positive = |limit: Option<f64>| limit.is_none_or(|limit| limit > 0.0);
         if !is_positive(self.store_reads_per_s) {
@@ -198,6 +229,7 @@
         duties
             .and(config.check_store_limits())
             .and(config.check_zone_regions())
+            .and(config.check_cold_bounds())
             .map_err(|reason| FileFault {
                 file: file.into(),
                 line: None,
--- a/crates/borageshore_gateway/src/dispatch.rs
+++ b/crates/borageshore_gateway/src/dispatch.rs
@@ -203,7 +203,7 @@
             if self.waiting.borrow().is_empty() {
                 changed.await;
             } else {
-                within_ms(RECHECK_INTERVAL_MS, changed).await;
+                within_ms(self.recheck_in_ms(), changed).await;
             }
             self.endpoints.remove_expired();
             let started_at_ms = self.endpoints.now_ms();
@@ -215,6 +215,22 @@
         }
     }
 
+    /// When waiting items are reconsidered: at the latest when a cold endpoint may get the next request.
+    fn recheck_in_ms(&self) -> u64 {
+        let mut services: Vec<Arc<str>> = Vec::new();
+        for Waiter { request, .. } in self.waiting.borrow().iter() {
+            if !services.contains(&request.service) {
+                services.push(request.service.clone());
+            }
+        }
+        let waits_ms = services
+            .iter()
+            .filter_map(|service| self.endpoints.cold_wait_ms(service));
+        waits_ms.min().map_or(RECHECK_INTERVAL_MS, |wait_ms| {
+            wait_ms.min(RECHECK_INTERVAL_MS)
+        })
+    }
+
     /// Goes through the queue once; requests that get no slot stay in it, in order.
     fn assign_slots(&self) {
         let mut waiting = std::mem::take(&mut *self.waiting.borrow_mut());
@@ -310,14 +326,18 @@
         for engine in engines.iter_mut() {
             engine.has_group = engines_of_group.contains(&engine.instance);
         }
-        let chosen = choose_engine(engines, placement)?.instance.clone();
-        let (target, in_flight) = self.endpoints.start(&chosen)?;
-        let engine = engines
-            .iter_mut()
-            .find(|engine| engine.instance == chosen)?;
-        engine.load += 1;
-        placed.record(&request.group, &chosen);
-        Some(EngineSlot { target, in_flight })
+        loop {
+            let chosen = choose_engine(engines, placement)?.instance.clone();
+            let mut chosen_engines = engines.iter_mut();
+            let engine = chosen_engines.find(|engine| engine.instance == chosen)?;
+            if let Some((target, in_flight)) = self.endpoints.start(&chosen) {
+                engine.load += 1;
+                placed.record(&request.group, &chosen);
+                return Some(EngineSlot { target, in_flight });
+            }
+            // It may get no more requests in this round: it is cold and has got this daemon's share.
+            engine.load = engine.load.max(engine.slots);
+        }
     }
 }
 
--- a/crates/borageshore_gateway/src/endpoints/listing.rs
+++ b/crates/borageshore_gateway/src/endpoints/listing.rs
@@ -51,6 +51,7 @@
                 .observe(instance, model, *version);
         }
         self.update_leaving(&entry);
+        self.on_entry_coldness(&entry);
         if known
             .as_ref()
             .is_none_or(|known| known.listing.state == EndpointState::Live)
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -1,5 +1,6 @@
 //! This daemon's view of the endpoints: listed state, load, model versions and event latency.
 
+mod cold;
 mod in_flight;
 mod listing;
 
@@ -13,18 +14,20 @@
 use borageshore_batch::{
     EngineLatency, EngineVersions, EngineView, EventLatencies, ModelVersion, RunningItem,
 };
+use borageshore_diagnostics::Instruments;
 use borageshore_net::Clock;
 use borageshore_platform::{EndpointClient, EndpointEntry, EndpointTarget, Features};
 use borageshore_routing::{
-    CallingDaemon, ChoiceRequest, Endpoint, EndpointListing, EndpointRegistry, EndpointState,
-    EndpointTable, LoadSummary, choose_from_subset,
+    CallingDaemon, ChoiceRequest, ColdBounds, ColdEndpoints, Endpoint, EndpointListing,
+    EndpointRegistry, EndpointState, EndpointTable, LoadSummary, choose_from_subset,
 };
 use borageshore_topology::{Distance, Residency, Topology};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
-pub(crate) use self::in_flight::InFlight;
+use self::cold::ColdWatch;
+pub(crate) use self::{cold::SharedViews, in_flight::InFlight};
 use crate::{
     mechanisms::{Mechanism, Mechanisms},
     routes::Routes,
@@ -70,6 +73,8 @@
     pub(crate) client: EndpointClient,
     pub(crate) mechanisms: Rc<Mechanisms>,
     pub(crate) features: Features,
+    pub(crate) cold_bounds: Option<ColdBounds>,
+    pub(crate) instruments: Rc<Instruments>,
 }
 
 /// The endpoints of all services.
@@ -82,6 +87,8 @@
     features: Features,
     routes: Rc<Routes>,
     client: EndpointClient,
+    instruments: Rc<Instruments>,
+    cold_watch: ColdWatch,
     registry: RefCell<EndpointRegistry<EndpointEntry>>,
     /// After a gap in the records: ids that were known before it and may have been removed during it.
     unconfirmed: RefCell<Option<Vec<Arc<str>>>>,
@@ -114,6 +121,8 @@
 
 impl Endpoints {
     pub(crate) fn open(parts: EndpointParts) -> Rc<Self> {
+        let mut table = EndpointTable::default();
+        *table.cold_mut() = ColdEndpoints::open(parts.own_name.clone(), parts.cold_bounds);
         Rc::new(Self {
             clock: parts.clock,
             own_name: parts.own_name,
@@ -122,10 +131,12 @@
             features: parts.features,
             routes: parts.routes,
             client: parts.client,
+            instruments: parts.instruments,
+            cold_watch: ColdWatch::default(),
             registry: RefCell::default(),
             unconfirmed: RefCell::default(),
             expired: RefCell::default(),
-            table: RefCell::default(),
+            table: RefCell::new(table),
             targets: RefCell::default(),
             versions: RefCell::default(),
             loading: RefCell::default(),
@@ -208,15 +219,26 @@
         self.start(&chosen)
     }
 
-    /// Counts a request at an endpoint; `None` if the endpoint is no longer listed.
+    /// Counts a request at an endpoint; `None` if the endpoint is no longer listed, or may not be sent to now.
     pub(crate) fn start(
         self: &Rc<Self>,
         instance: &Arc<str>,
     ) -> Option<(EndpointTarget, InFlight)> {
         let mut table = self.table.borrow_mut();
         let target = self.targets.borrow().get(instance)?.clone();
+        self.update_cold(&mut table);
+        let now_ms = self.clock.now_ms();
+        let listing = table.get(instance).map(|known| &known.listing);
+        let is_cold = listing.is_some_and(|listing| table.cold().is_cold(listing, now_ms));
+        if listing.is_some_and(|listing| !table.may_send(listing, now_ms)) {
+            self.instruments.count("cold_send", "refused");
+            return None;
+        }
+        if is_cold {
+            self.instruments.count("cold_send", "sent");
+        }
         table.on_start(instance);
-        table.on_send(instance, self.clock.now_ms());
+        table.on_send(instance, now_ms);
         let in_flight = InFlight {
             endpoints: self.clone(),
             instance: instance.clone(),
@@ -255,6 +277,7 @@
                 is_loading: self.is_loading(instance),
                 latency_percent: latencies.percent_of_median(instance, median_us, now_ms),
                 is_same_zone: self.topology.distance_to(zone) == Distance::SameZone,
+                is_cold: table.cold().is_cold(&endpoint.listing, now_ms),
                 has_group: false,
             })
         };
--- a/crates/borageshore_gateway/src/fleet_records.rs
+++ b/crates/borageshore_gateway/src/fleet_records.rs
@@ -7,6 +7,7 @@
 use borageshore_platform::KeyedRecord;
 
 use crate::{
+    endpoints::Endpoints,
     follow::RecordView,
     members::Members,
     quarantine::{self, Quarantine},
@@ -16,6 +17,8 @@
 #[derive(Debug)]
 pub(crate) struct FleetRecords {
     pub(crate) members: Rc<Members>,
+    /// Members share what cold endpoints tolerate.
+    pub(crate) endpoints: Rc<Endpoints>,
     pub(crate) quarantine: Rc<Quarantine>,
 }
 
@@ -26,6 +29,7 @@
             records.iter().cloned().partition(is_crash);
         if !members.is_empty() {
             self.members.apply(&members);
+            self.endpoints.on_member_records(&members);
         }
         self.quarantine.apply(&crashes);
     }
@@ -37,6 +41,7 @@
 
     fn on_gap(&self) {
         self.members.on_gap();
+        self.endpoints.on_members_gap();
         self.quarantine.on_gap();
     }
 }
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -16,7 +16,7 @@
     config::GatewayConfig,
     dispatch::Dispatch,
     duties::Duties,
-    endpoints::{EndpointParts, Endpoints},
+    endpoints::{EndpointParts, Endpoints, SharedViews},
     feed::{Feed, FeedParts, FeedTopic, FeedTopicSource},
     fleet_records::FleetRecords,
     follow::{FollowSpec, Follower},
@@ -96,6 +96,8 @@
             client: client.clone(),
             mechanisms: mechanisms.clone(),
             features: config.features(),
+            cold_bounds: config.cold_bounds(),
+            instruments: instruments.clone(),
         });
         let members = Members::open(own_presence(&config, incarnation), clock, transport.clone());
         let quarantine = Quarantine::spawn(
@@ -171,17 +173,23 @@
         let followed_routes = Follower::spawn(spec(FeedTopic::Operator), routes.clone());
         let access = CallerAccess::open(
             routes.clone(),
-            followed_routes,
+            followed_routes.clone(),
             config.key_revocation_ms,
             instruments.clone(),
         );
-        Follower::spawn(spec(FeedTopic::Endpoints), endpoints.clone());
+        let followed_endpoints = Follower::spawn(spec(FeedTopic::Endpoints), endpoints.clone());
         monoio::spawn(endpoints.clone().ask_leaving_engines());
         let fleet_records = FleetRecords {
             members: members.clone(),
+            endpoints: endpoints.clone(),
             quarantine: quarantine.clone(),
         };
-        Follower::spawn(spec(FeedTopic::Members), Rc::new(fleet_records));
+        let shared_views = SharedViews {
+            routes: followed_routes,
+            endpoints: followed_endpoints,
+            members: Follower::spawn(spec(FeedTopic::Members), Rc::new(fleet_records)),
+        };
+        monoio::spawn(endpoints.clone().watch_cold(shared_views));
         let followed_index = Follower::spawn(spec(FeedTopic::Index), index.clone());
         let orders = spec(FeedTopic::Orders);
         let time = SharedTime::spawn(members.clone());
--- a/crates/borageshore_gateway/src/item/attempt.rs
+++ b/crates/borageshore_gateway/src/item/attempt.rs
@@ -136,6 +136,7 @@
     {
         let instance = slot.in_flight.instance().clone();
         slot.in_flight.on_load(generation.load);
+        slot.in_flight.on_cold_left(generation.cold_left_ms);
         let mut version = generation.version;
         let mut event_at_us = None;
         let crash_free_at = text.last_event() + CRASH_FREE_EVENTS;
--- a/crates/borageshore_gateway/src/rewards/attempt.rs
+++ b/crates/borageshore_gateway/src/rewards/attempt.rs
@@ -172,6 +172,7 @@
         match result {
             Ok(response) => {
                 in_flight.on_load(response.load);
+                in_flight.on_cold_left(response.cold_left_ms);
                 let status = response.status;
                 in_flight.end(!status.is_server_error());
                 if !status.is_success() {
--- a/crates/borageshore_gateway/src/routes.rs
+++ b/crates/borageshore_gateway/src/routes.rs
@@ -8,7 +8,9 @@
 
 use borageshore_access::Organisations;
 use borageshore_batch::ModelVersion;
-use borageshore_platform::{KeyedRecord, OperatorRecord, ServiceLimits, decode_operator_record};
+use borageshore_platform::{
+    ColdServiceLimits, KeyedRecord, OperatorRecord, ServiceLimits, decode_operator_record,
+};
 use borageshore_routing::{Route, RouteTable};
 use borageshore_topology::Residency;
 use tokio::sync::Notify;
@@ -23,6 +25,7 @@
 pub(crate) struct Routes {
     table: RefCell<Rc<RouteTable>>,
     scaling_limits: RefCell<Rc<ServiceLimits>>,
+    cold_limits: RefCell<Rc<ColdServiceLimits>>,
     is_known: Cell<bool>,
     /// Whether a record since the routes in force could not be decoded: it may have changed keys.
     is_unreadable: Cell<bool>,
@@ -81,13 +84,21 @@
         self.scaling_limits.borrow().clone()
     }
 
+    /// The routes in force, and what cold endpoints of their services tolerate.
+    pub(crate) fn cold_limits(&self) -> (Rc<RouteTable>, Rc<ColdServiceLimits>) {
+        (
+            self.table.borrow().clone(),
+            self.cold_limits.borrow().clone(),
+        )
+    }
+
     /// The newest published version of each model, ordered by model.
     pub(crate) fn published_versions(&self) -> Vec<ModelVersion> {
         self.published_versions.borrow().clone()
     }
 
     /// Applies routes, unless a newer version is already in force.
-    fn set(&self, table: RouteTable, limits: ServiceLimits) {
+    fn set(&self, table: RouteTable, limits: ServiceLimits, cold_limits: ColdServiceLimits) {
         let known = self.table.borrow().version;
         if self.is_known.get() && table.version < known {
             return;
@@ -97,6 +108,7 @@
         self.is_unreadable.set(false);
         *self.table.borrow_mut() = Rc::new(table);
         *self.scaling_limits.borrow_mut() = Rc::new(limits);
+        *self.cold_limits.borrow_mut() = Rc::new(cold_limits);
     }
 
     fn on_version_published(&self, published: ModelVersion) {
@@ -114,7 +126,9 @@
     fn apply(&self, records: &[KeyedRecord]) {
         for record in records {
             match decode_operator_record(record) {
-                Some(Ok(OperatorRecord::Routes(table, limits))) => self.set(table, limits),
+                Some(Ok(OperatorRecord::Routes(table, limits, cold_limits))) => {
+                    self.set(table, limits, cold_limits);
+                }
                 Some(Ok(OperatorRecord::Version(version))) => self.on_version_published(version),
                 Some(Err(error)) => {
                     self.is_unreadable.set(true);
--- a/crates/borageshore_routing/src/choice.rs
+++ b/crates/borageshore_routing/src/choice.rs
@@ -122,7 +122,26 @@
         request.topology.allows(request.residency, zone)
     };
     let usable = table.usable(request.service, now_ms);
-    usable.filter(is_untried).filter(is_allowed).collect()
+    let untried = usable.filter(is_untried).filter(is_allowed).collect();
+    warm_first(table, untried, now_ms)
+}
+
+/// Leaves cold endpoints out as long as a warm one has a free slot.
+fn warm_first<'t>(
+    table: &EndpointTable,
+    usable: Vec<&'t Endpoint>,
+    now_ms: u64,
+) -> Vec<&'t Endpoint> {
+    if !table.cold().is_in_force() {
+        return usable;
+    }
+    let is_warm = |endpoint: &&Endpoint| !table.cold().is_cold(&endpoint.listing, now_ms);
+    let warm: Vec<&Endpoint> = usable.iter().copied().filter(is_warm).collect();
+    let has_free_slot = |endpoint: &&Endpoint| endpoint.load(now_ms) < endpoint.slots();
+    match warm.iter().any(has_free_slot) {
+        true => warm,
+        false => usable,
+    }
 }
 
 fn subset_of_usable<'e>(
--- a/crates/borageshore_routing/src/endpoint.rs
+++ b/crates/borageshore_routing/src/endpoint.rs
@@ -324,6 +324,26 @@
         &mut self.cold
     }
 
+    /// Whether all gates let a request be sent to an endpoint now.
+    pub fn may_send(&self, endpoint: &EndpointListing, now_ms: u64) -> bool {
+        self.evacuations.may_send(endpoint, now_ms) && self.cold.may_send(endpoint, now_ms)
+    }
+
+    /// When a request may be sent to the first endpoint of a service that only the limits of cold ones keep back; `None`
+    /// if there is none, or this daemon has no share of these limits.
+    pub fn next_cold_send_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
+        if !self.cold.is_in_force() {
+            return None;
+        }
+        let live = self.endpoints.values().filter(|endpoint| {
+            &*endpoint.listing.service == service
+                && endpoint.is_usable(now_ms)
+                && self.evacuations.may_send(&endpoint.listing, now_ms)
+        });
+        let next = live.filter_map(|endpoint| self.cold.next_send_ms(&endpoint.listing, now_ms));
+        next.filter(|next_ms| *next_ms > now_ms).min()
+    }
+
     /// Tells the gates that a request is about to be sent.
     pub fn on_send(&mut self, name: &str, now_ms: u64) {
         if let Some(endpoint) = self.endpoints.get(name) {
@@ -423,8 +443,7 @@
         self.endpoints.values().filter(move |endpoint| {
             &*endpoint.listing.service == service
                 && endpoint.is_usable(now_ms)
-                && self.evacuations.may_send(&endpoint.listing, now_ms)
-                && self.cold.may_send(&endpoint.listing, now_ms)
+                && self.may_send(&endpoint.listing, now_ms)
         })
     }
 }
--- a/crates/borageshore_routing/src/lib.rs
+++ b/crates/borageshore_routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod attempt;
 mod budget;
+mod budget_shares;
 mod choice;
 mod cold_endpoints;
 mod crash_reports;
@@ -26,15 +27,18 @@
 mod request_attempts;
 mod routes;
 mod send_gate;
+mod send_log;
 mod subset;
+mod view_certainty;
 
 pub use self::{
     abandoned_attempts::AbandonedAttempts,
     admission::{Admission, AdmissionDecision, AdmissionLimits, Ticket, TicketId, Workload},
     attempt::{Attempt, AttemptEvent, AttemptState, Idempotent, Outcome, attempt_chart},
     budget::RetryBudget,
+    budget_shares::MemberStanding,
     choice::{CallingDaemon, ChoiceRequest, choose_endpoint, choose_from_subset},
-    cold_endpoints::{ColdEndpoints, ColdLimits},
+    cold_endpoints::{ColdBounds, ColdEndpoints, ColdLimits, MAX_COLD_MS},
     crash_reports::{CrashReport, CrashReports},
     endpoint::{Endpoint, EndpointListing, EndpointState, EndpointTable, LoadReport},
     evacuations::Evacuations,
@@ -50,4 +54,5 @@
     routes::{Route, RouteKind, RouteTable, RouteTarget},
     send_gate::SendGate,
     subset::subset_of,
+    view_certainty::ViewReading,
 };
