--- a/crates/borageshore_batch/tests/placement.rs
+++ b/crates/borageshore_batch/tests/placement.rs
@@ -56,6 +56,13 @@
 }
 
 cases! {
+    // Cold engines crash under items for which warm ones had slots.
+    warm_engines_fill_up_before_cold_ones => {
+        let cold = |name, load| EngineView { is_cold: true, ..engine(name, 100, load) };
+        let mut engines = [cold("a", 0), engine("b", 100, 0)];
+        assert_eq!(place(&mut engines, 8), [2, 6]);
+    }
+
     // Guards against spreading the longest texts, which are placed first, over slow engines: even a full engine with
     // median latency finishes them earlier.
     the_longest_texts_go_to_the_engines_with_median_latency => {
--- a/crates/borageshore_gateway/tests/config.rs
+++ b/crates/borageshore_gateway/tests/config.rs
@@ -57,6 +57,17 @@
         assert!(GatewayConfig::parse("vm-1.yaml", &text).is_ok());
     }
 
+    // A daemon starts with bounds that let it send nothing, or anything, to cold endpoints.
+    bounds_of_cold_endpoints_are_checked => {
+        for line in ["cold_excess: -1", "cold_slack: 1e9", "cold_excess: .nan"] {
+            let text = format!("{SETTINGS}{line}\n");
+            assert!(GatewayConfig::parse("vm-1.yaml", &text).is_err(), "{line}");
+        }
+        let text = format!("{SETTINGS}cold_excess: 1.5\ncold_slack: 5\n");
+        let config = GatewayConfig::parse("vm-1.yaml", &text).unwrap();
+        assert_eq!((config.cold_excess, config.cold_slack), (Some(1.5), Some(5.0)));
+    }
+
     // A daemon of a deployment with other duties or expectations does not start.
     unknown_features_and_duties_are_ignored => {
         let text = format!(
--- a/crates/borageshore_routing/tests/cold_endpoints.rs
+++ b/crates/borageshore_routing/tests/cold_endpoints.rs
@@ -4,10 +4,13 @@
 
 use borageshore_base::SortedMap;
 use borageshore_routing::{
-    ColdBounds, ColdEndpoints, ColdLimits, EndpointListing, EndpointState, EndpointTable,
-    MemberStanding, Route, RouteKind, RouteTable, RouteTarget, SendGate, ViewReading,
+    ChoiceRequest, ColdBounds, ColdEndpoints, ColdLimits, EndpointListing, EndpointState,
+    EndpointTable, MemberStanding, Route, RouteKind, RouteTable, RouteTarget, SendGate,
+    ViewReading, choose_endpoint,
 };
-use borageshore_topology::Residency;
+use borageshore_topology::{Residency, Topology};
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 
 macro_rules! cases {
     ($($name:ident => $body:block)*) => {
@@ -419,6 +422,29 @@
         }
     }
 
+    // Calls go to cold endpoints although warm ones have slots.
+    calls_go_to_warm_endpoints_first => {
+        let mut table = EndpointTable::default();
+        table.on_listing(vec![endpoint(0), endpoint(1)]);
+        *table.cold_mut() = settled_owner(10_000);
+        table.cold_mut().on_cold_left(&endpoint(0), 3_000, 10_000);
+        let request = ChoiceRequest {
+            service: "llm",
+            prefix: None,
+            topology: &Topology::single_region("z".into()),
+            residency: &Residency::anywhere(),
+            tried: &[],
+        };
+        let mut random = Pcg64Mcg::seed_from_u64(7);
+        let mut choose = |table: &EndpointTable| choose_endpoint(table, request, 10_000, &mut random).unwrap();
+        for _ in 0..20 {
+            assert_eq!(&*choose(&table), "e1");
+        }
+        // Its only slot is taken.
+        table.on_start("e1");
+        assert!((0..20).any(|_| &*choose(&table) == "e0"));
+    }
+
     // Callers are told to come back when the endpoint may still get nothing.
     the_table_tells_when_a_cold_endpoint_may_be_sent_to => {
         let mut table = EndpointTable::default();
