Cold endpoints: no lookups while none is cold, and a log line that says whether shares may be used

Cause: every choice looked each endpoint up in three tables although nearly always none is cold; an operator could not see whether a daemon may use its shares.

Change: the time from which no known endpoint is cold ends the check early; the line on the number of cold endpoints says whether this daemon's views have been current for long enough.

Ruled out: caching the answer for each endpoint, which would have to follow four inputs.

--- a/crates/borageshore_gateway/src/endpoints/cold.rs
+++ b/crates/borageshore_gateway/src/endpoints/cold.rs
@@ -180,7 +180,7 @@
                 continue;
             }
             let some = &names[..names.len().min(MAX_NAMES_LOGGED)];
-            log::info!(service = &**service, before, cold = names.len(), endpoints:? = some; "number of cold endpoints changed; sending these few requests");
+            log::info!(service = &**service, before, cold = names.len(), is_sure = table.cold().is_sure(now_ms), endpoints:? = some; "number of cold endpoints changed; sending these few requests");
             let count = names.len() as u64;
             self.instruments.set_of("cold_endpoints", service, count);
         }
--- a/crates/borageshore_routing/src/cold_endpoints.rs
+++ b/crates/borageshore_routing/src/cold_endpoints.rs
@@ -100,6 +100,8 @@
     services: SortedMap<Arc<str>, ColdService>,
     has_services: bool,
     states: SortedMap<Arc<str>, ColdState>,
+    /// No endpoint is cold from then on, by what is known.
+    all_warm_at_ms: u64,
     /// When zones whose endpoints count as cold came back.
     returned_zones: SortedMap<Arc<str>, u64>,
     shares: BudgetShares,
@@ -192,8 +194,10 @@
     /// Records how long an endpoint says that it stays cold, counted from now; 0 if it is not.
     pub fn on_cold_left(&mut self, endpoint: &EndpointListing, left_ms: u64, now_ms: u64) {
         if self.bounds.is_some() {
+            let cold_until_ms = now_ms + left_ms.min(MAX_COLD_MS);
+            self.all_warm_at_ms = self.all_warm_at_ms.max(cold_until_ms);
             let state = self.state_mut(&endpoint.name);
-            state.cold_until_ms = now_ms + left_ms.min(MAX_COLD_MS);
+            state.cold_until_ms = cold_until_ms;
             state.said_at_ms = Some(now_ms);
         }
     }
@@ -202,11 +206,15 @@
     pub fn on_return(&mut self, zone: &Arc<str>, now_ms: u64) {
         if self.bounds.is_some() {
             self.returned_zones.insert(zone.clone(), now_ms);
+            self.all_warm_at_ms = self.all_warm_at_ms.max(now_ms + MAX_COLD_MS);
         }
     }
 
     /// Whether an endpoint counts as cold.
     pub fn is_cold(&self, endpoint: &EndpointListing, now_ms: u64) -> bool {
+        if now_ms >= self.all_warm_at_ms {
+            return false;
+        }
         let Some(service) = self.services.get(&endpoint.service) else {
             return false;
         };
@@ -224,6 +232,16 @@
             .is_some_and(is_cold_by)
     }
 
+    /// Whether this daemon's views have been current for long enough to use its shares.
+    pub fn is_sure(&self, now_ms: u64) -> bool {
+        self.view.is_certain(now_ms)
+    }
+
+    /// Whether this daemon may send any request to any endpoint: none is cold, and its entries are current.
+    pub(crate) fn lets_all_pass(&self, now_ms: u64) -> bool {
+        self.services.is_empty() || now_ms >= self.all_warm_at_ms && !self.view.has_old_entries()
+    }
+
     /// When this daemon may send the next request to an endpoint, at `now_ms` or later; `None` if it has no share of
     /// what the endpoint tolerates.
     pub fn next_send_ms(&self, endpoint: &EndpointListing, now_ms: u64) -> Option<u64> {
@@ -271,7 +289,7 @@
 
 impl SendGate for ColdEndpoints {
     fn may_send(&self, endpoint: &EndpointListing, now_ms: u64) -> bool {
-        self.services.is_empty() || self.next_send_ms(endpoint, now_ms) == Some(now_ms)
+        self.lets_all_pass(now_ms) || self.next_send_ms(endpoint, now_ms) == Some(now_ms)
     }
 
     fn on_send(&mut self, endpoint: &EndpointListing, now_ms: u64) {
--- a/crates/borageshore_routing/src/endpoint.rs
+++ b/crates/borageshore_routing/src/endpoint.rs
@@ -332,7 +332,7 @@
     /// When a request may be sent to the first endpoint of a service that only the limits of cold ones keep back; `None`
     /// if there is none, or this daemon has no share of these limits.
     pub fn next_cold_send_ms(&self, service: &str, now_ms: u64) -> Option<u64> {
-        if !self.cold.is_in_force() {
+        if self.cold.lets_all_pass(now_ms) {
             return None;
         }
         let live = self.endpoints.values().filter(|endpoint| {
