Count new connections to endpoints by cause, and requests by distance

Where bytes between zones and regions are billed and connections are the dearest price, an operator could not see what opens them. The endpoint client now counts each connection that it opens by the purpose of the request, and calls, reward calls and items by the distance of their endpoint. No decision changes.

--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -11,8 +11,8 @@
 use borageshore_diagnostics::Instruments;
 use borageshore_net::{Clock, Deadline, EdgeResponse, within_ms};
 use borageshore_platform::{
-    AttemptError, CallHead, EndpointClient, EndpointResponse, OutboundRequest, forwarded_response,
-    refusal,
+    AttemptError, CallHead, EndpointClient, EndpointResponse, OutboundRequest, RequestPurpose,
+    forwarded_response, refusal,
 };
 use borageshore_routing::{
     AttemptEvent, CallTerms, Fingerprint, Idempotent, Outcome, RequestAttempts, RetryBudget, Route,
@@ -261,7 +261,11 @@
                 return None;
             }
             if running.is_empty() && may_try(outcome) {
-                match self.start_attempt(service, call, permit, deadline, outcome) {
+                let purpose = match outcome.attempts.tried() {
+                    [] => RequestPurpose::Call,
+                    _ => RequestPurpose::Retry,
+                };
+                match self.start_attempt(service, call, permit, purpose, deadline, outcome) {
                     Some(attempt) => running.push(attempt),
                     None => return None,
                 }
@@ -277,7 +281,9 @@
                     && may_try(outcome)
                     && self.hedges.borrow_mut().try_retry()
                 {
-                    let attempt = self.start_attempt(service, call, permit, deadline, outcome);
+                    let purpose = RequestPurpose::Hedge;
+                    let attempt =
+                        self.start_attempt(service, call, permit, purpose, deadline, outcome);
                     running.extend(attempt);
                 }
                 continue;
@@ -296,6 +302,7 @@
         service: &Arc<str>,
         call: &'c PendingCall,
         permit: &'c Permit,
+        purpose: RequestPurpose,
         deadline: Deadline,
         outcome: &mut CallOutcome,
     ) -> Option<impl Future<Output = (usize, Result<EndpointResponse, AttemptError>)> + use<'c>>
@@ -327,7 +334,7 @@
                 .quarantine
                 .track_send(content, &target.instance, permit);
             let attempt = call.usage.on_attempt();
-            let result = self.client.call(&target, outbound, deadline).await;
+            let result = self.client.call(&target, outbound, purpose, deadline).await;
             sent.on_outcome(&result);
             if let Err(AttemptError::NotSent(_) | AttemptError::Refused { .. }) = &result {
                 call.usage.on_not_run(attempt);
--- a/crates/borageshore_gateway/src/endpoints/listing.rs
+++ b/crates/borageshore_gateway/src/endpoints/listing.rs
@@ -204,7 +204,7 @@
         }
         self.targets
             .borrow_mut()
-            .insert(instance.clone(), target(entry));
+            .insert(instance.clone(), target(entry, &self.topology));
     }
 
     fn on_removed(&self, id: &Arc<str>) {
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -450,11 +450,12 @@
     }
 }
 
-fn target(entry: &EndpointEntry) -> EndpointTarget {
+fn target(entry: &EndpointEntry, topology: &Topology) -> EndpointTarget {
     EndpointTarget {
         instance: entry.listing.name.clone(),
         id: entry.id.clone(),
         started_at_ms: entry.started_at_ms,
         address: entry.listing.address.clone(),
+        distance: topology.distance_to(&entry.listing.zone),
     }
 }
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -84,7 +84,7 @@
             mechanisms.is_enabled(Mechanism::StoreDetour),
         );
         let store = Store::open(transport.clone());
-        let client = EndpointClient::open();
+        let client = EndpointClient::open(instruments.clone());
         let seed = rendezvous_weight(&config.name, &incarnation.to_string());
         let routes = Rc::new(Routes::default());
         let endpoints = Endpoints::open(EndpointParts {
--- a/crates/borageshore_gateway/src/item/attempt.rs
+++ b/crates/borageshore_gateway/src/item/attempt.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use borageshore_batch::{Departure, Text, on_departure};
-use borageshore_platform::{AttemptError, Generation, GenerationError, GenerationRequest};
+use borageshore_platform::{
+    AttemptError, Generation, GenerationError, GenerationRequest, RequestPurpose,
+};
 use borageshore_routing::{Fingerprint, Route};
 
 use super::ItemRun;
@@ -64,6 +66,10 @@
             item: self.item,
             last_event: text.last_event(),
             priority: self.context.routes.priority(route, organisation),
+            purpose: match text.last_event() {
+                0 => RequestPurpose::Item,
+                _ => RequestPurpose::Move,
+            },
             first_byte_ms: FIRST_BYTE_TIMEOUT_MS,
         };
         let instance = slot.target.instance.clone();
--- a/crates/borageshore_gateway/src/rewards/attempt.rs
+++ b/crates/borageshore_gateway/src/rewards/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use borageshore_net::{Deadline, hedged};
-use borageshore_platform::{AttemptError, EndpointTarget};
+use borageshore_platform::{AttemptError, EndpointTarget, RequestPurpose};
 use borageshore_routing::Route;
 use borageshore_topology::Residency;
 
@@ -160,7 +160,7 @@
                 .track_send(content, &target.instance, permit);
             let result = parts
                 .client
-                .call(&target, &scoring.outbound, deadline)
+                .call(&target, &scoring.outbound, RequestPurpose::Reward, deadline)
                 .await;
             sent.on_outcome(&result);
             result
--- a/crates/borageshore_net/src/client.rs
+++ b/crates/borageshore_net/src/client.rs
@@ -63,10 +63,18 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    is_new: bool,
     /// Ends the task that drives the socket when it is dropped.
     _task_guard: oneshot::Sender<()>,
 }
 
+impl Connection {
+    /// Whether it has just been opened, not taken from the pool.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+}
+
 /// An HTTP client with a pool of idle connections per address.
 ///
 /// If a request was sent and no valid response head arrives, [`HttpClient::call`] discards all idle
@@ -141,6 +149,7 @@
         });
         Ok(Connection {
             sender,
+            is_new: true,
             _task_guard: task_guard,
         })
     }
@@ -167,7 +176,8 @@
     }
 
     /// Returns a connection to the pool, after its response was read to the end.
-    pub fn return_to_pool(&self, address: &str, connection: Connection) {
+    pub fn return_to_pool(&self, address: &str, mut connection: Connection) {
+        connection.is_new = false;
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_or_insert_with(address.into(), Vec::new);
         connections.retain(|connection| !connection.sender.is_closed());
@@ -180,11 +190,22 @@
     pub async fn call(
         &self,
         address: &str,
+        request: Request<Full<Bytes>>,
+        timeouts: Timeouts,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let connection = self.connect(address, timeouts).await?;
+        self.call_over(connection, address, request, timeouts).await
+    }
+
+    /// Sends a request over a connection to `address` and returns the status and the buffered body.
+    pub async fn call_over(
+        &self,
+        mut connection: Connection,
+        address: &str,
         mut request: Request<Full<Bytes>>,
         timeouts: Timeouts,
     ) -> Result<(StatusCode, Bytes), CallError> {
         set_host(&mut request, address);
-        let mut connection = self.connect(address, timeouts).await?;
         let response = self
             .send(&mut connection, request, timeouts)
             .await
--- a/crates/borageshore_topology/src/topology.rs
+++ b/crates/borageshore_topology/src/topology.rs
@@ -19,6 +19,18 @@
     Unknown,
 }
 
+impl Distance {
+    /// Its name in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Distance::SameZone => "same_zone",
+            Distance::SameRegion => "same_region",
+            Distance::OtherRegion => "other_region",
+            Distance::Unknown => "unknown",
+        }
+    }
+}
+
 /// The zones of a deployment with their regions, seen from one zone.
 #[derive(Debug, Clone)]
 pub struct Topology {
