Choose endpoints of the own region first, and those with an open connection

There, a service is now compared as one with slow endpoints is: another region costs 75 percent of an endpoint's slots, a new connection 25. Draws from a larger service are two of the own region and one of the others; the subset of a large service is taken from the own region if its zone has too few. Without regions nothing changes.

--- a/crates/borageshore_routing/src/choice.rs
+++ b/crates/borageshore_routing/src/choice.rs
@@ -13,6 +13,9 @@
 const AFFINITY_BONUS_PERCENT: u64 = 50;
 /// Penalty of an endpoint in another availability zone, in percent of its slots.
 const CROSS_ZONE_COST_PERCENT: u64 = 25;
+/// Penalty of an endpoint in another region, in percent of its slots. With the cost of a new connection it equals a full
+/// endpoint of the own region: there a call waits for about as long as it travels to the other region.
+const CROSS_REGION_COST_PERCENT: u64 = 75;
 
 /// Penalty of an endpoint to which the daemon has no idle connection, in percent of its slots, where endpoints report
 /// slowdowns. A new connection takes one of the endpoint's slots for its handshake, and hundreds of daemons may open
@@ -81,8 +84,8 @@
 /// connection is open. Daemons have different subsets, preferably of their own zone, so that all endpoints get calls. If
 /// the chosen endpoint is full, all are considered.
 ///
-/// Where endpoints of the service report how slow their VMs are, that and the cost of a new connection count too, and a
-/// small service is compared whole.
+/// Where endpoints of the service report how slow their VMs are, or the deployment spans regions, that and the cost of a
+/// new connection count too, and a small service is compared whole.
 pub fn choose_from_subset<'t, Random, HasIdle>(
     table: &'t EndpointTable,
     daemon: CallingDaemon<'_, HasIdle>,
@@ -96,7 +99,7 @@
 {
     let usable = untried(table, request, now_ms);
     let subset = subset_of_usable(&usable, daemon.name, request.topology);
-    let is_uneven = table.reports_slowdowns(request.service);
+    let is_uneven = table.reports_slowdowns(request.service) || request.topology.has_regions();
     let choose = |among: &[&'t Endpoint], random: &mut Random| -> Option<&'t Endpoint> {
         match is_uneven {
             true => choose_among_uneven(among, request, &daemon.has_idle, now_ms, random),
@@ -133,8 +136,14 @@
     if usable.len() <= MIN_SUBSET_SERVICE {
         return usable.to_vec();
     }
-    let is_near = |endpoint: &&&Endpoint| endpoint.listing.zone == *topology.own_zone();
-    let mut subset: Vec<&Endpoint> = usable.iter().filter(is_near).copied().collect();
+    let within = |most: Distance| -> Vec<&'e Endpoint> {
+        let is_near = |endpoint: &&&Endpoint| distance_to(endpoint, topology) <= most;
+        usable.iter().filter(is_near).copied().collect()
+    };
+    let mut subset = within(Distance::SameZone);
+    if subset.len() < SUBSET_SIZE && topology.has_regions() {
+        subset = within(Distance::SameRegion);
+    }
     if subset.len() < SUBSET_SIZE {
         subset = usable.to_vec();
     }
@@ -164,7 +173,7 @@
     candidates.min_by_key(cost)
 }
 
-/// Chooses among endpoints that report how slow their VMs are.
+/// Chooses among endpoints that differ in speed or distance.
 ///
 /// Reported loads and slowdowns lag, so equally good endpoints are drawn from at random, and a slow one keeps the share
 /// of the load that fits its speed: its cost grows with the slowdown and with the requests on it.
@@ -188,8 +197,8 @@
     let compared = match usable.len() <= MAX_COMPARED_WHOLE {
         true => usable,
         false => {
-            let two = [usable[draw(usable.len())], usable[draw(usable.len())]];
-            drawn = two.into_iter().chain(preferred).collect();
+            let of_two = draw_by_region(usable, request.topology, &mut draw);
+            drawn = of_two.into_iter().chain(preferred).collect();
             &drawn
         }
     };
@@ -209,6 +218,35 @@
     Some(compared[equal[draw(equal.len())]])
 }
 
+/// Draws two endpoints of the own region and one of the others, or two of all where that makes no difference.
+fn draw_by_region<'e, Draw>(
+    usable: &[&'e Endpoint],
+    topology: &Topology,
+    mut draw: Draw,
+) -> Vec<&'e Endpoint>
+where
+    Draw: FnMut(usize) -> usize,
+{
+    let is_near = |endpoint: &&Endpoint| distance_to(endpoint, topology) <= Distance::SameRegion;
+    let (near, far): (Vec<&Endpoint>, Vec<&Endpoint>) = match topology.has_regions() {
+        true => usable.iter().copied().partition(is_near),
+        false => (usable.to_vec(), Vec::new()),
+    };
+    let (first, second) = match near.is_empty() {
+        true => (&far, &[][..]),
+        false => (&near, &far[..]),
+    };
+    let mut drawn = vec![first[draw(first.len())], first[draw(first.len())]];
+    if !second.is_empty() {
+        drawn.push(second[draw(second.len())]);
+    }
+    drawn
+}
+
+fn distance_to(endpoint: &Endpoint, topology: &Topology) -> Distance {
+    topology.distance_to(&endpoint.listing.zone)
+}
+
 /// The endpoint that most likely has the prefix cached, by rendezvous hashing.
 fn affinity_endpoint<'e>(usable: &[&'e Endpoint], prefix: Option<&str>) -> Option<&'e Endpoint> {
     let prefix = prefix?;
@@ -226,14 +264,18 @@
     penalties_of(endpoint, topology, preferred) + endpoint.load(now_ms) * 1_000 / endpoint.slots()
 }
 
-/// The penalties for an endpoint without the cached prefix and for one in another zone, in thousandths of the slots.
+/// The penalties for an endpoint without the cached prefix and for its distance, in thousandths of the slots.
 fn penalties_of(endpoint: &Endpoint, topology: &Topology, preferred: Option<&Endpoint>) -> u64 {
     let mut cost = 10 * AFFINITY_BONUS_PERCENT;
     if preferred.is_some_and(|preferred| preferred.listing.name == endpoint.listing.name) {
         cost = 0;
     }
-    if topology.distance_to(&endpoint.listing.zone) != Distance::SameZone {
-        cost += 10 * CROSS_ZONE_COST_PERCENT;
-    }
-    cost
+    let distance_percent = match distance_to(endpoint, topology) {
+        Distance::SameZone => 0,
+        Distance::OtherRegion | Distance::Unknown if topology.has_regions() => {
+            CROSS_REGION_COST_PERCENT
+        }
+        _ => CROSS_ZONE_COST_PERCENT,
+    };
+    cost + 10 * distance_percent
 }
