Directory, peers and reads of submissions prefer the own region

Ends still go to the owner. The directory gives a caller its zone's daemons, else its region's, else all, nearest first, and takes candidate regions as an argument. Peers for store calls and for submissions, and sources of the feed, are asked by region. Without regions all of this is as before; a zone missing from the settings is at distance unknown only where there are several regions.

--- a/crates/borageshore_feed/src/selector.rs
+++ b/crates/borageshore_feed/src/selector.rs
@@ -14,6 +14,9 @@
 const DIRECT_DELAY_MS: u64 = 1_500;
 const DIRECT_SPACING_MS: u64 = 200;
 
+/// After this many failures in a row a daemon also reads from other regions.
+const REGION_FAILURES: u64 = 3;
+
 /// A daemon becomes a reader of the log this long after the tree has made it a root.
 const ROOT_DELAY_MS: u64 = 2_000;
 /// A reader goes on for this long after the tree has another one in its place, which waits `ROOT_DELAY_MS`.
@@ -100,10 +103,12 @@
         let chosen = match self.failures {
             0 if !is_reader => tree.parent().or(tree.zone_peer(random)),
             failures if failures % 2 == 1 && !is_reader => tree.zone_peer(random),
-            _ => tree.remote_peer(random),
+            // Bytes between regions are billed, but a region may be cut off from the log.
+            failures if failures >= REGION_FAILURES => tree.remote_peer(random),
+            _ => tree.region_peer(random),
         };
         self.chosen_at_ms = now_ms;
-        self.current = chosen.or(tree.remote_peer(random)).cloned();
+        self.current = chosen.or_else(|| tree.remote_peer(random)).cloned();
         self.current.clone()
     }
 
--- a/crates/borageshore_feed/src/tree.rs
+++ b/crates/borageshore_feed/src/tree.rs
@@ -18,6 +18,8 @@
     pub name: Arc<str>,
     /// Its availability zone.
     pub zone: Arc<str>,
+    /// Whether it is in the region of the daemon that compares candidates.
+    pub is_same_region: bool,
     /// Its address for other daemons.
     pub address: Arc<str>,
     /// Its CPU capacity, in percent of a core.
@@ -39,8 +41,10 @@
     readers: usize,
     /// The daemons of the zone but this one, by rank.
     zone: Vec<Arc<str>>,
-    /// The daemons of other zones.
+    /// The daemons of other zones of the region.
     other_zones: Vec<Arc<str>>,
+    /// The daemons of other regions.
+    other_regions: Vec<Arc<str>>,
 }
 
 impl FeedTree {
@@ -60,6 +64,9 @@
         let readers = direct_readers(daemons, zones, limits);
         let (mut zone, other_zones): (Vec<FeedCandidate>, Vec<FeedCandidate>) =
             others.into_iter().partition(|other| other.zone == own.zone);
+        let (other_zones, other_regions): (Vec<FeedCandidate>, Vec<FeedCandidate>) = other_zones
+            .into_iter()
+            .partition(|other| other.is_same_region);
         zone.sort_by_cached_key(rank);
         let position = zone.partition_point(|other| rank(other) < rank(own));
         let address = |candidate: FeedCandidate| candidate.address;
@@ -70,6 +77,7 @@
             readers,
             zone: zone.into_iter().map(address).collect(),
             other_zones: other_zones.into_iter().map(address).collect(),
+            other_regions: other_regions.into_iter().map(address).collect(),
         }
     }
 
@@ -113,10 +121,15 @@
         pick(&self.zone[..above], random)
     }
 
-    /// A daemon of another zone, or of this one if there are no others.
-    pub fn remote_peer(&self, random: u64) -> Option<&Arc<str>> {
+    /// A daemon of another zone of the region, or of this zone if there are no others.
+    pub fn region_peer(&self, random: u64) -> Option<&Arc<str>> {
         pick(&self.other_zones, random).or_else(|| self.zone_peer(random))
     }
+
+    /// A daemon of another region, or of this one if there are no others.
+    pub fn remote_peer(&self, random: u64) -> Option<&Arc<str>> {
+        pick(&self.other_regions, random).or_else(|| self.region_peer(random))
+    }
 }
 
 fn rank(candidate: &FeedCandidate) -> (Reverse<(bool, u64)>, u64, Arc<str>) {
--- a/crates/borageshore_feed/tests/tree.rs
+++ b/crates/borageshore_feed/tests/tree.rs
@@ -16,6 +16,7 @@
     let daemon = |number: usize| FeedCandidate {
         name: format!("vm-{number}").into(),
         zone: format!("zone-{}", number % zones).into(),
+        is_same_region: true,
         address: format!("10.0.0.{number}").into(),
         capacity_percent: if (number / zones).is_multiple_of(5) {
             50
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -87,9 +87,10 @@
         let client = EndpointClient::open(instruments.clone());
         let seed = rendezvous_weight(&config.name, &incarnation.to_string());
         let routes = Rc::new(Routes::default());
+        let topology = Rc::new(config.topology());
         let endpoints = Endpoints::open(EndpointParts {
             own_name: config.name.clone(),
-            topology: Rc::new(config.topology()),
+            topology: topology.clone(),
             seed,
             clock,
             routes: routes.clone(),
@@ -97,7 +98,8 @@
             mechanisms: mechanisms.clone(),
             features: config.features(),
         });
-        let members = Members::open(own_presence(&config, incarnation), clock, transport.clone());
+        let own = own_presence(&config, incarnation);
+        let members = Members::open(own, topology, clock, transport.clone());
         let quarantine = Quarantine::spawn(
             store.clone(),
             members.clone(),
--- a/crates/borageshore_gateway/src/members/mod.rs
+++ b/crates/borageshore_gateway/src/members/mod.rs
@@ -11,11 +11,12 @@
 use borageshore_base::rank_by_rendezvous;
 use borageshore_feed::FeedCandidate;
 use borageshore_membership::{
-    HEARTBEAT_LOG_TIMEOUT_MS, Presence, PresenceState, PresenceTable, SUSPICION_TIMEOUT_MS,
-    Suspicion, WATCHER_LOG_TIMEOUT_MS, WatchRing, WatchTable,
+    AddressRequest, HEARTBEAT_LOG_TIMEOUT_MS, Presence, PresenceState, PresenceTable,
+    SUSPICION_TIMEOUT_MS, Suspicion, WATCHER_LOG_TIMEOUT_MS, WatchRing, WatchTable,
 };
 use borageshore_net::{Clock, sleep_ms};
 use borageshore_platform::KeyedRecord;
+use borageshore_topology::{Distance, Topology};
 use tokio::sync::Notify;
 
 use crate::{follow::RecordView, store_transport::FailoverTransport};
@@ -31,6 +32,7 @@
 #[derive(Debug)]
 pub(crate) struct Members {
     own: RefCell<Presence>,
+    topology: Rc<Topology>,
     table: RefCell<PresenceTable>,
     clock: Clock,
     transport: FailoverTransport,
@@ -62,9 +64,15 @@
 }
 
 impl Members {
-    pub(crate) fn open(own: Presence, clock: Clock, transport: FailoverTransport) -> Rc<Self> {
+    pub(crate) fn open(
+        own: Presence,
+        topology: Rc<Topology>,
+        clock: Clock,
+        transport: FailoverTransport,
+    ) -> Rc<Self> {
         Rc::new(Self {
             own: RefCell::new(own),
+            topology,
             table: RefCell::default(),
             clock,
             transport,
@@ -226,18 +234,30 @@
         table.address_of(owner)
     }
 
+    /// The address of the daemon that serves reads of a submission to this region; `None` if that is this daemon.
+    pub(crate) fn reader_address(&self, submission: &str) -> Option<Arc<str>> {
+        let table = self.table.borrow();
+        let reader = table.reader_of(submission, submission, &self.topology)?;
+        if reader == &*self.own.borrow().name {
+            return None;
+        }
+        table.address_of(reader)
+    }
+
     /// Whether this daemon is selected, by its view of the members, for a piece of work that nobody holds.
     pub(crate) fn is_first_for(&self, work: &str) -> bool {
         self.table.borrow().owner_of(work, work) == Some(&*self.own.borrow().name)
     }
 
-    /// HTTP addresses of up to `count` other eligible daemons, in an order that varies with time.
+    /// HTTP addresses of up to `count` other eligible daemons, those of this region first, in an order that varies with
+    /// time.
     pub(crate) fn choose_eligible(&self, count: usize) -> Vec<Arc<str>> {
         let own_name = self.own_name();
         let table = self.table.borrow();
         let salt = self.clock.now_ms().to_string();
         let others = table.eligible().filter(|name| *name != &*own_name);
-        let ranked = rank_by_rendezvous(&salt, others);
+        let mut ranked = rank_by_rendezvous(&salt, others);
+        ranked.sort_by_key(|name| !table.is_in_region(name, &self.topology));
         let picked = ranked.into_iter().take(count);
         picked.filter_map(|name| table.address_of(name)).collect()
     }
@@ -245,7 +265,10 @@
     /// Peer addresses of up to `count` other daemons, in an order that varies with time.
     pub(crate) fn choose_peer_addresses(&self, count: usize) -> Vec<Arc<str>> {
         let own = self.own.borrow();
-        let peers = self.table.borrow().peer_addresses(&own.name, &own.zone);
+        let peers = self
+            .table
+            .borrow()
+            .peer_addresses(&own.name, &self.topology);
         let salt = self.clock.now_us().to_string();
         let ranked = rank_by_rendezvous(&salt, peers.iter().map(|peer| &**peer));
         ranked.into_iter().take(count).map(Into::into).collect()
@@ -261,10 +284,11 @@
         self.table.borrow().eligible().map(Into::into).collect()
     }
 
-    /// The HTTP addresses for a caller in a zone.
-    pub(crate) fn addresses_for(&self, zone: &str) -> Vec<Arc<str>> {
+    /// The HTTP addresses for a caller.
+    pub(crate) fn addresses_for(&self, request: AddressRequest<'_>) -> Vec<Arc<str>> {
         let own = self.own.borrow();
-        let mut addresses = self.table.borrow().addresses_for(zone, MIN_ADDRESSES);
+        let table = self.table.borrow();
+        let mut addresses = table.addresses_for(request, &self.topology, MIN_ADDRESSES);
         if addresses.is_empty() && own.state == PresenceState::Ready {
             addresses.push(own.http_address.clone());
         }
@@ -283,7 +307,7 @@
 
     /// This daemon, as a source of shared topics.
     pub(crate) fn feed_candidate(&self) -> FeedCandidate {
-        candidate(&self.own.borrow())
+        candidate(&self.own.borrow(), &self.topology)
     }
 
     /// This daemon and the live ones, as sources of shared topics. Daemons that drain are left out.
@@ -292,6 +316,7 @@
         let serving = table.live().filter(|presence| {
             presence.state != PresenceState::Draining && !presence.peer_address.is_empty()
         });
+        let candidate = |presence| candidate(presence, &self.topology);
         (self.feed_candidate(), serving.map(candidate).collect())
     }
 
@@ -303,7 +328,10 @@
 
     fn update_peers(&self) {
         let own = self.own.borrow();
-        let peers = self.table.borrow().peer_addresses(&own.name, &own.zone);
+        let peers = self
+            .table
+            .borrow()
+            .peer_addresses(&own.name, &self.topology);
         self.transport.set_peers(peers);
     }
 
@@ -351,10 +379,11 @@
     }
 }
 
-fn candidate(presence: &Presence) -> FeedCandidate {
+fn candidate(presence: &Presence, topology: &Topology) -> FeedCandidate {
     FeedCandidate {
         name: presence.name.clone(),
         zone: presence.zone.clone(),
+        is_same_region: topology.distance_to(&presence.zone) <= Distance::SameRegion,
         address: presence.peer_address.clone(),
         capacity_percent: presence.capacity_percent,
         is_ready: presence.state == PresenceState::Ready,
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -6,7 +6,7 @@
 use borageshore_base::{Fault, ResultCode};
 use borageshore_batch::Submission;
 use borageshore_diagnostics::Instruments;
-use borageshore_membership::PresenceState;
+use borageshore_membership::{AddressRequest, PresenceState};
 use borageshore_net::{
     BodyError, Deadline, EdgeRequest, EdgeResponse, Handler, HeldBody, HeldBodyError, MemoryBudget,
     ServerLimits, full_body, read_body,
@@ -16,6 +16,7 @@
     decode_caller, decode_submission, ok_response, refusal,
 };
 use borageshore_routing::{MAX_RETRY_AFTER_PART, RouteKind};
+use borageshore_topology::Residency;
 use bytes::Bytes;
 use hyper::{
     Response, StatusCode,
@@ -122,7 +123,11 @@
         };
         match decoded {
             CallerRequest::Ready => self.ready(),
-            CallerRequest::Addresses { zone } => self.addresses(&zone),
+            CallerRequest::Addresses { region, zone } => self.addresses(AddressRequest {
+                zone: &zone,
+                region: region.as_deref(),
+                candidates: &Residency::anywhere(),
+            }),
             CallerRequest::Submission { id, operation } => {
                 self.submission(&id, &operation, key, &head).await
             }
@@ -165,23 +170,26 @@
         }
     }
 
-    /// Forwards a request about a submission to its owner. Returns `None` if this daemon should serve it from the
-    /// store.
+    /// Forwards a request about a submission to its owner, or a read to the daemon that serves this region. Returns `None`
+    /// if this daemon should serve it from the store.
     async fn ask_owner(
         &self,
         submission: &str,
         request: &SubmissionRequest,
         head: &Parts,
     ) -> Option<EdgeResponse> {
+        if head.headers.contains_key(FORWARDED_HEADER) {
+            return None;
+        }
         let wait_ms = match request {
             SubmissionRequest::Results { wait_ms, .. } => *wait_ms,
             SubmissionRequest::Body { .. } | SubmissionRequest::End => 0,
         };
-        if head.headers.contains_key(FORWARDED_HEADER) {
-            return None;
-        }
-        let owner = self.members.owner_address(submission)?;
-        self.peers.ask(&owner, head, wait_ms).await
+        let peer = match request {
+            SubmissionRequest::End => self.members.owner_address(submission)?,
+            _ => self.members.reader_address(submission)?,
+        };
+        self.peers.ask(&peer, head, wait_ms).await
     }
 
     fn ready(&self) -> EdgeResponse {
@@ -192,8 +200,8 @@
         }
     }
 
-    fn addresses(&self, zone: &str) -> EdgeResponse {
-        let addresses = self.members.addresses_for(zone);
+    fn addresses(&self, request: AddressRequest<'_>) -> EdgeResponse {
+        let addresses = self.members.addresses_for(request);
         if addresses.is_empty() {
             return not_ready();
         }
--- a/crates/borageshore_membership/src/lib.rs
+++ b/crates/borageshore_membership/src/lib.rs
@@ -36,7 +36,7 @@
 pub use self::{
     entry::{GossipMessage, Heartbeat, MemberEntry, MemberState},
     members::{GOSSIP_INTERVAL_MS, Health, Membership},
-    presence::{Presence, PresenceState, PresenceTable, SUSPICION_TIMEOUT_MS},
+    presence::{AddressRequest, Presence, PresenceState, PresenceTable, SUSPICION_TIMEOUT_MS},
     relay::{RelaySource, relay_source},
     store_failover::{PROBE_INTERVAL_MS, StoreCallOutcome, StoreFailover, StoreRoute},
     watch::{
--- a/crates/borageshore_membership/src/presence.rs
+++ b/crates/borageshore_membership/src/presence.rs
@@ -3,6 +3,7 @@
 use std::{cmp::Reverse, sync::Arc};
 
 use borageshore_base::{SortedMap, first_by_rendezvous, rendezvous_weight};
+use borageshore_topology::{Distance, Residency, Topology};
 use serde::{Deserialize, Serialize};
 
 use crate::watch::Suspicion;
@@ -43,6 +44,28 @@
     Draining,
 }
 
+/// A request of a caller for the addresses of daemons.
+#[derive(Debug, Clone, Copy)]
+pub struct AddressRequest<'r> {
+    /// The caller's availability zone.
+    pub zone: &'r str,
+    /// The caller's region; `None` if it does not say, so that its zone's counts.
+    pub region: Option<&'r str>,
+    /// The regions whose daemons may be listed.
+    pub candidates: &'r Residency,
+}
+
+impl AddressRequest<'_> {
+    /// How far a daemon's zone is away from the caller.
+    fn distance_to(&self, zone: &str, topology: &Topology) -> Distance {
+        let region = self.region.or_else(|| Some(topology.region_of(self.zone)?));
+        match zone == self.zone {
+            true => Distance::SameZone,
+            false => topology.region_distance(region, zone),
+        }
+    }
+}
+
 /// The record that a daemon writes about itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Presence {
@@ -216,6 +239,28 @@
         first_by_rendezvous(key, self.eligible())
     }
 
+    /// The daemon from which those of the own region read a piece of work: its owner if that is in the region, else an
+    /// eligible daemon of the region, which reads the log for all of them.
+    ///
+    /// Guards against results that cross regions with each read. Those of other regions come from the log once.
+    pub fn reader_of(&self, work: &str, key: &str, topology: &Topology) -> Option<&str> {
+        let owner = self.owner_of(work, key)?;
+        if self.is_in_region(owner, topology) {
+            return Some(owner);
+        }
+        let near = self
+            .eligible()
+            .filter(|name| self.is_in_region(name, topology));
+        first_by_rendezvous(work, near).or(Some(owner))
+    }
+
+    /// Whether a known daemon is in the region of the topology's own zone.
+    pub fn is_in_region(&self, name: &str, topology: &Topology) -> bool {
+        self.daemons.get(name).is_some_and(|daemon| {
+            topology.distance_to(&daemon.presence.zone) <= Distance::SameRegion
+        })
+    }
+
     /// The names of the daemons that may own work: ready ones with at least half of the largest CPU capacity.
     /// Smaller ones could not keep up with the engines.
     pub fn eligible(&self) -> impl Iterator<Item = &str> {
@@ -241,18 +286,20 @@
         self.live().find(holds).map(|holder| &*holder.name)
     }
 
-    /// The addresses of eligible daemons that forward calls to the store, those of `zone` first.
-    pub fn peer_addresses(&self, own_name: &str, zone: &str) -> Vec<Arc<str>> {
+    /// The addresses of eligible daemons that forward calls to the store, nearest first.
+    pub fn peer_addresses(&self, own_name: &str, topology: &Topology) -> Vec<Arc<str>> {
         let eligible: Vec<&str> = self.eligible().collect();
         let others = self.ready().filter(|presence| {
             &*presence.name != own_name
                 && !presence.peer_address.is_empty()
                 && eligible.binary_search(&&*presence.name).is_ok()
         });
-        let (same_zone, other_zones): (Vec<_>, Vec<_>) =
-            others.partition(|presence| &*presence.zone == zone);
-        let all = same_zone.into_iter().chain(other_zones);
-        all.map(|presence| presence.peer_address.clone()).collect()
+        let mut peers: Vec<&Presence> = others.collect();
+        peers.sort_by_key(|presence| topology.distance_to(&presence.zone));
+        peers
+            .iter()
+            .map(|presence| presence.peer_address.clone())
+            .collect()
     }
 
     /// The latest known incarnation of a daemon.
@@ -266,25 +313,38 @@
         Some(daemon.presence.http_address.clone())
     }
 
-    /// The addresses for a caller: those in its availability zone if at least `min_count` are ready there, else
-    /// those in all zones. At most 64, the same ones on all daemons, as callers close their connections
-    /// to addresses that a newer list lacks.
-    pub fn addresses_for(&self, zone: &str, min_count: usize) -> Vec<Arc<str>> {
-        let same_zone: Vec<&Presence> = self
+    /// The addresses for a caller: those in its availability zone if at least `min_count` are ready there, else those
+    /// in its region, else those in all candidate regions, nearest first. At most 64, the same ones on all daemons, as
+    /// callers close their connections to addresses that a newer list lacks.
+    pub fn addresses_for(
+        &self,
+        request: AddressRequest<'_>,
+        topology: &Topology,
+        min_count: usize,
+    ) -> Vec<Arc<str>> {
+        let candidates = self
             .ready()
-            .filter(|presence| &*presence.zone == zone)
+            .filter(|presence| topology.allows(request.candidates, &presence.zone));
+        let mut listed: Vec<(Distance, &Presence)> = candidates
+            .map(|presence| (request.distance_to(&presence.zone, topology), presence))
             .collect();
-        let mut listed = match same_zone.len() >= min_count {
-            true => same_zone,
-            false => self.ready().collect(),
-        };
+        for most in [Distance::SameZone, Distance::SameRegion] {
+            let near = listed.iter().filter(|(distance, _)| *distance <= most);
+            if near.count() >= min_count {
+                listed.retain(|(distance, _)| *distance <= most);
+                break;
+            }
+        }
         if listed.len() > MAX_ADDRESSES {
-            listed.sort_by_cached_key(|presence| {
-                Reverse(rendezvous_weight(ADDRESSES_KEY, &presence.name))
+            listed.sort_by_cached_key(|(distance, presence)| {
+                let weight = rendezvous_weight(ADDRESSES_KEY, &presence.name);
+                (topology.has_regions().then_some(*distance), Reverse(weight))
             });
             listed.truncate(MAX_ADDRESSES);
         }
-        let addresses = listed.iter().map(|presence| presence.http_address.clone());
+        let addresses = listed
+            .iter()
+            .map(|(_, presence)| presence.http_address.clone());
         addresses.collect()
     }
 }
--- a/crates/borageshore_membership/tests/presence.rs
+++ b/crates/borageshore_membership/tests/presence.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use borageshore_membership::{
-    Presence, PresenceState, PresenceTable, SUSPICION_TIMEOUT_MS, Suspicion,
+    AddressRequest, Presence, PresenceState, PresenceTable, SUSPICION_TIMEOUT_MS, Suspicion,
 };
+use borageshore_topology::{Residency, Topology};
 
 fn presence(name: &str, zone: &str, state: PresenceState) -> Presence {
     Presence {
@@ -50,6 +51,27 @@
     }
 }
 
+/// The addresses for a caller in a zone of a deployment without regions.
+fn addresses_for(table: &PresenceTable, zone: &str, min_count: usize) -> Vec<Arc<str>> {
+    let topology = Topology::single_region("z1".into());
+    listed(table, &topology, zone, None, min_count)
+}
+
+fn listed(
+    table: &PresenceTable,
+    topology: &Topology,
+    zone: &str,
+    region: Option<&str>,
+    min_count: usize,
+) -> Vec<Arc<str>> {
+    let request = AddressRequest {
+        zone,
+        region,
+        candidates: &Residency::anywhere(),
+    };
+    table.addresses_for(request, topology, min_count)
+}
+
 macro_rules! cases {
     ($($name:ident => $body:block)*) => {
         $(#[test] fn $name() $body)*
@@ -129,7 +151,7 @@
         for step in 0..50 {
             assert_ne!(table.owner_of("s", &format!("key-{step}")), Some("vm-4"));
         }
-        assert_eq!(table.addresses_for("z1", 2).len(), 3, "callers reach it all the same");
+        assert_eq!(addresses_for(&table, "z1", 2).len(), 3, "callers reach it all the same");
     }
 
     // Guards against a store that is overloaded by reads of these records, which grow with the square of the
@@ -199,13 +221,13 @@
     callers_get_addresses_of_their_zone_if_there_is_a_choice => {
         let table = three_ready_daemons();
         let near: Vec<Arc<str>> = vec!["vm-1:80".into(), "vm-2:80".into()];
-        assert_eq!(table.addresses_for("z1", 2), near);
-        assert_eq!(table.addresses_for("z2", 2).len(), 3);
+        assert_eq!(addresses_for(&table, "z1", 2), near);
+        assert_eq!(addresses_for(&table, "z2", 2).len(), 3);
     }
 
     a_daemon_that_left_is_not_listed => {
         let mut table = three_ready_daemons();
         table.on_left("vm-2");
-        assert_eq!(table.addresses_for("z1", 1), ["vm-1:80".into()]);
+        assert_eq!(addresses_for(&table, "z1", 1), ["vm-1:80".into()]);
     }
 }
--- a/crates/borageshore_routing/src/choice.rs
+++ b/crates/borageshore_routing/src/choice.rs
@@ -228,10 +228,7 @@
     Draw: FnMut(usize) -> usize,
 {
     let is_near = |endpoint: &&Endpoint| distance_to(endpoint, topology) <= Distance::SameRegion;
-    let (near, far): (Vec<&Endpoint>, Vec<&Endpoint>) = match topology.has_regions() {
-        true => usable.iter().copied().partition(is_near),
-        false => (usable.to_vec(), Vec::new()),
-    };
+    let (near, far): (Vec<&Endpoint>, Vec<&Endpoint>) = usable.iter().copied().partition(is_near);
     let (first, second) = match near.is_empty() {
         true => (&far, &[][..]),
         false => (&near, &far[..]),
@@ -272,10 +269,8 @@
     }
     let distance_percent = match distance_to(endpoint, topology) {
         Distance::SameZone => 0,
-        Distance::OtherRegion | Distance::Unknown if topology.has_regions() => {
-            CROSS_REGION_COST_PERCENT
-        }
-        _ => CROSS_ZONE_COST_PERCENT,
+        Distance::SameRegion => CROSS_ZONE_COST_PERCENT,
+        Distance::OtherRegion | Distance::Unknown => CROSS_REGION_COST_PERCENT,
     };
     cost + 10 * distance_percent
 }
--- a/crates/borageshore_topology/src/topology.rs
+++ b/crates/borageshore_topology/src/topology.rs
@@ -15,7 +15,7 @@
     SameRegion,
     /// A zone of another region.
     OtherRegion,
-    /// A zone whose region is not known.
+    /// In a deployment of several regions, a zone whose region is not known.
     Unknown,
 }
 
@@ -86,11 +86,16 @@
         if from == to {
             return Distance::SameZone;
         }
-        if self.region_of.is_empty() {
+        self.region_distance(self.region_of(from).map(|region| &**region), to)
+    }
+
+    /// The distance from somewhere in a region to another zone than the own one.
+    pub fn region_distance(&self, region: Option<&str>, to: &str) -> Distance {
+        if !self.has_regions() {
             return Distance::SameRegion;
         }
-        match (self.region_of(from), self.region_of(to)) {
-            (Some(one), Some(other)) if one == other => Distance::SameRegion,
+        match (region, self.region_of(to)) {
+            (Some(one), Some(other)) if *one == **other => Distance::SameRegion,
             (Some(_), Some(_)) => Distance::OtherRegion,
             _ => Distance::Unknown,
         }
