An endpoint of another region costs more than a free one of the own; tests and the note on regions

With 75 percent a call went to an idle, connected endpoint 8 ms away while one of the own region had half of its slots free. It now goes there only when the own endpoints are full, ejected or failing.

--- a/crates/borageshore_batch/tests/placement.rs
+++ b/crates/borageshore_batch/tests/placement.rs
@@ -69,6 +69,16 @@
         assert_eq!(place(&mut engines, 14), [6, 6, 2]);
     }
 
+    // Guards against bytes between regions for items that equal engines of the own region could take, and against items that
+    // wait, or crowd the near engines, to save them.
+    near_engines_are_filled_somewhat_further_than_far_ones => {
+        let far = EngineView { distance: Distance::OtherRegion, ..engine("far", 100, 0) };
+        let mut engines = [engine("near", 100, 0), far];
+        assert_eq!(place(&mut engines, 1), [1, 0]);
+        assert_eq!(place(&mut engines, 4), [3, 2]);
+        assert_eq!(place(&mut engines, 9), [6, 6]);
+    }
+
     // Guards against several long texts on one engine, which exhaust its memory so that one is preempted.
     equal_engines_share_the_items => {
         let mut engines = [engine("a", 100, 0), engine("b", 98, 0), engine("c", 102, 0)];
--- a/crates/borageshore_routing/src/choice.rs
+++ b/crates/borageshore_routing/src/choice.rs
@@ -13,9 +13,9 @@
 const AFFINITY_BONUS_PERCENT: u64 = 50;
 /// Penalty of an endpoint in another availability zone, in percent of its slots.
 const CROSS_ZONE_COST_PERCENT: u64 = 25;
-/// Penalty of an endpoint in another region, in percent of its slots. With the cost of a new connection it equals a full
-/// endpoint of the own region: there a call waits for about as long as it travels to the other region.
-const CROSS_REGION_COST_PERCENT: u64 = 75;
+/// Penalty of an endpoint in another region, in percent of its slots. One there that is idle and connected costs more than
+/// one here with a free slot and no connection, and less than a full one, where a call waits for longer than it travels.
+const CROSS_REGION_COST_PERCENT: u64 = 110;
 
 /// Penalty of an endpoint to which the daemon has no idle connection, in percent of its slots, where endpoints report
 /// slowdowns. A new connection takes one of the endpoint's slots for its handshake, and hundreds of daemons may open
--- a/crates/borageshore_topology/tests/topology.rs
+++ b/crates/borageshore_topology/tests/topology.rs
@@ -36,6 +36,21 @@
         assert!(!topology.has_regions());
     }
 
+    // A zone that the settings leave out is far away although there is no other region.
+    an_unknown_zone_is_near_where_there_is_one_region => {
+        let topology = Topology::open("a1".into(), vec![("a1".into(), "a".into()), ("a2".into(), "a".into())]);
+        assert!(!topology.has_regions());
+        assert_eq!(topology.distance_to("elsewhere"), Distance::SameRegion);
+    }
+
+    // A caller that names its region is sent elsewhere because its zone is new.
+    a_region_is_as_near_as_its_zones => {
+        let topology = two_regions();
+        let distances = [Some("a"), Some("b"), Some("z"), None].map(|region| topology.region_distance(region, "a2"));
+        let expected = [Distance::SameRegion, Distance::OtherRegion, Distance::OtherRegion, Distance::Unknown];
+        assert_eq!(distances, expected);
+    }
+
     // Data leaves its region by way of a zone of which nobody knows where it is.
     an_unknown_zone_is_in_no_allowed_region => {
         let topology = two_regions();
