A region away costs more than the band within which endpoints count as equal

With 110 percent a free endpoint of the own region and an idle one elsewhere were within that band, and one of them was drawn (found by the test).

--- a/crates/borageshore_routing/src/choice.rs
+++ b/crates/borageshore_routing/src/choice.rs
@@ -15,7 +15,7 @@
 const CROSS_ZONE_COST_PERCENT: u64 = 25;
 /// Penalty of an endpoint in another region, in percent of its slots. One there that is idle and connected costs more than
 /// one here with a free slot and no connection, and less than a full one, where a call waits for longer than it travels.
-const CROSS_REGION_COST_PERCENT: u64 = 110;
+const CROSS_REGION_COST_PERCENT: u64 = 120;
 
 /// Penalty of an endpoint to which the daemon has no idle connection, in percent of its slots, where endpoints report
 /// slowdowns. A new connection takes one of the endpoint's slots for its handshake, and hundreds of daemons may open
