--- a/crates/borageshore_batch/src/placement.rs
+++ b/crates/borageshore_batch/src/placement.rs
@@ -96,8 +96,7 @@
     pub latency_percent: u64,
     /// Events received so far.
     pub events: u64,
-    /// The median time per event of the service, where a move has to save a minimum of time: its engines report how slow
-    /// their VMs are, or the deployment spans regions, where connections are dear.
+    /// The median time per event of the service, where its engines report how slow their VMs are.
     pub median_us: Option<u64>,
 }
 
@@ -110,10 +109,10 @@
 /// above the noise between equal engines. A move costs a prefill of some ms. Equal engines differ by 5 percent, unequal
 /// ones by 30.
 const LONG_TEXT_GAIN_PERCENT: u64 = 15;
-/// The same where a move has to save a minimum of time: what other users of a VM do to it for the moment is more than the
+/// The same where engines report how slow their VMs are: what other users of a VM do to it for the moment is more than the
 /// noise between equal engines, and not all of it is reported in time.
 const UNEVEN_GAIN_PERCENT: u64 = 30;
-/// Such a minimum: a text moves only if it is expected to finish this much earlier. A move
+/// Where engines report how slow their VMs are, a text moves only if it is expected to finish this much earlier: a move
 /// costs a connection and the prefill of the prompt and of all events so far, and a step is not later for less.
 const MIN_SAVED_US: u64 = 300_000;
 
--- a/crates/borageshore_feed/tests/tree.rs
+++ b/crates/borageshore_feed/tests/tree.rs
@@ -245,3 +245,31 @@
     appointed.dismiss(9_000);
     assert!(appointed.is_reader(child, 11_900) && !appointed.is_reader(child, 12_000));
 }
+
+/// Guards against streams of shared topics that cross regions while a daemon of the own region is current, and against a
+/// region that stays behind because all of it has lost the log.
+#[test]
+fn other_regions_are_asked_only_after_failures() {
+    const FEW_READS: FeedLimits = FeedLimits {
+        read_bytes_per_s: None,
+        reads_per_s: Some(40),
+    };
+    let mut all = daemons(60, 3);
+    for daemon in &mut all {
+        daemon.is_same_region = &*daemon.zone != "zone-2";
+    }
+    let is_far = |address: &Arc<str>| {
+        let daemon = all.iter().find(|daemon| daemon.address == *address);
+        !daemon.expect("a listed daemon").is_same_region
+    };
+    let leaves = all.iter().filter(|own| own.is_same_region);
+    let trees = leaves.map(|own| FeedTree::of(own, all.iter().cloned(), FEW_READS));
+    for tree in trees.filter(|tree| !tree.is_root()) {
+        let mut selector = SourceSelector::open(0);
+        for failures in 0..6 {
+            let peer = selector.choose_peer(&tree, failures, 0).expect("a peer");
+            assert_eq!(is_far(&peer), failures == 4, "after {failures} failures");
+            selector.on_failure();
+        }
+    }
+}
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -441,12 +441,11 @@
         let now_ms = self.clock.now_ms();
         let latencies = self.latencies.borrow();
         let median_us = latencies.median_us(now_ms);
-        let has_minimum =
-            self.topology.has_regions() || self.table.borrow().reports_slowdowns(service);
+        let reports_slowdowns = self.table.borrow().reports_slowdowns(service);
         RunningItem {
             latency_percent: latencies.percent_of_median(instance, median_us, now_ms),
             events,
-            median_us: has_minimum.then_some(median_us),
+            median_us: reports_slowdowns.then_some(median_us),
         }
     }
 }
