Merge choice, directory and peers by region

Joined with residency: a submission is read from a daemon of this region among those that may hold it, store calls are passed on to the nearest peers that may see them, and the directory names the nearest daemons among the regions that a host's routes allow.

--- a/crates/borageshore_batch/tests/placement.rs
+++ b/crates/borageshore_batch/tests/placement.rs
@@ -5,6 +5,7 @@
 use borageshore_batch::{
     EngineView, GroupPlacements, PlacementRequest, RunningItem, choose_better_engine, choose_engine,
 };
+use borageshore_topology::Distance;
 
 const ANY: PlacementRequest<'static> = PlacementRequest {
     min_version: 1,
@@ -20,7 +21,7 @@
         version: 1,
         is_loading: false,
         latency_percent,
-        is_same_zone: true,
+        distance: Distance::SameZone,
         is_cold: false,
         has_group: false,
     }
@@ -76,6 +77,16 @@
         assert_eq!(place(&mut engines, 14), [6, 6, 2]);
     }
 
+    // Guards against bytes between regions for items that equal engines of the own region could take, and against items that
+    // wait, or crowd the near engines, to save them.
+    near_engines_are_filled_somewhat_further_than_far_ones => {
+        let far = EngineView { distance: Distance::OtherRegion, ..engine("far", 100, 0) };
+        let mut engines = [engine("near", 100, 0), far];
+        assert_eq!(place(&mut engines, 1), [1, 0]);
+        assert_eq!(place(&mut engines, 4), [3, 2]);
+        assert_eq!(place(&mut engines, 9), [6, 6]);
+    }
+
     // Guards against several long texts on one engine, which exhaust its memory so that one is preempted.
     equal_engines_share_the_items => {
         let mut engines = [engine("a", 100, 0), engine("b", 98, 0), engine("c", 102, 0)];
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -21,7 +21,7 @@
     CallingDaemon, ChoiceRequest, ColdBounds, ColdEndpoints, Endpoint, EndpointListing,
     EndpointRegistry, EndpointState, EndpointTable, LoadSummary, choose_from_subset,
 };
-use borageshore_topology::{Distance, Residency, Topology};
+use borageshore_topology::{Residency, Topology};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
@@ -292,7 +292,7 @@
                 version,
                 is_loading: self.is_loading(instance),
                 latency_percent: latencies.percent_of_median(instance, median_us, now_ms),
-                is_same_zone: self.topology.distance_to(zone) == Distance::SameZone,
+                distance: self.topology.distance_to(zone),
                 is_cold: table.cold().is_cold(&endpoint.listing, now_ms),
                 has_group: false,
             })
@@ -489,11 +489,12 @@
     }
 }
 
-fn target(entry: &EndpointEntry) -> EndpointTarget {
+fn target(entry: &EndpointEntry, topology: &Topology) -> EndpointTarget {
     EndpointTarget {
         instance: entry.listing.name.clone(),
         id: entry.id.clone(),
         started_at_ms: entry.started_at_ms,
         address: entry.listing.address.clone(),
+        distance: topology.distance_to(&entry.listing.zone),
     }
 }
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -86,7 +86,7 @@
             mechanisms.is_enabled(Mechanism::StoreDetour),
         );
         let store = Store::open(transport.clone());
-        let client = EndpointClient::open();
+        let client = EndpointClient::open(instruments.clone());
         let seed = rendezvous_weight(&config.name, &incarnation.to_string());
         let routes = Routes::open(topology.clone(), instruments.clone());
         let endpoints = Endpoints::open(EndpointParts {
--- a/crates/borageshore_gateway/src/members/mod.rs
+++ b/crates/borageshore_gateway/src/members/mod.rs
@@ -11,12 +11,12 @@
 use borageshore_base::{first_by_rendezvous, rank_by_rendezvous};
 use borageshore_feed::FeedCandidate;
 use borageshore_membership::{
-    HEARTBEAT_LOG_TIMEOUT_MS, Presence, PresenceState, PresenceTable, SUSPICION_TIMEOUT_MS,
-    Suspicion, WATCHER_LOG_TIMEOUT_MS, WatchRing, WatchTable,
+    AddressRequest, HEARTBEAT_LOG_TIMEOUT_MS, Presence, PresenceState, PresenceTable,
+    SUSPICION_TIMEOUT_MS, Suspicion, WATCHER_LOG_TIMEOUT_MS, WatchRing, WatchTable,
 };
 use borageshore_net::{Clock, sleep_ms};
 use borageshore_platform::KeyedRecord;
-use borageshore_topology::{Residency, Topology};
+use borageshore_topology::{Distance, Residency, Topology};
 use tokio::sync::Notify;
 
 use crate::{follow::RecordView, store_transport::FailoverTransport};
@@ -250,30 +250,48 @@
             .count()
     }
 
-    /// The addresses of the daemons that are asked in turn about a submission: its holder, else the one that the
-    /// rendezvous hash selects; none if that is this daemon. One that may not hold the submission itself asks another one
-    /// as well.
+    /// The addresses of the daemons that are asked in turn to change a submission: its holder, else the one that the
+    /// rendezvous hash selects; none if that is this daemon.
+    pub(crate) fn owner_addresses(&self, submission: &str, residency: &Residency) -> Vec<Arc<str>> {
+        let table = self.table.borrow();
+        let allows = self.inside(residency);
+        let owner = table.owner_within(submission, submission, allows);
+        self.addresses_from(owner, submission, residency)
+    }
+
+    /// The addresses of the daemons that are asked in turn to read a submission: the owner, or one of this region that
+    /// reads for it; none if that is this daemon.
     pub(crate) fn reader_addresses(
         &self,
         submission: &str,
         residency: &Residency,
     ) -> Vec<Arc<str>> {
-        let own = self.own.borrow();
         let table = self.table.borrow();
         let allows = self.inside(residency);
-        let Some(owner) = table.owner_within(submission, submission, allows) else {
+        let reader = table.reader_within(submission, submission, &self.topology, allows);
+        self.addresses_from(reader, submission, residency)
+    }
+
+    /// The address of `first`, and of another daemon where this one may not hold the submission itself.
+    fn addresses_from(
+        &self,
+        first: Option<&str>,
+        submission: &str,
+        residency: &Residency,
+    ) -> Vec<Arc<str>> {
+        let own = self.own.borrow();
+        let table = self.table.borrow();
+        let Some(first) = first.filter(|first| *first != &*own.name) else {
             return Vec::new();
         };
-        if owner == &*own.name {
-            return Vec::new();
-        }
+        let allows = self.inside(residency);
         let others = table.eligible_within(allows);
-        let others = others.filter(|name| *name != owner && *name != &*own.name);
+        let others = others.filter(|name| *name != first && *name != &*own.name);
         let second = match allows(&own) {
             true => None,
             false => first_by_rendezvous(submission, others),
         };
-        let asked = std::iter::once(owner).chain(second);
+        let asked = std::iter::once(first).chain(second);
         asked.filter_map(|name| table.address_of(name)).collect()
     }
 
@@ -289,14 +307,16 @@
         first_by_rendezvous(work, eligible) == Some(&*self.own.borrow().name)
     }
 
-    /// HTTP addresses of up to `count` other eligible daemons in allowed regions, in an order that varies with time.
+    /// HTTP addresses of up to `count` other eligible daemons in allowed regions, those of this region first, in an order
+    /// that varies with time.
     pub(crate) fn choose_eligible(&self, count: usize, residency: &Residency) -> Vec<Arc<str>> {
         let own_name = self.own_name();
         let table = self.table.borrow();
         let salt = self.clock.now_ms().to_string();
         let eligible = table.eligible_within(self.inside(residency));
         let others = eligible.filter(|name| *name != &*own_name);
-        let ranked = rank_by_rendezvous(&salt, others);
+        let mut ranked = rank_by_rendezvous(&salt, others);
+        ranked.sort_by_key(|name| !table.is_in_region(name, &self.topology));
         let picked = ranked.into_iter().take(count);
         picked.filter_map(|name| table.address_of(name)).collect()
     }
@@ -304,7 +324,10 @@
     /// Peer addresses of up to `count` other daemons, in an order that varies with time.
     pub(crate) fn choose_peer_addresses(&self, count: usize) -> Vec<Arc<str>> {
         let own = self.own.borrow();
-        let peers = self.table.borrow().peer_addresses(&own.name, &own.zone);
+        let peers = self
+            .table
+            .borrow()
+            .peer_addresses(&own.name, &self.topology);
         let salt = self.clock.now_us().to_string();
         let ranked = rank_by_rendezvous(&salt, peers.iter().map(|peer| &**peer));
         ranked.into_iter().take(count).map(Into::into).collect()
@@ -331,20 +354,21 @@
     }
 
     /// The region of a caller: the one that it says, if the deployment has it, else that of its zone.
-    pub(crate) fn region_of_caller(&self, region: &str, zone: &str) -> Option<Arc<str>> {
-        let said = Residency::within(vec![region.into()]);
-        match self.topology.has_region_of(&said) {
-            true => Some(region.into()),
-            false => self.topology.region_of(zone).cloned(),
-        }
+    pub(crate) fn region_of_caller(&self, region: Option<&str>, zone: &str) -> Option<Arc<str>> {
+        let said = region.map(Arc::<str>::from);
+        let is_known = |region: &Arc<str>| {
+            let said = Residency::within(vec![region.clone()]);
+            self.topology.has_region_of(&said)
+        };
+        said.filter(is_known)
+            .or_else(|| self.topology.region_of(zone).cloned())
     }
 
-    /// The HTTP addresses for a caller in a zone, of daemons in `regions`.
-    pub(crate) fn addresses_for(&self, zone: &str, regions: &Residency) -> Vec<Arc<str>> {
+    /// The HTTP addresses for a caller.
+    pub(crate) fn addresses_for(&self, request: AddressRequest<'_>) -> Vec<Arc<str>> {
         let own = self.own.borrow();
-        let allows = self.inside(regions);
         let table = self.table.borrow();
-        let mut addresses = table.addresses_within(zone, MIN_ADDRESSES, allows);
+        let mut addresses = table.addresses_for(request, &self.topology, MIN_ADDRESSES);
         if addresses.is_empty() && own.state == PresenceState::Ready {
             addresses.push(own.http_address.clone());
         }
@@ -363,7 +387,7 @@
 
     /// This daemon, as a source of shared topics.
     pub(crate) fn feed_candidate(&self) -> FeedCandidate {
-        candidate(&self.own.borrow())
+        candidate(&self.own.borrow(), &self.topology)
     }
 
     /// This daemon and the live ones, as sources of shared topics. Daemons that drain are left out.
@@ -372,6 +396,7 @@
         let serving = table.live().filter(|presence| {
             presence.state != PresenceState::Draining && !presence.peer_address.is_empty()
         });
+        let candidate = |presence| candidate(presence, &self.topology);
         (self.feed_candidate(), serving.map(candidate).collect())
     }
 
@@ -387,7 +412,7 @@
 
     fn update_peers(&self) {
         let own = self.own.borrow();
-        let peers = self.table.borrow().store_peers(&own.name, &own.zone);
+        let peers = self.table.borrow().store_peers(&own.name, &self.topology);
         self.transport.set_peers(peers);
     }
 
@@ -435,10 +460,11 @@
     }
 }
 
-fn candidate(presence: &Presence) -> FeedCandidate {
+fn candidate(presence: &Presence, topology: &Topology) -> FeedCandidate {
     FeedCandidate {
         name: presence.name.clone(),
         zone: presence.zone.clone(),
+        is_same_region: topology.distance_to(&presence.zone) <= Distance::SameRegion,
         address: presence.peer_address.clone(),
         capacity_percent: presence.capacity_percent,
         is_ready: presence.state == PresenceState::Ready,
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -6,7 +6,7 @@
 use borageshore_base::{Fault, ResultCode};
 use borageshore_batch::Submission;
 use borageshore_diagnostics::Instruments;
-use borageshore_membership::PresenceState;
+use borageshore_membership::{AddressRequest, PresenceState};
 use borageshore_net::{
     BodyError, Deadline, EdgeRequest, EdgeResponse, Handler, HeldBody, HeldBodyError, MemoryBudget,
     ServerLimits, full_body, read_body,
@@ -124,7 +124,7 @@
         match decoded {
             CallerRequest::Ready => self.ready(),
             CallerRequest::Addresses { host, region, zone } => {
-                self.addresses(&host, &region, &zone)
+                self.addresses(&host, region.as_deref(), &zone)
             }
             CallerRequest::Submission { id, operation } => {
                 self.submission(&id, &operation, key, &head).await
@@ -175,8 +175,8 @@
         }
     }
 
-    /// Forwards a request about a submission to its owner. Returns `None` if this daemon should serve it from the
-    /// store.
+    /// Forwards a request about a submission to its owner, or a read to the daemon that serves this region. Returns `None`
+    /// if this daemon should serve it from the store.
     async fn ask_owner(
         &self,
         submission: &str,
@@ -184,15 +184,19 @@
         request: &SubmissionRequest,
         head: &Parts,
     ) -> Option<EdgeResponse> {
+        if head.headers.contains_key(FORWARDED_HEADER) {
+            return None;
+        }
         let wait_ms = match request {
             SubmissionRequest::Results { wait_ms, .. } => *wait_ms,
             SubmissionRequest::Body { .. } | SubmissionRequest::End => 0,
         };
-        if head.headers.contains_key(FORWARDED_HEADER) {
-            return None;
-        }
-        for reader in self.members.reader_addresses(submission, residency) {
-            let answer = self.peers.ask(&reader, head, wait_ms).await;
+        let asked = match request {
+            SubmissionRequest::End => self.members.owner_addresses(submission, residency),
+            _ => self.members.reader_addresses(submission, residency),
+        };
+        for peer in asked {
+            let answer = self.peers.ask(&peer, head, wait_ms).await;
             if answer.is_some() {
                 return answer;
             }
@@ -208,13 +212,17 @@
         }
     }
 
-    fn addresses(&self, host: &str, region: &str, zone: &str) -> EdgeResponse {
+    fn addresses(&self, host: &str, region: Option<&str>, zone: &str) -> EdgeResponse {
         let caller_region = self.members.region_of_caller(region, zone);
         let ready = self.members.ready_regions();
         let regions = self
             .routes
             .directory_regions(host, caller_region.as_ref(), &ready);
-        let addresses = self.members.addresses_for(zone, &regions);
+        let addresses = self.members.addresses_for(AddressRequest {
+            zone,
+            region: caller_region.as_deref(),
+            candidates: &regions,
+        });
         if addresses.is_empty() {
             return not_ready();
         }
--- a/crates/borageshore_topology/src/topology.rs
+++ b/crates/borageshore_topology/src/topology.rs
@@ -15,10 +15,22 @@
     SameRegion,
     /// A zone of another region.
     OtherRegion,
-    /// A zone whose region is not known.
+    /// In a deployment of several regions, a zone whose region is not known.
     Unknown,
 }
 
+impl Distance {
+    /// Its name in metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Distance::SameZone => "same_zone",
+            Distance::SameRegion => "same_region",
+            Distance::OtherRegion => "other_region",
+            Distance::Unknown => "unknown",
+        }
+    }
+}
+
 /// The zones of a deployment with their regions, seen from one zone.
 #[derive(Debug, Clone)]
 pub struct Topology {
@@ -74,11 +86,16 @@
         if from == to {
             return Distance::SameZone;
         }
-        if self.region_of.is_empty() {
+        self.region_distance(self.region_of(from).map(|region| &**region), to)
+    }
+
+    /// The distance from somewhere in a region to another zone than the own one.
+    pub fn region_distance(&self, region: Option<&str>, to: &str) -> Distance {
+        if !self.has_regions() {
             return Distance::SameRegion;
         }
-        match (self.region_of(from), self.region_of(to)) {
-            (Some(one), Some(other)) if one == other => Distance::SameRegion,
+        match (region, self.region_of(to)) {
+            (Some(one), Some(other)) if *one == **other => Distance::SameRegion,
             (Some(_), Some(_)) => Distance::OtherRegion,
             _ => Distance::Unknown,
         }
