Endpoint orders leave evacuated zones out

Cause: the endpoints of an evacuated zone serve nobody, but count as slots, and spot endpoints would be ordered there.

Change: a zone of the view may be evacuated. It gets no order, what it has counts for nothing, and its share is ordered in other zones.

Ruled out: a setback, as after a refusal: it lasts 10 s and more beyond the end of the evacuation, and doubles.

--- a/crates/borageshore_scaling/src/planner.rs
+++ b/crates/borageshore_scaling/src/planner.rs
@@ -264,7 +264,7 @@
         orders
     }
 
-    /// The number of spot endpoints for each zone; `None` for zones that are left out.
+    /// The number of spot endpoints for each zone; `None` for zones that are evacuated or left out.
     fn desired(
         &mut self,
         service: &Arc<str>,
@@ -275,9 +275,10 @@
         let is_left_out: Vec<bool> = view
             .zones
             .iter()
-            .map(|zone| self.memory(service, &zone.zone).is_left_out(now_ms))
+            .map(|zone| zone.is_evacuated || self.memory(service, &zone.zone).is_left_out(now_ms))
             .collect();
         let left_out = view.zones.iter().zip(&is_left_out).filter(|(_, is)| **is);
+        let left_out = left_out.filter(|(zone, _)| !zone.is_evacuated);
         let remaining_there: u64 = left_out.map(|(zone, _)| zone.spot.live).sum();
         let room = |(zone, is_left_out): (&ZoneView, &bool)| Room {
             max: match is_left_out {
--- a/crates/borageshore_scaling/src/view.rs
+++ b/crates/borageshore_scaling/src/view.rs
@@ -31,6 +31,8 @@
     pub spot: KindCount,
     /// The newest order that any daemon announced.
     pub announced: Option<AnnouncedOrder>,
+    /// Whether nothing may be sent to its endpoints; they count for nothing then.
+    pub is_evacuated: bool,
 }
 
 impl ZoneView {
@@ -41,6 +43,7 @@
             regular: KindCount { live, leaving: 0 },
             spot: KindCount::default(),
             announced: None,
+            is_evacuated: false,
         }
     }
 }
@@ -50,7 +53,7 @@
 pub struct ServiceView {
     /// One slot for each item of the newest submission of each model.
     pub needed_slots: u64,
-    /// The slots of the live regular endpoints.
+    /// The slots of the live regular endpoints of zones that are not evacuated.
     pub regular_slots: u64,
     /// The slots of one endpoint; 0 if no endpoint is known, and then nothing can be ordered.
     pub slots_each: u64,
