Follow the operator's evacuations of availability zones

Cause: the records were ignored, and requests went to evacuated zones.

Change: the newest record of each zone counts, by offset, whatever order records come in; after a gap, an evacuation ends once the newest records are loaded and its key is missing. A second follower of the operator's topic applies them, before the daemon is ready. Any value evacuates. Endpoints of an evacuated zone are not chosen, started, ordered, or asked for reports; an item checks again before it sends; slots and load leave the zone out.

Ruled out: the routes' view, which would pass on what it does not know; confirming the view before each send, which stops a daemon that lost the store.

--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -1,5 +1,6 @@
 //! This daemon's view of the endpoints: listed state, load, model versions and event latency.
 
+mod evacuation;
 mod in_flight;
 mod listing;
 
@@ -24,7 +25,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
-pub(crate) use self::in_flight::InFlight;
+pub(crate) use self::{evacuation::ZoneUse, in_flight::InFlight};
 use crate::{
     mechanisms::{Mechanism, Mechanisms},
     routes::Routes,
@@ -208,13 +209,13 @@
         self.start(&chosen)
     }
 
-    /// Counts a request at an endpoint; `None` if the endpoint is no longer listed.
+    /// Counts a request at an endpoint; `None` if the endpoint is no longer listed or its zone is evacuated.
     pub(crate) fn start(
         self: &Rc<Self>,
         instance: &Arc<str>,
     ) -> Option<(EndpointTarget, InFlight)> {
+        let target = self.target_of(instance)?;
         let mut table = self.table.borrow_mut();
-        let target = self.targets.borrow().get(instance)?.clone();
         table.on_start(instance);
         table.on_send(instance, self.clock.now_ms());
         let in_flight = InFlight {
@@ -266,12 +267,17 @@
         engines
     }
 
-    /// The live engines of services in use by a route, ordered by id.
+    /// The live engines of services in use by a route, ordered by id, without those of evacuated zones.
     pub(crate) fn routed_engines(&self) -> Vec<RoutedEngine> {
         let registry = self.registry.borrow();
         let routed = self.routed(registry.values());
-        let live = routed
-            .filter(|entry| entry.listing.state == EndpointState::Live && !entry.models.is_empty());
+        let table = self.table.borrow();
+        let evacuations = table.evacuations();
+        let live = routed.filter(|entry| {
+            entry.listing.state == EndpointState::Live
+                && !entry.models.is_empty()
+                && !evacuations.is_evacuated(&entry.listing.zone)
+        });
         live.map(|entry| RoutedEngine {
             instance: entry.listing.name.clone(),
             is_spot: entry.is_spot,
@@ -279,8 +285,11 @@
         .collect()
     }
 
-    /// The address of an instance; `None` if it is no longer listed.
+    /// The address of an instance; `None` if it is no longer listed or its zone is evacuated.
     pub(crate) fn target_of(&self, instance: &str) -> Option<EndpointTarget> {
+        if self.is_evacuated(instance) {
+            return None;
+        }
         self.targets.borrow().get(instance).cloned()
     }
 
@@ -329,22 +338,30 @@
             .for_each(visit);
     }
 
-    /// The sum of the slots of a service's live endpoints.
+    /// The sum of the slots of a service's live endpoints, without those of evacuated zones.
     pub(crate) fn slots_of(&self, service: &str) -> u64 {
         let registry = self.registry.borrow();
+        let table = self.table.borrow();
+        let evacuations = table.evacuations();
         let of_service = registry.values().filter(|entry| {
-            &*entry.listing.service == service && entry.listing.state == EndpointState::Live
+            let listing = &entry.listing;
+            &*listing.service == service
+                && listing.state == EndpointState::Live
+                && !evacuations.is_evacuated(&listing.zone)
         });
         of_service.map(|entry| entry.slots).sum()
     }
 
-    /// The estimated running and queued requests of all daemons at a service's endpoints.
+    /// The estimated running and queued requests of all daemons at a service's endpoints, without those of evacuated
+    /// zones.
     pub(crate) fn load_of(&self, service: &str) -> u64 {
         let now_ms = self.clock.now_ms();
         let table = self.table.borrow();
-        let of_service = table
-            .iter()
-            .filter(|endpoint| &*endpoint.listing.service == service);
+        let evacuations = table.evacuations();
+        let of_service = table.iter().filter(|endpoint| {
+            let listing = &endpoint.listing;
+            &*listing.service == service && !evacuations.is_evacuated(&listing.zone)
+        });
         of_service.map(|endpoint| endpoint.load(now_ms)).sum()
     }
 
--- a/crates/borageshore_gateway/src/follow.rs
+++ b/crates/borageshore_gateway/src/follow.rs
@@ -31,6 +31,8 @@
     fn on_caught_up(&self) {}
     /// Called when records may have been missed; the next ones are those that [`RecordSource::load`] returns.
     fn on_gap(&self) {}
+    /// Called when the records that [`RecordSource::load`] returned have been applied; they reach up to `next_offset`.
+    fn on_loaded(&self, _next_offset: u64) {}
 }
 
 /// Where a follower reads a partition.
@@ -222,7 +224,12 @@
 
     async fn load(&self) -> Result<usize, StoreError> {
         let page = self.spec.source.load().await?;
-        Ok(self.take(page))
+        let next_offset = page.next_offset;
+        let applied = self.take(page);
+        if !self.is_stopped.get() {
+            self.view.on_loaded(next_offset);
+        }
+        Ok(applied)
     }
 
     async fn read(&self, wait_ms: u64) -> Result<usize, StoreError> {
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -17,6 +17,7 @@
     dispatch::Dispatch,
     duties::Duties,
     endpoints::{EndpointParts, Endpoints},
+    evacuations::EvacuationView,
     feed::{Feed, FeedParts, FeedTopic, FeedTopicSource},
     fleet_records::FleetRecords,
     follow::{FollowSpec, Follower},
@@ -60,6 +61,7 @@
     members: Rc<Members>,
     routes: Rc<Routes>,
     endpoints: Rc<Endpoints>,
+    evacuations: Rc<Follower<EvacuationView, FeedTopicSource>>,
     index: Rc<Follower<SubmissionIndex, FeedTopicSource>>,
     feed: Rc<Feed>,
     usage: Option<Rc<UsageCounter>>,
@@ -169,6 +171,8 @@
             pause_ms: NO_PAUSE_MS,
         };
         let followed_routes = Follower::spawn(spec(FeedTopic::Operator), routes.clone());
+        let evacuations = EvacuationView::spawn(endpoints.clone(), instruments.clone());
+        let evacuations = Follower::spawn(spec(FeedTopic::Operator), evacuations);
         let access = CallerAccess::open(
             routes.clone(),
             followed_routes,
@@ -311,6 +315,7 @@
             members,
             routes,
             endpoints,
+            evacuations,
             index: followed_index,
             feed,
             usage,
@@ -336,10 +341,11 @@
         self.clock.now_ms()
     }
 
-    /// Enters the ready state once routes, endpoints and the submission index have been read. The daemon stays ready
+    /// Enters the ready state once routes, evacuations, endpoints and the submission index have been read. The daemon stays ready
     /// during an outage of the store and serves from its last view.
     pub(crate) fn update_readiness(&self) {
         let is_known = self.routes.is_known()
+            && self.evacuations.next_offset().is_some()
             && self.endpoints.is_known()
             && (self.index.next_offset().is_some() || !self.feed.wants(FeedTopic::Index));
         if is_known && self.lifecycle.state() == PresenceState::Starting {
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -253,6 +253,10 @@
             if !permit.is_trial() && !self.context.quarantine.may_repeat(|| self.content()) {
                 continue;
             }
+            // The zone may have been evacuated since the slot was taken.
+            if self.context.endpoints.is_evacuated(&slot.target.instance) {
+                continue;
+            }
             let instance = slot.target.instance.clone();
             if self.timing.attempts.replace(self.timing.attempts.get() + 1) == 0 {
                 self.timing.placed_ms.set(self.waited_ms());
--- a/crates/borageshore_gateway/src/lib.rs
+++ b/crates/borageshore_gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod dispatch;
 mod duties;
 mod endpoints;
+mod evacuations;
 mod feed;
 mod fleet_records;
 mod follow;
--- a/crates/borageshore_gateway/src/orderer.rs
+++ b/crates/borageshore_gateway/src/orderer.rs
@@ -237,6 +237,10 @@
             log::warn!(instance = &*target.instance; "send window of an order has closed; not sending it");
             return;
         }
+        if self.parts.endpoints.is_evacuated(&target.instance) {
+            log::info!(instance = &*target.instance; "availability zone of an engine was evacuated; not sending its load order");
+            return;
+        }
         let instance = target.instance.clone();
         self.parts
             .endpoints
@@ -287,7 +291,7 @@
             }
             let age_ms = self.parts.clock.now_ms() - order.sent_at_ms;
             if !is_listed || age_ms > ORDER_TIMEOUT_MS {
-                log::info!(instance = &*instance, model = &*order.target.model, version = order.target.version, age_ms; "load order not completed in time or its engine is gone; dropping the order");
+                log::info!(instance = &*instance, model = &*order.target.model, version = order.target.version, age_ms; "load order not completed in time, or its engine is gone or evacuated; dropping the order");
                 self.pending.borrow_mut().remove(&instance);
             }
         }
--- a/crates/borageshore_gateway/src/scaling/orders.rs
+++ b/crates/borageshore_gateway/src/scaling/orders.rs
@@ -142,6 +142,7 @@
     ) -> ServiceView {
         let zone_view = |zone: &Arc<str>| ZoneView {
             announced: self.parts.orders.newest(service, zone),
+            is_evacuated: self.parts.endpoints.is_zone_evacuated(zone),
             ..ZoneView::regular(zone, 0)
         };
         let mut zones: SortedMap<Arc<str>, ZoneView> = SortedMap::default();
@@ -159,7 +160,7 @@
             };
             let is_live = entry.listing.state == EndpointState::Live;
             count_endpoint(of_kind, is_live);
-            slots.add(entry.slots, is_live && !entry.is_spot);
+            slots.add(entry.slots, is_live && !entry.is_spot && !view.is_evacuated);
             for (model, _) in &entry.models {
                 if let Err(at) = models.binary_search(model) {
                     models.insert(at, model.clone());
--- a/crates/borageshore_routing/src/cold_endpoints.rs
+++ b/crates/borageshore_routing/src/cold_endpoints.rs
@@ -15,6 +15,11 @@
 #[derive(Debug, Clone, Default)]
 pub struct ColdEndpoints {}
 
+impl ColdEndpoints {
+    /// Notes that the evacuation of a zone ended; its endpoints may have become cold meanwhile.
+    pub fn on_return(&mut self, _zone: &str, _now_ms: u64) {}
+}
+
 impl SendGate for ColdEndpoints {
     fn may_send(&self, _endpoint: &EndpointListing, _now_ms: u64) -> bool {
         true
--- a/crates/borageshore_routing/src/lib.rs
+++ b/crates/borageshore_routing/src/lib.rs
@@ -17,6 +17,7 @@
 mod cold_endpoints;
 mod crash_reports;
 mod endpoint;
+mod evacuation_records;
 mod evacuations;
 mod fingerprint;
 mod keys;
@@ -37,6 +38,7 @@
     cold_endpoints::{ColdEndpoints, ColdLimits},
     crash_reports::{CrashReport, CrashReports},
     endpoint::{Endpoint, EndpointListing, EndpointState, EndpointTable, LoadReport},
+    evacuation_records::EvacuationRecords,
     evacuations::Evacuations,
     fingerprint::{Fingerprint, ParseFingerprintError, RequestContent},
     keys::{KeyDecision, KeyPrefix, KeyTable, StoredAnswer},
