Move long texts off engines of evacuated zones

Cause: an operator waits until an evacuated zone is empty; a text may run there for long.

Change: a text whose rest is expected to take over 2 s moves once a slot elsewhere is free, the longest first, as on leaving engines. It is never stopped without a slot, as the engine goes on.

Ruled out: moving all texts: a short rest ends sooner than a move pays.

--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -39,7 +39,7 @@
 mod view_position;
 
 pub use self::{
-    departure::{Departure, gets_free_slot, on_departure},
+    departure::{Departure, gets_free_slot, on_departure, on_evacuation},
     event_latencies::{EngineLatency, EventLatencies},
     generation_times::{FinishedText, GenerationTimes},
     group_placements::GroupPlacements,
--- a/crates/borageshore_batch/tests/departure.rs
+++ b/crates/borageshore_batch/tests/departure.rs
@@ -1,6 +1,6 @@
-//! Items on engines that say when they leave.
+//! Items on engines that say when they leave, or whose zone is evacuated.
 
-use borageshore_batch::{Departure, gets_free_slot, on_departure};
+use borageshore_batch::{Departure, gets_free_slot, on_departure, on_evacuation};
 
 macro_rules! cases {
     ($($(#[$meta:meta])* $name:ident: $remaining_ms:expr, leaves in $leaves_in_ms:expr => $expected:ident;)*) => {
@@ -54,3 +54,11 @@
         "{moved:?}, left {items:?}"
     );
 }
+
+/// Guards against texts that are generated twice for a few events, and against stops that only lose a slot.
+#[test]
+fn only_long_texts_move_off_an_evacuated_engine() {
+    assert_eq!(on_evacuation(Some(2_000)), Departure::Stay);
+    assert_eq!(on_evacuation(Some(2_001)), Departure::MoveIfFree);
+    assert_eq!(on_evacuation(None), Departure::MoveIfFree);
+}
--- a/crates/borageshore_gateway/src/item/attempt.rs
+++ b/crates/borageshore_gateway/src/item/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use borageshore_batch::{Departure, Text, on_departure};
+use borageshore_batch::{Departure, Text, on_departure, on_evacuation};
 use borageshore_platform::{AttemptError, Generation, GenerationError, GenerationRequest};
 use borageshore_routing::{Fingerprint, Route};
 
@@ -188,16 +188,26 @@
         }
     }
 
-    /// Moves or stops the item if its engine leaves before its text is expected to end.
+    /// Moves or stops the item if its engine leaves before its text is expected to end, and moves one whose rest is long
+    /// if its zone is evacuated.
     fn departure(
         &self,
         instance: &Arc<str>,
         events: u64,
         request: &SlotRequest,
     ) -> Option<AttemptOutcome> {
-        let leaves_in_ms = self.context.endpoints.leaves_in_ms(instance)?;
+        let endpoints = &self.context.endpoints;
+        let leaves_in_ms = endpoints.leaves_in_ms(instance);
+        if leaves_in_ms.is_none() && !endpoints.is_evacuated(instance) {
+            self.context.dispatch.end_departure(&self.text_key);
+            return None;
+        }
         let remaining_ms = self.remaining_ms(&request.service, events);
-        let outcome = match on_departure(remaining_ms, leaves_in_ms) {
+        let departure = match leaves_in_ms {
+            Some(leaves_in_ms) => on_departure(remaining_ms, leaves_in_ms),
+            None => on_evacuation(remaining_ms),
+        };
+        let outcome = match departure {
             Departure::MoveIfFree if events.is_multiple_of(MOVE_CHECK_INTERVAL_EVENTS) => {
                 let remaining_ms = remaining_ms.unwrap_or(u64::MAX);
                 let dispatch = &self.context.dispatch;
@@ -211,13 +221,16 @@
             }
         };
         let (name, to) = match &outcome {
+            AttemptOutcome::Move(slot) if leaves_in_ms.is_none() => {
+                ("moved_off_evacuated", &*slot.target.instance)
+            }
             AttemptOutcome::Move(slot) => ("moved_off_leaving", &*slot.target.instance),
             _ => ("released_by_leaving", ""),
         };
         self.context.instruments.count("item", name);
         log::info!(
             item = &*self.item.id, instance = &**instance, leaves_in_ms, remaining_ms, events, to;
-            "moving an item off a leaving engine"
+            "moving an item off a leaving or evacuated engine"
         );
         Some(outcome)
     }
