--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -25,7 +25,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
-pub(crate) use self::{evacuation::ZoneUse, in_flight::InFlight};
+pub(crate) use self::in_flight::InFlight;
 use crate::{
     mechanisms::{Mechanism, Mechanisms},
     routes::Routes,
--- a/crates/borageshore_gateway/src/evacuations.rs
+++ b/crates/borageshore_gateway/src/evacuations.rs
@@ -12,11 +12,7 @@
 use borageshore_routing::EvacuationRecords;
 use tokio::sync::Notify;
 
-use crate::{
-    endpoints::{Endpoints, ZoneUse},
-    follow::RecordView,
-    true_time::time_of_day_ms,
-};
+use crate::{endpoints::Endpoints, follow::RecordView, true_time::time_of_day_ms};
 
 /// The interval at which the requests that still run in evacuated zones are counted.
 const COUNT_INTERVAL_MS: u64 = 500;
@@ -60,7 +56,12 @@
     fn set(&self, zone: &Arc<str>, is_evacuated: bool, offset: u64) {
         let zone_use = self.endpoints.set_evacuated(zone, is_evacuated);
         match is_evacuated {
-            true => log_started(zone, zone_use, offset),
+            true if zone_use.endpoints == 0 && self.endpoints.is_known() => {
+                log::warn!(zone = &**zone, offset; "evacuation of an availability zone in force; no endpoint of the zone is known");
+            }
+            true => {
+                log::info!(zone = &**zone, offset, endpoints = zone_use.endpoints, running = zone_use.running; "evacuation of an availability zone in force; nothing more is sent to its endpoints");
+            }
             false => {
                 log::info!(zone = &**zone, offset, endpoints = zone_use.endpoints, running = zone_use.running; "evacuation of an availability zone ended; its endpoints count as cold");
             }
@@ -101,17 +102,6 @@
     }
 }
 
-fn log_started(zone: &str, zone_use: ZoneUse, offset: u64) {
-    match zone_use.endpoints {
-        0 => {
-            log::warn!(zone, offset; "evacuation of an availability zone in force; no endpoint of the zone is known");
-        }
-        endpoints => {
-            log::info!(zone, offset, endpoints, running = zone_use.running; "evacuation of an availability zone in force; nothing more is sent to its endpoints");
-        }
-    }
-}
-
 impl RecordView for EvacuationView {
     fn apply(&self, records: &[KeyedRecord]) {
         for record in records {
--- a/crates/borageshore_gateway/tests/evacuations.rs
+++ b/crates/borageshore_gateway/tests/evacuations.rs
@@ -1,21 +1,31 @@
-//! A daemon with stand-ins for the store and for an endpoint in each of two zones, one of which is evacuated.
+//! A daemon with stand-ins for the store and for an endpoint and an engine in each of two zones, one of which is evacuated.
 
-use std::net::{SocketAddr, TcpListener};
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::atomic::{AtomicU16, Ordering},
+};
 
 use borageshore_gateway::{Gateway, GatewayConfig};
 use borageshore_net::{Clock, HttpClient, Timeouts, run_event_loop, sleep_ms};
-use borageshore_standins::platform::{PlatformService, PlatformStore, StoreMode};
+use borageshore_standins::platform::{PlatformEngine, PlatformService, PlatformStore, StoreMode};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use serde_json::json;
+use serde_json::{Value, json};
 
+const FIRST_PORT: u16 = 9_000;
+const PORTS_PER_RANGE: u16 = 100;
+const PORT_RANGES: u16 = 20;
 /// An order is in force at all daemons within this time.
 const IN_FORCE_MS: u64 = 1_000;
 /// Longer than a read waits at the store.
 const OUTAGE_MS: u64 = 1_500;
 /// The calls that are made to see which zones are used.
 const CALLS: usize = 24;
+/// A load, the pauses of the orderer, and the longest time for which returned engines count as loading.
+const LOADED_MS: u64 = 4_000;
+const MODEL: &str = "m";
+const ITEMS: usize = 6;
 const TIMEOUTS: Timeouts = Timeouts {
     connect_ms: 500,
     first_byte_ms: 2_500,
@@ -27,10 +37,17 @@
     };
 }
 
-/// A free address that another process is unlikely to take before the daemon binds it.
+/// A free address below the ephemeral ports, so that no connection takes it before the daemon binds it.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let range = (std::process::id() % u32::from(PORT_RANGES)) as u16;
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed) % PORTS_PER_RANGE;
+        let port = FIRST_PORT + range * PORTS_PER_RANGE + number;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 /// The entry of an endpoint in the store.
@@ -42,9 +59,20 @@
     entry.to_string()
 }
 
+/// The entry of an engine in the store.
+fn engine_entry(engine: &PlatformEngine, zone: &str) -> String {
+    let entry = json!({
+        "service": "llm", "address": engine.address(), "zone": zone, "version": "v1", "slots": 8,
+        "state": "ready", "cold_left_ms": 0, "seq": 1, "stage": "both", "born": engine.started_at_ms(),
+        "models": [{ "name": MODEL, "version": 1, "adapters": [] }],
+    });
+    entry.to_string()
+}
+
 struct Deployment {
     store: PlatformStore,
     endpoints: Vec<PlatformService>,
+    engines: Vec<PlatformEngine>,
 }
 
 struct Daemon {
@@ -56,22 +84,33 @@
     /// Endpoints in the zones z1 and z2.
     fn open() -> Self {
         let store = PlatformStore::bind("127.0.0.1:0").unwrap();
+        let route = |name: &str, kind: &str, service: &str| {
+            json!({
+                "name": name, "host": "h", "path_prefix": format!("/{name}/"), "kind": kind, "timeout_ms": 2_000,
+                "target_latency_ms": 500, "max_attempts": 2, "service": service, "retention_s": 60,
+            })
+        };
         let routes = json!({
             "version": 1, "services": [], "limits": {},
-            "routes": [{
-                "name": "safe", "host": "h", "path_prefix": "/safe/", "kind": "safe", "timeout_ms": 2_000,
-                "target_latency_ms": 500, "max_attempts": 2, "service": "app",
-            }],
+            "routes": [route("safe", "safe", "app"), route("batch", "rollout", "llm")],
         });
         store.put("keyed.op", "config", routes.to_string().as_bytes());
-        let mut endpoints = Vec::new();
+        let (mut endpoints, mut engines) = (Vec::new(), Vec::new());
         for zone in ["z1", "z2"] {
             let id = format!("s-{zone}");
             let endpoint = PlatformService::bind("app", &id, Clock::start()).unwrap();
             store.put("keyed.servers", &id, entry(&endpoint, zone).as_bytes());
             endpoints.push(endpoint);
+            let id = format!("e-{zone}");
+            let engine = PlatformEngine::bind("llm", &id, MODEL, 1, Clock::start()).unwrap();
+            store.put("keyed.servers", &id, engine_entry(&engine, zone).as_bytes());
+            engines.push(engine);
+        }
+        Self {
+            store,
+            endpoints,
+            engines,
         }
-        Self { store, endpoints }
     }
 
     fn evacuate(&self, zone: &str) {
@@ -103,7 +142,7 @@
             "name: {name}\nzone: z1\nhttp_address: {front}\nready_address: {ready}\n\
              directory_address: {directory}\npeer_address: {peers}\nmetrics_address: {metrics}\n\
              processor_share: 0.5\nstore_address: {}\nstore_partitions: 2\naddress_ttl_s: 1\nstop_grace_s: 4\n\
-             results_kept_s: 60\norder_lease_ms: 3000\nparallel_loads_percent: 50\nload_share_percent: 50\n",
+             results_kept_s: 60\norder_lease_ms: 3000\nparallel_loads_percent: 100\nload_share_percent: 100\n",
             self.store.address()
         );
         let config = GatewayConfig::parse("test.yaml", &text).unwrap();
@@ -148,11 +187,28 @@
 
 impl Daemon {
     async fn call(&self, id: &str) -> StatusCode {
-        let request = Request::post("/safe/x")
+        self.post("/safe/x", id, "body".into()).await
+    }
+
+    /// Submits items that have no reward calls.
+    async fn submit(&self, id: &str) -> StatusCode {
+        let item = |number: usize| {
+            json!({
+                "id": format!("{id}-{number}"), "path": "/batch/x", "headers": { "X-Model": MODEL }, "body": "",
+                "num_tokens": 20, "group": "g",
+            })
+        };
+        let items: Vec<Value> = (0..ITEMS).map(item).collect();
+        let body = json!({ "step": 1, "model": MODEL, "min_version": 1, "target_groups": 1, "items": items });
+        self.post("/batch/x", id, body.to_string().into()).await
+    }
+
+    async fn post(&self, path: &str, id: &str, body: Bytes) -> StatusCode {
+        let request = Request::post(path)
             .header("host", "h")
             .header("x-request-id", id)
             .header("x-deadline-ms", "2000")
-            .body(Full::new(Bytes::from("body")))
+            .body(Full::new(body))
             .unwrap();
         let answer = self
             .client
@@ -210,6 +266,38 @@
         assert!(!deployment.uses_own_zone_in_the_end(&daemon, "after").await);
     }
 
+    /// Items are lost, or run in an evacuated zone, when no other one is left.
+    items_wait_for_a_zone => async {
+        let deployment = Deployment::open();
+        let daemon = deployment.start("vm-1").await;
+        let runs = || deployment.engines.iter().map(|engine| engine.runs().len()).collect::<Vec<_>>();
+        deployment.evacuate("z1");
+        deployment.evacuate("z2");
+        sleep_ms(IN_FORCE_MS).await;
+        assert_eq!(daemon.submit("step").await, StatusCode::ACCEPTED);
+        sleep_ms(IN_FORCE_MS).await;
+        assert_eq!(runs(), [0, 0]);
+        deployment.end_evacuation("z2");
+        sleep_ms(LOADED_MS).await;
+        assert_eq!(runs(), [0, ITEMS]);
+    }
+
+    /// An engine of an evacuated zone is ordered to load, or misses a version for good.
+    engines_there_get_no_orders_until_the_return => async {
+        let deployment = Deployment::open();
+        let _daemon = deployment.start("vm-1").await;
+        let orders = || deployment.engines.iter().map(|engine| engine.orders().len()).collect::<Vec<_>>();
+        deployment.evacuate("z1");
+        sleep_ms(IN_FORCE_MS).await;
+        let version = json!({ "model": MODEL, "version": 2 });
+        deployment.store.put("keyed.op", "version/m", version.to_string().as_bytes());
+        sleep_ms(LOADED_MS).await;
+        assert_eq!(orders(), [0, 1]);
+        deployment.end_evacuation("z1");
+        sleep_ms(LOADED_MS).await;
+        assert_eq!(orders(), [1, 1]);
+    }
+
     /// A daemon that starts during an evacuation is ready before it has read of it.
     a_daemon_that_starts_knows_of_it => async {
         let deployment = Deployment::open();
--- a/crates/borageshore_routing/tests/evacuations.rs
+++ b/crates/borageshore_routing/tests/evacuations.rs
@@ -73,7 +73,7 @@
 }
 
 /// A view of the records of zone a.
-#[derive(Default)]
+#[derive(Debug, Default)]
 struct View {
     records: EvacuationRecords,
     is_evacuated: bool,
