--- a/crates/borageshore_gateway/src/access.rs
+++ b/crates/borageshore_gateway/src/access.rs
@@ -11,7 +11,9 @@
 use borageshore_topology::Residency;
 use tokio::sync::Mutex;
 
-use crate::{feed::FeedTopicSource, follow::Follower, routes::Routes};
+use crate::{
+    feed::FeedTopicSource, follow::Follower, operator_records::OperatorRecords, routes::Routes,
+};
 
 /// How long a caller waits for the view of the keys to be confirmed by the store. The store answers in 5 ms, and
 /// through a peer in twice that.
@@ -66,7 +68,7 @@
 #[derive(Debug)]
 pub(crate) struct CallerAccess {
     routes: Rc<Routes>,
-    follow: Rc<Follower<Routes, FeedTopicSource>>,
+    follow: Rc<Follower<OperatorRecords, FeedTopicSource>>,
     /// Maximum age of the view, counted from when it was requested; `None` for no limit.
     max_age_ms: Option<u64>,
     /// Serializes confirmations, so that one serves all waiting callers.
@@ -78,7 +80,7 @@
 impl CallerAccess {
     pub(crate) fn open(
         routes: Rc<Routes>,
-        follow: Rc<Follower<Routes, FeedTopicSource>>,
+        follow: Rc<Follower<OperatorRecords, FeedTopicSource>>,
         max_age_ms: Option<u64>,
         instruments: Rc<Instruments>,
     ) -> Rc<Self> {
--- a/crates/borageshore_gateway/src/endpoints/cold.rs
+++ b/crates/borageshore_gateway/src/endpoints/cold.rs
@@ -13,7 +13,10 @@
 use borageshore_topology::Residency;
 
 use super::{Endpoints, InFlight};
-use crate::{feed::FeedTopicSource, fleet_records::FleetRecords, follow::Follower, routes::Routes};
+use crate::{
+    feed::FeedTopicSource, fleet_records::FleetRecords, follow::Follower,
+    operator_records::OperatorRecords,
+};
 
 /// The interval at which clocks and ages of views are read.
 const READING_INTERVAL_MS: u64 = 100;
@@ -25,7 +28,7 @@
 /// The followers whose views the shares of budgets depend on.
 #[derive(Debug)]
 pub(crate) struct SharedViews {
-    pub(crate) routes: Rc<Follower<Routes, FeedTopicSource>>,
+    pub(crate) operator: Rc<Follower<OperatorRecords, FeedTopicSource>>,
     pub(crate) endpoints: Rc<Follower<Endpoints, FeedTopicSource>>,
     pub(crate) members: Rc<Follower<FleetRecords, FeedTopicSource>>,
 }
@@ -34,7 +37,7 @@
     fn reading(&self, now_ms: u64) -> ViewReading {
         let entries_at_ms = self.endpoints.requested_at_ms();
         let others = [
-            self.routes.requested_at_ms(),
+            self.operator.requested_at_ms(),
             self.members.requested_at_ms(),
         ];
         ViewReading {
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -17,6 +17,7 @@
     dispatch::Dispatch,
     duties::Duties,
     endpoints::{EndpointParts, Endpoints, SharedViews},
+    evacuations::EvacuationView,
     feed::{Feed, FeedParts, FeedTopic, FeedTopicSource},
     fleet_records::FleetRecords,
     follow::{FollowSpec, Follower},
@@ -25,6 +26,7 @@
     lifecycle::{self, DrainTiming, Lifecycle, Signals},
     mechanisms::{Mechanism, Mechanisms},
     members::Members,
+    operator_records::OperatorRecords,
     orderer::{Orderer, OrdererParts},
     peers::Peers,
     progress::Progress,
@@ -60,6 +62,7 @@
     members: Rc<Members>,
     routes: Rc<Routes>,
     endpoints: Rc<Endpoints>,
+    operator: Rc<Follower<OperatorRecords, FeedTopicSource>>,
     index: Rc<Follower<SubmissionIndex, FeedTopicSource>>,
     feed: Rc<Feed>,
     usage: Option<Rc<UsageCounter>>,
@@ -189,10 +192,14 @@
             clock,
             pause_ms: NO_PAUSE_MS,
         };
-        let followed_routes = Follower::spawn(spec(FeedTopic::Operator), routes.clone());
+        let operator_records = OperatorRecords {
+            routes: routes.clone(),
+            evacuations: EvacuationView::spawn(endpoints.clone(), instruments.clone()),
+        };
+        let operator = Follower::spawn(spec(FeedTopic::Operator), Rc::new(operator_records));
         let access = CallerAccess::open(
             routes.clone(),
-            followed_routes.clone(),
+            operator.clone(),
             config.key_revocation_ms,
             instruments.clone(),
         );
@@ -204,7 +211,7 @@
             quarantine: quarantine.clone(),
         };
         let shared_views = SharedViews {
-            routes: followed_routes,
+            operator: operator.clone(),
             endpoints: followed_endpoints,
             members: Follower::spawn(spec(FeedTopic::Members), Rc::new(fleet_records)),
         };
@@ -337,6 +344,7 @@
             members,
             routes,
             endpoints,
+            operator,
             index: followed_index,
             feed,
             usage,
@@ -362,10 +370,11 @@
         self.clock.now_ms()
     }
 
-    /// Enters the ready state once routes, endpoints and the submission index have been read. The daemon stays ready
+    /// Enters the ready state once routes, evacuations, endpoints and the submission index have been read. The daemon stays ready
     /// during an outage of the store and serves from its last view.
     pub(crate) fn update_readiness(&self) {
         let is_known = self.routes.is_known()
+            && self.operator.next_offset().is_some()
             && self.endpoints.is_known()
             && (self.index.next_offset().is_some() || !self.feed.wants(FeedTopic::Index));
         if is_known && self.lifecycle.state() == PresenceState::Starting {
--- a/crates/borageshore_routing/src/lib.rs
+++ b/crates/borageshore_routing/src/lib.rs
@@ -18,6 +18,7 @@
 mod cold_endpoints;
 mod crash_reports;
 mod endpoint;
+mod evacuation_records;
 mod evacuations;
 mod fingerprint;
 mod keys;
@@ -42,6 +43,7 @@
     cold_endpoints::{ColdBounds, ColdEndpoints, ColdLimits, MAX_COLD_MS},
     crash_reports::{CrashReport, CrashReports},
     endpoint::{Endpoint, EndpointListing, EndpointState, EndpointTable, LoadReport},
+    evacuation_records::EvacuationRecords,
     evacuations::Evacuations,
     fingerprint::{Fingerprint, ParseFingerprintError, RequestContent},
     keys::{KeyDecision, KeyPrefix, KeyTable, StoredAnswer},
