Soak: a world with regions, evacuations and cold endpoints

Change: stand-ins of endpoints record every request that reaches them, become cold and say so in entries and health responses, and crash well above what they tolerate. Without the option nothing is drawn or written that was not before.

Ruled out: seeing bodies between daemons at a proxy; daemons connect to the address that they listen on.

--- a/crates/borageshore_soak/src/calls.rs
+++ b/crates/borageshore_soak/src/calls.rs
@@ -133,6 +133,7 @@
             .call_deadlines_ms
             .borrow_mut()
             .insert(id.into(), began_ms + CALL_WAIT_MS);
+        self.record_daemon(id, front);
         let key = self.keys.header_of(CALLER_ORG);
         let body = Bytes::from("body");
         let answer = self
--- a/crates/borageshore_soak/src/crashes.rs
+++ b/crates/borageshore_soak/src/crashes.rs
@@ -11,7 +11,7 @@
 use rand_core::Rng;
 use rand_pcg::Pcg64Mcg;
 
-use crate::{calls::is_held, faults::Targets, oracle::Oracle, traffic::Traffic};
+use crate::{calls::is_held, faults::Targets, keys::CALLER_ORG, oracle::Oracle, traffic::Traffic};
 
 /// Time from an endpoint's crash to its restart.
 const RESTART_DELAY_MS: u64 = 1_000;
@@ -78,7 +78,7 @@
     while !traffic.is_over() {
         repeats += 1;
         let id = format!("{body}-{repeats}");
-        let asking = traffic.call_once(&id, "/safe/crash", &body, &mut random);
+        let asking = traffic.call_once(CALLER_ORG, &id, "/safe/crash", &body, &mut random);
         if let Some((status, body)) = asking.await {
             if status == StatusCode::OK {
                 traffic.oracle.record_violation(format!(
--- a/crates/borageshore_soak/src/daemons.rs
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -18,6 +18,7 @@
 use crate::{
     SoakOptions,
     keys::REVOCATION_MS,
+    regions,
     usage::{REPORT_DUE_S, WINDOW_S},
 };
 
@@ -67,9 +68,13 @@
         } else {
             ""
         };
+        let place = match options.regions {
+            true => regions::settings(number),
+            false => "zone: z1".into(),
+        };
         let config = options.folder.join(format!("{name}.yaml"));
         let text = format!(
-            "name: {name}\nzone: z1\nhttp_address: {front}\nready_address: {ready}\n\
+            "name: {name}\n{place}\nhttp_address: {front}\nready_address: {ready}\n\
              directory_address: {directory}\npeer_address: {peers}\nmetrics_address: {metrics}\nprocessor_share: 0.5\nstore_address: {}\n\
              store_partitions: 2\naddress_ttl_s: {ADDRESS_TTL_S}\nstop_grace_s: {STOP_GRACE_S}\nresults_kept_s: {}\norder_lease_ms: 3000\n\
              parallel_loads_percent: 50\nload_share_percent: 50\nkey_revocation_ms: {REVOCATION_MS}\n\
--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -14,7 +14,13 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use crate::{TimedFault, daemons::DaemonProcess, keys::Keys, oracle::Oracle};
+use crate::{
+    TimedFault,
+    daemons::DaemonProcess,
+    keys::Keys,
+    oracle::Oracle,
+    regions::{Evacuation, HarmedLink, ZONES},
+};
 
 /// Duration of a timed fault; a killed daemon is restarted after it.
 const TIMED_FAULT_MS: u64 = 1_500;
@@ -35,6 +41,12 @@
 pub(crate) const EXTENDED_KINDS: u64 = 20;
 /// Number of fault kinds that [`crate::Script::RandomExtended`] draws from if callers have keys.
 pub(crate) const KEYED_KINDS: u64 = 23;
+/// Number of fault kinds that [`crate::Script::RandomExtended`] draws from in a world with regions.
+pub(crate) const REGION_KINDS: u64 = 27;
+/// An evacuation lasts this much longer than other faults, so that its bound ends well before.
+const EVACUATION_MIN_MS: u64 = 7_000;
+/// Endpoints stay cold for this much longer than other faults.
+const COLD_MIN_MS: u64 = 2_000;
 
 /// The fields of a heartbeat that the soak reads.
 #[derive(Debug, Default, Deserialize)]
@@ -95,6 +107,14 @@
     ServiceLosesResponses(usize),
     ServiceMixesUpIds(usize),
     ServiceLink(usize, ProxyMode),
+    /// The operator evacuates a zone.
+    Evacuate(usize),
+    /// All endpoints of a zone become cold.
+    ChillZone(usize),
+    ChillEngine(usize),
+    ChillService(usize),
+    /// All daemons of a zone are killed.
+    KillZone(usize),
 }
 
 impl Fault {
@@ -171,12 +191,17 @@
                 TimedFault::LoseDutyResponses => Fault::Duties(DutyMode::LostAnswers),
                 TimedFault::NoEndpoints => Fault::Duties(DutyMode::NoEndpoints),
                 TimedFault::SuspendAllButOne => Fault::Suspend(1),
+                TimedFault::EvacuateZone(zone) => Fault::Evacuate(*zone),
+                TimedFault::ChillZone(zone) => Fault::ChillZone(*zone),
+                TimedFault::KillZone(zone) => Fault::KillZone(*zone),
             };
             self.started_faults
                 .borrow_mut()
                 .push(format!("{at_ms} ms: {fault:?}"));
             let length_ms = match timed_fault {
-                TimedFault::PartitionHolderMidGeneration | TimedFault::StoreOutage => PARTITION_MS,
+                TimedFault::PartitionHolderMidGeneration
+                | TimedFault::StoreOutage
+                | TimedFault::KillZone(_) => PARTITION_MS,
                 TimedFault::LongOutage | TimedFault::NoEndpoints | TimedFault::SuspendAllButOne => {
                     LONG_PARTITION_MS
                 }
@@ -291,7 +316,11 @@
             18 => Fault::ForeignEntry(service),
             19 => Fault::Reject(daemon),
             20 => Fault::Duties(duties),
-            _ => Fault::RevokeKey,
+            21 | 22 => Fault::RevokeKey,
+            23 => Fault::Evacuate(below(ZONES.len())),
+            24 => Fault::ChillZone(below(ZONES.len())),
+            25 => Fault::ChillEngine(engine),
+            _ => Fault::ChillService(service),
         }
     }
 
@@ -348,7 +377,9 @@
                 self.daemons[number].store.stall_open_connections();
             }
             Fault::EngineLink(number, mode) => {
+                let harmed = self.begin_harm(format!("e-{number}"));
                 degrade_link(&self.engines[number].1, mode, length_ms).await;
+                self.end_harm(harmed);
             }
             Fault::EngineDrains(number) => self.drain_engine(number, length_ms).await,
             Fault::EngineSlow(number) => {
@@ -382,11 +413,74 @@
                     .await;
             }
             Fault::ServiceLink(number, mode) => {
+                let harmed = self.begin_harm(format!("s-{number}"));
                 degrade_link(&self.services[number].1, mode, length_ms).await;
+                self.end_harm(harmed);
+            }
+            Fault::Evacuate(zone) => self.evacuate(zone, EVACUATION_MIN_MS + length_ms).await,
+            Fault::ChillZone(zone) => {
+                let is_in_zone = |number: &usize| number % ZONES.len() == zone;
+                let engines = (0..self.engines.len()).filter(is_in_zone);
+                engines
+                    .for_each(|number| self.engines[number].0.become_cold(COLD_MIN_MS + length_ms));
+                let services = (0..self.services.len()).filter(is_in_zone);
+                services.for_each(|number| {
+                    self.services[number].0.become_cold(COLD_MIN_MS + length_ms)
+                });
+            }
+            Fault::ChillEngine(number) => {
+                self.engines[number].0.become_cold(COLD_MIN_MS + length_ms);
+            }
+            Fault::ChillService(number) => {
+                self.services[number].0.become_cold(COLD_MIN_MS + length_ms);
+            }
+            Fault::KillZone(zone) => {
+                let numbers = (zone..self.daemons.len()).step_by(ZONES.len());
+                let kills = numbers
+                    .map(|number| Box::pin(self.clone().inject(Fault::Kill(number), length_ms)));
+                join_all(kills).await;
             }
         }
     }
 
+    /// Evacuates a zone for a while, unless one is evacuated already.
+    async fn evacuate(&self, zone: usize, length_ms: u64) {
+        let now_ms = self.clock.now_ms();
+        let (zone, _) = ZONES[zone];
+        let index = {
+            let mut evacuations = self.oracle.evacuations.borrow_mut();
+            if evacuations.iter().any(|one| one.until_ms == u64::MAX) {
+                return;
+            }
+            evacuations.push(Evacuation {
+                zone,
+                acknowledged_at_ms: now_ms,
+                until_ms: u64::MAX,
+            });
+            evacuations.len() - 1
+        };
+        let key = format!("evacuate/{zone}");
+        self.store.put("keyed.op", &key, b"{}");
+        sleep_ms(length_ms).await;
+        self.oracle.evacuations.borrow_mut()[index].until_ms = self.clock.now_ms();
+        self.store.put("keyed.op", &key, b"");
+    }
+
+    /// Records that the link to an endpoint is faulty; returns the index of the record.
+    fn begin_harm(&self, endpoint: String) -> usize {
+        let mut harmed = self.oracle.harmed_links.borrow_mut();
+        harmed.push(HarmedLink {
+            endpoint,
+            from_ms: self.clock.now_ms(),
+            until_ms: u64::MAX,
+        });
+        harmed.len() - 1
+    }
+
+    fn end_harm(&self, index: usize) {
+        self.oracle.harmed_links.borrow_mut()[index].until_ms = self.clock.now_ms();
+    }
+
     async fn kill(&self, numbers: &[usize], length_ms: u64) {
         for number in numbers {
             self.daemons[*number].signal(Signal::KILL);
--- a/crates/borageshore_soak/src/keys.rs
+++ b/crates/borageshore_soak/src/keys.rs
@@ -10,7 +10,11 @@
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 
-use crate::{oracle::Oracle, traffic::Traffic};
+use crate::{
+    oracle::Oracle,
+    regions::{GUEST_ORG, organisation_of},
+    traffic::Traffic,
+};
 
 /// A call made longer than this after its key was revoked must not run, at any daemon.
 pub(crate) const REVOCATION_MS: u64 = 5_000;
@@ -62,9 +66,13 @@
         if self.are_required {
             // The next key is published before it is used, so that every daemon knows it by then.
             let keys = [self.caller_key(number), self.caller_key(number + 1)];
-            config["tenants"] = json!([
+            let mut organisations = json!([
                 { "name": CALLER_ORG, "api_keys": keys }, { "name": TRAINER_ORG, "api_keys": ["farm-key"] },
             ]);
+            let others = config["tenants"].as_array().cloned().unwrap_or_default();
+            let organisations_list = organisations.as_array_mut().expect("a list");
+            organisations_list.extend(others);
+            config["tenants"] = organisations;
         }
         store.put("keyed.op", "config", config.to_string().as_bytes());
     }
@@ -76,6 +84,7 @@
     /// Returns the value of the `authorization` header for an organisation, if keys are required.
     pub(crate) fn header_of(&self, organisation: &str) -> Option<String> {
         let key = match organisation {
+            GUEST_ORG => "dock-key".into(),
             CALLER_ORG => self.caller_key(*self.number.borrow()),
             _ => "farm-key".into(),
         };
@@ -119,7 +128,7 @@
         let calls = services.iter().flat_map(PlatformService::callers);
         for (id, callers) in calls {
             let is_reward = id.starts_with("reward");
-            let expected = Some(CALLER_ORG).filter(|_| self.are_required && !is_reward);
+            let expected = Some(organisation_of(&id)).filter(|_| self.are_required && !is_reward);
             callers
                 .iter()
                 .for_each(|caller| check_caller(oracle, &id, caller, expected));
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -17,6 +17,7 @@
 mod faults;
 mod keys;
 mod oracle;
+mod regions;
 mod traffic;
 mod usage;
 mod world;
@@ -83,6 +84,12 @@
     RevokeKey,
     /// All daemons but the first are suspended for longer than a revoked key may be accepted.
     SuspendAllButOne,
+    /// The operator evacuates a zone and takes that back after 8.5 s; needs [`SoakOptions::regions`], as do the rest.
+    EvacuateZone(usize),
+    /// The endpoints of a zone become cold.
+    ChillZone(usize),
+    /// All daemons of a zone are killed at the same moment and restarted.
+    KillZone(usize),
 }
 
 /// Options of a run.
@@ -118,6 +125,9 @@
     pub has_crashing_reward: bool,
     /// Whether callers belong to organisations and authenticate with keys.
     pub organisations: bool,
+    /// Whether daemons and endpoints are spread over three zones of two regions, with routes and callers that are
+    /// restricted to regions, endpoints that start cold, and keys for all callers.
+    pub regions: bool,
     /// What the settings of the daemons expect beyond the basic service.
     pub features: Vec<&'static str>,
     /// Disabled mechanisms of the daemons, by their names in the settings.
@@ -155,6 +165,7 @@
             has_crashing_item: false,
             has_crashing_reward: false,
             organisations: false,
+            regions: false,
             features: Vec::new(),
             mechanisms_off: Vec::new(),
             store_read_mb_per_s: None,
@@ -168,6 +179,25 @@
     }
 }
 
+/// What was seen in a world with [`SoakOptions::regions`].
+#[derive(Debug, Clone, Default)]
+pub struct RegionReport {
+    /// Requests that reached an evacuated zone later than the bound, also from daemons that were disturbed.
+    pub late_in_evacuated_zones: Vec<String>,
+    /// Requests that reached the endpoints of a zone after its evacuation was taken back.
+    pub requests_after_return: usize,
+    /// Requests that reached cold endpoints.
+    pub cold_requests: usize,
+    /// The most of them at one endpoint in a second.
+    pub max_cold_requests_per_s: usize,
+    /// Calls restricted to regions that were answered with success.
+    pub restricted_answered: usize,
+    /// Calls restricted to regions, or to none, without success.
+    pub restricted_unanswered: usize,
+    /// How long callers waited for the refusal of calls that have no region, at daemons that were not disturbed.
+    pub unservable_waits_ms: Vec<u64>,
+}
+
 /// Outcome of a run.
 #[derive(Debug)]
 pub struct SoakReport {
@@ -214,6 +244,8 @@
     pub crashing_calls_held: usize,
     /// Distinct results read.
     pub results: usize,
+    /// What was seen of regions.
+    pub regions: RegionReport,
     /// Violated guarantees.
     pub violations: Vec<String>,
 }
--- a/crates/borageshore_soak/src/main.rs
+++ b/crates/borageshore_soak/src/main.rs
@@ -38,6 +38,9 @@
     /// Whether the daemons' logs stay when no promise is broken.
     #[arg(long)]
     keep_logs: bool,
+    /// Three zones in two regions, with restricted routes and callers, evacuations and cold endpoints.
+    #[arg(long)]
+    regions: bool,
     /// Megabytes a second that the daemons are told the store's reads return; with 0.03, two daemons read it for all.
     #[arg(long)]
     store_read_mb_per_s: Option<f64>,
@@ -55,6 +58,7 @@
             has_crashing_item: seed.is_multiple_of(2),
             has_crashing_reward: seed.is_multiple_of(3),
             organisations: !seed.is_multiple_of(2),
+            regions: arguments.regions,
             duration_ms: arguments.duration_ms,
             script: Script::RandomExtended(arguments.faults),
             keeps_logs: arguments.keep_logs,
--- a/crates/borageshore_soak/src/oracle.rs
+++ b/crates/borageshore_soak/src/oracle.rs
@@ -11,7 +11,11 @@
 };
 use serde::Deserialize;
 
-use crate::crashes::Disturbance;
+use crate::{
+    RegionReport,
+    crashes::Disturbance,
+    regions::{Evacuation, HarmedLink},
+};
 
 /// Minimum time between orders of two holders to one engine: the lease of an order.
 const LEASE_MS: u64 = 3_000;
@@ -72,6 +76,10 @@
     pub(crate) daemon_by_attempt: RefCell<BTreeMap<String, usize>>,
     /// When daemons were faulty or had no access to the store.
     pub(crate) disturbances: RefCell<Vec<Disturbance>>,
+    pub(crate) evacuations: RefCell<Vec<Evacuation>>,
+    /// When links to endpoints were faulty.
+    pub(crate) harmed_links: RefCell<Vec<HarmedLink>>,
+    pub(crate) regions: RefCell<RegionReport>,
     violations: RefCell<BTreeSet<String>>,
 }
 
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -22,6 +22,7 @@
 use crate::{
     keys::{CALLER_ORG, Keys, TRAINER_ORG},
     oracle::{KnownSubmission, Oracle, ReadResult, reward_id},
+    regions::{place_of, resolve_query},
 };
 
 /// Host name of all routes.
@@ -56,6 +57,8 @@
     pub(crate) until_ms: u64,
     /// Prefix of the ids of steps; one with "long" makes engines generate many events.
     pub(crate) step_name: &'static str,
+    /// Whether callers ask for addresses from zones of several regions, and every other step is restricted to one.
+    pub(crate) has_regions: bool,
     pub(crate) crashing_call_timeout_ms: u64,
     pub(crate) has_crashing_item: bool,
     pub(crate) has_crashing_reward: bool,
@@ -105,8 +108,12 @@
         let first = (random.next_u64() % self.directories.len() as u64) as usize;
         let others = self.directories.iter().cycle().skip(first);
         let asked = MAX_DIRECTORIES_ASKED.min(self.directories.len());
+        let query = match self.has_regions {
+            true => resolve_query(place_of(random.next_u64() as usize)),
+            false => resolve_query(("z1", "r")),
+        };
         for directory in others.take(asked).copied() {
-            match self.listed(directory).await {
+            match self.listed(directory, &query).await {
                 Some(listed) if !listed.is_empty() => return Some(listed),
                 _ => {}
             }
@@ -114,9 +121,13 @@
         None
     }
 
-    /// Returns the addresses that a daemon lists.
-    pub(crate) async fn listed(&self, directory: SocketAddr) -> Option<Vec<SocketAddr>> {
-        let request = Request::get("/api/resolve?name=soak.example&region=r&zone=z1");
+    /// Returns the addresses that a daemon lists in answer to a query.
+    pub(crate) async fn listed(
+        &self,
+        directory: SocketAddr,
+        query: &str,
+    ) -> Option<Vec<SocketAddr>> {
+        let request = Request::get(format!("/api/resolve?{query}"));
         let request = request.body(Full::<Bytes>::default()).expect("plain text");
         let client = HttpClient::open();
         let answer = client.call(&directory.to_string(), request, TIMEOUTS).await;
@@ -216,31 +227,39 @@
     /// Makes an idempotent call once, at any daemon; disconnects after the timeout of crashing calls.
     pub(crate) async fn call_once(
         &self,
+        organisation: &str,
         id: &str,
         path: &str,
         body: &str,
         random: &mut Pcg64Mcg,
     ) -> Option<(StatusCode, Bytes)> {
         let front = self.pick_address(random).await;
-        if let Some(number) = self.fronts.iter().position(|known| *known == front) {
-            self.oracle
-                .daemon_by_attempt
-                .borrow_mut()
-                .insert(id.into(), number);
-        }
+        self.record_daemon(id, front);
         let wait = CALL_WAIT_MS.to_string();
         let headers = [("x-request-id", id), ("x-deadline-ms", &wait)];
         let body = Bytes::from(body.to_owned());
-        let asking = self.request_as(CALLER_ORG, front, "POST", path, &headers, body);
+        let asking = self.request_as(organisation, front, "POST", path, &headers, body);
         let answer = within_ms(self.crashing_call_timeout_ms, asking).await;
         answer.and_then(Result::ok)
     }
 
+    /// Records which daemon an attempt is sent to.
+    pub(crate) fn record_daemon(&self, id: &str, front: SocketAddr) {
+        if let Some(number) = self.fronts.iter().position(|known| *known == front) {
+            let mut daemon_by_attempt = self.oracle.daemon_by_attempt.borrow_mut();
+            daemon_by_attempt.insert(id.into(), number);
+        }
+    }
+
     /// Repeats until traffic ends: submits a step, reads its results, ends it, and publishes the next version.
     pub(crate) async fn run_trainer(self: Rc<Self>, mut random: Pcg64Mcg) {
         let mut step = 1;
         while !self.is_over() {
-            let id = format!("{}-{step}", self.step_name);
+            let is_restricted = self.has_regions && step % 2 == 1;
+            let id = match is_restricted {
+                true => format!("home-{}-{step}", self.step_name),
+                false => format!("{}-{step}", self.step_name),
+            };
             if self.submit(&id, step, &mut random).await {
                 self.read_step_results(&id, &mut random).await;
                 self.end_submission(&id, &mut random).await;
@@ -255,6 +274,10 @@
 
     async fn submit(&self, id: &str, step: u64, random: &mut Pcg64Mcg) -> bool {
         let (groups, size, wanted) = STEP_SHAPE;
+        let (path, reward_path) = match id.starts_with("home") {
+            true => ("/home-batch/x", "/home/reward"),
+            false => ("/batch/x", "/safe/reward"),
+        };
         let mut items = Vec::new();
         for number in 0..groups * size {
             let item = format!("{id}-item-{number}");
@@ -266,14 +289,14 @@
                 false => String::new(),
             };
             let reward = json!({
-                "id": reward_id(&item), "host": HOST, "path": "/safe/reward", "body": reward_body,
+                "id": reward_id(&item), "host": HOST, "path": reward_path, "body": reward_body,
             });
             let item_body = match is_crashing_item {
                 true => format!("{CRASH_MARK}-item"),
                 false => item.clone(),
             };
             items.push(json!({
-                "id": item, "path": "/batch/x", "headers": { "X-Model": MODEL, "X-Token-Count": "10,10" },
+                "id": item, "path": path, "headers": { "X-Model": MODEL, "X-Token-Count": "10,10" },
                 "body": BASE64_STANDARD.encode(&item_body), "num_tokens": 20,
                 "group": format!("{id}-{}", number / size), "scorer": reward,
             }));
@@ -301,14 +324,7 @@
             };
             let headers = [("x-request-id", id)];
             let answer = self
-                .request_as(
-                    TRAINER_ORG,
-                    front,
-                    "POST",
-                    "/batch/x",
-                    &headers,
-                    body.clone(),
-                )
+                .request_as(TRAINER_ORG, front, "POST", path, &headers, body.clone())
                 .await;
             let status = answer.map_or(0, |(status, _)| status.as_u16());
             if self.record_submit_status(id, status) {
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -22,9 +22,10 @@
     calls::Discovery,
     crashes,
     daemons::DaemonProcess,
-    faults::{EXTENDED_KINDS, KEYED_KINDS, RANDOM_KINDS, Targets},
+    faults::{EXTENDED_KINDS, KEYED_KINDS, RANDOM_KINDS, REGION_KINDS, Targets},
     keys::Keys,
     oracle::Oracle,
+    regions,
     traffic::{HOST, MODEL, Traffic},
     usage,
 };
@@ -76,6 +77,7 @@
         } else {
             "step"
         },
+        has_regions: options.regions,
         crashing_call_timeout_ms: options.crashing_call_timeout_ms,
         has_crashing_item: options.has_crashing_item,
         has_crashing_reward: options.has_crashing_reward,
@@ -122,6 +124,9 @@
         ));
     }
     monoio::spawn(targets.keys.clone().probe(traffic.clone(), fork()));
+    if options.regions {
+        regions::spawn_restricted_callers(&traffic, &mut fork());
+    }
     let faults_until_ms = until_ms.saturating_sub(RECOVERY_MS);
     match &options.script {
         Script::Random(count) => {
@@ -132,9 +137,10 @@
             injecting.await;
         }
         Script::RandomExtended(count) => {
-            let kinds = match options.organisations {
-                true => KEYED_KINDS,
-                false => EXTENDED_KINDS,
+            let kinds = match (options.regions, options.organisations) {
+                (true, _) => REGION_KINDS,
+                (false, true) => KEYED_KINDS,
+                (false, false) => EXTENDED_KINDS,
             };
             let injecting = targets
                 .clone()
@@ -144,7 +150,10 @@
         Script::Timed(timed_faults) => targets.clone().inject_timed(timed_faults).await,
     }
     sleep_ms(until_ms.saturating_sub(clock.now_ms()) + SETTLE_MS).await;
-    check_running_daemons_are_listed(&traffic, &targets).await;
+    match options.regions {
+        true => regions::check_running_daemons_are_listed(&traffic, &targets.daemons).await,
+        false => check_running_daemons_are_listed(&traffic, &targets).await,
+    }
     if options.results_kept_s * 1_000 > options.duration_ms {
         reread_all_submissions(&traffic).await;
     }
@@ -152,6 +161,9 @@
     let services = services_of(&targets);
     oracle.check_endpoints(&engines, &services);
     targets.keys.check(&oracle, &engines, &services);
+    if options.regions {
+        regions::check(&targets);
+    }
     usage::check_holders(&oracle, &targets.duties);
     usage::check_endpoint_orders(&oracle, &targets.duties);
     let requests = crashes::crashing_requests(&services, &engines);
@@ -188,7 +200,8 @@
 
 fn build(options: &SoakOptions, clock: Clock, oracle: &Rc<Oracle>) -> io::Result<Targets> {
     let store = PlatformStore::bind("127.0.0.1:0")?;
-    let keys = Keys::open(&store, options.organisations, routes(options));
+    let are_keys_required = options.organisations || options.regions;
+    let keys = Keys::open(&store, are_keys_required, routes(options));
     let duties = PlatformDuties::bind(clock)?;
     let mut engines = Vec::new();
     for number in 0..options.engines {
@@ -216,7 +229,7 @@
             duties.address(),
         )?);
     }
-    Ok(Targets {
+    let targets = Targets {
         clock,
         oracle: oracle.clone(),
         store,
@@ -226,7 +239,11 @@
         engines,
         services,
         started_faults: Vec::new().into(),
-    })
+    };
+    if options.regions {
+        regions::set_up_endpoints(&targets);
+    }
+    Ok(targets)
 }
 
 fn routes(options: &SoakOptions) -> serde_json::Value {
@@ -244,20 +261,26 @@
             "service": service, "result_due_ms": 7_500, "retention_s": 60,
         })
     };
-    json!({
+    let mut config = json!({
         "version": 1,
         "routes": [
             route("safe", "safe", "app"), route("once", "unsafe", "app"),
             route("batch", "rollout", "llm"),
         ],
         "services": services, "limits": {},
-    })
+    });
+    if options.regions {
+        regions::add_to_routes(&mut config);
+    }
+    config
 }
 
 /// Checks that every running daemon is listed by all running daemons after recovery.
 async fn check_running_daemons_are_listed(traffic: &Traffic, targets: &Targets) {
     for asked in targets.daemons.iter().filter(|daemon| daemon.is_running()) {
-        let listed = traffic.listed(asked.directory).await.unwrap_or_default();
+        let query = regions::resolve_query(("z1", "r"));
+        let listed = traffic.listed(asked.directory, &query).await;
+        let listed = listed.unwrap_or_default();
         for daemon in targets.daemons.iter().filter(|daemon| daemon.is_running()) {
             if !listed.contains(&daemon.front) {
                 let text = format!(
@@ -360,6 +383,7 @@
         crashed_endpoints: crashed_endpoints(targets),
         crashing_calls_held: traffic.crashing_calls_held.get(),
         results,
+        regions: oracle.regions.borrow().clone(),
         violations,
     }
 }
--- a/crates/borageshore_standins/src/platform/crash.rs
+++ b/crates/borageshore_standins/src/platform/crash.rs
@@ -77,7 +77,14 @@
         }
     }
 
-    /// Waits until a request has crashed the endpoint.
+    /// Crashes the endpoint because of the number of its requests, for which no single one is to blame.
+    pub(crate) fn crash_overloaded(&self) {
+        if !self.is_down.replace(true) {
+            self.crashed.notify_one();
+        }
+    }
+
+    /// Waits until requests have crashed the endpoint.
     pub(crate) async fn wait_for_crash(&self) {
         self.crashed.notified().await;
     }
--- a/crates/borageshore_standins/src/platform/engine.rs
+++ b/crates/borageshore_standins/src/platform/engine.rs
@@ -17,9 +17,10 @@
 use serde_json::json;
 
 use super::{
-    RecordedCaller,
+    COLD_HEARTBEAT_MS, HEALTH_PATH, RecordedCaller,
+    arrivals::{Arrival, Arrivals, ColdSwitches},
     crash::{Crashes, CrashingRequest},
-    hash, header,
+    hash, header, health_response,
     store::PlatformStore,
 };
 use crate::http::{limits, status};
@@ -100,6 +101,8 @@
     is_loading: Cell<bool>,
     orders_accepted: Cell<u64>,
     crashes: Rc<Crashes>,
+    arrivals: Arrivals,
+    zone: RefCell<String>,
     running: Cell<u64>,
     slots: u64,
     switches: Cell<EngineSwitches>,
@@ -146,6 +149,8 @@
             is_loading: Cell::new(false),
             orders_accepted: Cell::new(0),
             crashes: Rc::default(),
+            arrivals: Arrivals::default(),
+            zone: RefCell::new("z1".into()),
             running: Cell::new(0),
             slots: 8,
             switches: Cell::new(EngineSwitches {
@@ -176,6 +181,28 @@
         self.shared.write_entry();
     }
 
+    /// Sets the zone in its entry; `z1` without.
+    pub fn set_zone(&self, zone: &str) {
+        self.shared.zone.replace(zone.into());
+    }
+
+    /// Changes how it behaves when it is cold.
+    pub fn set_cold_switches(&self, switches: ColdSwitches) {
+        self.shared.arrivals.set_cold_switches(switches);
+    }
+
+    /// Makes it cold for a while, and writes its entry at once.
+    pub fn become_cold(&self, for_ms: u64) {
+        let now_ms = self.shared.clock.now_ms();
+        self.shared.arrivals.become_cold(now_ms, for_ms);
+        monoio::spawn(self.shared.clone().write_entries_while_cold());
+    }
+
+    /// The requests that reached it, in order of arrival.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.shared.arrivals.all()
+    }
+
     /// Restarts it under the same id with weights of `version`: running streams are cut and its order
     /// count is reset.
     pub fn restart(&self, version: u64) {
@@ -185,6 +212,9 @@
         shared.version.set(version);
         shared.is_loading.set(false);
         shared.orders_accepted.set(0);
+        if shared.arrivals.restart(shared.clock.now_ms()) {
+            monoio::spawn(shared.clone().write_entries_while_cold());
+        }
     }
 
     /// Waits until an item has crashed it.
@@ -235,6 +265,7 @@
             return std::future::pending().await;
         }
         match request.uri().path() {
+            HEALTH_PATH => self.0.health(),
             "/api/report" => self.0.report(),
             "/api/order" => self.0.clone().on_order(request).await,
             _ => self.0.clone().on_generate(request).await,
@@ -250,9 +281,10 @@
             return;
         };
         let models = json!([{ "name": self.model, "version": self.version.get(), "adapters": [] }]);
+        let cold_left_ms = self.arrivals.cold_left_ms(self.clock.now_ms());
         let entry = json!({
-            "service": self.service, "address": address, "zone": "z1", "version": "v1",
-            "slots": self.slots, "state": state, "cold_left_ms": 0, "seq": 1,
+            "service": self.service, "address": address, "zone": *self.zone.borrow(), "version": "v1",
+            "slots": self.slots, "state": state, "cold_left_ms": cold_left_ms, "seq": 1,
             "stage": "both", "models": models, "born": self.started_at_ms.get(),
         });
         store.put(
@@ -262,6 +294,23 @@
         );
     }
 
+    async fn write_entries_while_cold(self: Rc<Self>) {
+        loop {
+            self.write_entry();
+            match self.arrivals.cold_left_ms(self.clock.now_ms()) {
+                0 => return,
+                left_ms => sleep_ms(left_ms.min(COLD_HEARTBEAT_MS)).await,
+            }
+        }
+    }
+
+    fn health(&self) -> EdgeResponse {
+        let listed = self.listed.borrow();
+        let state = listed.as_ref().map(|(_, _, state)| state.as_str());
+        let cold_left_ms = self.arrivals.cold_left_ms(self.clock.now_ms());
+        health_response(&self.instance, state == Some("draining"), cold_left_ms)
+    }
+
     fn report(&self) -> EdgeResponse {
         let body = json!({
             "stage": "both", "busy": self.is_loading.get(), "seq": self.orders_accepted.get(),
@@ -323,6 +372,8 @@
         if header(headers, "x-expect-instance") != Some(&self.instance) {
             return status(421);
         }
+        let id = header(headers, "x-request-id").unwrap_or_default();
+        self.arrivals.record(id, self.clock.now_ms(), &self.crashes);
         if self.is_loading.get() || self.running.get() >= self.slots {
             let mut response = status(503);
             let not_run = "1".parse().expect("plain text");
--- a/crates/borageshore_standins/src/platform/mod.rs
+++ b/crates/borageshore_standins/src/platform/mod.rs
@@ -1,8 +1,11 @@
 //! Stand-ins that speak the platform's protocol: the store, engines, plain services, the receiver of
 //! duty calls, and a proxy that injects network faults.
 //!
+//! Endpoints answer health checks on [`HEALTH_PATH`].
+//!
 //! They record the requests that they receive, so that tests can check the daemons from the outside.
 
+mod arrivals;
 mod crash;
 mod duties;
 mod engine;
@@ -10,9 +13,13 @@
 mod proxy;
 mod store;
 
+use borageshore_net::EdgeResponse;
 use hyper::HeaderMap;
 
+use crate::http::status;
+
 pub use self::{
+    arrivals::{Arrival, ColdSwitches, max_cold_requests_per_s},
     crash::{CRASH_MARK, CrashingRequest},
     duties::{DutyMode, PlatformDuties, ReceivedEndpointOrder, ReceivedReport},
     engine::{
@@ -24,6 +31,11 @@
     store::{PlatformStore, StoreMode},
 };
 
+/// Path of the health checks of endpoints.
+pub const HEALTH_PATH: &str = "/health";
+/// Interval at which an endpoint writes its entry while it is cold.
+const COLD_HEARTBEAT_MS: u64 = 500;
+
 /// The identity under which a request reached an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordedCaller {
@@ -46,6 +58,15 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Response to a health check, with the time for which the endpoint is cold.
+fn health_response(instance: &str, is_draining: bool, cold_left_ms: u64) -> EdgeResponse {
+    let mut response = status(if is_draining { 503 } else { 200 });
+    let headers = response.headers_mut();
+    headers.insert("x-instance-id", instance.parse().expect("plain text"));
+    headers.insert("x-cold-ms", cold_left_ms.into());
+    response
+}
+
 fn query_parameter<'q>(query: &'q str, name: &str) -> Option<&'q str> {
     let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
--- a/crates/borageshore_standins/src/platform/plain.rs
+++ b/crates/borageshore_standins/src/platform/plain.rs
@@ -16,9 +16,10 @@
 use serde_json::json;
 
 use super::{
-    RecordedCaller,
+    COLD_HEARTBEAT_MS, HEALTH_PATH, RecordedCaller,
+    arrivals::{Arrival, Arrivals, ColdSwitches},
     crash::{Crashes, CrashingRequest},
-    hash, header,
+    hash, header, health_response,
     store::PlatformStore,
 };
 use crate::http::{limits, status};
@@ -39,6 +40,11 @@
     clock: Clock,
     instance: RefCell<String>,
     crashes: Rc<Crashes>,
+    arrivals: Arrivals,
+    service: String,
+    zone: RefCell<String>,
+    /// The store in which it is listed, with the listed address and state.
+    listed: RefCell<Option<(PlatformStore, String, String)>>,
     switches: Cell<PlainSwitches>,
     running: Cell<u64>,
     calls: Cell<u64>,
@@ -55,7 +61,6 @@
 pub struct PlatformService {
     shared: Rc<Shared>,
     server: HttpServer,
-    service: String,
 }
 
 #[derive(Debug, Clone)]
@@ -68,6 +73,10 @@
             clock,
             instance: RefCell::new(instance.into()),
             crashes: Rc::default(),
+            arrivals: Arrivals::default(),
+            service: service.into(),
+            zone: RefCell::new("z1".into()),
+            listed: RefCell::default(),
             switches: Cell::new(PlainSwitches {
                 work_ms: 5,
                 lose_every: 0,
@@ -80,11 +89,7 @@
             deadlines: RefCell::default(),
         });
         let server = HttpServer::bind("127.0.0.1:0", limits(), Endpoint(shared.clone()))?;
-        Ok(Self {
-            shared,
-            server,
-            service: service.into(),
-        })
+        Ok(Self { shared, server })
     }
 
     /// The address that it listens on.
@@ -94,19 +99,36 @@
 
     /// Lists it in the store under an address, which may be that of a proxy in front of it.
     pub fn list(&self, store: &PlatformStore, address: &str, state: &str) {
-        let entry = json!({
-            "service": self.service, "address": address, "zone": "z1", "version": "v1",
-            "slots": 6, "state": state, "cold_left_ms": 0, "seq": 1,
-        });
-        store.put(
-            "keyed.servers",
-            &self.shared.instance.borrow(),
-            entry.to_string().as_bytes(),
-        );
+        let listed = (store.clone(), address.to_owned(), state.to_owned());
+        self.shared.listed.replace(Some(listed));
+        self.shared.write_entry();
+    }
+
+    /// Sets the zone in its entry; `z1` without.
+    pub fn set_zone(&self, zone: &str) {
+        self.shared.zone.replace(zone.into());
+    }
+
+    /// Changes how it behaves when it is cold.
+    pub fn set_cold_switches(&self, switches: ColdSwitches) {
+        self.shared.arrivals.set_cold_switches(switches);
+    }
+
+    /// Makes it cold for a while, and writes its entry at once.
+    pub fn become_cold(&self, for_ms: u64) {
+        let now_ms = self.shared.clock.now_ms();
+        self.shared.arrivals.become_cold(now_ms, for_ms);
+        monoio::spawn(self.shared.clone().write_entries_while_cold());
+    }
+
+    /// The requests that reached it, in order of arrival.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.shared.arrivals.all()
     }
 
     /// Removes its entry from the store.
     pub fn unlist(&self, store: &PlatformStore) {
+        self.shared.listed.replace(None);
         store.put("keyed.servers", &self.shared.instance.borrow(), b"");
     }
 
@@ -124,6 +146,9 @@
     pub fn restart_after_crash(&self, instance: &str) {
         self.shared.instance.replace(instance.into());
         self.shared.crashes.restart_after_crash();
+        if self.shared.arrivals.restart(self.shared.clock.now_ms()) {
+            monoio::spawn(self.shared.clone().write_entries_while_cold());
+        }
     }
 
     /// The crashing calls that reached it, in order of arrival.
@@ -157,9 +182,50 @@
     }
 }
 
+impl Shared {
+    /// Writes its current entry to the store, if it is listed.
+    fn write_entry(&self) {
+        let listed = self.listed.borrow();
+        let Some((store, address, state)) = &*listed else {
+            return;
+        };
+        let cold_left_ms = self.arrivals.cold_left_ms(self.clock.now_ms());
+        let entry = json!({
+            "service": self.service, "address": address, "zone": *self.zone.borrow(), "version": "v1",
+            "slots": 6, "state": state, "cold_left_ms": cold_left_ms, "seq": 1,
+        });
+        let instance = self.instance.borrow();
+        store.put("keyed.servers", &instance, entry.to_string().as_bytes());
+    }
+
+    async fn write_entries_while_cold(self: Rc<Self>) {
+        loop {
+            self.write_entry();
+            match self.arrivals.cold_left_ms(self.clock.now_ms()) {
+                0 => return,
+                left_ms => sleep_ms(left_ms.min(COLD_HEARTBEAT_MS)).await,
+            }
+        }
+    }
+
+    fn health(&self) -> EdgeResponse {
+        let listed = self.listed.borrow();
+        let state = listed.as_ref().map(|(_, _, state)| state.as_str());
+        let cold_left_ms = self.arrivals.cold_left_ms(self.clock.now_ms());
+        health_response(
+            &self.instance.borrow(),
+            state == Some("draining"),
+            cold_left_ms,
+        )
+    }
+}
+
 impl Handler for Endpoint {
     async fn handle(&self, request: EdgeRequest, _remote: SocketAddr) -> EdgeResponse {
         let shared = &self.0;
+        if request.uri().path() == HEALTH_PATH {
+            return shared.health();
+        }
         let id = header(request.headers(), "x-request-id")
             .unwrap_or_default()
             .to_owned();
@@ -167,6 +233,8 @@
         if expected != &**shared.instance.borrow() {
             return status(421);
         }
+        let arrived_at_ms = shared.clock.now_ms();
+        shared.arrivals.record(&id, arrived_at_ms, &shared.crashes);
         let remaining_ms =
             header(request.headers(), "x-deadline-ms").and_then(|ms| ms.parse::<u64>().ok());
         let caller = RecordedCaller::from_headers(request.headers());
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -25,6 +25,17 @@
     }
 }
 
+/// Three daemons, three engines and six endpoints of the plain service in three zones of two regions.
+fn regional(seed: u64, script: Vec<(u64, TimedFault)>) -> SoakOptions {
+    SoakOptions {
+        regions: true,
+        engines: 3,
+        services: 6,
+        duration_ms: 14_000,
+        ..options(seed, Script::Timed(script))
+    }
+}
+
 fn play(options: &SoakOptions) -> SoakReport {
     let report = run_seed(options).unwrap();
     let text = report.violations.join("\n");
@@ -355,6 +366,61 @@
         play(&SoakOptions { duration_ms: 14_000, ..options });
     }
 
+    // Requests go on to an evacuated zone whose evacuation was forgotten, by a daemon that is killed or in an outage of the
+    // store, or the zone gets none after it was taken back.
+    an_evacuation_outlives_its_daemons_and_an_outage_of_the_store => {
+        let script = vec![
+            (0, TimedFault::ChillZone(1)),
+            (500, TimedFault::EvacuateZone(1)),
+            (1_000, TimedFault::KillHolder),
+            (6_000, TimedFault::StoreOutage),
+            (6_500, TimedFault::KillHolder),
+        ];
+        let report = play(&regional(70, script));
+        assert_eq!(report.faults.len(), 5);
+        let late = &report.regions.late_in_evacuated_zones;
+        assert!(late.is_empty(), "{late:?}");
+        assert!(report.regions.requests_after_return > 0);
+    }
+
+    // Endpoints that become cold, or restart, get their usual load from daemons that don't know yet, that were killed
+    // or that share the limit among too few.
+    cold_endpoints_are_spared_through_kills_and_restarts => {
+        let script = vec![
+            (1_000, TimedFault::ChillZone(1)),
+            (1_500, TimedFault::KillHolder),
+            (4_000, TimedFault::RestartEngine),
+            (5_000, TimedFault::RejectAllButOne),
+            (7_000, TimedFault::ChillZone(0)),
+            (7_200, TimedFault::KillZone(2)),
+        ];
+        let report = play(&regional(71, script));
+        assert_eq!(report.faults.len(), 6);
+        assert!(report.regions.cold_requests > 0);
+    }
+
+    // Endpoints that become cold while the store is down, whose entries nobody can read, get their usual load.
+    endpoints_that_become_cold_in_an_outage_of_the_store_are_spared => {
+        let script = vec![(2_000, TimedFault::StoreOutage), (3_000, TimedFault::ChillZone(0))];
+        play(&SoakOptions { duration_ms: 10_000, ..regional(72, script) });
+    }
+
+    // Requests that are restricted to regions go elsewhere when their region loses its daemons, its endpoints or the store.
+    restricted_requests_stay_in_their_regions_through_faults => {
+        let script = vec![
+            (500, TimedFault::EvacuateZone(2)),
+            (1_500, TimedFault::KillHolder),
+            (3_000, TimedFault::KillZone(2)),
+            (8_000, TimedFault::StoreOutage),
+            (8_500, TimedFault::KillHolder),
+        ];
+        let report = play(&regional(73, script));
+        assert_eq!(report.faults.len(), 5);
+        assert!(report.regions.restricted_answered > 0);
+        let waits_ms = &report.regions.unservable_waits_ms;
+        assert!(!waits_ms.is_empty() && waits_ms.iter().all(|wait_ms| *wait_ms < 1_000), "{waits_ms:?}");
+    }
+
     seeded_faults_break_no_promise => {
         play(&options(4, Script::Random(4)));
     }
