Soak: others who read and resend a trainer's submissions

Cause: nothing checked that daemons of any zone answer requests of others for submissions: positions, bodies of items, resent submissions and ends, and items that are given up.

Checked are positions, bytes, bodies that are missing, what runs after the end, what is given up too early or run for ever.

--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod daemons;
 mod faults;
 mod keys;
+mod observers;
 mod oracle;
 mod regions;
 mod traffic;
@@ -128,6 +129,9 @@
     /// Whether daemons and endpoints are spread over three zones of two regions, with routes and callers that are
     /// restricted to regions, endpoints that start cold, and keys for all callers.
     pub regions: bool,
+    /// Whether other callers of the trainer's organisation read and resend its submissions at any daemon, and each
+    /// submission has items that can never be done.
+    pub observers: bool,
     /// What the settings of the daemons expect beyond the basic service.
     pub features: Vec<&'static str>,
     /// Disabled mechanisms of the daemons, by their names in the settings.
@@ -166,6 +170,7 @@
             has_crashing_reward: false,
             organisations: false,
             regions: false,
+            observers: false,
             features: Vec::new(),
             mechanisms_off: Vec::new(),
             store_read_mb_per_s: None,
@@ -244,6 +249,10 @@
     pub crashing_calls_held: usize,
     /// Distinct results read.
     pub results: usize,
+    /// Items that were given up before the end of their submission.
+    pub given_up: usize,
+    /// Requests of observers that were answered, and all.
+    pub observations: (usize, usize),
     /// What was seen of regions.
     pub regions: RegionReport,
     /// Violated guarantees.
--- a/crates/borageshore_soak/src/main.rs
+++ b/crates/borageshore_soak/src/main.rs
@@ -41,6 +41,9 @@
     /// Three zones in two regions, with restricted routes and callers, evacuations and cold endpoints.
     #[arg(long)]
     regions: bool,
+    /// Other callers of the trainer's organisation that read and resend its submissions at any daemon.
+    #[arg(long)]
+    observers: bool,
     /// Megabytes a second that the daemons are told the store's reads return; with 0.03, two daemons read it for all.
     #[arg(long)]
     store_read_mb_per_s: Option<f64>,
@@ -59,6 +62,7 @@
             has_crashing_reward: seed.is_multiple_of(3),
             organisations: !seed.is_multiple_of(2),
             regions: arguments.regions,
+            observers: arguments.observers,
             duration_ms: arguments.duration_ms,
             script: Script::RandomExtended(arguments.faults),
             keeps_logs: arguments.keep_logs,
@@ -91,6 +95,25 @@
         report.wrong_windows.len(),
         report.violations.len()
     );
+    if options.regions {
+        let seen = &report.regions;
+        println!(
+            "  regions: {} restricted calls answered, {} not, {} requests at cold endpoints (at most {} in a second), {} late in evacuated zones, {} after their return",
+            seen.restricted_answered,
+            seen.restricted_unanswered,
+            seen.cold_requests,
+            seen.max_cold_requests_per_s,
+            seen.late_in_evacuated_zones.len(),
+            seen.requests_after_return
+        );
+    }
+    if options.observers {
+        let (answered, all) = report.observations;
+        println!(
+            "  observers: {answered} of {all} requests answered, {} items given up",
+            report.given_up
+        );
+    }
     if report.violations.is_empty() {
         return true;
     }
--- a/crates/borageshore_soak/src/oracle.rs
+++ b/crates/borageshore_soak/src/oracle.rs
@@ -9,11 +9,13 @@
 use borageshore_standins::platform::{
     PlatformEngine, PlatformService, RecordedRun, event_count, event_text,
 };
+use bytes::Bytes;
 use serde::Deserialize;
 
 use crate::{
     RegionReport,
     crashes::Disturbance,
+    observers::MissingBody,
     regions::{Evacuation, HarmedLink},
 };
 
@@ -52,6 +54,15 @@
     /// Whether every response so far was a refusal, which promises that no item runs.
     pub(crate) is_refused: bool,
     pub(crate) results: BTreeMap<usize, ReadResult>,
+    /// The submission as it was sent, and the body of each item.
+    pub(crate) body: Bytes,
+    pub(crate) bodies: BTreeMap<String, Bytes>,
+    /// Whether its end was asked for.
+    pub(crate) is_ending: bool,
+    /// When its end was acknowledged.
+    pub(crate) ended_at_ms: Option<u64>,
+    /// Items that were listed as given up before the end was asked for.
+    pub(crate) given_up_before_end: Vec<String>,
 }
 
 /// Records observations and violations.
@@ -80,6 +91,9 @@
     /// When links to endpoints were faulty.
     pub(crate) harmed_links: RefCell<Vec<HarmedLink>>,
     pub(crate) regions: RefCell<RegionReport>,
+    pub(crate) missing_bodies: RefCell<Vec<MissingBody>>,
+    /// Requests of observers that were answered, and all.
+    pub(crate) observations: Cell<(usize, usize)>,
     violations: RefCell<BTreeSet<String>>,
 }
 
@@ -120,6 +134,13 @@
         self.violations.borrow().iter().cloned().collect()
     }
 
+    /// Counts a request of an observer.
+    pub(crate) fn observed(&self, is_answered: bool) {
+        let (answered, all) = self.observations.get();
+        self.observations
+            .set((answered + usize::from(is_answered), all + 1));
+    }
+
     /// Checks and records a page of results that a daemon returned.
     pub(crate) fn record_results(
         &self,
@@ -153,6 +174,9 @@
                             result.id
                         ));
                     }
+                    if result.state == "dead_lettered" && !known.is_ending {
+                        known.given_up_before_end.push(result.id.clone());
+                    }
                     known.results.insert(position, result);
                 }
             }
--- a/crates/borageshore_soak/src/regions.rs
+++ b/crates/borageshore_soak/src/regions.rs
@@ -13,8 +13,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    daemons::DaemonProcess, faults::Targets, keys::CALLER_ORG, oracle::Oracle,
-    traffic::Traffic,
+    daemons::DaemonProcess, faults::Targets, keys::CALLER_ORG, oracle::Oracle, traffic::Traffic,
 };
 
 /// The zones, each with its region.
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
 };
@@ -10,7 +11,9 @@
 use borageshore_net::{
     CallError, Clock, HttpClient, Timeouts, response_body_error, sleep_ms, within_ms,
 };
-use borageshore_standins::platform::{CRASH_MARK, PlatformService, PlatformStore};
+use borageshore_standins::platform::{
+    CRASH_MARK, FAILING_BODY, IMPOSSIBLE_BODY, PlatformService, PlatformStore,
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
@@ -29,6 +32,11 @@
 pub(crate) const HOST: &str = "soak.example";
 /// Name of the trained model.
 pub(crate) const MODEL: &str = "m0";
+/// Ends of the ids of the items that an engine answers with 422, and with 500.
+pub(crate) const IMPOSSIBLE_ITEM: &str = "-item-0";
+pub(crate) const FAILING_ITEM: &str = "-item-2";
+/// `max_attempts` of all routes.
+pub(crate) const MAX_ATTEMPTS: usize = 3;
 /// Number of daemons that a caller asks for addresses before it picks any daemon.
 const MAX_DIRECTORIES_ASKED: usize = 3;
 /// Timeout of a call.
@@ -36,7 +44,7 @@
 /// Groups of a step, items of each group, and number of groups that the trainer waits for.
 const STEP_SHAPE: (usize, usize, usize) = (6, 3, 5);
 /// Time after which every daemon must return what one daemon has returned, as the platform requires.
-const PROPAGATION_MS: u64 = 1_000;
+pub(crate) const PROPAGATION_MS: u64 = 1_000;
 /// Time after which the trainer abandons a step.
 const STEP_TIMEOUT_MS: u64 = 8_000;
 const TIMEOUTS: Timeouts = Timeouts {
@@ -57,6 +65,8 @@
     pub(crate) until_ms: u64,
     /// Prefix of the ids of steps; one with "long" makes engines generate many events.
     pub(crate) step_name: &'static str,
+    /// Whether each step contains items that can never be done, and the trainer waits for all.
+    pub(crate) has_failing_items: bool,
     /// Whether callers ask for addresses from zones of several regions, and every other step is restricted to one.
     pub(crate) has_regions: bool,
     pub(crate) crashing_call_timeout_ms: u64,
@@ -137,7 +147,7 @@
     }
 
     /// Sends a request with the key of an organisation.
-    async fn request_as(
+    pub(crate) async fn request_as(
         &self,
         organisation: &str,
         front: SocketAddr,
@@ -273,11 +283,13 @@
     }
 
     async fn submit(&self, id: &str, step: u64, random: &mut Pcg64Mcg) -> bool {
-        let (groups, size, wanted) = STEP_SHAPE;
-        let (path, reward_path) = match id.starts_with("home") {
-            true => ("/home-batch/x", "/home/reward"),
-            false => ("/batch/x", "/safe/reward"),
+        let (groups, size, wanted) = self.step_shape();
+        let path = Self::submission_path(id);
+        let reward_path = match id.starts_with("home") {
+            true => "/home/reward",
+            false => "/safe/reward",
         };
+        let mut bodies = BTreeMap::new();
         let mut items = Vec::new();
         for number in 0..groups * size {
             let item = format!("{id}-item-{number}");
@@ -293,8 +305,15 @@
             });
             let item_body = match is_crashing_item {
                 true => format!("{CRASH_MARK}-item"),
+                false if self.has_failing_items && item.ends_with(IMPOSSIBLE_ITEM) => {
+                    IMPOSSIBLE_BODY.into()
+                }
+                false if self.has_failing_items && item.ends_with(FAILING_ITEM) => {
+                    FAILING_BODY.into()
+                }
                 false => item.clone(),
             };
+            bodies.insert(item.clone(), Bytes::from(item_body.clone()));
             items.push(json!({
                 "id": item, "path": path, "headers": { "X-Model": MODEL, "X-Token-Count": "10,10" },
                 "body": BASE64_STANDARD.encode(&item_body), "num_tokens": 20,
@@ -302,7 +321,14 @@
             }));
         }
         let names = |item: &Value| item["id"].as_str().map(str::to_owned);
+        let body = json!({
+            "step": step, "model": MODEL, "min_version": step.saturating_sub(1).max(1),
+            "target_groups": wanted, "items": items,
+        });
+        let body = Bytes::from(body.to_string());
         let known = KnownSubmission {
+            body: body.clone(),
+            bodies,
             items: items.iter().filter_map(names).collect(),
             min_version: step.saturating_sub(1).max(1),
             is_refused: true,
@@ -312,11 +338,6 @@
             .submissions
             .borrow_mut()
             .insert(id.into(), known);
-        let body = json!({
-            "step": step, "model": MODEL, "min_version": step.saturating_sub(1).max(1),
-            "target_groups": wanted, "items": items,
-        });
-        let body = Bytes::from(body.to_string());
         while !self.is_over() {
             let front = match self.submit_to {
                 Some(front) => front,
@@ -335,6 +356,23 @@
         false
     }
 
+    /// The path of a submission, by its id.
+    pub(crate) fn submission_path(id: &str) -> &'static str {
+        match id.starts_with("home") {
+            true => "/home-batch/x",
+            false => "/batch/x",
+        }
+    }
+
+    /// The shape of a step; the trainer waits for all groups if some items can never be done.
+    fn step_shape(&self) -> (usize, usize, usize) {
+        let (groups, size, wanted) = STEP_SHAPE;
+        match self.has_failing_items {
+            true => (groups, size, groups),
+            false => (groups, size, wanted),
+        }
+    }
+
     /// Records the status of a submission attempt; returns whether the submission is accepted.
     fn record_submit_status(&self, id: &str, status: u16) -> bool {
         let mut submissions = self.oracle.submissions.borrow_mut();
@@ -352,7 +390,7 @@
 
     async fn read_step_results(&self, id: &str, random: &mut Pcg64Mcg) {
         let deadline_ms = self.clock.now_ms() + STEP_TIMEOUT_MS;
-        let (groups, size, wanted) = STEP_SHAPE;
+        let (groups, size, wanted) = self.step_shape();
         let mut after = 0;
         let mut read = Vec::new();
         while self.clock.now_ms() < deadline_ms && !self.is_over() {
@@ -456,13 +494,24 @@
         self.clock.now_ms() > submissions[id].accepted_at_ms + PROPAGATION_MS
     }
 
+    fn change_known<Change>(&self, id: &str, change: Change)
+    where
+        Change: FnOnce(&mut KnownSubmission),
+    {
+        let mut submissions = self.oracle.submissions.borrow_mut();
+        change(submissions.get_mut(id).expect("entered before it was sent"));
+    }
+
     async fn end_submission(&self, id: &str, random: &mut Pcg64Mcg) {
         while !self.is_over() {
             let front = self.pick_address(random).await;
             let path = format!("/api/lots/{id}");
+            self.change_known(id, |known| known.is_ending = true);
             let ending = self.request_as(TRAINER_ORG, front, "DELETE", &path, &[], Bytes::new());
             let answer = ending.await;
             if answer.is_ok_and(|(status, _)| status == StatusCode::OK) {
+                let now_ms = self.clock.now_ms();
+                self.change_known(id, |known| known.ended_at_ms = Some(now_ms));
                 return;
             }
             sleep_ms(100).await;
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -24,9 +24,10 @@
     daemons::DaemonProcess,
     faults::{EXTENDED_KINDS, KEYED_KINDS, RANDOM_KINDS, REGION_KINDS, Targets},
     keys::Keys,
-    oracle::Oracle,
+    observers,
+    oracle::{KnownSubmission, Oracle},
     regions,
-    traffic::{HOST, MODEL, Traffic},
+    traffic::{HOST, MAX_ATTEMPTS, MODEL, Traffic},
     usage,
 };
 
@@ -77,6 +78,7 @@
         } else {
             "step"
         },
+        has_failing_items: options.observers,
         has_regions: options.regions,
         crashing_call_timeout_ms: options.crashing_call_timeout_ms,
         has_crashing_item: options.has_crashing_item,
@@ -127,6 +129,9 @@
     if options.regions {
         regions::spawn_restricted_callers(&traffic, &mut fork());
     }
+    if options.observers {
+        observers::spawn(&traffic, &mut fork());
+    }
     let faults_until_ms = until_ms.saturating_sub(RECOVERY_MS);
     match &options.script {
         Script::Random(count) => {
@@ -164,6 +169,9 @@
     if options.regions {
         regions::check(&targets);
     }
+    if options.observers {
+        observers::check(&targets);
+    }
     usage::check_holders(&oracle, &targets.duties);
     usage::check_endpoint_orders(&oracle, &targets.duties);
     let requests = crashes::crashing_requests(&services, &engines);
@@ -257,7 +265,7 @@
     let route = |name: &str, kind: &str, service: &str| {
         json!({
             "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
-            "timeout_ms": 2_000, "target_latency_ms": objective_ms, "priority": 1, "max_attempts": 3,
+            "timeout_ms": 2_000, "target_latency_ms": objective_ms, "priority": 1, "max_attempts": MAX_ATTEMPTS,
             "service": service, "result_due_ms": 7_500, "retention_s": 60,
         })
     };
@@ -383,11 +391,18 @@
         crashed_endpoints: crashed_endpoints(targets),
         crashing_calls_held: traffic.crashing_calls_held.get(),
         results,
+        given_up: given_up(&submissions),
+        observations: oracle.observations.get(),
         regions: oracle.regions.borrow().clone(),
         violations,
     }
 }
 
+fn given_up(submissions: &BTreeMap<String, KnownSubmission>) -> usize {
+    let given_up = submissions.values().map(|known| &known.given_up_before_end);
+    given_up.map(Vec::len).sum()
+}
+
 fn first_order_after_kill_ms(targets: &Targets, oracle: &Oracle) -> Option<u64> {
     let killed_all_at_ms = oracle.killed_all_at_ms.get()?;
     let orders = targets
--- a/crates/borageshore_standins/src/platform/engine.rs
+++ b/crates/borageshore_standins/src/platform/engine.rs
@@ -28,6 +28,11 @@
 /// Maximum events of a text, except for items marked as long.
 const MAX_EVENT_COUNT: u64 = 12;
 
+/// Body of items that an engine answers with 422: they can never be done.
+pub const IMPOSSIBLE_BODY: &str = "impossible";
+/// Body of items that fail at each run, with 500.
+pub const FAILING_BODY: &str = "failing";
+
 /// The number of events of an item whose name starts with `long`.
 pub const LONG_EVENT_COUNT: u64 = 60;
 
@@ -395,6 +400,11 @@
                 .crash(item, &request_body, self.clock.now_ms())
                 .await;
         }
+        match &*request_body {
+            body if body == IMPOSSIBLE_BODY.as_bytes() => return status(422),
+            body if body == FAILING_BODY.as_bytes() => return status(500),
+            _ => {}
+        }
         let (sender, body) = stream_body();
         let mut response = Response::new(body);
         let response_headers = response.headers_mut();
--- a/crates/borageshore_standins/src/platform/mod.rs
+++ b/crates/borageshore_standins/src/platform/mod.rs
@@ -23,8 +23,8 @@
     crash::{CRASH_MARK, CrashingRequest},
     duties::{DutyMode, PlatformDuties, ReceivedEndpointOrder, ReceivedReport},
     engine::{
-        EngineSwitches, LONG_EVENT_COUNT, PlatformEngine, ReceivedOrder, RecordedRun, event_count,
-        event_text,
+        EngineSwitches, FAILING_BODY, IMPOSSIBLE_BODY, LONG_EVENT_COUNT, PlatformEngine,
+        ReceivedOrder, RecordedRun, event_count, event_text,
     },
     plain::{PlainSwitches, PlatformService},
     proxy::{Proxy, ProxyMode},
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -421,6 +421,29 @@
         assert!(!waits_ms.is_empty() && waits_ms.iter().all(|wait_ms| *wait_ms < 1_000), "{waits_ms:?}");
     }
 
+    // Restricted callers and steps aren't served where nothing is wrong.
+    restricted_requests_are_served_in_their_regions => {
+        let report = play(&SoakOptions { duration_ms: 8_000, ..regional(69, Vec::new()) });
+        assert!(report.unanswered.is_empty(), "{:?}", report.unanswered);
+        assert!(report.submissions >= 3, "{}", report.submissions);
+        let regions = &report.regions;
+        let (answered, unanswered) = (regions.restricted_answered, regions.restricted_unanswered);
+        assert!(unanswered * 100 < answered, "{answered} answered, {unanswered} not");
+    }
+
+    // A daemon of any zone that others ask doesn't know a submission, a position or a body, or runs what was ended, beside a
+    // takeover and the loss of a zone's daemons; items that can't be done are never listed.
+    submissions_are_the_same_to_all_who_read_and_resend_them => {
+        let script = vec![(1_500, TimedFault::KillHolder), (5_500, TimedFault::KillZone(1))];
+        let options = SoakOptions { observers: true, daemons: 6, ..regional(74, script) };
+        let report = play(&options);
+        assert_eq!(report.faults.len(), 2);
+        let (answered, observations) = report.observations;
+        assert!(answered * 2 > observations, "{answered} of {observations}");
+        assert!(report.submissions >= 3, "{}", report.submissions);
+        assert!(report.given_up >= 2 * (report.submissions - 1), "{} of {}", report.given_up, report.submissions);
+    }
+
     seeded_faults_break_no_promise => {
         play(&options(4, Script::Random(4)));
     }
