Soak: usage is counted by organisation, crashing items differ by route

Cause: in the world with regions calls of two organisations run, and the check of usage windows expected one: it called true reports wrong.

Change: the usage check compares the counts of each organisation and still refuses names that made no calls; crashing bodies name their route. Worlds without regions send and check what they did.

--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -285,9 +285,10 @@
     async fn submit(&self, id: &str, step: u64, random: &mut Pcg64Mcg) -> bool {
         let (groups, size, wanted) = self.step_shape();
         let path = Self::submission_path(id);
-        let reward_path = match id.starts_with("home") {
-            true => "/home/reward",
-            false => "/safe/reward",
+        // A request on another route is another request, so its body differs too.
+        let (reward_path, crash_mark) = match id.starts_with("home") {
+            true => ("/home/reward", format!("{CRASH_MARK}-home")),
+            false => ("/safe/reward", CRASH_MARK.to_owned()),
         };
         let mut bodies = BTreeMap::new();
         let mut items = Vec::new();
@@ -297,14 +298,14 @@
             let is_crashing_reward = self.has_crashing_reward && number == 0;
             let is_crashing_item = self.has_crashing_item && number == 1;
             let reward_body = match is_crashing_reward {
-                true => BASE64_STANDARD.encode(format!("{CRASH_MARK}-reward")),
+                true => BASE64_STANDARD.encode(format!("{crash_mark}-reward")),
                 false => String::new(),
             };
             let reward = json!({
                 "id": reward_id(&item), "host": HOST, "path": reward_path, "body": reward_body,
             });
             let item_body = match is_crashing_item {
-                true => format!("{CRASH_MARK}-item"),
+                true => format!("{crash_mark}-item"),
                 false if self.has_failing_items && item.ends_with(IMPOSSIBLE_ITEM) => {
                     IMPOSSIBLE_BODY.into()
                 }
--- a/crates/borageshore_soak/src/usage.rs
+++ b/crates/borageshore_soak/src/usage.rs
@@ -7,7 +7,7 @@
     PlatformDuties, PlatformService, ReceivedEndpointOrder, ReceivedReport,
 };
 
-use crate::{keys::CALLER_ORG, oracle::Oracle};
+use crate::{keys::CALLER_ORG, oracle::Oracle, regions::organisation_of};
 
 /// Length of a usage window.
 pub(crate) const WINDOW_S: u64 = 1;
@@ -92,22 +92,34 @@
     let first = (began_ms + from_ms) / window_ms + 1;
     let last = (began_ms + to_ms) / window_ms;
     let mut wrong = Vec::new();
+    let mut callers: BTreeSet<&str> = begun.keys().map(|id| organisation_of(id)).collect();
+    callers.insert(CALLER_ORG);
     for window in first..last {
-        let in_window = |at_ms: &&u64| (began_ms + **at_ms) / window_ms == window;
-        let made = begun.values().filter(in_window).count() as u64;
+        let in_window = |at_ms: u64| (began_ms + at_ms) / window_ms == window;
+        let made_by = |name: &str| {
+            let of_caller = begun.iter().filter(|(id, _)| organisation_of(id) == name);
+            of_caller.filter(|(_, at_ms)| in_window(**at_ms)).count() as u64
+        };
         let reported = reports.iter().find(|report| report.window == window);
         let organisations: BTreeSet<&String> =
             reported.iter().flat_map(|r| r.counts.keys()).collect();
-        let counted = reported
-            .and_then(|report| report.counts.get(CALLER_ORG))
-            .copied();
+        let counted = |name: &str| reported.and_then(|report| report.counts.get(name)).copied();
+        let is_counted = |name: &&str| {
+            let made = made_by(name);
+            let error = ERROR_REQUESTS + made * ERROR_PERCENT / 100;
+            counted(name).unwrap_or(0).abs_diff(made) <= error
+        };
         let is_right = reported.is_some()
-            && organisations.iter().all(|name| *name == CALLER_ORG)
-            && counted.unwrap_or(0).abs_diff(made) <= ERROR_REQUESTS + made * ERROR_PERCENT / 100;
+            && organisations
+                .iter()
+                .all(|name| callers.contains(name.as_str()))
+            && callers.iter().all(is_counted);
         if !is_right {
+            let made: Vec<_> = callers.iter().map(|name| (name, made_by(name))).collect();
             wrong.push(format!(
-                "window {}: {made} calls started, reported {counted:?}",
-                window - first
+                "window {}: calls started {made:?}, reported {:?}",
+                window - first,
+                reported.map(|report| &report.counts)
             ));
         }
     }
