Soak: observed submissions that end with most items still to run

Cause: all items had started before the end of their submission, so nothing could run after it; with an end that daemons answered but did not record the case passed.

Change: where some items can never be done, every third step has long texts and is ended 60 ms after its acceptance; in the case two slow engines leave part of it waiting.

--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -37,6 +37,10 @@
 pub(crate) const FAILING_ITEM: &str = "-item-2";
 /// `max_attempts` of all routes.
 pub(crate) const MAX_ATTEMPTS: usize = 3;
+/// Where some items can never be done, the trainer ends every n-th step soon, with most items still to run; its items
+/// generate many events.
+const EARLY_END_EVERY: u64 = 3;
+const EARLY_END_MS: u64 = 60;
 /// Number of daemons that a caller asks for addresses before it picks any daemon.
 const MAX_DIRECTORIES_ASKED: usize = 3;
 /// Timeout of a call.
@@ -266,12 +270,18 @@
         let mut step = 1;
         while !self.is_over() {
             let is_restricted = self.has_regions && step % 2 == 1;
-            let id = match is_restricted {
-                true => format!("home-{}-{step}", self.step_name),
-                false => format!("{}-{step}", self.step_name),
+            let is_ended_early = self.has_failing_items && step % EARLY_END_EVERY == 0;
+            let id = match (is_ended_early, is_restricted) {
+                (true, _) => format!("long-step-{step}"),
+                (false, true) => format!("home-{}-{step}", self.step_name),
+                (false, false) => format!("{}-{step}", self.step_name),
             };
             if self.submit(&id, step, &mut random).await {
-                self.read_step_results(&id, &mut random).await;
+                if is_ended_early {
+                    sleep_ms(EARLY_END_MS).await;
+                } else {
+                    self.read_step_results(&id, &mut random).await;
+                }
                 self.end_submission(&id, &mut random).await;
             }
             step += 1;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -434,14 +434,18 @@
     // A daemon of any zone that others ask doesn't know a submission, a position or a body, or runs what was ended, beside a
     // takeover and the loss of a zone's daemons; items that can't be done are never listed.
     submissions_are_the_same_to_all_who_read_and_resend_them => {
-        let script = vec![(1_500, TimedFault::KillHolder), (5_500, TimedFault::KillZone(1))];
-        let options = SoakOptions { observers: true, daemons: 6, ..regional(74, script) };
-        let report = play(&options);
-        assert_eq!(report.faults.len(), 2);
+        let script = vec![
+            (0, TimedFault::SlowAllEngines),
+            (1_500, TimedFault::KillHolder),
+            (5_500, TimedFault::KillZone(1)),
+        ];
+        let options = SoakOptions { observers: true, daemons: 6, engines: 2, ..regional(74, script) };
+        let report = play(&SoakOptions { duration_ms: 20_000, ..options });
+        assert_eq!(report.faults.len(), 3);
         let (answered, observations) = report.observations;
         assert!(answered * 2 > observations, "{answered} of {observations}");
         assert!(report.submissions >= 3, "{}", report.submissions);
-        assert!(report.given_up >= 2 * (report.submissions - 1), "{} of {}", report.given_up, report.submissions);
+        assert!(report.given_up >= 4, "{}", report.given_up);
     }
 
     seeded_faults_break_no_promise => {
