Soak: only answers of 422 and 500 count as failed runs of an item

Change: stand-ins of engines record the items that they answered with 422 or 500; the check goes by these.

--- a/crates/borageshore_soak/src/observers.rs
+++ b/crates/borageshore_soak/src/observers.rs
@@ -30,6 +30,9 @@
 /// Runs of an item that can never be done, as a multiple of the attempts allowed.
 const MAX_FAILED_RUNS: usize = 3;
 
+/// An item that an engine answered with 422 or 500, and when.
+type FailedRun = (String, u64);
+
 /// A body that a daemon said it does not have.
 #[derive(Debug, Clone)]
 pub(crate) struct MissingBody {
@@ -187,15 +190,18 @@
         .collect();
     let engines = targets.engines.iter();
     let runs: Vec<RecordedRun> = engines.flat_map(|(engine, _)| engine.runs()).collect();
-    check_missing_bodies(oracle, &runs, &items);
+    let engines = targets.engines.iter();
+    let failed = engines.flat_map(|(engine, _)| engine.failed_runs());
+    let failed: Vec<FailedRun> = failed.collect();
+    check_missing_bodies(oracle, &runs, &failed);
     for (id, known) in oracle.submissions.borrow().iter() {
         check_ended(oracle, id, known, &items, &rewards);
-        check_given_up(oracle, id, known, &items);
+        check_given_up(oracle, id, known, &failed);
     }
 }
 
 /// Checks that a daemon has the body of each item that no engine has finished and that can't be given up yet.
-fn check_missing_bodies(oracle: &Oracle, runs: &[RecordedRun], arrivals: &[Arrival]) {
+fn check_missing_bodies(oracle: &Oracle, runs: &[RecordedRun], failed: &[FailedRun]) {
     for missing in oracle.missing_bodies.borrow().iter() {
         let MissingBody {
             submission,
@@ -208,11 +214,9 @@
             let last_event = run.events.last().map_or(0, |(event, _)| *event);
             run.item == *item && run.at_ms <= *at_ms && last_event == event_count(item)
         };
-        let is_failing = item.ends_with(IMPOSSIBLE_ITEM) || item.ends_with(FAILING_ITEM);
-        let has_failed = is_failing
-            && arrivals
-                .iter()
-                .any(|arrival| arrival.id == *item && arrival.at_ms <= *at_ms);
+        let has_failed = failed
+            .iter()
+            .any(|(name, failed_at_ms)| name == item && failed_at_ms <= at_ms);
         if !missing.is_allowed && !has_failed && !runs.iter().any(is_finished) {
             oracle.record_violation(format!(
                 "{submission}: {front} has no body of {item} at {at_ms} ms, which is not finished"
@@ -251,22 +255,19 @@
 }
 
 /// Checks that items are given up only when they may be, and not run for ever.
-fn check_given_up(oracle: &Oracle, id: &str, known: &KnownSubmission, items: &[Arrival]) {
+fn check_given_up(oracle: &Oracle, id: &str, known: &KnownSubmission, failed: &[FailedRun]) {
     for item in &known.items {
-        let arrived = items.iter().filter(|arrival| arrival.id == *item);
-        let arrived: Vec<&Arrival> = arrived.collect();
+        let failed = failed.iter().filter(|(name, _)| name == item);
         let (needed, allowed) = match item {
             _ if item.ends_with(IMPOSSIBLE_ITEM) => (1, MAX_FAILED_RUNS),
             _ if item.ends_with(FAILING_ITEM) => (MAX_ATTEMPTS, MAX_FAILED_RUNS * MAX_ATTEMPTS),
             _ => (usize::MAX, usize::MAX),
         };
-        if known.given_up_before_end.contains(item) && arrived.len() < needed {
-            let runs = arrived.len();
+        let runs = failed.clone().count();
+        if known.given_up_before_end.contains(item) && runs < needed {
             oracle.record_violation(format!("{id}: {item} was given up after {runs} runs"));
         }
-        let in_touch = arrived
-            .iter()
-            .filter(|arrival| !oracle.is_disturbed(&arrival.id, arrival.at_ms, IN_TOUCH_MS));
+        let in_touch = failed.filter(|(_, at_ms)| !oracle.is_disturbed(item, *at_ms, IN_TOUCH_MS));
         let runs = in_touch.count();
         if runs > allowed {
             oracle.record_violation(format!(
--- a/crates/borageshore_standins/src/platform/engine.rs
+++ b/crates/borageshore_standins/src/platform/engine.rs
@@ -112,6 +112,7 @@
     slots: u64,
     switches: Cell<EngineSwitches>,
     runs: RefCell<Vec<RecordedRun>>,
+    failed_runs: RefCell<Vec<(String, u64)>>,
     orders: RefCell<Vec<ReceivedOrder>>,
     service: String,
     /// The store in which it is listed, with the listed address and state.
@@ -166,6 +167,7 @@
                 is_unresponsive: false,
             }),
             runs: RefCell::default(),
+            failed_runs: RefCell::default(),
             orders: RefCell::default(),
             service: service.into(),
             listed: RefCell::default(),
@@ -258,6 +260,11 @@
         self.shared.runs.borrow().clone()
     }
 
+    /// Items that it answered with 422 or 500, each with its time.
+    pub fn failed_runs(&self) -> Vec<(String, u64)> {
+        self.shared.failed_runs.borrow().clone()
+    }
+
     /// The recorded orders, in order of arrival.
     pub fn orders(&self) -> Vec<ReceivedOrder> {
         self.shared.orders.borrow().clone()
@@ -400,10 +407,15 @@
                 .crash(item, &request_body, self.clock.now_ms())
                 .await;
         }
-        match &*request_body {
-            body if body == IMPOSSIBLE_BODY.as_bytes() => return status(422),
-            body if body == FAILING_BODY.as_bytes() => return status(500),
-            _ => {}
+        let failure = match &*request_body {
+            body if body == IMPOSSIBLE_BODY.as_bytes() => Some(422),
+            body if body == FAILING_BODY.as_bytes() => Some(500),
+            _ => None,
+        };
+        if let Some(failure) = failure {
+            let failed = (item, self.clock.now_ms());
+            self.failed_runs.borrow_mut().push(failed);
+            return status(failure);
         }
         let (sender, body) = stream_body();
         let mut response = Response::new(body);
