Soak: bodies of restricted submissions that the store sends to other regions

Cause: a body must not be sent to a daemon outside the regions of its route, other than the one its caller connected to. Bodies between daemons can't be seen from outside, but what the store sends to each daemon passes through its proxy.

Change: proxies count a marker in responses; items of restricted submissions begin with it, and their callers ask only daemons of the region.

--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -189,6 +189,9 @@
 pub struct RegionReport {
     /// Requests that reached an evacuated zone later than the bound, also from daemons that were disturbed.
     pub late_in_evacuated_zones: Vec<String>,
+    /// Daemons outside the region of restricted submissions that the store sent bodies of these, and how many; without
+    /// [`SoakOptions::observers`], who ask any daemon.
+    pub bodies_outside: Vec<String>,
     /// Requests that reached the endpoints of a zone after its evacuation was taken back.
     pub requests_after_return: usize,
     /// Requests that reached cold endpoints.
--- a/crates/borageshore_soak/src/regions.rs
+++ b/crates/borageshore_soak/src/regions.rs
@@ -1,7 +1,8 @@
 //! The world with regions: zones, restricted routes and callers, evacuations and cold endpoints, and their checks.
 //!
-//! All checks go by what reached the endpoints. A body that one daemon passes on to another can't be seen from
-//! outside: daemons connect to the address that callers use, so no proxy can stand between them.
+//! The checks go by what reached the endpoints, and the daemons from the store. A body that one daemon passes on to
+//! another can't be seen from outside: daemons connect to the address that callers use, so no proxy can stand between
+//! them.
 
 use std::rc::Rc;
 
@@ -19,7 +20,10 @@
 /// The zones, each with its region.
 pub(crate) const ZONES: [(&str, &str); 3] = [("z1", "north"), ("z2", "north"), ("z3", "south")];
 /// The region of the restricted routes.
-const HOME_REGION: &str = "north";
+pub(crate) const HOME_REGION: &str = "north";
+/// Begins the bodies of items that are restricted to [`HOME_REGION`]; in the store, bodies are in base64.
+pub(crate) const BODY_MARKER: &str = "home-only";
+const BODY_MARKER_BASE64: &[u8] = b"aG9tZS1vbmx5";
 /// The organisation that is restricted to [`GUEST_REGION`].
 pub(crate) const GUEST_ORG: &str = "dock";
 const GUEST_REGION: &str = "south";
@@ -120,6 +124,9 @@
         after_restart_ms: COLD_START_MS,
         crash_at_requests: COLD_CRASH_PER_S,
     };
+    for daemon in &targets.daemons {
+        daemon.store.look_for(BODY_MARKER_BASE64);
+    }
     for (number, (engine, proxy)) in targets.engines.iter().enumerate() {
         engine.set_zone(place_of(number).0);
         engine.set_cold_switches(switches);
@@ -132,6 +139,18 @@
     }
 }
 
+/// Daemons outside the region of the restricted submissions, and how often their responses from the store contained a
+/// body of an item of these. Callers ask only daemons of the region about them.
+pub(crate) fn record_bodies_outside(targets: &Targets) {
+    let mut report = targets.oracle.regions.borrow_mut();
+    for (number, daemon) in targets.daemons.iter().enumerate() {
+        let (name, seen) = (&daemon.name, daemon.store.markers_seen());
+        if place_of(number).1 != HOME_REGION && seen > 0 {
+            report.bodies_outside.push(format!("{name}: {seen}"));
+        }
+    }
+}
+
 /// The region in which a request may be served, by its id; `None` for any.
 fn allowed_region(id: &str) -> Option<&'static str> {
     let id = id.strip_prefix("reward-").unwrap_or(id);
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -25,7 +25,7 @@
 use crate::{
     keys::{CALLER_ORG, Keys, TRAINER_ORG},
     oracle::{KnownSubmission, Oracle, ReadResult, reward_id},
-    regions::{place_of, resolve_query},
+    regions::{BODY_MARKER, HOME_REGION, place_of, resolve_query},
 };
 
 /// Host name of all routes.
@@ -109,6 +109,17 @@
         self.resolve(random).await.0
     }
 
+    /// Picks a daemon for a request about a submission: one of its region if it is restricted to one.
+    async fn pick_front(&self, id: &str, random: &mut Pcg64Mcg) -> SocketAddr {
+        if !id.starts_with("home") {
+            return self.pick_address(random).await;
+        }
+        let numbered = self.fronts.iter().enumerate();
+        let at_home = numbered.filter(|(number, _)| place_of(*number).1 == HOME_REGION);
+        let at_home: Vec<SocketAddr> = at_home.map(|(_, front)| *front).collect();
+        pick(&at_home, random)
+    }
+
     /// As [`Traffic::pick_address`], and whether the address came from a daemon's list.
     pub(crate) async fn resolve(&self, random: &mut Pcg64Mcg) -> (SocketAddr, bool) {
         match self.resolve_all(random).await {
@@ -322,6 +333,8 @@
                 false if self.has_failing_items && item.ends_with(FAILING_ITEM) => {
                     FAILING_BODY.into()
                 }
+                // The marker is looked for where the body must not be sent.
+                false if id.starts_with("home") => format!("{BODY_MARKER}{item}"),
                 false => item.clone(),
             };
             bodies.insert(item.clone(), Bytes::from(item_body.clone()));
@@ -352,7 +365,7 @@
         while !self.is_over() {
             let front = match self.submit_to {
                 Some(front) => front,
-                None => self.pick_address(random).await,
+                None => self.pick_front(id, random).await,
             };
             let headers = [("x-request-id", id)];
             let answer = self
@@ -405,7 +418,7 @@
         let mut after = 0;
         let mut read = Vec::new();
         while self.clock.now_ms() < deadline_ms && !self.is_over() {
-            let front = self.pick_address(random).await;
+            let front = self.pick_front(id, random).await;
             match self.read(id, after, front, 500).await {
                 Some(count) => {
                     after += count;
@@ -433,7 +446,7 @@
             .rev()
             .find(is_settled)
             .map_or(0, |(_, count)| *count);
-        let front = self.pick_address(random).await;
+        let front = self.pick_front(id, random).await;
         if settled > 0 && self.read(id, settled - 1, front, 0).await == Some(0) {
             self.oracle.record_violation(format!(
                 "{id}: {front} has no result at position {}, which was read before",
@@ -515,7 +528,7 @@
 
     async fn end_submission(&self, id: &str, random: &mut Pcg64Mcg) {
         while !self.is_over() {
-            let front = self.pick_address(random).await;
+            let front = self.pick_front(id, random).await;
             let path = format!("/api/lots/{id}");
             self.change_known(id, |known| known.is_ending = true);
             let ending = self.request_as(TRAINER_ORG, front, "DELETE", &path, &[], Bytes::new());
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -155,6 +155,9 @@
         Script::Timed(timed_faults) => targets.clone().inject_timed(timed_faults).await,
     }
     sleep_ms(until_ms.saturating_sub(clock.now_ms()) + SETTLE_MS).await;
+    if options.regions && !options.observers {
+        regions::record_bodies_outside(&targets);
+    }
     match options.regions {
         true => regions::check_running_daemons_are_listed(&traffic, &targets.daemons).await,
         false => check_running_daemons_are_listed(&traffic, &targets).await,
--- a/crates/borageshore_standins/src/platform/proxy.rs
+++ b/crates/borageshore_standins/src/platform/proxy.rs
@@ -1,6 +1,12 @@
 //! A loopback TCP proxy that delays, stalls or closes connections.
 
-use std::{cell::Cell, io, net::SocketAddr, pin::pin, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+};
 
 use borageshore_net::{bind_listener, sleep_ms};
 use futures_util::future::{Either, select};
@@ -44,6 +50,25 @@
     mode: Cell<ProxyMode>,
     /// Connections of earlier generations are stalled permanently.
     generation: Cell<u64>,
+    /// Bytes to look for in responses, and how often they were forwarded.
+    marker: RefCell<Vec<u8>>,
+    markers_seen: Cell<usize>,
+}
+
+impl Shared {
+    /// Counts the marker in forwarded bytes; `tail` holds what the last bytes may have begun.
+    fn look_for_marker(&self, tail: &mut Vec<u8>, bytes: &[u8]) {
+        let marker = self.marker.borrow();
+        if marker.is_empty() {
+            return;
+        }
+        tail.extend_from_slice(bytes);
+        let found = tail.windows(marker.len()).filter(|part| *part == *marker);
+        self.markers_seen
+            .set(self.markers_seen.get() + found.count());
+        let kept_from = tail.len().saturating_sub(marker.len() - 1);
+        tail.drain(..kept_from);
+    }
 }
 
 /// A running proxy.
@@ -68,6 +93,8 @@
             closed: Notify::new(),
             mode: Cell::new(ProxyMode::Pass),
             generation: Cell::new(0),
+            marker: RefCell::default(),
+            markers_seen: Cell::new(0),
         });
         monoio::spawn(accept(listener, shared.clone()));
         Ok(Self { shared })
@@ -98,6 +125,16 @@
         self.shared.mode.set(mode);
     }
 
+    /// Counts how often responses contain these bytes from now on.
+    pub fn look_for(&self, marker: &[u8]) {
+        self.shared.marker.replace(marker.into());
+    }
+
+    /// How often responses contained the bytes of [`Proxy::look_for`].
+    pub fn markers_seen(&self) -> usize {
+        self.shared.markers_seen.get()
+    }
+
     /// Stalls all open connections permanently; new ones work.
     pub fn stall_open_connections(&self) {
         self.shared.generation.set(self.shared.generation.get() + 1);
@@ -172,6 +209,7 @@
     From: AsyncReadRent,
     To: AsyncWriteRentExt + monoio::io::AsyncWriteRent,
 {
+    let mut tail = Vec::new();
     loop {
         let (read, buffer) = from.read(vec![0_u8; CHUNK_BYTES]).await;
         let Ok(count) = read else { break };
@@ -193,6 +231,9 @@
         }
         let mut buffer = buffer;
         buffer.truncate(count);
+        if direction == Direction::Answer {
+            shared.look_for_marker(&mut tail, &buffer);
+        }
         let (written, _) = to.write_all(buffer).await;
         if written.is_err() {
             break;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -431,6 +431,15 @@
         assert!(unanswered * 100 < answered, "{answered} answered, {unanswered} not");
     }
 
+    // The store sends bodies of restricted submissions to daemons of other regions, which nobody asked about them.
+    restricted_bodies_are_read_in_their_regions_only => {
+        let script = vec![(1_500, TimedFault::KillHolder), (4_000, TimedFault::KillZone(1))];
+        let report = play(&SoakOptions { daemons: 6, duration_ms: 10_000, ..regional(75, script) });
+        let outside = &report.regions.bodies_outside;
+        assert!(outside.is_empty(), "{outside:?}");
+        assert!(report.submissions >= 2, "{}", report.submissions);
+    }
+
     // A daemon of any zone that others ask doesn't know a submission, a position or a body, or runs what was ended, beside a
     // takeover and the loss of a zone's daemons; items that can't be done are never listed.
     submissions_are_the_same_to_all_who_read_and_resend_them => {
