Soak: cold faults are named for what they do, one function records a restricted call

The faults had a name of their own.

Change: names and layout only; calls that have no region and were disturbed no longer count among unanswered restricted ones.

--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -110,9 +110,9 @@
     /// The operator evacuates a zone.
     Evacuate(usize),
     /// All endpoints of a zone become cold.
-    ChillZone(usize),
-    ChillEngine(usize),
-    ChillService(usize),
+    ColdZone(usize),
+    ColdEngine(usize),
+    ColdService(usize),
     /// All daemons of a zone are killed.
     KillZone(usize),
 }
@@ -192,7 +192,7 @@
                 TimedFault::NoEndpoints => Fault::Duties(DutyMode::NoEndpoints),
                 TimedFault::SuspendAllButOne => Fault::Suspend(1),
                 TimedFault::EvacuateZone(zone) => Fault::Evacuate(*zone),
-                TimedFault::ChillZone(zone) => Fault::ChillZone(*zone),
+                TimedFault::ColdZone(zone) => Fault::ColdZone(*zone),
                 TimedFault::KillZone(zone) => Fault::KillZone(*zone),
             };
             self.started_faults
@@ -318,9 +318,9 @@
             20 => Fault::Duties(duties),
             21 | 22 => Fault::RevokeKey,
             23 => Fault::Evacuate(below(ZONES.len())),
-            24 => Fault::ChillZone(below(ZONES.len())),
-            25 => Fault::ChillEngine(engine),
-            _ => Fault::ChillService(service),
+            24 => Fault::ColdZone(below(ZONES.len())),
+            25 => Fault::ColdEngine(engine),
+            _ => Fault::ColdService(service),
         }
     }
 
@@ -418,20 +418,11 @@
                 self.end_harm(harmed);
             }
             Fault::Evacuate(zone) => self.evacuate(zone, EVACUATION_MIN_MS + length_ms).await,
-            Fault::ChillZone(zone) => {
-                let is_in_zone = |number: &usize| number % ZONES.len() == zone;
-                let engines = (0..self.engines.len()).filter(is_in_zone);
-                engines
-                    .for_each(|number| self.engines[number].0.become_cold(COLD_MIN_MS + length_ms));
-                let services = (0..self.services.len()).filter(is_in_zone);
-                services.for_each(|number| {
-                    self.services[number].0.become_cold(COLD_MIN_MS + length_ms)
-                });
-            }
-            Fault::ChillEngine(number) => {
+            Fault::ColdZone(zone) => self.make_zone_cold(zone, COLD_MIN_MS + length_ms),
+            Fault::ColdEngine(number) => {
                 self.engines[number].0.become_cold(COLD_MIN_MS + length_ms);
             }
-            Fault::ChillService(number) => {
+            Fault::ColdService(number) => {
                 self.services[number].0.become_cold(COLD_MIN_MS + length_ms);
             }
             Fault::KillZone(zone) => {
@@ -466,6 +457,15 @@
         self.store.put("keyed.op", &key, b"");
     }
 
+    fn make_zone_cold(&self, zone: usize, for_ms: u64) {
+        for (engine, _) in self.engines.iter().skip(zone).step_by(ZONES.len()) {
+            engine.become_cold(for_ms);
+        }
+        for (service, _) in self.services.iter().skip(zone).step_by(ZONES.len()) {
+            service.become_cold(for_ms);
+        }
+    }
+
     /// Records that the link to an endpoint is faulty; returns the index of the record.
     fn begin_harm(&self, endpoint: String) -> usize {
         let mut harmed = self.oracle.harmed_links.borrow_mut();
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -88,7 +88,7 @@
     /// The operator evacuates a zone and takes that back after 8.5 s; needs [`SoakOptions::regions`], as do the rest.
     EvacuateZone(usize),
     /// The endpoints of a zone become cold.
-    ChillZone(usize),
+    ColdZone(usize),
     /// All daemons of a zone are killed at the same moment and restarted.
     KillZone(usize),
 }
@@ -200,7 +200,7 @@
     pub max_cold_requests_per_s: usize,
     /// Calls restricted to regions that were answered with success.
     pub restricted_answered: usize,
-    /// Calls restricted to regions, or to none, without success.
+    /// Calls restricted to regions without success.
     pub restricted_unanswered: usize,
     /// How long callers waited for the refusal of calls that have no region, at daemons that were not disturbed.
     pub unservable_waits_ms: Vec<u64>,
--- a/crates/borageshore_soak/src/regions.rs
+++ b/crates/borageshore_soak/src/regions.rs
@@ -169,7 +169,7 @@
     caller.map_or(CALLER_ORG, |(_, organisation, _)| organisation)
 }
 
-/// A question for addresses from the region of a daemon or of a random zone.
+/// The query of a caller in a zone, with the zone's region, for addresses of daemons.
 pub(crate) fn resolve_query(place: (&str, &str)) -> String {
     let (zone, region) = place;
     format!("name=soak.example&region={region}&zone={zone}")
@@ -192,27 +192,36 @@
         let began_ms = traffic.clock.now_ms();
         let asking = traffic.call_once(organisation, &id, path, "body", &mut random);
         let status = asking.await.map(|(status, _)| status);
-        let now_ms = traffic.clock.now_ms();
-        let oracle = &traffic.oracle;
-        let mut report = oracle.regions.borrow_mut();
-        match status {
-            Some(StatusCode::OK) if name == UNSERVABLE => {
-                oracle.record_violation(format!("call {id} was answered but has no region"));
-            }
-            Some(StatusCode::OK) => report.restricted_answered += 1,
-            Some(StatusCode::NOT_FOUND | StatusCode::BAD_REQUEST | StatusCode::UNAUTHORIZED) => {
-                oracle.record_violation(format!("call {id} was rejected with {status:?}"));
-            }
-            _ if name == UNSERVABLE && !oracle.is_disturbed(&id, now_ms, IN_TOUCH_MS) => {
-                report.unservable_waits_ms.push(now_ms - began_ms);
-            }
-            _ => report.restricted_unanswered += 1,
-        }
-        drop(report);
+        record_restricted_call(&traffic, name, &id, status, began_ms);
         sleep_ms(CALL_PAUSE_MS).await;
     }
 }
 
+fn record_restricted_call(
+    traffic: &Traffic,
+    name: &str,
+    id: &str,
+    status: Option<StatusCode>,
+    began_ms: u64,
+) {
+    let (oracle, now_ms) = (&traffic.oracle, traffic.clock.now_ms());
+    let mut report = oracle.regions.borrow_mut();
+    match status {
+        Some(StatusCode::OK) if name == UNSERVABLE => {
+            oracle.record_violation(format!("call {id} was answered but has no region"));
+        }
+        Some(StatusCode::OK) => report.restricted_answered += 1,
+        Some(StatusCode::NOT_FOUND | StatusCode::BAD_REQUEST | StatusCode::UNAUTHORIZED) => {
+            oracle.record_violation(format!("call {id} was rejected with {status:?}"));
+        }
+        _ if name == UNSERVABLE && !oracle.is_disturbed(id, now_ms, IN_TOUCH_MS) => {
+            report.unservable_waits_ms.push(now_ms - began_ms);
+        }
+        _ if name == UNSERVABLE => {}
+        _ => report.restricted_unanswered += 1,
+    }
+}
+
 /// Checks what the endpoints received.
 pub(crate) fn check(targets: &Targets) {
     let oracle = &targets.oracle;
