--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -4,37 +4,26 @@
 
 use borageshore_net::{Clock, sleep_ms};
 use borageshore_standins::platform::{
-    DutyMode, EngineSwitches, LONG_EVENT_COUNT, PlainSwitches, PlatformDuties, PlatformEngine,
-    PlatformService, PlatformStore, Proxy, ProxyMode, StoreMode,
+    DutyMode, EngineSwitches, PlainSwitches, PlatformDuties, PlatformEngine, PlatformService,
+    PlatformStore, Proxy, ProxyMode, StoreMode,
 };
 use futures_util::future::join_all;
 use rand_core::Rng;
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
-use serde::Deserialize;
 use serde_json::json;
 
-use crate::{
-    TimedFault,
-    daemons::DaemonProcess,
-    keys::Keys,
-    oracle::Oracle,
-    regions::{Evacuation, HarmedLink, ZONES},
-};
+use crate::{TimedFault, daemons::DaemonProcess, keys::Keys, oracle::Oracle, regions::ZONES};
 
 /// Duration of a timed fault; a killed daemon is restarted after it.
 const TIMED_FAULT_MS: u64 = 1_500;
 /// At this pace a generation of twelve events spans several loads of weights.
 const SLOW_EVENT_MS: u64 = 120;
-/// Interval between two checks for a condition to become true.
-const POLL_MS: u64 = 20;
 
 /// Longer than the timeout after which other daemons take over from a silent one.
 const PARTITION_MS: u64 = 4_000;
 /// Longer than a daemon may accept a revoked key while it cannot learn of the revocation.
 const LONG_PARTITION_MS: u64 = 8_000;
-/// Number of events from which a long generation counts as nearly complete.
-const NEARLY_COMPLETE_EVENTS: u64 = 45;
 /// Number of fault kinds that [`crate::Script::Random`] draws from. Changing it changes the faults of every seed.
 pub(crate) const RANDOM_KINDS: u64 = 18;
 /// Number of fault kinds that [`crate::Script::RandomExtended`] draws from.
@@ -48,12 +37,6 @@
 /// Endpoints stay cold for this much longer than other faults.
 const COLD_MIN_MS: u64 = 2_000;
 
-/// The fields of a heartbeat that the soak reads.
-#[derive(Debug, Default, Deserialize)]
-struct Heartbeat {
-    holds: Vec<String>,
-}
-
 /// The system under test and its stand-ins, into which faults are injected.
 #[derive(Debug)]
 pub(crate) struct Targets {
@@ -211,61 +194,6 @@
         }
     }
 
-    /// Waits for a daemon whose heartbeat says that it runs a submission; returns its index.
-    async fn holder(&self) -> usize {
-        loop {
-            for (name, value) in self.store.newest("keyed.members") {
-                let heartbeat: Heartbeat = serde_json::from_slice(&value).unwrap_or_default();
-                let number = self.daemons.iter().position(|daemon| daemon.name == name);
-                match number {
-                    Some(number) if !heartbeat.holds.is_empty() => return number,
-                    _ => {}
-                }
-            }
-            sleep_ms(POLL_MS).await;
-        }
-    }
-
-    /// Waits for the first usage report if needed; returns the index of the daemon that reported last.
-    async fn reporter(&self) -> usize {
-        loop {
-            let reports = self.duties.reports();
-            match self.number_of(reports.last().map(|report| &report.holder)) {
-                Some(number) => return number,
-                None => sleep_ms(POLL_MS).await,
-            }
-        }
-    }
-
-    /// Waits for the first order for endpoints if needed; returns the index of the daemon that ordered last.
-    async fn scaler(&self) -> usize {
-        loop {
-            let orders = self.duties.orders();
-            match self.number_of(orders.last().map(|order| &order.holder)) {
-                Some(number) => return number,
-                None => sleep_ms(POLL_MS).await,
-            }
-        }
-    }
-
-    fn number_of(&self, name: Option<&String>) -> Option<usize> {
-        let mut daemons = self.daemons.iter();
-        daemons.position(|daemon| Some(&daemon.name) == name)
-    }
-
-    /// Waits until some run is nearly complete, so that losing it would be expensive.
-    async fn wait_for_nearly_complete_run(&self) {
-        let is_nearly_complete = |(engine, _): &(PlatformEngine, Proxy)| {
-            let runs = engine.runs();
-            let mut lengths = runs.iter().map(|run| run.events.len());
-            lengths
-                .any(|events| (NEARLY_COMPLETE_EVENTS..LONG_EVENT_COUNT).contains(&(events as u64)))
-        };
-        while !self.engines.iter().any(is_nearly_complete) {
-            sleep_ms(POLL_MS).await;
-        }
-    }
-
     fn draw_fault(&self, random: &mut Pcg64Mcg, kinds: u64) -> Fault {
         let kind = random.next_u64() % kinds;
         let mut below = |count: usize| (random.next_u64() % count.max(1) as u64) as usize;
@@ -377,9 +305,9 @@
                 self.daemons[number].store.stall_open_connections();
             }
             Fault::EngineLink(number, mode) => {
-                let harmed = self.begin_harm(format!("e-{number}"));
+                let harmed = self.begin_link_harm(format!("e-{number}"));
                 degrade_link(&self.engines[number].1, mode, length_ms).await;
-                self.end_harm(harmed);
+                self.end_link_harm(harmed);
             }
             Fault::EngineDrains(number) => self.drain_engine(number, length_ms).await,
             Fault::EngineSlow(number) => {
@@ -413,9 +341,9 @@
                     .await;
             }
             Fault::ServiceLink(number, mode) => {
-                let harmed = self.begin_harm(format!("s-{number}"));
+                let harmed = self.begin_link_harm(format!("s-{number}"));
                 degrade_link(&self.services[number].1, mode, length_ms).await;
-                self.end_harm(harmed);
+                self.end_link_harm(harmed);
             }
             Fault::Evacuate(zone) => self.evacuate(zone, EVACUATION_MIN_MS + length_ms).await,
             Fault::ColdZone(zone) => self.make_zone_cold(zone, COLD_MIN_MS + length_ms),
@@ -434,53 +362,6 @@
         }
     }
 
-    /// Evacuates a zone for a while, unless one is evacuated already.
-    async fn evacuate(&self, zone: usize, length_ms: u64) {
-        let now_ms = self.clock.now_ms();
-        let (zone, _) = ZONES[zone];
-        let index = {
-            let mut evacuations = self.oracle.evacuations.borrow_mut();
-            if evacuations.iter().any(|one| one.until_ms == u64::MAX) {
-                return;
-            }
-            evacuations.push(Evacuation {
-                zone,
-                acknowledged_at_ms: now_ms,
-                until_ms: u64::MAX,
-            });
-            evacuations.len() - 1
-        };
-        let key = format!("evacuate/{zone}");
-        self.store.put("keyed.op", &key, b"{}");
-        sleep_ms(length_ms).await;
-        self.oracle.evacuations.borrow_mut()[index].until_ms = self.clock.now_ms();
-        self.store.put("keyed.op", &key, b"");
-    }
-
-    fn make_zone_cold(&self, zone: usize, for_ms: u64) {
-        for (engine, _) in self.engines.iter().skip(zone).step_by(ZONES.len()) {
-            engine.become_cold(for_ms);
-        }
-        for (service, _) in self.services.iter().skip(zone).step_by(ZONES.len()) {
-            service.become_cold(for_ms);
-        }
-    }
-
-    /// Records that the link to an endpoint is faulty; returns the index of the record.
-    fn begin_harm(&self, endpoint: String) -> usize {
-        let mut harmed = self.oracle.harmed_links.borrow_mut();
-        harmed.push(HarmedLink {
-            endpoint,
-            from_ms: self.clock.now_ms(),
-            until_ms: u64::MAX,
-        });
-        harmed.len() - 1
-    }
-
-    fn end_harm(&self, index: usize) {
-        self.oracle.harmed_links.borrow_mut()[index].until_ms = self.clock.now_ms();
-    }
-
     async fn kill(&self, numbers: &[usize], length_ms: u64) {
         for number in numbers {
             self.daemons[*number].signal(Signal::KILL);
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -19,6 +19,7 @@
 mod observers;
 mod oracle;
 mod regions;
+mod subjects;
 mod traffic;
 mod usage;
 mod world;
--- a/crates/borageshore_soak/src/regions.rs
+++ b/crates/borageshore_soak/src/regions.rs
@@ -222,6 +222,55 @@
     }
 }
 
+impl Targets {
+    /// Evacuates a zone for a while, unless one is evacuated already.
+    pub(crate) async fn evacuate(&self, zone: usize, length_ms: u64) {
+        let now_ms = self.clock.now_ms();
+        let (zone, _) = ZONES[zone];
+        let index = {
+            let mut evacuations = self.oracle.evacuations.borrow_mut();
+            if evacuations.iter().any(|one| one.until_ms == u64::MAX) {
+                return;
+            }
+            evacuations.push(Evacuation {
+                zone,
+                acknowledged_at_ms: now_ms,
+                until_ms: u64::MAX,
+            });
+            evacuations.len() - 1
+        };
+        let key = format!("evacuate/{zone}");
+        self.store.put("keyed.op", &key, b"{}");
+        sleep_ms(length_ms).await;
+        self.oracle.evacuations.borrow_mut()[index].until_ms = self.clock.now_ms();
+        self.store.put("keyed.op", &key, b"");
+    }
+
+    pub(crate) fn make_zone_cold(&self, zone: usize, for_ms: u64) {
+        for (engine, _) in self.engines.iter().skip(zone).step_by(ZONES.len()) {
+            engine.become_cold(for_ms);
+        }
+        for (service, _) in self.services.iter().skip(zone).step_by(ZONES.len()) {
+            service.become_cold(for_ms);
+        }
+    }
+
+    /// Records that the link to an endpoint is faulty; returns the index of the record.
+    pub(crate) fn begin_link_harm(&self, endpoint: String) -> usize {
+        let mut harmed = self.oracle.harmed_links.borrow_mut();
+        harmed.push(HarmedLink {
+            endpoint,
+            from_ms: self.clock.now_ms(),
+            until_ms: u64::MAX,
+        });
+        harmed.len() - 1
+    }
+
+    pub(crate) fn end_link_harm(&self, index: usize) {
+        self.oracle.harmed_links.borrow_mut()[index].until_ms = self.clock.now_ms();
+    }
+}
+
 /// Checks what the endpoints received.
 pub(crate) fn check(targets: &Targets) {
     let oracle = &targets.oracle;
