Soak: a fake daemon that records what is passed on to it

Cause: a daemon that the store turns away passes submissions on to other daemons; whether a restricted one leaves its regions could not be seen.

Change: a fake daemon in the south counts as ready for a while, records bodies and refuses them. Random plays with regions draw the new faults in 9 of 32 cases, the loss of a zone's daemons among them.

--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -4,8 +4,8 @@
 
 use borageshore_net::{Clock, sleep_ms};
 use borageshore_standins::platform::{
-    DutyMode, EngineSwitches, PlainSwitches, PlatformDuties, PlatformEngine, PlatformService,
-    PlatformStore, Proxy, ProxyMode, StoreMode,
+    DutyMode, EngineSwitches, ListeningPeer, PlainSwitches, PlatformDuties, PlatformEngine,
+    PlatformService, PlatformStore, Proxy, ProxyMode, StoreMode,
 };
 use futures_util::future::join_all;
 use rand_core::Rng;
@@ -31,7 +31,7 @@
 /// Number of fault kinds that [`crate::Script::RandomExtended`] draws from if callers have keys.
 pub(crate) const KEYED_KINDS: u64 = 23;
 /// Number of fault kinds that [`crate::Script::RandomExtended`] draws from in a world with regions.
-pub(crate) const REGION_KINDS: u64 = 27;
+pub(crate) const REGION_KINDS: u64 = 32;
 /// An evacuation lasts this much longer than other faults, so that its bound ends well before.
 const EVACUATION_MIN_MS: u64 = 7_000;
 /// Endpoints stay cold for this much longer than other faults.
@@ -48,6 +48,7 @@
     pub(crate) daemons: Vec<DaemonProcess>,
     pub(crate) engines: Vec<(PlatformEngine, Proxy)>,
     pub(crate) services: Vec<(PlatformService, Proxy)>,
+    pub(crate) listening_peer: ListeningPeer,
     pub(crate) started_faults: RefCell<Vec<String>>,
 }
 
@@ -96,6 +97,7 @@
     ColdZone(usize),
     ColdEngine(usize),
     ColdService(usize),
+    ListeningPeer,
     /// All daemons of a zone are killed.
     KillZone(usize),
 }
@@ -176,6 +178,7 @@
                 TimedFault::SuspendAllButOne => Fault::Suspend(1),
                 TimedFault::EvacuateZone(zone) => Fault::Evacuate(*zone),
                 TimedFault::ColdZone(zone) => Fault::ColdZone(*zone),
+                TimedFault::ListeningPeer => Fault::ListeningPeer,
                 TimedFault::KillZone(zone) => Fault::KillZone(*zone),
             };
             self.started_faults
@@ -245,10 +248,11 @@
             19 => Fault::Reject(daemon),
             20 => Fault::Duties(duties),
             21 | 22 => Fault::RevokeKey,
-            23 => Fault::Evacuate(below(ZONES.len())),
-            24 => Fault::ColdZone(below(ZONES.len())),
-            25 => Fault::ColdEngine(engine),
-            _ => Fault::ColdService(service),
+            23 | 24 => Fault::Evacuate(below(ZONES.len())),
+            25 | 26 => Fault::ColdZone(below(ZONES.len())),
+            27 => Fault::ColdEngine(engine),
+            28 | 29 => Fault::ColdService(service),
+            _ => Fault::KillZone(below(ZONES.len())),
         }
     }
 
@@ -346,6 +350,7 @@
                 self.end_link_harm(harmed);
             }
             Fault::Evacuate(zone) => self.evacuate(zone, EVACUATION_MIN_MS + length_ms).await,
+            Fault::ListeningPeer => self.announce_listening_peer(),
             Fault::ColdZone(zone) => self.make_zone_cold(zone, COLD_MIN_MS + length_ms),
             Fault::ColdEngine(number) => {
                 self.engines[number].0.become_cold(COLD_MIN_MS + length_ms);
--- a/crates/borageshore_soak/src/regions.rs
+++ b/crates/borageshore_soak/src/regions.rs
@@ -1,13 +1,14 @@
 //! The world with regions: zones, restricted routes and callers, evacuations and cold endpoints, and their checks.
 //!
-//! The checks go by what reached the endpoints, and the daemons from the store. A body that one daemon passes on to
-//! another can't be seen from outside: daemons connect to the address that callers use, so no proxy can stand between
-//! them.
+//! The checks go by what reached the endpoints, what the store sent to the daemons, and what daemons passed on to a fake
+//! one. Bodies between the real daemons can't be seen from outside: these connect to the address that callers use, so
+//! no proxy can stand between them.
 
 use std::rc::Rc;
 
 use borageshore_net::sleep_ms;
 use borageshore_standins::platform::{Arrival, ColdSwitches, HEALTH_PATH, max_cold_requests_per_s};
+use bytes::Bytes;
 use hyper::StatusCode;
 use rand_core::Rng;
 use rand_pcg::Pcg64Mcg;
@@ -15,6 +16,7 @@
 
 use crate::{
     daemons::DaemonProcess, faults::Targets, keys::CALLER_ORG, oracle::Oracle, traffic::Traffic,
+    usage::began_unix_ms,
 };
 
 /// The zones, each with its region.
@@ -139,10 +141,20 @@
     }
 }
 
-/// Daemons outside the region of the restricted submissions, and how often their responses from the store contained a
+/// Records what was passed on to the fake daemon, and daemons outside the region of the restricted submissions with how often their responses from the store contained a
 /// body of an item of these. Callers ask only daemons of the region about them.
 pub(crate) fn record_bodies_outside(targets: &Targets) {
     let mut report = targets.oracle.regions.borrow_mut();
+    let passed_on = targets.listening_peer.bodies();
+    let passed_on = passed_on.iter().filter(|body| !body.is_empty());
+    let is_restricted = |body: &&Bytes| {
+        let mut parts = body.windows(BODY_MARKER_BASE64.len());
+        parts.any(|part| part == BODY_MARKER_BASE64)
+    };
+    report.bodies_passed_on = (
+        passed_on.clone().count(),
+        passed_on.filter(is_restricted).count(),
+    );
     for (number, daemon) in targets.daemons.iter().enumerate() {
         let (name, seen) = (&daemon.name, daemon.store.markers_seen());
         if place_of(number).1 != HOME_REGION && seen > 0 {
@@ -223,6 +235,21 @@
 }
 
 impl Targets {
+    /// Writes the heartbeat of the fake daemon, which counts as ready until its watchers suspect it.
+    pub(crate) fn announce_listening_peer(&self) {
+        let (zone, _) = ZONES[ZONES.len() - 1];
+        let incarnation = began_unix_ms(self.clock) + self.clock.now_ms();
+        let heartbeat = json!({
+            "name": "listening-peer", "incarnation": incarnation, "zone": zone,
+            "http_address": self.listening_peer.address(), "state": "Ready", "capacity_percent": 50, "holds": [],
+        });
+        self.store.put(
+            "keyed.members",
+            "listening-peer",
+            heartbeat.to_string().as_bytes(),
+        );
+    }
+
     /// Evacuates a zone for a while, unless one is evacuated already.
     pub(crate) async fn evacuate(&self, zone: usize, length_ms: u64) {
         let now_ms = self.clock.now_ms();
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -10,7 +10,8 @@
 
 use borageshore_net::{Clock, sleep_ms};
 use borageshore_standins::platform::{
-    PlatformDuties, PlatformEngine, PlatformService, PlatformStore, Proxy, event_count,
+    ListeningPeer, PlatformDuties, PlatformEngine, PlatformService, PlatformStore, Proxy,
+    event_count,
 };
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -249,6 +250,7 @@
         daemons,
         engines,
         services,
+        listening_peer: ListeningPeer::bind()?,
         started_faults: Vec::new().into(),
     };
     if options.regions {
--- a/crates/borageshore_standins/src/platform/mod.rs
+++ b/crates/borageshore_standins/src/platform/mod.rs
@@ -9,6 +9,7 @@
 mod crash;
 mod duties;
 mod engine;
+mod listening_peer;
 mod plain;
 mod proxy;
 mod store;
@@ -26,6 +27,7 @@
         EngineSwitches, FAILING_BODY, IMPOSSIBLE_BODY, LONG_EVENT_COUNT, PlatformEngine,
         ReceivedOrder, RecordedRun, event_count, event_text,
     },
+    listening_peer::ListeningPeer,
     plain::{PlainSwitches, PlatformService},
     proxy::{Proxy, ProxyMode},
     store::{PlatformStore, StoreMode},
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -440,6 +440,16 @@
         assert!(report.submissions >= 2, "{}", report.submissions);
     }
 
+    // A daemon that the store turns away passes a restricted submission on to a daemon of another region.
+    restricted_submissions_are_passed_on_in_their_regions_only => {
+        let turns = (0..5).map(|turn| 500 + turn * 2_500);
+        let faults = |at_ms| [(at_ms, TimedFault::ListeningPeer), (at_ms + 200, TimedFault::RejectAllButOne)];
+        let options = SoakOptions { submit_to: Some(1), ..regional(76, turns.flat_map(faults).collect()) };
+        let (passed_on, restricted) = play(&options).regions.bodies_passed_on;
+        assert!(passed_on > 0, "nothing was passed on");
+        assert_eq!(restricted, 0, "of {passed_on}");
+    }
+
     // A daemon of any zone that others ask doesn't know a submission, a position or a body, or runs what was ended, beside a
     // takeover and the loss of a zone's daemons; items that can't be done are never listed.
     submissions_are_the_same_to_all_who_read_and_resend_them => {
