--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -4,43 +4,38 @@
 
 use borageshore_net::{Clock, sleep_ms};
 use borageshore_standins::platform::{
-    DutyMode, EngineSwitches, LONG_EVENT_COUNT, PlainSwitches, PlatformDuties, PlatformEngine,
+    DutyMode, EngineSwitches, ListeningPeer, PlainSwitches, PlatformDuties, PlatformEngine,
     PlatformService, PlatformStore, Proxy, ProxyMode, StoreMode,
 };
 use futures_util::future::join_all;
 use rand_core::Rng;
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
-use serde::Deserialize;
 use serde_json::json;
 
-use crate::{TimedFault, daemons::DaemonProcess, keys::Keys, oracle::Oracle};
+use crate::{TimedFault, daemons::DaemonProcess, keys::Keys, oracle::Oracle, regions::ZONES};
 
 /// Duration of a timed fault; a killed daemon is restarted after it.
 const TIMED_FAULT_MS: u64 = 1_500;
 /// At this pace a generation of twelve events spans several loads of weights.
 const SLOW_EVENT_MS: u64 = 120;
-/// Interval between two checks for a condition to become true.
-const POLL_MS: u64 = 20;
 
 /// Longer than the timeout after which other daemons take over from a silent one.
 const PARTITION_MS: u64 = 4_000;
 /// Longer than a daemon may accept a revoked key while it cannot learn of the revocation.
 const LONG_PARTITION_MS: u64 = 8_000;
-/// Number of events from which a long generation counts as nearly complete.
-const NEARLY_COMPLETE_EVENTS: u64 = 45;
 /// Number of fault kinds that [`crate::Script::Random`] draws from. Changing it changes the faults of every seed.
 pub(crate) const RANDOM_KINDS: u64 = 18;
 /// Number of fault kinds that [`crate::Script::RandomExtended`] draws from.
 pub(crate) const EXTENDED_KINDS: u64 = 20;
 /// Number of fault kinds that [`crate::Script::RandomExtended`] draws from if callers have keys.
 pub(crate) const KEYED_KINDS: u64 = 23;
-
-/// The fields of a heartbeat that the soak reads.
-#[derive(Debug, Default, Deserialize)]
-struct Heartbeat {
-    holds: Vec<String>,
-}
+/// Number of fault kinds that [`crate::Script::RandomExtended`] draws from in a world with regions.
+pub(crate) const REGION_KINDS: u64 = 32;
+/// An evacuation lasts this much longer than other faults, so that its bound ends well before.
+const EVACUATION_MIN_MS: u64 = 7_000;
+/// Endpoints stay cold for this much longer than other faults.
+const COLD_MIN_MS: u64 = 2_000;
 
 /// The system under test and its stand-ins, into which faults are injected.
 #[derive(Debug)]
@@ -53,6 +48,7 @@
     pub(crate) daemons: Vec<DaemonProcess>,
     pub(crate) engines: Vec<(PlatformEngine, Proxy)>,
     pub(crate) services: Vec<(PlatformService, Proxy)>,
+    pub(crate) listening_peer: ListeningPeer,
     pub(crate) started_faults: RefCell<Vec<String>>,
 }
 
@@ -95,6 +91,15 @@
     ServiceLosesResponses(usize),
     ServiceMixesUpIds(usize),
     ServiceLink(usize, ProxyMode),
+    /// The operator evacuates a zone.
+    Evacuate(usize),
+    /// All endpoints of a zone become cold.
+    ColdZone(usize),
+    ColdEngine(usize),
+    ColdService(usize),
+    ListeningPeer,
+    /// All daemons of a zone are killed.
+    KillZone(usize),
 }
 
 impl Fault {
@@ -171,12 +176,18 @@
                 TimedFault::LoseDutyResponses => Fault::Duties(DutyMode::LostAnswers),
                 TimedFault::NoEndpoints => Fault::Duties(DutyMode::NoEndpoints),
                 TimedFault::SuspendAllButOne => Fault::Suspend(1),
+                TimedFault::EvacuateZone(zone) => Fault::Evacuate(*zone),
+                TimedFault::ColdZone(zone) => Fault::ColdZone(*zone),
+                TimedFault::ListeningPeer => Fault::ListeningPeer,
+                TimedFault::KillZone(zone) => Fault::KillZone(*zone),
             };
             self.started_faults
                 .borrow_mut()
                 .push(format!("{at_ms} ms: {fault:?}"));
             let length_ms = match timed_fault {
-                TimedFault::PartitionHolderMidGeneration | TimedFault::StoreOutage => PARTITION_MS,
+                TimedFault::PartitionHolderMidGeneration
+                | TimedFault::StoreOutage
+                | TimedFault::KillZone(_) => PARTITION_MS,
                 TimedFault::LongOutage | TimedFault::NoEndpoints | TimedFault::SuspendAllButOne => {
                     LONG_PARTITION_MS
                 }
@@ -186,61 +197,6 @@
         }
     }
 
-    /// Waits for a daemon whose heartbeat says that it runs a submission; returns its index.
-    async fn holder(&self) -> usize {
-        loop {
-            for (name, value) in self.store.newest("keyed.members") {
-                let heartbeat: Heartbeat = serde_json::from_slice(&value).unwrap_or_default();
-                let number = self.daemons.iter().position(|daemon| daemon.name == name);
-                match number {
-                    Some(number) if !heartbeat.holds.is_empty() => return number,
-                    _ => {}
-                }
-            }
-            sleep_ms(POLL_MS).await;
-        }
-    }
-
-    /// Waits for the first usage report if needed; returns the index of the daemon that reported last.
-    async fn reporter(&self) -> usize {
-        loop {
-            let reports = self.duties.reports();
-            match self.number_of(reports.last().map(|report| &report.holder)) {
-                Some(number) => return number,
-                None => sleep_ms(POLL_MS).await,
-            }
-        }
-    }
-
-    /// Waits for the first order for endpoints if needed; returns the index of the daemon that ordered last.
-    async fn scaler(&self) -> usize {
-        loop {
-            let orders = self.duties.orders();
-            match self.number_of(orders.last().map(|order| &order.holder)) {
-                Some(number) => return number,
-                None => sleep_ms(POLL_MS).await,
-            }
-        }
-    }
-
-    fn number_of(&self, name: Option<&String>) -> Option<usize> {
-        let mut daemons = self.daemons.iter();
-        daemons.position(|daemon| Some(&daemon.name) == name)
-    }
-
-    /// Waits until some run is nearly complete, so that losing it would be expensive.
-    async fn wait_for_nearly_complete_run(&self) {
-        let is_nearly_complete = |(engine, _): &(PlatformEngine, Proxy)| {
-            let runs = engine.runs();
-            let mut lengths = runs.iter().map(|run| run.events.len());
-            lengths
-                .any(|events| (NEARLY_COMPLETE_EVENTS..LONG_EVENT_COUNT).contains(&(events as u64)))
-        };
-        while !self.engines.iter().any(is_nearly_complete) {
-            sleep_ms(POLL_MS).await;
-        }
-    }
-
     fn draw_fault(&self, random: &mut Pcg64Mcg, kinds: u64) -> Fault {
         let kind = random.next_u64() % kinds;
         let mut below = |count: usize| (random.next_u64() % count.max(1) as u64) as usize;
@@ -291,7 +247,12 @@
             18 => Fault::ForeignEntry(service),
             19 => Fault::Reject(daemon),
             20 => Fault::Duties(duties),
-            _ => Fault::RevokeKey,
+            21 | 22 => Fault::RevokeKey,
+            23 | 24 => Fault::Evacuate(below(ZONES.len())),
+            25 | 26 => Fault::ColdZone(below(ZONES.len())),
+            27 => Fault::ColdEngine(engine),
+            28 | 29 => Fault::ColdService(service),
+            _ => Fault::KillZone(below(ZONES.len())),
         }
     }
 
@@ -348,7 +309,9 @@
                 self.daemons[number].store.stall_open_connections();
             }
             Fault::EngineLink(number, mode) => {
+                let harmed = self.begin_link_harm(format!("e-{number}"));
                 degrade_link(&self.engines[number].1, mode, length_ms).await;
+                self.end_link_harm(harmed);
             }
             Fault::EngineDrains(number) => self.drain_engine(number, length_ms).await,
             Fault::EngineSlow(number) => {
@@ -382,7 +345,24 @@
                     .await;
             }
             Fault::ServiceLink(number, mode) => {
+                let harmed = self.begin_link_harm(format!("s-{number}"));
                 degrade_link(&self.services[number].1, mode, length_ms).await;
+                self.end_link_harm(harmed);
+            }
+            Fault::Evacuate(zone) => self.evacuate(zone, EVACUATION_MIN_MS + length_ms).await,
+            Fault::ListeningPeer => self.announce_listening_peer(),
+            Fault::ColdZone(zone) => self.make_zone_cold(zone, COLD_MIN_MS + length_ms),
+            Fault::ColdEngine(number) => {
+                self.engines[number].0.become_cold(COLD_MIN_MS + length_ms);
+            }
+            Fault::ColdService(number) => {
+                self.services[number].0.become_cold(COLD_MIN_MS + length_ms);
+            }
+            Fault::KillZone(zone) => {
+                let numbers = (zone..self.daemons.len()).step_by(ZONES.len());
+                let kills = numbers
+                    .map(|number| Box::pin(self.clone().inject(Fault::Kill(number), length_ms)));
+                join_all(kills).await;
             }
         }
     }
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -16,7 +16,10 @@
 mod daemons;
 mod faults;
 mod keys;
+mod observers;
 mod oracle;
+mod regions;
+mod subjects;
 mod traffic;
 mod usage;
 mod world;
@@ -85,6 +88,14 @@
     RevokeKey,
     /// All daemons but the first are suspended for longer than a revoked key may be accepted.
     SuspendAllButOne,
+    /// The operator evacuates a zone and takes that back after 8.5 s; needs [`SoakOptions::regions`], as do the rest.
+    EvacuateZone(usize),
+    /// The endpoints of a zone become cold.
+    ColdZone(usize),
+    /// A fake daemon in the region outside that of the restricted routes counts as ready for a while.
+    ListeningPeer,
+    /// All daemons of a zone are killed at the same moment and restarted.
+    KillZone(usize),
 }
 
 /// Options of a run.
@@ -120,6 +131,12 @@
     pub has_crashing_reward: bool,
     /// Whether callers belong to organisations and authenticate with keys.
     pub organisations: bool,
+    /// Whether daemons and endpoints are spread over three zones of two regions, with routes and callers that are
+    /// restricted to regions, endpoints that start cold, and keys for all callers.
+    pub regions: bool,
+    /// Whether other callers of the trainer's organisation read and resend its submissions at any daemon, and each
+    /// submission has items that can never be done.
+    pub observers: bool,
     /// What the settings of the daemons expect beyond the basic service.
     pub features: Vec<&'static str>,
     /// Disabled mechanisms of the daemons, by their names in the settings.
@@ -157,6 +174,8 @@
             has_crashing_item: false,
             has_crashing_reward: false,
             organisations: false,
+            regions: false,
+            observers: false,
             features: Vec::new(),
             mechanisms_off: Vec::new(),
             store_read_mb_per_s: None,
@@ -170,6 +189,30 @@
     }
 }
 
+/// What was seen in a world with [`SoakOptions::regions`].
+#[derive(Debug, Clone, Default)]
+pub struct RegionReport {
+    /// Requests that reached an evacuated zone later than the bound, also from daemons that were disturbed.
+    pub late_in_evacuated_zones: Vec<String>,
+    /// Daemons outside the region of restricted submissions that the store sent bodies of these, and how many; without
+    /// [`SoakOptions::observers`], who ask any daemon.
+    pub bodies_outside: Vec<String>,
+    /// Bodies that daemons passed on to [`TimedFault::ListeningPeer`], and those of them that are restricted.
+    pub bodies_passed_on: (usize, usize),
+    /// Requests that reached the endpoints of a zone after its evacuation was taken back.
+    pub requests_after_return: usize,
+    /// Requests that reached cold endpoints.
+    pub cold_requests: usize,
+    /// The most of them at one endpoint in a second.
+    pub max_cold_requests_per_s: usize,
+    /// Calls restricted to regions that were answered with success.
+    pub restricted_answered: usize,
+    /// Calls restricted to regions without success.
+    pub restricted_unanswered: usize,
+    /// How long callers waited for the refusal of calls that have no region, at daemons that were not disturbed.
+    pub unservable_waits_ms: Vec<u64>,
+}
+
 /// Outcome of a run.
 #[derive(Debug)]
 pub struct SoakReport {
@@ -216,6 +259,12 @@
     pub crashing_calls_held: usize,
     /// Distinct results read.
     pub results: usize,
+    /// Items that were given up before the end of their submission.
+    pub given_up: usize,
+    /// Requests of observers that were answered, and all.
+    pub observations: (usize, usize),
+    /// What was seen of regions.
+    pub regions: RegionReport,
     /// Violated guarantees.
     pub violations: Vec<String>,
 }
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
 };
@@ -10,7 +11,9 @@
 use borageshore_net::{
     CallError, Clock, HttpClient, Timeouts, response_body_error, sleep_ms, within_ms,
 };
-use borageshore_standins::platform::{CRASH_MARK, PlatformService, PlatformStore};
+use borageshore_standins::platform::{
+    CRASH_MARK, FAILING_BODY, IMPOSSIBLE_BODY, PlatformService, PlatformStore,
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
@@ -22,12 +25,22 @@
 use crate::{
     keys::{CALLER_ORG, Keys, TRAINER_ORG},
     oracle::{KnownSubmission, Oracle, ReadResult, reward_id},
+    regions::{BODY_MARKER, HOME_REGION, place_of, resolve_query},
 };
 
 /// Host name of all routes.
 pub(crate) const HOST: &str = "soak.example";
 /// Name of the trained model.
 pub(crate) const MODEL: &str = "m0";
+/// Ends of the ids of the items that an engine answers with 422, and with 500.
+pub(crate) const IMPOSSIBLE_ITEM: &str = "-item-0";
+pub(crate) const FAILING_ITEM: &str = "-item-2";
+/// `max_attempts` of all routes.
+pub(crate) const MAX_ATTEMPTS: usize = 3;
+/// Where some items can never be done, the trainer ends every n-th step soon, with most items still to run; its items
+/// generate many events.
+const EARLY_END_EVERY: u64 = 3;
+const EARLY_END_MS: u64 = 60;
 /// Number of daemons that a caller asks for addresses before it picks any daemon.
 const MAX_DIRECTORIES_ASKED: usize = 3;
 /// Timeout of a call.
@@ -35,7 +48,7 @@
 /// Groups of a step, items of each group, and number of groups that the trainer waits for.
 const STEP_SHAPE: (usize, usize, usize) = (6, 3, 5);
 /// Time after which every daemon must return what one daemon has returned, as the platform requires.
-const PROPAGATION_MS: u64 = 1_000;
+pub(crate) const PROPAGATION_MS: u64 = 1_000;
 /// Time after which the trainer abandons a step.
 const STEP_TIMEOUT_MS: u64 = 8_000;
 const TIMEOUTS: Timeouts = Timeouts {
@@ -56,6 +69,10 @@
     pub(crate) until_ms: u64,
     /// Prefix of the ids of steps; one with "long" makes engines generate many events.
     pub(crate) step_name: &'static str,
+    /// Whether each step contains items that can never be done, and the trainer waits for all.
+    pub(crate) has_failing_items: bool,
+    /// Whether callers ask for addresses from zones of several regions, and every other step is restricted to one.
+    pub(crate) has_regions: bool,
     pub(crate) crashing_call_timeout_ms: u64,
     pub(crate) has_crashing_item: bool,
     pub(crate) has_crashing_reward: bool,
@@ -92,6 +109,17 @@
         self.resolve(random).await.0
     }
 
+    /// Picks a daemon for a request about a submission: one of its region if it is restricted to one.
+    async fn pick_front(&self, id: &str, random: &mut Pcg64Mcg) -> SocketAddr {
+        if !id.starts_with("home") {
+            return self.pick_address(random).await;
+        }
+        let numbered = self.fronts.iter().enumerate();
+        let at_home = numbered.filter(|(number, _)| place_of(*number).1 == HOME_REGION);
+        let at_home: Vec<SocketAddr> = at_home.map(|(_, front)| *front).collect();
+        pick(&at_home, random)
+    }
+
     /// As [`Traffic::pick_address`], and whether the address came from a daemon's list.
     pub(crate) async fn resolve(&self, random: &mut Pcg64Mcg) -> (SocketAddr, bool) {
         match self.resolve_all(random).await {
@@ -105,8 +133,12 @@
         let first = (random.next_u64() % self.directories.len() as u64) as usize;
         let others = self.directories.iter().cycle().skip(first);
         let asked = MAX_DIRECTORIES_ASKED.min(self.directories.len());
+        let query = match self.has_regions {
+            true => resolve_query(place_of(random.next_u64() as usize)),
+            false => resolve_query(("z1", "r")),
+        };
         for directory in others.take(asked).copied() {
-            match self.listed(directory).await {
+            match self.listed(directory, &query).await {
                 Some(listed) if !listed.is_empty() => return Some(listed),
                 _ => {}
             }
@@ -114,9 +146,13 @@
         None
     }
 
-    /// Returns the addresses that a daemon lists.
-    pub(crate) async fn listed(&self, directory: SocketAddr) -> Option<Vec<SocketAddr>> {
-        let request = Request::get("/api/resolve?name=soak.example&region=r&zone=z1");
+    /// Returns the addresses that a daemon lists in answer to a query.
+    pub(crate) async fn listed(
+        &self,
+        directory: SocketAddr,
+        query: &str,
+    ) -> Option<Vec<SocketAddr>> {
+        let request = Request::get(format!("/api/resolve?{query}"));
         let request = request.body(Full::<Bytes>::default()).expect("plain text");
         let client = HttpClient::open();
         let answer = client.call(&directory.to_string(), request, TIMEOUTS).await;
@@ -126,7 +162,7 @@
     }
 
     /// Sends a request with the key of an organisation.
-    async fn request_as(
+    pub(crate) async fn request_as(
         &self,
         organisation: &str,
         front: SocketAddr,
@@ -216,33 +252,47 @@
     /// Makes an idempotent call once, at any daemon; disconnects after the timeout of crashing calls.
     pub(crate) async fn call_once(
         &self,
+        organisation: &str,
         id: &str,
         path: &str,
         body: &str,
         random: &mut Pcg64Mcg,
     ) -> Option<(StatusCode, Bytes)> {
         let front = self.pick_address(random).await;
-        if let Some(number) = self.fronts.iter().position(|known| *known == front) {
-            self.oracle
-                .daemon_by_attempt
-                .borrow_mut()
-                .insert(id.into(), number);
-        }
+        self.record_daemon(id, front);
         let wait = CALL_WAIT_MS.to_string();
         let headers = [("x-request-id", id), ("x-deadline-ms", &wait)];
         let body = Bytes::from(body.to_owned());
-        let asking = self.request_as(CALLER_ORG, front, "POST", path, &headers, body);
+        let asking = self.request_as(organisation, front, "POST", path, &headers, body);
         let answer = within_ms(self.crashing_call_timeout_ms, asking).await;
         answer.and_then(Result::ok)
     }
 
+    /// Records which daemon an attempt is sent to.
+    pub(crate) fn record_daemon(&self, id: &str, front: SocketAddr) {
+        if let Some(number) = self.fronts.iter().position(|known| *known == front) {
+            let mut daemon_by_attempt = self.oracle.daemon_by_attempt.borrow_mut();
+            daemon_by_attempt.insert(id.into(), number);
+        }
+    }
+
     /// Repeats until traffic ends: submits a step, reads its results, ends it, and publishes the next version.
     pub(crate) async fn run_trainer(self: Rc<Self>, mut random: Pcg64Mcg) {
         let mut step = 1;
         while !self.is_over() {
-            let id = format!("{}-{step}", self.step_name);
+            let is_restricted = self.has_regions && step % 2 == 1;
+            let is_ended_early = self.has_failing_items && step % EARLY_END_EVERY == 0;
+            let id = match (is_ended_early, is_restricted) {
+                (true, _) => format!("long-step-{step}"),
+                (false, true) => format!("home-{}-{step}", self.step_name),
+                (false, false) => format!("{}-{step}", self.step_name),
+            };
             if self.submit(&id, step, &mut random).await {
-                self.read_step_results(&id, &mut random).await;
+                if is_ended_early {
+                    sleep_ms(EARLY_END_MS).await;
+                } else {
+                    self.read_step_results(&id, &mut random).await;
+                }
                 self.end_submission(&id, &mut random).await;
             }
             step += 1;
@@ -254,7 +304,14 @@
     }
 
     async fn submit(&self, id: &str, step: u64, random: &mut Pcg64Mcg) -> bool {
-        let (groups, size, wanted) = STEP_SHAPE;
+        let (groups, size, wanted) = self.step_shape();
+        let path = Self::submission_path(id);
+        // A request on another route is another request, so its body differs too.
+        let (reward_path, crash_mark) = match id.starts_with("home") {
+            true => ("/home/reward", format!("{CRASH_MARK}-home")),
+            false => ("/safe/reward", CRASH_MARK.to_owned()),
+        };
+        let mut bodies = BTreeMap::new();
         let mut items = Vec::new();
         for number in 0..groups * size {
             let item = format!("{id}-item-{number}");
@@ -262,24 +319,40 @@
             let is_crashing_reward = self.has_crashing_reward && number == 0;
             let is_crashing_item = self.has_crashing_item && number == 1;
             let reward_body = match is_crashing_reward {
-                true => BASE64_STANDARD.encode(format!("{CRASH_MARK}-reward")),
+                true => BASE64_STANDARD.encode(format!("{crash_mark}-reward")),
                 false => String::new(),
             };
             let reward = json!({
-                "id": reward_id(&item), "host": HOST, "path": "/safe/reward", "body": reward_body,
+                "id": reward_id(&item), "host": HOST, "path": reward_path, "body": reward_body,
             });
             let item_body = match is_crashing_item {
-                true => format!("{CRASH_MARK}-item"),
+                true => format!("{crash_mark}-item"),
+                false if self.has_failing_items && item.ends_with(IMPOSSIBLE_ITEM) => {
+                    IMPOSSIBLE_BODY.into()
+                }
+                false if self.has_failing_items && item.ends_with(FAILING_ITEM) => {
+                    FAILING_BODY.into()
+                }
+                // The marker is looked for where the body must not be sent.
+                false if id.starts_with("home") => format!("{BODY_MARKER}{item}"),
                 false => item.clone(),
             };
+            bodies.insert(item.clone(), Bytes::from(item_body.clone()));
             items.push(json!({
-                "id": item, "path": "/batch/x", "headers": { "X-Model": MODEL, "X-Token-Count": "10,10" },
+                "id": item, "path": path, "headers": { "X-Model": MODEL, "X-Token-Count": "10,10" },
                 "body": BASE64_STANDARD.encode(&item_body), "num_tokens": 20,
                 "group": format!("{id}-{}", number / size), "scorer": reward,
             }));
         }
         let names = |item: &Value| item["id"].as_str().map(str::to_owned);
+        let body = json!({
+            "step": step, "model": MODEL, "min_version": step.saturating_sub(1).max(1),
+            "target_groups": wanted, "items": items,
+        });
+        let body = Bytes::from(body.to_string());
         let known = KnownSubmission {
+            body: body.clone(),
+            bodies,
             items: items.iter().filter_map(names).collect(),
             min_version: step.saturating_sub(1).max(1),
             is_refused: true,
@@ -289,26 +362,14 @@
             .submissions
             .borrow_mut()
             .insert(id.into(), known);
-        let body = json!({
-            "step": step, "model": MODEL, "min_version": step.saturating_sub(1).max(1),
-            "target_groups": wanted, "items": items,
-        });
-        let body = Bytes::from(body.to_string());
         while !self.is_over() {
             let front = match self.submit_to {
                 Some(front) => front,
-                None => self.pick_address(random).await,
+                None => self.pick_front(id, random).await,
             };
             let headers = [("x-request-id", id)];
             let answer = self
-                .request_as(
-                    TRAINER_ORG,
-                    front,
-                    "POST",
-                    "/batch/x",
-                    &headers,
-                    body.clone(),
-                )
+                .request_as(TRAINER_ORG, front, "POST", path, &headers, body.clone())
                 .await;
             let status = answer.map_or(0, |(status, _)| status.as_u16());
             if self.record_submit_status(id, status) {
@@ -319,6 +380,23 @@
         false
     }
 
+    /// The path of a submission, by its id.
+    pub(crate) fn submission_path(id: &str) -> &'static str {
+        match id.starts_with("home") {
+            true => "/home-batch/x",
+            false => "/batch/x",
+        }
+    }
+
+    /// The shape of a step; the trainer waits for all groups if some items can never be done.
+    fn step_shape(&self) -> (usize, usize, usize) {
+        let (groups, size, wanted) = STEP_SHAPE;
+        match self.has_failing_items {
+            true => (groups, size, groups),
+            false => (groups, size, wanted),
+        }
+    }
+
     /// Records the status of a submission attempt; returns whether the submission is accepted.
     fn record_submit_status(&self, id: &str, status: u16) -> bool {
         let mut submissions = self.oracle.submissions.borrow_mut();
@@ -336,11 +414,11 @@
 
     async fn read_step_results(&self, id: &str, random: &mut Pcg64Mcg) {
         let deadline_ms = self.clock.now_ms() + STEP_TIMEOUT_MS;
-        let (groups, size, wanted) = STEP_SHAPE;
+        let (groups, size, wanted) = self.step_shape();
         let mut after = 0;
         let mut read = Vec::new();
         while self.clock.now_ms() < deadline_ms && !self.is_over() {
-            let front = self.pick_address(random).await;
+            let front = self.pick_front(id, random).await;
             match self.read(id, after, front, 500).await {
                 Some(count) => {
                     after += count;
@@ -368,7 +446,7 @@
             .rev()
             .find(is_settled)
             .map_or(0, |(_, count)| *count);
-        let front = self.pick_address(random).await;
+        let front = self.pick_front(id, random).await;
         if settled > 0 && self.read(id, settled - 1, front, 0).await == Some(0) {
             self.oracle.record_violation(format!(
                 "{id}: {front} has no result at position {}, which was read before",
@@ -440,13 +518,24 @@
         self.clock.now_ms() > submissions[id].accepted_at_ms + PROPAGATION_MS
     }
 
+    fn change_known<Change>(&self, id: &str, change: Change)
+    where
+        Change: FnOnce(&mut KnownSubmission),
+    {
+        let mut submissions = self.oracle.submissions.borrow_mut();
+        change(submissions.get_mut(id).expect("entered before it was sent"));
+    }
+
     async fn end_submission(&self, id: &str, random: &mut Pcg64Mcg) {
         while !self.is_over() {
-            let front = self.pick_address(random).await;
+            let front = self.pick_front(id, random).await;
             let path = format!("/api/lots/{id}");
+            self.change_known(id, |known| known.is_ending = true);
             let ending = self.request_as(TRAINER_ORG, front, "DELETE", &path, &[], Bytes::new());
             let answer = ending.await;
             if answer.is_ok_and(|(status, _)| status == StatusCode::OK) {
+                let now_ms = self.clock.now_ms();
+                self.change_known(id, |known| known.ended_at_ms = Some(now_ms));
                 return;
             }
             sleep_ms(100).await;
--- a/crates/borageshore_standins/src/platform/engine.rs
+++ b/crates/borageshore_standins/src/platform/engine.rs
@@ -17,9 +17,10 @@
 use serde_json::json;
 
 use super::{
-    RecordedCaller,
+    COLD_HEARTBEAT_MS, HEALTH_PATH, RecordedCaller,
+    arrivals::{Arrival, Arrivals, ColdSwitches},
     crash::{Crashes, CrashingRequest},
-    hash, header,
+    hash, header, health_response,
     store::PlatformStore,
 };
 use crate::http::{limits, status};
@@ -27,6 +28,11 @@
 /// Maximum events of a text, except for items marked as long.
 const MAX_EVENT_COUNT: u64 = 12;
 
+/// Body of items that an engine answers with 422: they can never be done.
+pub const IMPOSSIBLE_BODY: &str = "impossible";
+/// Body of items that fail at each run, with 500.
+pub const FAILING_BODY: &str = "failing";
+
 /// The number of events of an item whose name starts with `long`.
 pub const LONG_EVENT_COUNT: u64 = 60;
 
@@ -100,10 +106,13 @@
     is_loading: Cell<bool>,
     orders_accepted: Cell<u64>,
     crashes: Rc<Crashes>,
+    arrivals: Arrivals,
+    zone: RefCell<String>,
     running: Cell<u64>,
     slots: u64,
     switches: Cell<EngineSwitches>,
     runs: RefCell<Vec<RecordedRun>>,
+    failed_runs: RefCell<Vec<(String, u64)>>,
     orders: RefCell<Vec<ReceivedOrder>>,
     service: String,
     /// The store in which it is listed, with the listed address and state.
@@ -146,6 +155,8 @@
             is_loading: Cell::new(false),
             orders_accepted: Cell::new(0),
             crashes: Rc::default(),
+            arrivals: Arrivals::default(),
+            zone: RefCell::new("z1".into()),
             running: Cell::new(0),
             slots: 8,
             switches: Cell::new(EngineSwitches {
@@ -156,6 +167,7 @@
                 is_unresponsive: false,
             }),
             runs: RefCell::default(),
+            failed_runs: RefCell::default(),
             orders: RefCell::default(),
             service: service.into(),
             listed: RefCell::default(),
@@ -176,6 +188,28 @@
         self.shared.write_entry();
     }
 
+    /// Sets the zone in its entry; `z1` without.
+    pub fn set_zone(&self, zone: &str) {
+        self.shared.zone.replace(zone.into());
+    }
+
+    /// Changes how it behaves when it is cold.
+    pub fn set_cold_switches(&self, switches: ColdSwitches) {
+        self.shared.arrivals.set_cold_switches(switches);
+    }
+
+    /// Makes it cold for a while, and writes its entry at once.
+    pub fn become_cold(&self, for_ms: u64) {
+        let now_ms = self.shared.clock.now_ms();
+        self.shared.arrivals.become_cold(now_ms, for_ms);
+        monoio::spawn(self.shared.clone().write_entries_while_cold());
+    }
+
+    /// The requests that reached it, in order of arrival.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.shared.arrivals.all()
+    }
+
     /// Restarts it under the same id with weights of `version`: running streams are cut and its order
     /// count is reset.
     pub fn restart(&self, version: u64) {
@@ -185,6 +219,9 @@
         shared.version.set(version);
         shared.is_loading.set(false);
         shared.orders_accepted.set(0);
+        if shared.arrivals.restart(shared.clock.now_ms()) {
+            monoio::spawn(shared.clone().write_entries_while_cold());
+        }
     }
 
     /// Waits until an item has crashed it.
@@ -223,6 +260,11 @@
         self.shared.runs.borrow().clone()
     }
 
+    /// Items that it answered with 422 or 500, each with its time.
+    pub fn failed_runs(&self) -> Vec<(String, u64)> {
+        self.shared.failed_runs.borrow().clone()
+    }
+
     /// The recorded orders, in order of arrival.
     pub fn orders(&self) -> Vec<ReceivedOrder> {
         self.shared.orders.borrow().clone()
@@ -235,6 +277,7 @@
             return std::future::pending().await;
         }
         match request.uri().path() {
+            HEALTH_PATH => self.0.health(),
             "/api/report" => self.0.report(),
             "/api/order" => self.0.clone().on_order(request).await,
             _ => self.0.clone().on_generate(request).await,
@@ -250,9 +293,10 @@
             return;
         };
         let models = json!([{ "name": self.model, "version": self.version.get(), "adapters": [] }]);
+        let cold_left_ms = self.arrivals.cold_left_ms(self.clock.now_ms());
         let entry = json!({
-            "service": self.service, "address": address, "zone": "z1", "version": "v1",
-            "slots": self.slots, "state": state, "cold_left_ms": 0, "seq": 1,
+            "service": self.service, "address": address, "zone": *self.zone.borrow(), "version": "v1",
+            "slots": self.slots, "state": state, "cold_left_ms": cold_left_ms, "seq": 1,
             "stage": "both", "models": models, "born": self.started_at_ms.get(),
         });
         store.put(
@@ -262,6 +306,23 @@
         );
     }
 
+    async fn write_entries_while_cold(self: Rc<Self>) {
+        loop {
+            self.write_entry();
+            match self.arrivals.cold_left_ms(self.clock.now_ms()) {
+                0 => return,
+                left_ms => sleep_ms(left_ms.min(COLD_HEARTBEAT_MS)).await,
+            }
+        }
+    }
+
+    fn health(&self) -> EdgeResponse {
+        let listed = self.listed.borrow();
+        let state = listed.as_ref().map(|(_, _, state)| state.as_str());
+        let cold_left_ms = self.arrivals.cold_left_ms(self.clock.now_ms());
+        health_response(&self.instance, state == Some("draining"), cold_left_ms)
+    }
+
     fn report(&self) -> EdgeResponse {
         let body = json!({
             "stage": "both", "busy": self.is_loading.get(), "seq": self.orders_accepted.get(),
@@ -323,6 +384,8 @@
         if header(headers, "x-expect-instance") != Some(&self.instance) {
             return status(421);
         }
+        let id = header(headers, "x-request-id").unwrap_or_default();
+        self.arrivals.record(id, self.clock.now_ms(), &self.crashes);
         if self.is_loading.get() || self.running.get() >= self.slots {
             let mut response = status(503);
             let not_run = "1".parse().expect("plain text");
@@ -344,6 +407,16 @@
                 .crash(item, &request_body, self.clock.now_ms())
                 .await;
         }
+        let failure = match &*request_body {
+            body if body == IMPOSSIBLE_BODY.as_bytes() => Some(422),
+            body if body == FAILING_BODY.as_bytes() => Some(500),
+            _ => None,
+        };
+        if let Some(failure) = failure {
+            let failed = (item, self.clock.now_ms());
+            self.failed_runs.borrow_mut().push(failed);
+            return status(failure);
+        }
         let (sender, body) = stream_body();
         let mut response = Response::new(body);
         let response_headers = response.headers_mut();
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -25,6 +25,17 @@
     }
 }
 
+/// Three daemons, three engines and six endpoints of the plain service in three zones of two regions.
+fn regional(seed: u64, script: Vec<(u64, TimedFault)>) -> SoakOptions {
+    SoakOptions {
+        regions: true,
+        engines: 3,
+        services: 6,
+        duration_ms: 14_000,
+        ..options(seed, Script::Timed(script))
+    }
+}
+
 fn play(options: &SoakOptions) -> SoakReport {
     let report = run_seed(options).unwrap();
     let text = report.violations.join("\n");
@@ -355,6 +366,107 @@
         play(&SoakOptions { duration_ms: 14_000, ..options });
     }
 
+    // Requests go on to an evacuated zone whose evacuation was forgotten, by a daemon that is killed or in an outage of the
+    // store, or the zone gets none after it was taken back.
+    an_evacuation_outlives_its_daemons_and_an_outage_of_the_store => {
+        let script = vec![
+            (0, TimedFault::ColdZone(1)),
+            (500, TimedFault::EvacuateZone(1)),
+            (1_000, TimedFault::KillHolder),
+            (6_000, TimedFault::StoreOutage),
+            (6_500, TimedFault::KillHolder),
+        ];
+        let report = play(&regional(70, script));
+        assert_eq!(report.faults.len(), 5);
+        let late = &report.regions.late_in_evacuated_zones;
+        assert!(late.is_empty(), "{late:?}");
+        assert!(report.regions.requests_after_return > 0);
+    }
+
+    // Endpoints that become cold, or restart, get their usual load from daemons that don't know yet, that were killed
+    // or that share the limit among too few.
+    cold_endpoints_are_spared_through_kills_and_restarts => {
+        let script = vec![
+            (1_000, TimedFault::ColdZone(1)),
+            (1_500, TimedFault::KillHolder),
+            (4_000, TimedFault::RestartEngine),
+            (5_000, TimedFault::RejectAllButOne),
+            (7_000, TimedFault::ColdZone(0)),
+            (7_200, TimedFault::KillZone(2)),
+        ];
+        let report = play(&regional(71, script));
+        assert_eq!(report.faults.len(), 6);
+        assert!(report.regions.cold_requests > 0);
+    }
+
+    // Endpoints that become cold while the store is down, whose entries nobody can read, get their usual load.
+    endpoints_that_become_cold_in_an_outage_of_the_store_are_spared => {
+        let script = vec![(2_000, TimedFault::StoreOutage), (3_000, TimedFault::ColdZone(0))];
+        play(&SoakOptions { duration_ms: 10_000, ..regional(72, script) });
+    }
+
+    // Requests that are restricted to regions go elsewhere when their region loses its daemons, its endpoints or the store.
+    restricted_requests_stay_in_their_regions_through_faults => {
+        let script = vec![
+            (500, TimedFault::EvacuateZone(2)),
+            (1_500, TimedFault::KillHolder),
+            (3_000, TimedFault::KillZone(2)),
+            (8_000, TimedFault::StoreOutage),
+            (8_500, TimedFault::KillHolder),
+        ];
+        let report = play(&regional(73, script));
+        assert_eq!(report.faults.len(), 5);
+        assert!(report.regions.restricted_answered > 0);
+        let waits_ms = &report.regions.unservable_waits_ms;
+        assert!(!waits_ms.is_empty() && waits_ms.iter().all(|wait_ms| *wait_ms < 1_000), "{waits_ms:?}");
+    }
+
+    // Restricted callers and steps aren't served where nothing is wrong.
+    restricted_requests_are_served_in_their_regions => {
+        let report = play(&SoakOptions { duration_ms: 8_000, ..regional(69, Vec::new()) });
+        assert!(report.unanswered.is_empty(), "{:?}", report.unanswered);
+        assert!(report.submissions >= 3, "{}", report.submissions);
+        let regions = &report.regions;
+        let (answered, unanswered) = (regions.restricted_answered, regions.restricted_unanswered);
+        assert!(unanswered * 100 < answered, "{answered} answered, {unanswered} not");
+    }
+
+    // The store sends bodies of restricted submissions to daemons of other regions, which nobody asked about them.
+    restricted_bodies_are_read_in_their_regions_only => {
+        let script = vec![(1_500, TimedFault::KillHolder), (4_000, TimedFault::KillZone(1))];
+        let report = play(&SoakOptions { daemons: 6, duration_ms: 10_000, ..regional(75, script) });
+        let outside = &report.regions.bodies_outside;
+        assert!(outside.is_empty(), "{outside:?}");
+        assert!(report.submissions >= 2, "{}", report.submissions);
+    }
+
+    // A daemon that the store turns away passes a restricted submission on to a daemon of another region.
+    restricted_submissions_are_passed_on_in_their_regions_only => {
+        let turns = (0..5).map(|turn| 500 + turn * 2_500);
+        let faults = |at_ms| [(at_ms, TimedFault::ListeningPeer), (at_ms + 200, TimedFault::RejectAllButOne)];
+        let options = SoakOptions { submit_to: Some(1), ..regional(76, turns.flat_map(faults).collect()) };
+        let (passed_on, restricted) = play(&options).regions.bodies_passed_on;
+        assert!(passed_on > 0, "nothing was passed on");
+        assert_eq!(restricted, 0, "of {passed_on}");
+    }
+
+    // A daemon of any zone that others ask doesn't know a submission, a position or a body, or runs what was ended, beside a
+    // takeover and the loss of a zone's daemons; items that can't be done are never listed.
+    submissions_are_the_same_to_all_who_read_and_resend_them => {
+        let script = vec![
+            (0, TimedFault::SlowAllEngines),
+            (1_500, TimedFault::KillHolder),
+            (5_500, TimedFault::KillZone(1)),
+        ];
+        let options = SoakOptions { observers: true, daemons: 6, engines: 2, ..regional(74, script) };
+        let report = play(&SoakOptions { duration_ms: 20_000, ..options });
+        assert_eq!(report.faults.len(), 3);
+        let (answered, observations) = report.observations;
+        assert!(answered * 2 > observations, "{answered} of {observations}");
+        assert!(report.submissions >= 3, "{}", report.submissions);
+        assert!(report.given_up >= 4, "{}", report.given_up);
+    }
+
     seeded_faults_break_no_promise => {
         play(&options(4, Script::Random(4)));
     }
