Daemons wait for peers that load, and read the store only in turn

Cause: when all daemons start, those that read the store for others load all topics at once, so none has the members before it has nearly everything; 1.5 s later all others read the store together. Retries were paced for one reader, as the members that give the number were not known yet, and each daemon appended its own record at once.

Change: replies say how long ago a peer that loads made progress; a daemon waits for it, moves on when it stops, and reads the members itself only in its turn: one window for the whole fleet, by the store's rates and the number of daemons, which readers announce; it doubles with each failure. Once the members are known, the same holds for the state. Readers load members, routes, endpoints, then the rest, and pace pages by the number of announced readers. A daemon that starts has its record written by a peer. Where nobody reads for others, nothing changes.

Ruled out: a longer timeout, which holds for one size of fleet only.

--- a/crates/borageshore_feed/src/lib.rs
+++ b/crates/borageshore_feed/src/lib.rs
@@ -5,7 +5,7 @@
 //! time without reading anything twice. Nothing here does I/O or reads a clock.
 //!
 //! ```
-//! use borageshore_feed::{FeedLimits, direct_readers};
+//! use borageshore_feed::{FeedLimits, Readers, direct_readers};
 //!
 //! let limits = FeedLimits {
 //!     read_bytes_per_s: Some(80_000_000),
@@ -15,14 +15,21 @@
 //! assert!(direct_readers(1_000, 5, limits) < 40);
 //! ```
 
+mod fallback;
 mod limits;
+mod order;
 mod page;
 mod retained;
 mod selector;
 mod tree;
 
 pub use self::{
-    limits::{FeedLimits, direct_readers, read_interval_ms},
+    fallback::Fallback,
+    limits::{
+        FallbackBudget, FallbackLoad, FeedLimits, Readers, direct_readers, encoded_bytes,
+        read_interval_ms,
+    },
+    order::{LoadState, may_load},
     page::{InvalidPage, check_offsets, current_at_ms},
     retained::{Expired, LogRecord, LogSlice, RetainedLog},
     selector::{STALE_MS, SourceSelector},
--- a/crates/borageshore_feed/src/selector.rs
+++ b/crates/borageshore_feed/src/selector.rs
@@ -2,18 +2,17 @@
 
 use std::sync::Arc;
 
-use crate::tree::FeedTree;
+use crate::{
+    fallback::Fallback,
+    limits::{FallbackBudget, FallbackLoad},
+    tree::FeedTree,
+};
 
 /// The age from which a view counts as stale, so that another source is tried. A direct reader's view is renewed twice
 /// a second, and passing it on takes some ms a level.
 pub const STALE_MS: u64 = 1_200;
 /// How long a daemon stays with a source that keeps it current, before it returns to its parent.
 const REHOME_INTERVAL_MS: u64 = 3_000;
-/// A daemon whose peers do not keep it current reads the log itself after this time, and this much later for each rank
-/// that it is behind the roots: those next to the roots are current again before the others ask.
-const DIRECT_DELAY_MS: u64 = 1_500;
-const DIRECT_SPACING_MS: u64 = 200;
-
 /// A daemon becomes a reader of the log this long after the tree has made it a root.
 const ROOT_DELAY_MS: u64 = 2_000;
 /// A reader goes on for this long after the tree has another one in its place, which waits `ROOT_DELAY_MS`.
@@ -28,7 +27,7 @@
     current: Option<Arc<str>>,
     chosen_at_ms: u64,
     failures: u64,
-    progressed_at_ms: u64,
+    fallback: Fallback,
     /// Since when the tree has this daemon as a root.
     root_since_ms: Option<u64>,
     /// When a daemon that is no reader any longer stops to read.
@@ -40,7 +39,7 @@
     /// Creates a selector at `now_ms`.
     pub fn open(now_ms: u64) -> Self {
         Self {
-            progressed_at_ms: now_ms,
+            fallback: Fallback::open(now_ms),
             ..Self::default()
         }
     }
@@ -82,15 +81,32 @@
 
     /// Whether this daemon reads the log directly now: as a reader, or because its peers have not kept it current.
     pub fn reads_directly(&self, tree: &FeedTree, now_ms: u64) -> bool {
-        let delay_ms = DIRECT_DELAY_MS + DIRECT_SPACING_MS * tree.distance() as u64;
-        self.is_reader(tree, now_ms) || now_ms >= self.progressed_at_ms + delay_ms
+        self.is_reader(tree, now_ms) || self.fallback.is_due(tree.fallback_turn_ms(), now_ms)
+    }
+
+    /// Whether a daemon that does not know the members yet reads them from the log now, because the peers that were
+    /// announced bring nothing. `random` is the same with each call.
+    pub fn reads_members_directly(&self, budget: FallbackBudget, random: u64, now_ms: u64) -> bool {
+        let window_ms = budget.window_ms(FallbackLoad::Members).max(1);
+        self.fallback.is_due(random % window_ms, now_ms)
+    }
+
+    /// Records a failed read of the log by a daemon that is no reader, which does not read it again before its next turn.
+    pub fn on_direct_failure(
+        &mut self,
+        budget: FallbackBudget,
+        load: FallbackLoad,
+        random: u64,
+        now_ms: u64,
+    ) {
+        self.fallback.on_failure(budget, load, random, now_ms);
     }
 
     /// The peer to read from next; `None` if all daemons read the log, and for a reader of the log whose view is current.
     /// `random` varies with each call.
     pub fn choose_peer(&mut self, tree: &FeedTree, random: u64, now_ms: u64) -> Option<Arc<str>> {
         let is_reader = self.is_reader(tree, now_ms);
-        if tree.is_flat() || is_reader && now_ms < self.progressed_at_ms + STALE_MS {
+        if tree.is_flat() || is_reader && now_ms < self.fallback.heard_at_ms() + STALE_MS {
             return None;
         }
         let is_settled = self.failures == 0 && now_ms < self.chosen_at_ms + REHOME_INTERVAL_MS;
@@ -115,7 +131,20 @@
     /// Records that a source brought new records, or confirmed a view that is not stale.
     pub fn on_progress(&mut self, now_ms: u64) {
         self.failures = 0;
-        self.progressed_at_ms = now_ms;
+        self.fallback.on_heard(now_ms);
+    }
+
+    /// Records that a source is loading what this daemon waits for, and last made progress at `progressed_at_ms`; returns
+    /// whether it is worth to wait for.
+    ///
+    /// Guards against daemons that leave their sources together, as these load the state after a stop of all: what they
+    /// ask the log for then would keep the sources from loading it.
+    pub fn on_loading(&mut self, progressed_at_ms: u64, now_ms: u64) -> bool {
+        let is_loading = self.fallback.on_loading(progressed_at_ms, now_ms);
+        if is_loading {
+            self.failures = 0;
+        }
+        is_loading
     }
 
     /// Records a source that did not answer, or whose view is stale.
--- a/crates/borageshore_feed/src/tree.rs
+++ b/crates/borageshore_feed/src/tree.rs
@@ -4,7 +4,7 @@
 
 use borageshore_base::rendezvous_weight;
 
-use crate::limits::{FeedLimits, direct_readers};
+use crate::limits::{FallbackBudget, FallbackLoad, FeedLimits, direct_readers};
 
 /// How many daemons read from one, which bounds what it sends to this multiple of what it receives.
 const FANOUT: usize = 8;
@@ -37,6 +37,8 @@
     roots: usize,
     daemons: usize,
     readers: usize,
+    zones: usize,
+    limits: FeedLimits,
     /// The daemons of the zone but this one, by rank.
     zone: Vec<Arc<str>>,
     /// The daemons of other zones.
@@ -68,6 +70,8 @@
             roots: (readers * (zone.len() + 1)).div_ceil(daemons),
             daemons,
             readers,
+            zones,
+            limits,
             zone: zone.into_iter().map(address).collect(),
             other_zones: other_zones.into_iter().map(address).collect(),
         }
@@ -98,6 +102,26 @@
         self.position.saturating_sub(self.roots)
     }
 
+    /// The number of daemons.
+    pub fn daemons(&self) -> usize {
+        self.daemons
+    }
+
+    /// What all daemons together may read if they are no readers and their peers bring nothing.
+    pub fn fallback_budget(&self) -> FallbackBudget {
+        FallbackBudget {
+            daemons: self.daemons,
+            limits: self.limits,
+        }
+    }
+
+    /// When it is this daemon's turn to read the log if no daemon of any zone is kept current, counted from the first
+    /// one: those next to the roots are current again before the others ask.
+    pub fn fallback_turn_ms(&self) -> u64 {
+        let interval_ms = self.fallback_budget().load_interval_ms(FallbackLoad::All);
+        (self.distance() * self.zones) as u64 * interval_ms
+    }
+
     /// The daemon that this one reads from; `None` for a root.
     pub fn parent(&self) -> Option<&Arc<str>> {
         let distance = self.position.checked_sub(self.roots)?;
--- a/crates/borageshore_gateway/src/feed/batch.rs
+++ b/crates/borageshore_gateway/src/feed/batch.rs
@@ -7,7 +7,7 @@
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
 use borageshore_net::{
-    CallError, EdgeRequest, EdgeResponse, Timeouts, full_body, read_body, sleep_ms,
+    CallError, EdgeRequest, EdgeResponse, Timeouts, full_body, read_body, sleep_ms, within_ms,
 };
 use borageshore_platform::{StoreError, Topic};
 use borageshore_wire::{WireFeedRecord, decode, encode};
@@ -16,13 +16,15 @@
 use hyper::{Request, Response, StatusCode};
 use tokio::sync::{Notify, oneshot};
 
-use super::{Feed, Phase};
+use super::{Feed, FeedTopic, Phase};
 use crate::{follow::ONLY_PARTITION, server::server_limits};
 
 /// The path of records that a peer asks to be written, served only at the address for peers.
 pub(crate) const REGISTER_PATH: &str = "/register";
 /// The pause before a batch is written, in which more records may come.
 const COLLECT_MS: u64 = 20;
+/// The interval at which a starting daemon checks whether it knows who writes its record.
+const PHASE_CHECK_MS: u64 = 100;
 /// The maximum number of records in a batch.
 const MAX_RECORDS: usize = 512;
 /// Timeouts of a record that a peer writes: a batch waits for those of other daemons at the store.
@@ -44,6 +46,7 @@
 impl Feed {
     /// Appends a record of this daemon to the members topic, through its source if it does not read the store itself.
     pub(crate) async fn append_member(&self, record: (Arc<str>, Bytes)) -> Result<(), StoreError> {
+        self.wait_until_peers_known().await;
         let is_joined = *self.phase.borrow() == Phase::Joined;
         if is_joined && self.tree().is_flat() {
             return self.append_directly(&[record]).await;
@@ -55,6 +58,10 @@
         };
         match self.send_record(&peer, &record).await {
             Ok(()) => Ok(()),
+            // One that starts with many others asks the next peer, until it is its turn to use the store itself.
+            Err(error) if !is_joined && !self.reads_directly(FeedTopic::Members) => {
+                Err(StoreError::Unknown(error.to_string()))
+            }
             Err(error) => {
                 log::info!(peer = &*peer, error:% = error; "peer did not write this daemon's record; writing it directly");
                 self.append_directly(&[record]).await
@@ -62,6 +69,13 @@
         }
     }
 
+    /// Waits until this daemon knows whether others write records for it, unless these find each other by the records.
+    async fn wait_until_peers_known(&self) {
+        while !self.parts.is_first_start && *self.phase.borrow() == Phase::Looking {
+            within_ms(PHASE_CHECK_MS, self.role_changed.notified()).await;
+        }
+    }
+
     async fn append_directly(&self, records: &[(Arc<str>, Bytes)]) -> Result<(), StoreError> {
         let store = &self.parts.store;
         let appended = store.append(Topic::Members, ONLY_PARTITION, records, None);
--- a/crates/borageshore_gateway/src/feed/direct.rs
+++ b/crates/borageshore_gateway/src/feed/direct.rs
@@ -2,11 +2,11 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use borageshore_feed::read_interval_ms;
+use borageshore_feed::{FallbackLoad, LogRecord, Readers, encoded_bytes, read_interval_ms};
 use borageshore_net::{boot_time_ms, sleep_ms, within_ms};
 use borageshore_platform::{KeyedRecord, StoreError};
 
-use super::{Feed, FeedTopic, TopicPage, start::FIRST_READERS};
+use super::{Feed, FeedTopic, Phase, TopicPage, start::FIRST_READERS};
 use crate::follow::{LONG_POLL_MS, ONLY_PARTITION};
 
 /// How long a read waits at the store if other daemons depend on this one, so that they know soon that nothing has
@@ -16,15 +16,12 @@
 const COLLECT_MS: u64 = 100;
 /// The least pause after a failed read.
 const MIN_RETRY_MS: u64 = 150;
-/// The limit of the doublings of that pause.
-const MAX_DOUBLINGS: u32 = 4;
 /// The interval at which a daemon that does not read the store checks whether it has to.
 const ROLE_CHECK_MS: u64 = 200;
 
 impl Feed {
     /// Reads a topic from the store whenever this daemon has to.
     pub(super) async fn read_directly(self: Rc<Self>, topic: FeedTopic) {
-        let mut failures = 0;
         loop {
             if !self.reads_directly(topic) {
                 within_ms(ROLE_CHECK_MS, self.role_changed.notified()).await;
@@ -36,9 +33,8 @@
                 Some(from) => self.read_from(topic, from, self.poll_ms()).await,
             };
             match read {
-                Ok(0) => failures = 0,
+                Ok(0) => {}
                 Ok(_) => {
-                    failures = 0;
                     sleep_ms(self.read_pause_ms(topic)).await;
                 }
                 Err(StoreError::Expired { first }) => {
@@ -47,14 +43,33 @@
                 }
                 Err(error) => {
                     log::debug!(topic:?, error:% = error; "could not read a topic; retrying");
-                    self.parts.instruments.count("feed_read", "failed");
-                    sleep_ms(self.retry_ms(failures)).await;
-                    failures += 1;
+                    self.pause_after_failure(topic).await;
                 }
             }
         }
     }
 
+    /// Waits after a failed read. A daemon that is no reader, and so one of many, does not read before its next turn.
+    async fn pause_after_failure(&self, topic: FeedTopic) {
+        self.parts.instruments.count("feed_read", "failed");
+        let log = self.log(topic);
+        let failures = log.failures.replace(log.failures.get() + 1);
+        if self.is_joined_reader() {
+            return sleep_ms(self.retry_ms(topic, failures)).await;
+        }
+        let load = match *self.phase.borrow() {
+            Phase::Joined => FallbackLoad::All,
+            _ => FallbackLoad::Members,
+        };
+        let (budget, random, now_ms) = (self.fallback_budget(), self.random(), self.now_ms());
+        let mut selector = self.selector.borrow_mut();
+        selector.on_direct_failure(budget, load, random, now_ms);
+    }
+
+    fn is_joined_reader(&self) -> bool {
+        *self.phase.borrow() == Phase::Joined && self.is_reader()
+    }
+
     /// Reads what is new in a topic from the store at once, whatever the source of this daemon is.
     pub(super) async fn refresh(&self, topic: FeedTopic) -> Result<(), StoreError> {
         let from = self.log(topic).records.borrow().next_offset();
@@ -83,17 +98,22 @@
 
     /// The pause before a failed read is repeated. Where others depend on this daemon it doubles with each failure and
     /// varies, so that the load falls below what the store gives however many daemons read it.
-    fn retry_ms(&self, failures: u32) -> u64 {
-        let pause_ms = self.paced_ms(MIN_RETRY_MS);
-        if self.tree().is_flat() {
-            return pause_ms;
+    fn retry_ms(&self, topic: FeedTopic, failures: u32) -> u64 {
+        if !self.has_readers() {
+            return self.paced_ms(MIN_RETRY_MS);
         }
-        let pause_ms = pause_ms << failures.min(MAX_DOUBLINGS);
-        pause_ms / 2 + self.random() % pause_ms
+        let readers = Readers {
+            readers: self.readers(),
+            daemons: self.fallback_budget().daemons,
+            partitions: FeedTopic::ALL.len(),
+            limits: self.parts.limits,
+        };
+        let is_loading = !self.log(topic).is_whole();
+        readers.retry_ms(MIN_RETRY_MS, is_loading, failures, self.random())
     }
 
     fn paced_ms(&self, min_ms: u64) -> u64 {
-        let mut readers = self.tree().readers();
+        let mut readers = self.readers();
         if self.is_first_start.get() {
             readers = readers.max(FIRST_READERS);
         }
@@ -128,36 +148,43 @@
                 current_at_ms: is_whole.then_some(requested_at_ms),
             },
         );
-        self.on_read(added);
+        self.on_read(topic, added);
         Ok(added)
     }
 
     /// Loads the newest record of each key. A part that fails is asked for again, and the parts before it are kept.
     async fn load_newest(&self, topic: FeedTopic) -> Result<usize, StoreError> {
         let requested_at_ms = boot_time_ms();
+        let mut chunk_requested_at_ms = requested_at_ms;
         let store = &self.parts.store;
         let mut records: Vec<KeyedRecord> = Vec::new();
         let mut first_end = None;
-        let mut failures = 0;
         let mut after: Arc<str> = "".into();
         loop {
             let read = store.newest_chunk(topic.store_topic(), ONLY_PARTITION, &after);
             let chunk = match read.await {
                 Ok(chunk) => chunk,
-                Err(_) if !records.is_empty() && self.reads_directly(topic) => {
-                    self.parts.instruments.count("feed_read", "failed");
-                    sleep_ms(self.retry_ms(failures)).await;
-                    failures += 1;
+                Err(_)
+                    if !records.is_empty()
+                        && self.is_joined_reader()
+                        && self.reads_directly(topic) =>
+                {
+                    self.pause_after_failure(topic).await;
+                    chunk_requested_at_ms = boot_time_ms();
                     continue;
                 }
                 Err(error) => return Err(error),
             };
+            self.load_progressed_at_ms.set(boot_time_ms());
             first_end.get_or_insert(chunk.end);
+            let pause_ms = self.page_pause_ms(&chunk.records, chunk_requested_at_ms);
             records.extend(chunk.records);
             match chunk.next_after {
                 Some(key) => after = key,
                 None => break,
             }
+            sleep_ms(pause_ms).await;
+            chunk_requested_at_ms = boot_time_ms();
         }
         records.sort_by_key(|record| record.offset);
         // Records that were appended after the first part are read again in the order of their offsets.
@@ -173,11 +200,26 @@
                 current_at_ms: Some(requested_at_ms),
             },
         );
-        self.on_read(added);
+        self.on_read(topic, added);
         Ok(added)
     }
 
-    fn on_read(&self, added: usize) {
+    /// The pause between two parts of a topic, the first of which was requested at `requested_at_ms`.
+    fn page_pause_ms(&self, records: &[KeyedRecord], requested_at_ms: u64) -> u64 {
+        if !self.has_readers() {
+            return 0;
+        }
+        let bytes: usize = records.iter().map(LogRecord::bytes).sum();
+        let readers = self.readers();
+        let interval_ms = self
+            .parts
+            .limits
+            .page_interval_ms(readers, encoded_bytes(bytes));
+        interval_ms.saturating_sub(boot_time_ms().saturating_sub(requested_at_ms))
+    }
+
+    fn on_read(&self, topic: FeedTopic, added: usize) {
+        self.log(topic).failures.set(0);
         let outcome = match added {
             0 => "confirmed",
             _ => "records",
--- a/crates/borageshore_gateway/src/feed/mod.rs
+++ b/crates/borageshore_gateway/src/feed/mod.rs
@@ -19,7 +19,7 @@
 };
 
 use borageshore_diagnostics::Instruments;
-use borageshore_feed::{FeedLimits, FeedTree, STALE_MS, SourceSelector};
+use borageshore_feed::{FallbackBudget, FeedLimits, FeedTree, STALE_MS, SourceSelector, may_load};
 use borageshore_net::{Clock, HttpClient, boot_time_ms};
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -82,9 +82,13 @@
     http: HttpClient,
     logs: [TopicLog; FeedTopic::ALL.len()],
     phase: RefCell<Phase>,
-    /// Whether the other topics wait until the members are known: there are daemons that read for others, and which of
-    /// them this one reads from depends on the members.
-    loads_members_first: Cell<bool>,
+    /// The daemons that read for others when this one started; 0 if there were none.
+    announced_readers: Cell<usize>,
+    /// The number of daemons as it was announced before this one started.
+    announced_daemons: Cell<usize>,
+    /// When the load of the topics last made progress, here or at a peer that this daemon waits for, in ms of the
+    /// boot-time clock.
+    load_progressed_at_ms: Cell<u64>,
     /// Whether this daemon started together with many others that do not know each other yet.
     is_first_start: Cell<bool>,
     batch: RecordBatch,
@@ -110,7 +114,9 @@
             http: HttpClient::open(),
             logs: Default::default(),
             phase: RefCell::new(Phase::Looking),
-            loads_members_first: Cell::new(false),
+            announced_readers: Cell::new(0),
+            announced_daemons: Cell::new(0),
+            load_progressed_at_ms: Cell::new(boot_time_ms()),
             is_first_start: Cell::new(false),
             batch: RecordBatch::default(),
             selector: RefCell::new(SourceSelector::open(now_ms)),
@@ -175,21 +181,62 @@
 
     /// Whether this daemon reads a topic from the store now.
     fn reads_directly(&self, topic: FeedTopic) -> bool {
-        let is_joined = *self.phase.borrow() == Phase::Joined;
-        let must_wait = topic != FeedTopic::Members
-            && self.loads_members_first.get()
-            && !self.parts.members.is_known();
-        let tree = self.tree();
-        is_joined
-            && !must_wait
-            && self.wants(topic)
-            && self.selector.borrow().reads_directly(&tree, self.now_ms())
+        let now_ms = self.now_ms();
+        match *self.phase.borrow() {
+            Phase::Looking => false,
+            Phase::Joining(_) => {
+                let (budget, seed) = (self.fallback_budget(), self.parts.seed);
+                let selector = self.selector.borrow();
+                topic == FeedTopic::Members && selector.reads_members_directly(budget, seed, now_ms)
+            }
+            Phase::Joined => {
+                let tree = self.tree();
+                self.wants(topic)
+                    && self.may_load(topic)
+                    && self.selector.borrow().reads_directly(&tree, now_ms)
+            }
+        }
+    }
+
+    /// Whether it is a topic's turn to be loaded. Where each daemon reads for itself, all are loaded at once.
+    fn may_load(&self, topic: FeedTopic) -> bool {
+        let earlier = FeedTopic::LOAD_ORDER.into_iter();
+        let earlier = earlier.take_while(|earlier| *earlier != topic);
+        let wanted = earlier.filter(|earlier| self.wants(*earlier));
+        !self.has_readers() || may_load(wanted.map(|earlier| self.log(earlier).load_state()))
+    }
+
+    /// Whether some daemons read for others.
+    fn has_readers(&self) -> bool {
+        self.announced_readers.get() > 0 || !self.tree().is_flat()
+    }
+
+    /// The daemons that read the store, by the members or, before they are known, by what was announced.
+    fn readers(&self) -> usize {
+        let readers = self.tree().readers();
+        match self.parts.members.is_known() {
+            true => readers,
+            false => readers.max(self.announced_readers.get()),
+        }
+    }
+
+    /// What all daemons together may read although they are no readers, by the members that this one knows or, before
+    /// that, by what was announced.
+    fn fallback_budget(&self) -> FallbackBudget {
+        let budget = self.tree().fallback_budget();
+        FallbackBudget {
+            daemons: budget.daemons.max(self.announced_daemons.get()),
+            ..budget
+        }
     }
 
     /// Adds records of a topic; returns the number of new ones.
     fn add(&self, topic: FeedTopic, page: TopicPage) -> usize {
         let log = self.log(topic);
         let added = log.append(page);
+        if added > 0 {
+            self.load_progressed_at_ms.set(boot_time_ms());
+        }
         if topic == FeedTopic::Members
             && let Some(age_ms) = self.age_ms(topic)
         {
@@ -213,9 +260,20 @@
 
     /// Whether all topics that this daemon needs are current.
     fn is_current(&self) -> bool {
-        let mut wanted = FeedTopic::ALL
-            .into_iter()
-            .filter(|topic| self.wants(*topic));
-        wanted.all(|topic| self.age_ms(topic).is_some_and(|age_ms| age_ms < STALE_MS))
+        let is_current = |age_ms| age_ms < STALE_MS;
+        self.wanted()
+            .all(|topic| self.age_ms(topic).is_some_and(is_current))
+    }
+
+    /// The time since the load of the topics last made progress; `None` if this daemon has all that it needs.
+    fn loading_ms(&self) -> Option<u64> {
+        let is_whole = self.wanted().all(|topic| self.log(topic).is_whole());
+        let progressed_at_ms = self.load_progressed_at_ms.get();
+        (!is_whole).then(|| boot_time_ms().saturating_sub(progressed_at_ms))
+    }
+
+    fn wanted(&self) -> impl Iterator<Item = FeedTopic> {
+        let topics = FeedTopic::LOAD_ORDER.into_iter();
+        topics.filter(|topic| self.wants(*topic))
     }
 }
--- a/crates/borageshore_gateway/src/feed/poll.rs
+++ b/crates/borageshore_gateway/src/feed/poll.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
+use borageshore_feed::current_at_ms;
 use borageshore_net::{CallError, Timeouts, boot_time_ms, sleep_ms, within_ms};
 use borageshore_wire::{WireFeedPosition, WireFeedReply, WireFeedRequest, decode, encode};
 use http_body_util::Full;
@@ -30,6 +31,8 @@
 enum Polled {
     /// It brought records, or this daemon's topics are current now.
     Progress,
+    /// The peer is loading what this daemon waits for.
+    Loading,
     /// The peer has nothing newer, and this daemon's topics are old.
     Stale,
 }
@@ -52,6 +55,12 @@
                     last = Some((peer, revision));
                     continue;
                 }
+                Ok((revision, Polled::Loading)) => {
+                    self.parts.instruments.count("feed_poll", "loading");
+                    last = Some((peer, revision));
+                    sleep_ms(RETRY_MS).await;
+                    continue;
+                }
                 Ok((revision, Polled::Stale)) => {
                     self.parts.instruments.count("feed_poll", "stale");
                     last = Some((peer, revision));
@@ -104,9 +113,8 @@
     }
 
     async fn poll(&self, peer: &str, seen_revision: i64) -> Result<(i64, Polled), CallError> {
-        let positions: Vec<(FeedTopic, FeedPosition)> = FeedTopic::ALL
-            .into_iter()
-            .filter(|topic| self.wants(*topic))
+        let positions: Vec<(FeedTopic, FeedPosition)> = self
+            .wanted()
             .map(|topic| (topic, self.log(topic).position_at(peer)))
             .collect();
         let requested_at_ms = boot_time_ms();
@@ -130,14 +138,39 @@
             self.log(topic).on_peer_page(peer, load);
         }
         self.parts.instruments.count("feed_poll", "answered");
-        let has_progressed = added > 0 || self.is_current();
-        let polled = match has_progressed {
-            true => Polled::Progress,
-            false => Polled::Stale,
+        let polled = match reply.loading_ms {
+            _ if added > 0 || self.is_current() => Polled::Progress,
+            Some(loading_ms) if self.loading_ms().is_some() => {
+                self.on_peer_loading(requested_at_ms, held_ms, loading_ms)?
+            }
+            _ => Polled::Stale,
         };
         Ok((reply.revision, polled))
     }
 
+    /// Whether a peer is worth to wait for that was asked at `requested_at_ms`, held the request for `held_ms`, and had
+    /// then made progress `loading_ms` ago.
+    fn on_peer_loading(
+        &self,
+        requested_at_ms: u64,
+        held_ms: i64,
+        loading_ms: i64,
+    ) -> Result<Polled, CallError> {
+        let progressed_at_ms =
+            current_at_ms(requested_at_ms, held_ms, loading_ms).map_err(refused)?;
+        let progressed_at_ms = progressed_at_ms.unwrap_or(0);
+        let known_ms = self.load_progressed_at_ms.get();
+        self.load_progressed_at_ms
+            .set(known_ms.max(progressed_at_ms));
+        let now_ms = self.now_ms();
+        let age_ms = boot_time_ms().saturating_sub(progressed_at_ms);
+        let mut selector = self.selector.borrow_mut();
+        match selector.on_loading(now_ms.saturating_sub(age_ms), now_ms) {
+            true => Ok(Polled::Loading),
+            false => Ok(Polled::Stale),
+        }
+    }
+
     async fn request(
         &self,
         peer: &str,
--- a/crates/borageshore_gateway/src/feed/serve.rs
+++ b/crates/borageshore_gateway/src/feed/serve.rs
@@ -79,6 +79,7 @@
             self.revision.get() as i64,
             0,
             self.pages(&request),
+            self.loading_ms().map(|loading_ms| loading_ms as i64),
         );
         reply.held_ms = (boot_time_ms() - received_at_ms) as i64;
         match encode(&reply) {
--- a/crates/borageshore_gateway/src/feed/start.rs
+++ b/crates/borageshore_gateway/src/feed/start.rs
@@ -6,7 +6,7 @@
 use std::{rc::Rc, sync::Arc};
 
 use borageshore_membership::Presence;
-use borageshore_net::sleep_ms;
+use borageshore_net::{boot_time_ms, sleep_ms};
 use borageshore_platform::{KeyedRecord, StoreError, Topic};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -16,12 +16,14 @@
 
 /// The pause after a failed read of the announced daemons, varied by as much again.
 const LOOK_RETRY_MS: u64 = 150;
-/// How long a starting daemon reads from peers that bring it nothing, before it reads the store.
-const JOIN_TIMEOUT_MS: u64 = 1_500;
+/// The limit of the doublings of that pause. They begin when the store refuses the calls as too many.
+const MAX_LOOK_DOUBLINGS: u32 = 8;
 /// The interval at which a starting daemon checks whether it knows the members.
 const JOIN_CHECK_MS: u64 = 20;
 /// The interval at which a daemon checks whether it has to announce itself.
 const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
+/// A daemon announces itself again if the number of daemons changes by more than this part of it.
+const ANNOUNCE_CHANGE: usize = 4;
 /// Daemons that start for the first time register within this time: the store takes the records of a partition one
 /// after the other, and refuses them if too many wait.
 const REGISTER_SPREAD_MS: u64 = 2_000;
@@ -44,6 +46,9 @@
 struct Feeder {
     name: Arc<str>,
     peer_address: Arc<str>,
+    /// The number of daemons that it knew of.
+    #[serde(default)]
+    daemons: usize,
 }
 
 /// A daemon that a starting one may read from.
@@ -52,6 +57,8 @@
     name: Arc<str>,
     zone: Arc<str>,
     address: Arc<str>,
+    /// The number of daemons that it knew of.
+    daemons: usize,
 }
 
 impl Feed {
@@ -62,26 +69,41 @@
         if is_first_start {
             peers = self.first_registered().await;
         }
+        let daemons = peers.iter().map(|peer| peer.daemons).max().unwrap_or(0);
+        self.announced_readers.set(peers.len());
+        self.announced_daemons.set(daemons.max(peers.len()));
         let addresses = self.addresses_to_join(&peers);
         if !addresses.is_empty() {
             log::info!(peers = addresses.len(), is_first_start; "joining through peers");
+            self.wait_for_peers_anew();
             self.enter(Phase::Joining(addresses));
             let settle_ms = if is_first_start { SETTLE_MS } else { 0 };
             self.wait_until_members_known(settle_ms).await;
+            self.wait_for_peers_anew();
         }
         self.enter(Phase::Joined);
     }
 
+    fn wait_for_peers_anew(&self) {
+        let now_ms = self.now_ms();
+        self.selector.borrow_mut().on_progress(now_ms);
+    }
+
     /// The daemons that read the store for others. Retries until the store answers: a daemon that read it without knowing
     /// them would load the whole state from it, as would all others after an outage.
     async fn announced_feeders(&self) -> Vec<KnownPeer> {
         let store = &self.parts.store;
+        let mut doublings = 0;
         loop {
             match store.newest_chunk(Topic::Feeders, ONLY_PARTITION, "").await {
                 Ok(chunk) => return chunk.records.iter().filter_map(decode_feeder).collect(),
                 Err(error) => {
                     log::info!(error:% = error; "could not read which daemons pass topics on; retrying");
-                    sleep_ms(LOOK_RETRY_MS + self.random() % LOOK_RETRY_MS).await;
+                    if error == StoreError::RateLimited {
+                        doublings = (doublings + 1).min(MAX_LOOK_DOUBLINGS);
+                    }
+                    let pause_ms = LOOK_RETRY_MS << doublings;
+                    sleep_ms(pause_ms + self.random() % pause_ms).await;
                 }
             }
         }
@@ -92,11 +114,13 @@
         for _ in 0..FIRST_LOOKS {
             sleep_ms(FIRST_LOOK_MS / 2 + self.random() % FIRST_LOOK_MS).await;
             match self.read_first_registered().await {
-                Ok(first) if first.len() >= FIRST_REGISTERED => {
+                Ok((first, registered)) if first.len() >= FIRST_REGISTERED => {
                     self.is_first_start.set(true);
-                    return first_readers(first);
+                    return first_readers(first, registered);
+                }
+                Ok((first, _)) => {
+                    log::debug!(registered = first.len(); "few daemons have registered")
                 }
-                Ok(first) => log::debug!(registered = first.len(); "few daemons have registered"),
                 Err(error) => {
                     log::info!(error:% = error; "could not read which daemons have registered");
                 }
@@ -105,7 +129,8 @@
         Vec::new()
     }
 
-    async fn read_first_registered(&self) -> Result<Vec<Presence>, StoreError> {
+    /// The first daemons that registered, and how many records there are by now.
+    async fn read_first_registered(&self) -> Result<(Vec<Presence>, usize), StoreError> {
         let store = &self.parts.store;
         let page = store
             .read_some(Topic::Members, ONLY_PARTITION, 0, FIRST_REGISTERED_KB)
@@ -117,11 +142,12 @@
             }
         }
         first.truncate(FIRST_REGISTERED);
-        Ok(first)
+        Ok((first, page.end as usize))
     }
 
     fn enter(&self, phase: Phase) {
         *self.phase.borrow_mut() = phase;
+        self.load_progressed_at_ms.set(boot_time_ms());
         self.tree.borrow_mut().computed_at_ms = None;
         self.role_changed.notify_waiters();
     }
@@ -142,12 +168,13 @@
         }
     }
 
-    /// Waits until the members are known and no new one has come for `settle_ms`, or until peers bring nothing.
+    /// Waits until the members are known, from peers or from the store, and no new one has come for `settle_ms`.
     async fn wait_until_members_known(&self, settle_ms: u64) {
         let members = self.log(FeedTopic::Members);
         let joining_at_ms = self.now_ms();
         let mut known = (0, 0);
         let mut changed_at_ms = joining_at_ms;
+        let mut is_reading = false;
         loop {
             sleep_ms(JOIN_CHECK_MS).await;
             let now_ms = self.now_ms();
@@ -166,10 +193,9 @@
             if self.knows_members() && is_settled && is_placed {
                 return;
             }
-            if !self.knows_members() && quiet_ms >= JOIN_TIMEOUT_MS {
-                self.loads_members_first.set(true);
+            if !is_reading && !self.knows_members() && self.reads_directly(FeedTopic::Members) {
+                is_reading = true;
                 log::info!("peers did not pass the members on; reading the store");
-                return;
             }
         }
     }
@@ -188,7 +214,7 @@
 
     /// Announces this daemon while it reads the store for others.
     pub(super) async fn announce_as_root(self: Rc<Self>) {
-        let mut announced: Option<Arc<str>> = None;
+        let mut announced: Option<(Arc<str>, usize)> = None;
         let mut candidate: Option<Arc<str>> = None;
         let mut members_end = 0;
         loop {
@@ -207,13 +233,17 @@
             let Some(key) = candidate.clone().filter(|_| has_settled) else {
                 continue;
             };
-            if announced.as_ref() == Some(&key) {
+            let daemons = self.tree().daemons();
+            let is_announced = |(known, last): &(Arc<str>, usize)| {
+                *known == key && daemons.abs_diff(*last) <= last / ANNOUNCE_CHANGE
+            };
+            if announced.as_ref().is_some_and(is_announced) {
                 continue;
             }
-            match self.write_feeder(&key).await {
+            match self.write_feeder(&key, daemons).await {
                 Ok(()) => {
-                    log::info!(key = &*key; "reading the store for other daemons");
-                    announced = Some(key);
+                    log::info!(key = &*key, daemons; "reading the store for other daemons");
+                    announced = Some((key, daemons));
                 }
                 Err(error) => {
                     log::info!(error:% = error; "could not announce that this daemon reads the store for others; retrying");
@@ -222,11 +252,12 @@
         }
     }
 
-    async fn write_feeder(&self, key: &Arc<str>) -> Result<(), StoreError> {
+    async fn write_feeder(&self, key: &Arc<str>, daemons: usize) -> Result<(), StoreError> {
         let own = self.parts.members.feed_candidate();
         let feeder = Feeder {
             name: own.name,
             peer_address: own.address,
+            daemons,
         };
         let value = serde_json::to_vec(&feeder).expect("plain data");
         let record = [(key.clone(), Bytes::from(value))];
@@ -246,7 +277,7 @@
 }
 
 /// The largest of the first registered daemons; all daemons choose the same ones.
-fn first_readers(mut first: Vec<Presence>) -> Vec<KnownPeer> {
+fn first_readers(mut first: Vec<Presence>, daemons: usize) -> Vec<KnownPeer> {
     let largest = first.iter().map(|presence| presence.capacity_percent).max();
     first.retain(|presence| Some(presence.capacity_percent) == largest);
     first.truncate(FIRST_READERS);
@@ -254,6 +285,7 @@
         name: presence.name,
         zone: presence.zone,
         address: presence.peer_address,
+        daemons,
     };
     first.into_iter().map(peer).collect()
 }
@@ -266,6 +298,7 @@
             name: feeder.name,
             zone: zone.into(),
             address: feeder.peer_address,
+            daemons: feeder.daemons,
         }),
         Err(error) => {
             log::warn!(key = &*record.key, error:% = error; "record of a daemon that passes topics on cannot be decoded; ignoring it");
--- a/crates/borageshore_gateway/src/feed/topics.rs
+++ b/crates/borageshore_gateway/src/feed/topics.rs
@@ -5,7 +5,7 @@
     sync::Arc,
 };
 
-use borageshore_feed::RetainedLog;
+use borageshore_feed::{LoadState, RetainedLog};
 use borageshore_platform::{KeyedRecord, Topic};
 use tokio::sync::Notify;
 
@@ -29,6 +29,16 @@
         FeedTopic::Endpoints,
     ];
 
+    /// The order in which topics are loaded: the members tell where the others are read, and callers are served once the
+    /// routes and the endpoints are there.
+    pub(super) const LOAD_ORDER: [FeedTopic; 5] = [
+        FeedTopic::Members,
+        FeedTopic::Operator,
+        FeedTopic::Endpoints,
+        FeedTopic::Index,
+        FeedTopic::Orders,
+    ];
+
     /// The pause after a read of the store that brought records, so that those that follow closely are read together:
     /// for members long enough for daemons that start together, and short compared with the suspicion timeout; none
     /// where records are applied without delay.
@@ -83,6 +93,8 @@
     pub(super) current_at_ms: Cell<Option<u64>>,
     /// The peer from which the topic is being loaded, and the `load` of its last page.
     load: RefCell<Option<(Arc<str>, i64)>>,
+    /// The reads of the store that have failed since the last one that did not.
+    pub(super) failures: Cell<u32>,
     /// Notified when records are added, and when they are known to be current.
     pub(super) changed: Notify,
 }
@@ -97,6 +109,10 @@
         self.records.borrow().is_whole()
     }
 
+    pub(super) fn load_state(&self) -> LoadState {
+        LoadState::of(self.is_whole(), self.failures.get())
+    }
+
     /// Adds records; returns the number of new ones. A page that starts behind the known records is ignored: records
     /// between them would be missing.
     pub(super) fn append(&self, page: TopicPage) -> usize {
--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -20,6 +20,10 @@
 const TIMED_FAULT_MS: u64 = 1_500;
 /// At this pace a generation of twelve events spans several loads of weights.
 const SLOW_EVENT_MS: u64 = 120;
+/// The delay of a slow store's answers, and how long it lasts. A daemon that starts reads it twice, one answer after the
+/// other, before it knows the members.
+const SLOW_STORE_MS: u64 = 1_700;
+const SLOW_START_MS: u64 = 6_000;
 /// Interval between two checks for a condition to become true.
 const POLL_MS: u64 = 20;
 
@@ -61,6 +65,8 @@
 enum Fault {
     Kill(usize),
     KillAll,
+    /// All daemons are killed and restarted while the store answers slowly.
+    KillAllWhileStoreIsSlow,
     Pause(usize),
     Stop(usize),
     Reload(usize),
@@ -107,6 +113,7 @@
             | Fault::StoreLink(number, _)
             | Fault::SilentConnections(number) => Some(Some(number)),
             Fault::KillAll
+            | Fault::KillAllWhileStoreIsSlow
             | Fault::Suspend(_)
             | Fault::Store(_)
             | Fault::DropHistory
@@ -158,6 +165,7 @@
                     self.wait_for_nearly_complete_run().await;
                     Fault::KillAll
                 }
+                TimedFault::KillAllWhileStoreIsSlow => Fault::KillAllWhileStoreIsSlow,
                 TimedFault::RejectAllButOne => Fault::Reject(1),
                 TimedFault::UnlistUnobserved => Fault::UnlistUnobserved,
                 TimedFault::HeartbeatFromFuture => Fault::HeartbeatFromFuture,
@@ -313,6 +321,16 @@
                 self.oracle.killed_all_at_ms.set(Some(self.clock.now_ms()));
                 self.kill(&all, 300).await;
             }
+            Fault::KillAllWhileStoreIsSlow => {
+                let before = self.store.loads("keyed.members");
+                self.store.set_mode(StoreMode::Slow(SLOW_STORE_MS));
+                let all: Vec<usize> = (0..self.daemons.len()).collect();
+                self.kill(&all, 300).await;
+                sleep_ms(SLOW_START_MS).await;
+                self.store.set_mode(StoreMode::Up);
+                let loads = self.store.loads("keyed.members") - before;
+                self.oracle.member_loads_after_kill.set(Some(loads));
+            }
             Fault::Duties(mode) => {
                 self.duties.set_mode(mode);
                 sleep_ms(length_ms).await;
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -55,6 +55,8 @@
     LoseResponses,
     /// All daemons are killed and restarted once a generation is nearly complete.
     KillAllMidGeneration,
+    /// All daemons are killed and restarted while the store answers slowly.
+    KillAllWhileStoreIsSlow,
     /// Once a generation is nearly complete, a daemon that runs a submission is partitioned from the store.
     PartitionHolderMidGeneration,
     /// Engines generate each event slowly for the rest of the run.
@@ -191,6 +193,8 @@
     pub resumed_runs: usize,
     /// Time from the last kill of all daemons to the first order after it.
     pub first_order_after_kill_ms: Option<u64>,
+    /// How often daemons asked the store for the members after all were killed while it answered slowly.
+    pub member_loads_after_kill: Option<usize>,
     /// Largest number of events of one item that were generated more than once.
     pub max_regenerated_events: u64,
     /// Runs and orders that the first engine received after its last start.
--- a/crates/borageshore_soak/src/oracle.rs
+++ b/crates/borageshore_soak/src/oracle.rs
@@ -68,6 +68,8 @@
     pub(crate) foreign_entry_at_ms: Cell<Option<u64>>,
     /// When all daemons were last killed at once.
     pub(crate) killed_all_at_ms: Cell<Option<u64>>,
+    /// How often daemons asked the store for the members after all were killed while it answered slowly.
+    pub(crate) member_loads_after_kill: Cell<Option<usize>>,
     /// Index of the daemon that each attempt of a crashing call was sent to.
     pub(crate) daemon_by_attempt: RefCell<BTreeMap<String, usize>>,
     /// When daemons were faulty or had no access to the store.
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -353,6 +353,7 @@
         stored_submission_records: targets.store.key_count("keyed.batch-"),
         resumed_runs: resumed_runs(targets),
         first_order_after_kill_ms: first_order_after_kill_ms(targets, oracle),
+        member_loads_after_kill: oracle.member_loads_after_kill.get(),
         max_regenerated_events: max_regenerated_events(targets),
         runs_and_orders_after_restart: runs_and_orders_after_restart(&targets.engines[0].0),
         calls_by_foreign_entry: oracle.calls_by_foreign_entry(&targets.services[0].0),
--- a/crates/borageshore_standins/src/platform/store.rs
+++ b/crates/borageshore_standins/src/platform/store.rs
@@ -84,6 +84,8 @@
     clock: Clock,
     mode: Cell<StoreMode>,
     partitions: RefCell<BTreeMap<(String, u64), Partition>>,
+    /// The requests for the newest records of each topic.
+    loads: RefCell<BTreeMap<String, usize>>,
     appended: Notify,
 }
 
@@ -104,6 +106,7 @@
             clock: Clock::start(),
             mode: Cell::new(StoreMode::Up),
             partitions: RefCell::default(),
+            loads: RefCell::default(),
             appended: Notify::new(),
         });
         let server = HttpServer::bind(address, limits(), Service(shared.clone()))?;
@@ -150,6 +153,11 @@
         matching.map(|(_, partition)| partition.newest.len()).sum()
     }
 
+    /// The number of requests for the newest records of a topic, also those that were not answered.
+    pub fn loads(&self, topic: &str) -> usize {
+        self.shared.loads.borrow().get(topic).copied().unwrap_or(0)
+    }
+
     /// Drops the log records of all topics; the newest record of each key is kept.
     pub fn drop_history(&self) {
         for partition in self.shared.partitions.borrow_mut().values_mut() {
@@ -161,6 +169,7 @@
 impl Handler for Service {
     async fn handle(&self, request: EdgeRequest, _remote: SocketAddr) -> EdgeResponse {
         let shared = &self.0;
+        shared.count_load(&request);
         match shared.mode.get() {
             StoreMode::Busy => return status(503),
             StoreMode::Silent => return pending().await,
@@ -179,6 +188,13 @@
 }
 
 impl Shared {
+    fn count_load(&self, request: &EdgeRequest) {
+        if request.uri().path() == "/api/log-newest" {
+            let (topic, _) = topic_partition(request.uri().query().unwrap_or_default());
+            *self.loads.borrow_mut().entry(topic).or_default() += 1;
+        }
+    }
+
     async fn on_append(&self, query_string: &str, request: EdgeRequest) -> EdgeResponse {
         let Ok(body) = read_body(request.into_body(), limits()).await else {
             return status(400);
--- a/crates/borageshore_wire/idl/wire.thrift
+++ b/crates/borageshore_wire/idl/wire.thrift
@@ -193,4 +193,6 @@
   // How long the peer waited before it answered.
   3: required i64 held_ms
   4: required list<WireFeedPage> pages
+  // While the peer loads the log itself: the time since that last made progress.
+  5: optional i64 loading_ms
 }
--- a/crates/borageshore_wire/src/generated.rs
+++ b/crates/borageshore_wire/src/generated.rs
@@ -2315,15 +2315,17 @@
   pub revision: i64,
   pub held_ms: i64,
   pub pages: Vec<WireFeedPage>,
+  pub loading_ms: Option<i64>,
 }
 
 impl WireFeedReply {
-  pub fn new(deployment: String, revision: i64, held_ms: i64, pages: Vec<WireFeedPage>) -> WireFeedReply {
+  pub fn new<F5>(deployment: String, revision: i64, held_ms: i64, pages: Vec<WireFeedPage>, loading_ms: F5) -> WireFeedReply where F5: Into<Option<i64>> {
     WireFeedReply {
       deployment,
       revision,
       held_ms,
       pages,
+      loading_ms: loading_ms.into(),
     }
   }
 }
@@ -2335,6 +2337,7 @@
     let mut f_2: Option<i64> = None;
     let mut f_3: Option<i64> = None;
     let mut f_4: Option<Vec<WireFeedPage>> = None;
+    let mut f_5: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2364,6 +2367,10 @@
           i_prot.read_list_end()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_i64()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2380,6 +2387,7 @@
       revision: f_2.expect("auto-generated code should have checked for presence of required fields"),
       held_ms: f_3.expect("auto-generated code should have checked for presence of required fields"),
       pages: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      loading_ms: f_5,
     };
     Ok(ret)
   }
@@ -2402,6 +2410,11 @@
     }
     o_prot.write_list_end()?;
     o_prot.write_field_end()?;
+    if let Some(fld_var) = self.loading_ms {
+      o_prot.write_field_begin(&TFieldIdentifier::new("loading_ms", TType::I64, 5))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -76,6 +76,15 @@
         assert!(pause_ms < 3_000, "{pause_ms}");
     }
 
+    // After all daemons are killed at once, each reads the store by itself because those that read it for others are still
+    // loading. Two read it for six.
+    daemons_that_read_from_others_wait_while_these_load => {
+        let script = Script::Timed(vec![(4_000, TimedFault::KillAllWhileStoreIsSlow)]);
+        let options = SoakOptions { duration_ms: 16_000, ..fed(53, script) };
+        let report = play(&options);
+        assert_eq!(report.member_loads_after_kill, Some(2));
+    }
+
     // Where requests compete for endpoints, a reward call that is sent to a second endpoint while the first is silent is
     // never scored, or an item gets the score of another call.
     steps_are_scored_while_an_endpoint_is_silent => {
