Work is left to daemons that start with the one that is ready first

Cause: after a stop of all daemons of a large fleet, each one that becomes ready knows no other ready one yet, owns all open work, and reads the records and saved texts of all of it.

Change: for 3 s after it became ready, a daemon of a fleet in which some read the store for others takes work that nobody holds only if it is still its owner once those that start are ready. Small fleets claim as before.

Ruled out: waiting for a fixed time, which delays every owner.

--- a/crates/borageshore_gateway/src/feed/mod.rs
+++ b/crates/borageshore_gateway/src/feed/mod.rs
@@ -164,6 +164,8 @@
             selector.on_tree(&cached.tree, now_ms);
             let is_reader = selector.is_reader(&cached.tree, now_ms);
             self.parts.transport.set_reads_directly(is_reader);
+            let has_readers = !cached.tree.is_flat();
+            self.parts.members.set_has_feed_readers(has_readers);
         }
         cached.tree.clone()
     }
--- a/crates/borageshore_gateway/src/members/mod.rs
+++ b/crates/borageshore_gateway/src/members/mod.rs
@@ -24,6 +24,9 @@
 const SUSPICION_PREFIX: &str = "suspect/";
 /// With fewer addresses in its zone, a caller is also given addresses of other zones, so that it can fail over.
 const MIN_ADDRESSES: usize = 2;
+/// For this long after it became ready, a daemon of a large fleet leaves work that nobody holds to the daemons that will
+/// own it once they are ready, too.
+const CLAIM_DELAY_MS: u64 = 3_000;
 /// The maximum number of names in a log line about several daemons.
 const MAX_NAMES_LOGGED: usize = 8;
 
@@ -39,6 +42,9 @@
     /// Suspected daemons whose records were read in the current batch.
     withdrawn: RefCell<Vec<Arc<str>>>,
     has_left: Cell<bool>,
+    /// Whether some daemons read the store for others, as in a large fleet.
+    has_feed_readers: Cell<bool>,
+    ready_at_ms: Cell<Option<u64>>,
     write_requested: Notify,
     suspected: Notify,
     /// Notified when a member's state changes.
@@ -72,6 +78,8 @@
             ring: RefCell::default(),
             withdrawn: RefCell::default(),
             has_left: Cell::default(),
+            has_feed_readers: Cell::default(),
+            ready_at_ms: Cell::default(),
             write_requested: Notify::new(),
             suspected: Notify::new(),
             changed: Notify::new(),
@@ -174,6 +182,9 @@
     /// Sets this daemon's state and publishes it at once.
     pub(crate) fn set_state(&self, state: PresenceState) {
         if std::mem::replace(&mut self.own.borrow_mut().state, state) != state {
+            if state == PresenceState::Ready {
+                self.ready_at_ms.set(Some(self.clock.now_ms()));
+            }
             // Applied before the record is read back from the store, but not before the records of other daemons have
             // been read; otherwise this one would take over the work of all.
             if self.table.borrow().is_known() {
@@ -203,7 +214,20 @@
                 .holder_of(work)
                 .is_none_or(|holder| holder >= &*own.name);
         }
-        own.state == PresenceState::Ready && table.owner_of(work, key) == Some(&own.name)
+        own.state == PresenceState::Ready
+            && table.owner_of(work, key) == Some(&own.name)
+            && (!self.waits_for_starting() || table.prospective_owner_of(key) == Some(&own.name))
+    }
+
+    /// Whether work that nobody holds is left to daemons that start.
+    fn waits_for_starting(&self) -> bool {
+        let is_recent = |at_ms: u64| self.clock.now_ms() < at_ms + CLAIM_DELAY_MS;
+        self.has_feed_readers.get() && self.ready_at_ms.get().is_some_and(is_recent)
+    }
+
+    /// Sets whether some daemons read the store for others.
+    pub(crate) fn set_has_feed_readers(&self, has_feed_readers: bool) {
+        self.has_feed_readers.set(has_feed_readers);
     }
 
     /// The number of daemons that run submissions.
--- a/crates/borageshore_membership/src/presence.rs
+++ b/crates/borageshore_membership/src/presence.rs
@@ -216,6 +216,21 @@
         first_by_rendezvous(key, self.eligible())
     }
 
+    /// The daemon that will own work which nobody runs, once those that start are ready.
+    ///
+    /// Guards against a start of all daemons at which each of them, ready before it knows that others are, takes over all
+    /// work and reads the records of all of it.
+    pub fn prospective_owner_of(&self, key: &str) -> Option<&str> {
+        let serving = || {
+            self.live()
+                .filter(|presence| presence.state != PresenceState::Draining)
+        };
+        let largest = serving().map(|presence| presence.capacity_percent).max();
+        let min_percent = largest.unwrap_or(0) / 2;
+        let large = serving().filter(|presence| presence.capacity_percent >= min_percent);
+        first_by_rendezvous(key, large.map(|presence| &*presence.name))
+    }
+
     /// The names of the daemons that may own work: ready ones with at least half of the largest CPU capacity.
     /// Smaller ones could not keep up with the engines.
     pub fn eligible(&self) -> impl Iterator<Item = &str> {
--- a/crates/borageshore_membership/tests/presence.rs
+++ b/crates/borageshore_membership/tests/presence.rs
@@ -101,6 +101,35 @@
         assert!(owners.windows(2).all(|pair| pair[0] == pair[1]));
     }
 
+    // The first daemons that are ready after a start of all take over all work, one after the other.
+    work_of_daemons_that_start_is_left_to_them => {
+        let states = |ready: usize| move |number: usize| match number < ready {
+            true => PresenceState::Ready,
+            false => PresenceState::Starting,
+        };
+        let owner = |ready: usize, key: &str| {
+            let mut table = PresenceTable::default();
+            table.on_read(0);
+            for number in 0..8 {
+                table.on_presence(presence(&format!("vm-{number}"), "z1", states(ready)(number)));
+            }
+            table.prospective_owner_of(key).map(str::to_owned)
+        };
+        let mut owners = Vec::new();
+        for key in (0..40).map(|key| key.to_string()) {
+            assert_eq!(owner(1, &key), owner(8, &key));
+            owners.extend(owner(8, &key));
+        }
+        owners.sort();
+        owners.dedup();
+        assert!(owners.len() > 4, "{owners:?}");
+        let mut table = three_ready_daemons();
+        table.on_presence(Presence { capacity_percent: 12, ..presence("vm-4", "z1", PresenceState::Starting) });
+        for key in (0..40).map(|key| key.to_string()) {
+            assert_eq!(table.prospective_owner_of(&key), table.owner_of("work", &key));
+        }
+    }
+
     a_draining_daemon_keeps_what_it_holds_and_gets_nothing_new => {
         let mut table = three_ready_daemons();
         table.on_presence(Presence { state: PresenceState::Draining, ..presence_with_work("vm-1", "s1") });
