--- a/crates/borageshore_feed/src/limits.rs
+++ b/crates/borageshore_feed/src/limits.rs
@@ -12,7 +12,9 @@
 /// The least number of direct readers in a zone, so that the loss of one leaves another.
 const MIN_READERS_PER_ZONE: usize = 2;
 /// The share of the bytes that the log returns which direct readers may use to load it, in percent.
-const LOAD_SHARE_PERCENT: u64 = 60;
+const LOAD_SHARE_PERCENT: u64 = 80;
+/// The same while their reads fail. Less, as one that cannot read a topic begins with the next one after some time.
+const RETRY_SHARE_PERCENT: u64 = 60;
 /// The share of the bytes and of the read calls that all other daemons may use together, in percent.
 const FALLBACK_SHARE_PERCENT: u64 = 20;
 /// The state of [`STATE_BYTES_PER_DAEMON`] as the log returns it, in base64.
@@ -52,8 +54,13 @@
     /// The pause between pages of `page_bytes` while `readers` load the log, so that all of them together stay within
     /// their share of the bytes that it returns.
     pub fn page_interval_ms(self, readers: usize, page_bytes: u64) -> u64 {
-        let bytes_per_s = self.read_bytes_per_s.map(|rate| rate * LOAD_SHARE_PERCENT);
-        interval_ms(readers as u64 * page_bytes * 100, bytes_per_s)
+        self.shared_interval_ms(readers as u64 * page_bytes, LOAD_SHARE_PERCENT)
+    }
+
+    /// The time in which a share of what the log returns is `bytes`.
+    fn shared_interval_ms(self, bytes: u64, share_percent: u64) -> u64 {
+        let bytes_per_s = self.read_bytes_per_s.map(|rate| rate * share_percent);
+        interval_ms(bytes * 100, bytes_per_s)
     }
 }
 
@@ -108,7 +115,10 @@
             true => state_bytes.min(MAX_PAGE_BYTES),
             false => 0,
         };
-        let by_bytes = self.limits.page_interval_ms(self.readers, page_bytes);
+        let page_bytes = self.readers as u64 * page_bytes;
+        let by_bytes = self
+            .limits
+            .shared_interval_ms(page_bytes, RETRY_SHARE_PERCENT);
         let pause_ms = read_interval_ms(self.readers, self.partitions, self.limits, min_ms);
         let pause_ms = pause_ms.max(by_bytes) << failures.min(MAX_DOUBLINGS);
         pause_ms / 2 + random % pause_ms.max(1)
