--- a/crates/borageshore_gateway/src/feed/start.rs
+++ b/crates/borageshore_gateway/src/feed/start.rs
@@ -119,7 +119,7 @@
                     return first_readers(first, registered);
                 }
                 Ok((first, _)) => {
-                    log::debug!(registered = first.len(); "few daemons have registered")
+                    log::debug!(registered = first.len(); "few daemons have registered");
                 }
                 Err(error) => {
                     log::info!(error:% = error; "could not read which daemons have registered");
