--- a/crates/borageshore_membership/src/presence.rs
+++ b/crates/borageshore_membership/src/presence.rs
@@ -294,6 +294,29 @@
         })
     }
 
+    /// The daemon that will own work which nobody runs, once those that start are ready.
+    ///
+    /// Guards against a start of all daemons at which each of them, ready before it knows that others are, takes over all
+    /// work and reads the records of all of it.
+    pub fn prospective_owner_of(&self, key: &str) -> Option<&str> {
+        self.prospective_owner_within(key, |_| true)
+    }
+
+    /// The same among the daemons for which `allows` returns true.
+    pub fn prospective_owner_within<Allows>(&self, key: &str, allows: Allows) -> Option<&str>
+    where
+        Allows: Fn(&Presence) -> bool + Copy,
+    {
+        let serving = || {
+            let allowed = self.live().filter(move |presence| allows(presence));
+            allowed.filter(|presence| presence.state != PresenceState::Draining)
+        };
+        let largest = serving().map(|presence| presence.capacity_percent).max();
+        let min_percent = largest.unwrap_or(0) / 2;
+        let large = serving().filter(|presence| presence.capacity_percent >= min_percent);
+        first_by_rendezvous(key, large.map(|presence| &*presence.name))
+    }
+
     /// The names of the daemons that may own work: ready ones with at least half of the largest CPU capacity.
     /// Smaller ones could not keep up with the engines.
     pub fn eligible(&self) -> impl Iterator<Item = &str> {
