--- a/crates/borageshore_batch/src/placement.rs
+++ b/crates/borageshore_batch/src/placement.rs
@@ -14,9 +14,9 @@
 const SAME_GROUP_THOUSANDTHS: u64 = 31;
 /// Surcharge for another availability zone: traffic between zones is billed, but adds little latency.
 const OTHER_ZONE_THOUSANDTHS: u64 = 20;
-/// Surcharge for another region: a text of two seconds starts and ends 8 ms later each, and its bytes are billed at three
-/// times the price of those between zones.
-const OTHER_REGION_THOUSANDTHS: u64 = 60;
+/// Surcharge for another region: a text starts and ends 8 ms later there, and its bytes are billed at three times the price
+/// of those between zones. Below a slot's difference in load, so it decides only between equally loaded engines.
+const OTHER_REGION_THOUSANDTHS: u64 = 40;
 
 /// The state of an engine that placement depends on.
 #[derive(Debug, Clone, PartialEq, Eq)]
