Count sends to cold endpoints only for cold endpoints

Cause: a send that another gate kept back was counted as refused by the limit of a cold endpoint. Change: the counter asks whether the endpoint is cold.

--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -230,12 +230,13 @@
         let now_ms = self.clock.now_ms();
         let listing = table.get(instance).map(|known| &known.listing);
         let is_cold = listing.is_some_and(|listing| table.cold().is_cold(listing, now_ms));
-        if listing.is_some_and(|listing| !table.may_send(listing, now_ms)) {
-            self.instruments.count("cold_send", "refused");
-            return None;
-        }
+        let may_send = listing.is_some_and(|listing| table.may_send(listing, now_ms));
         if is_cold {
-            self.instruments.count("cold_send", "sent");
+            let outcome = if may_send { "sent" } else { "refused" };
+            self.instruments.count("cold_send", outcome);
+        }
+        if !may_send {
+            return None;
         }
         table.on_start(instance);
         table.on_send(instance, now_ms);
