--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -90,7 +90,7 @@
     EvacuateZone(usize),
     /// The endpoints of a zone become cold.
     ColdZone(usize),
-    /// A fake daemon in the region outside that of the restricted routes counts as ready for a while.
+    /// A fake daemon, outside the region of the restricted routes, counts as ready for a while.
     ListeningPeer,
     /// All daemons of a zone are killed at the same moment and restarted.
     KillZone(usize),
@@ -195,8 +195,8 @@
     /// Daemons outside the region of restricted submissions that the store sent bodies of these, and how many; without
     /// [`SoakOptions::observers`], who ask any daemon.
     pub bodies_outside: Vec<String>,
-    /// Bodies that daemons passed on to [`TimedFault::ListeningPeer`], and those of them that are restricted.
-    pub bodies_passed_on: (usize, usize),
+    /// Submissions that daemons passed on to [`TimedFault::ListeningPeer`], and those of them that are restricted.
+    pub submissions_passed_on: (usize, usize),
     /// Requests that reached the endpoints of a zone after its evacuation was taken back.
     pub requests_after_return: usize,
     /// Requests that reached cold endpoints.
--- a/crates/borageshore_soak/src/regions.rs
+++ b/crates/borageshore_soak/src/regions.rs
@@ -39,6 +39,8 @@
 ];
 /// The caller that no endpoint may serve.
 const UNSERVABLE: &str = "nowhere";
+/// Name of the fake daemon.
+const LISTENING_PEER: &str = "listening-peer";
 const CALL_PAUSE_MS: u64 = 60;
 
 /// Time from the acknowledgement of an evacuation until nothing may reach the zone's endpoints.
@@ -146,12 +148,11 @@
 pub(crate) fn record_bodies_outside(targets: &Targets) {
     let mut report = targets.oracle.regions.borrow_mut();
     let passed_on = targets.listening_peer.bodies();
-    let passed_on = passed_on.iter().filter(|body| !body.is_empty());
-    let is_restricted = |body: &&Bytes| {
-        let mut parts = body.windows(BODY_MARKER_BASE64.len());
-        parts.any(|part| part == BODY_MARKER_BASE64)
-    };
-    report.bodies_passed_on = (
+    let contains = |body: &Bytes, text: &[u8]| body.windows(text.len()).any(|part| part == text);
+    // Callers whose address list names the fake daemon send it calls of their own.
+    let passed_on = passed_on.iter().filter(|body| contains(body, b"\"items\""));
+    let is_restricted = |body: &&Bytes| contains(body, BODY_MARKER_BASE64);
+    report.submissions_passed_on = (
         passed_on.clone().count(),
         passed_on.filter(is_restricted).count(),
     );
@@ -238,16 +239,16 @@
     /// Writes the heartbeat of the fake daemon, which counts as ready until its watchers suspect it.
     pub(crate) fn announce_listening_peer(&self) {
         let (zone, _) = ZONES[ZONES.len() - 1];
-        let incarnation = began_unix_ms(self.clock) + self.clock.now_ms();
+        let (name, incarnation) = (
+            LISTENING_PEER,
+            began_unix_ms(self.clock) + self.clock.now_ms(),
+        );
         let heartbeat = json!({
-            "name": "listening-peer", "incarnation": incarnation, "zone": zone,
+            "name": name, "incarnation": incarnation, "zone": zone,
             "http_address": self.listening_peer.address(), "state": "Ready", "capacity_percent": 50, "holds": [],
         });
-        self.store.put(
-            "keyed.members",
-            "listening-peer",
-            heartbeat.to_string().as_bytes(),
-        );
+        let heartbeat = heartbeat.to_string();
+        self.store.put("keyed.members", name, heartbeat.as_bytes());
     }
 
     /// Evacuates a zone for a while, unless one is evacuated already.
