--- a/crates/borageshore_gateway/src/feed/mod.rs
+++ b/crates/borageshore_gateway/src/feed/mod.rs
@@ -235,8 +235,9 @@
     /// Adds records of a topic; returns the number of new ones.
     fn add(&self, topic: FeedTopic, page: TopicPage) -> usize {
         let log = self.log(topic);
+        let was_whole = log.is_whole();
         let added = log.append(page);
-        if added > 0 {
+        if added > 0 && !was_whole {
             self.load_progressed_at_ms.set(boot_time_ms());
         }
         if topic == FeedTopic::Members
