An announced reader goes on until it has loaded all

Cause: it was dismissed 1 s after its start if no member had come, also if that was because it had not loaded any; the next roots wait for 2 s, and all others with them (six daemons: 2.1 s between endpoints and index; their test failed once by 'less than half of the calls were answered'). Change: dismissed only once nothing is left to load.

--- a/crates/borageshore_gateway/src/feed/start.rs
+++ b/crates/borageshore_gateway/src/feed/start.rs
@@ -223,8 +223,11 @@
                 std::mem::replace(&mut members_end, self.log(FeedTopic::Members).next_offset());
             if last_end == members_end && *self.phase.borrow() == Phase::Joined {
                 self.is_first_start.set(false);
-                let now_ms = self.now_ms();
-                self.selector.borrow_mut().dismiss(now_ms);
+                // Others wait for what it loads, and its successor begins to read 2 s after it has become a root.
+                if self.loading_ms().is_none() {
+                    let now_ms = self.now_ms();
+                    self.selector.borrow_mut().dismiss(now_ms);
+                }
             }
             let key = self.root_key();
             // Ranks change quickly while daemons start; only one that stays is worth a record.
