Soak: runs of one process have folders of their own; bounds of cold endpoints in the settings

Cause: two cases of one process with the same seed shared a folder and overwrote each other's settings; endpoints_are_ordered_after_their_holder_has_ended and daemons_that_read_from_others_serve_through_faults both have seed 51 and hung together at two threads. The daemons of the world with regions had no cold_excess and cold_slack, so cold endpoints were not limited there: 13 to 25 requests a second where 11 are allowed.

Change: a counter in the folder's name; the two settings, from the same constants as the check. Checks, bounds and seeds are unchanged.

Ruled out: other seeds for one of the two cases.

--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -26,7 +26,10 @@
 
 pub use self::daemons::free_address;
 
-use std::path::PathBuf;
+use std::{
+    path::PathBuf,
+    sync::atomic::{AtomicU64, Ordering},
+};
 
 use borageshore_net::run_event_loop;
 use borageshore_standins::platform::ReceivedEndpointOrder;
@@ -184,13 +187,20 @@
             long_generations: false,
             endpoint_orders: false,
             script: Script::RandomExtended(8),
-            folder: std::env::temp_dir()
-                .join(format!("borageshore-soak-{}-{seed}", std::process::id())),
+            folder: run_folder(seed),
             keeps_logs: false,
         }
     }
 }
 
+/// A folder of its own for each run: runs of one process may have the same seed, and would overwrite each other's settings.
+fn run_folder(seed: u64) -> PathBuf {
+    static RUNS: AtomicU64 = AtomicU64::new(0);
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    std::env::temp_dir().join(format!("borageshore-soak-{process}-{run}-{seed}"))
+}
+
 /// What was seen in a world with [`SoakOptions::regions`].
 #[derive(Debug, Clone, Default)]
 pub struct RegionReport {
--- a/crates/borageshore_soak/src/regions.rs
+++ b/crates/borageshore_soak/src/regions.rs
@@ -94,7 +94,10 @@
     let entry = |(zone, region): &(&str, &str)| format!("{{zone: {zone}, region: {region}}}");
     let entries: Vec<String> = ZONES.iter().map(entry).collect();
     let (zone, _) = place_of(number);
-    format!("zone: {zone}\nzone_regions: [{}]", entries.join(", "))
+    format!(
+        "zone: {zone}\nzone_regions: [{}]\ncold_excess: {COLD_EXCESS}\ncold_slack: {COLD_SLACK}",
+        entries.join(", ")
+    )
 }
 
 /// Adds restricted routes and organisations to the routes, and cold starts to the services.
