--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -405,6 +405,17 @@
         ];
         let report = play(&regional(71, script));
         assert_eq!(report.faults.len(), 6);
+    }
+
+    // Endpoints that are all cold get nothing for as long as that lasts, or more than they tolerate.
+    cold_endpoints_get_requests_where_no_other_is_left => {
+        let script = vec![
+            (8_000, TimedFault::ColdZone(0)),
+            (8_000, TimedFault::ColdZone(1)),
+            (8_000, TimedFault::ColdZone(2)),
+        ];
+        let report = play(&regional(77, script));
+        assert_eq!(report.faults.len(), 3);
         assert!(report.regions.cold_requests > 0);
     }
 
