--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -370,8 +370,8 @@
         self.clock.now_ms()
     }
 
-    /// Enters the ready state once routes, evacuations, endpoints and the submission index have been read. The daemon stays ready
-    /// during an outage of the store and serves from its last view.
+    /// Enters the ready state once routes, evacuations, endpoints and the submission index have been read. The daemon
+    /// stays ready during an outage of the store and serves from its last view.
     pub(crate) fn update_readiness(&self) {
         let is_known = self.routes.is_known()
             && self.operator.next_offset().is_some()
