--- a/crates/borageshore_bench/src/page.rs
+++ b/crates/borageshore_bench/src/page.rs
@@ -188,7 +188,7 @@
    rcs-quotehub-grown, where 30 VMs call 300 endpoints.
 5. **A change of the operator's record** is passed on whole: at 0.25 KB a route 1,400 routes take 0.35 MB, from each daemon that passes on 2.8 MB,
    0.4 s of a link of 60 Mbit/s (worked out).
-6. **Shares of cold endpoints** look through all members for each choice: not measured beyond 300 VMs. A request to an endpoint that becomes cold in an outage of
+6. **Shares of cold endpoints** look through all members for each choice: not measured on its own. A request to an endpoint that becomes cold in an outage of
    the store is held to no common bound (KNOWN-RED).
 7. **Owners of submissions** are one for all regions: its items cross regions when its own is full.
 ";
