Add review case 3: results with several versions on a single-version route

A text without events has no upper bound on its version, so one that begins shortly before its replica loads the next version takes events of both and is listed as done with two versions (rule VERSION). Shown with a kill of the daemon that gives the orders, which makes the load come after the start of the step.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
+# Needs a build by review/build.sh.
+root="$(cd "$(dirname "$0")/../.." && pwd)"
+export CASE_FOLDER="$root/review/3" BORAGESHORE="$root/target/release/borageshore"
+driver="$root/target/review/release/mixed_versions"
+if [ ! -x "$driver" ] || [ ! -x "$BORAGESHORE" ]; then
+  echo "not built: run review/build.sh first" >&2
+  exit 2
+fi
+"$driver"
+status=$?
+case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
