End the processes of a review case with its script

A script that was ended from outside left its driver and three daemons running until the driver's own end.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -8,6 +8,14 @@
   echo "not built: run review/build.sh first" >&2
   exit 2
 fi
-"$driver"
+TMPDIR="$(mktemp -d)" || exit 2
+export TMPDIR
+# The driver and its daemons are a process group of their own, which ends with this script.
+set -m
+"$driver" &
+group=$!
+trap 'kill -KILL -- "-$group" 2>/dev/null; rm -rf "$TMPDIR"' EXIT
+trap 'exit 2' HUP INT TERM
+wait "$group"
 status=$?
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
