Count the takeover delay from the load of the announcements

Cause: a daemon that may have missed announcements waits for the takeover delay of 3.8 s before it acts on subjects without a known action. `DutyLeases` counted that delay from the start of the process. A daemon that restarts behind a cut reads nothing for as long as the cut lasts, so the delay had passed before it knew anything. All rounds of orders share one key, and a load returns the newest record of a key: here the round that reported the order as done, which lists no subject. So the engine's last order was unknown and counted as old. After a gap the same happened between the gap and the load that follows it.

Ruled out: that the daemon took the lease for its own (the newest round names the other holder) and that a round was read late (the append is conditional on the end of the partition).

Change: the table permits nothing before `on_loaded`, and the delay counts from there. An announcement that the load misses was appended before it, so the delay covers it. Only the author of the newest announcement goes on at once, as that lists what others hold. `open` and `reset` take no time any more, which made the wrong one easy to pass.

A stop of all: the previous holder goes on at its load, as before. Another daemon waited for the delay from its load before, for the engines of the newest round; now it does so for all.

--- a/crates/borageshore_batch/src/order_lease.rs
+++ b/crates/borageshore_batch/src/order_lease.rs
@@ -16,14 +16,19 @@
 }
 
 impl OrderLeases {
-    /// Creates the table of a process that starts to read rounds at `now_ms`. `takeover_delay_ms` is the lease plus the longest
-    /// time from the announcement of an order to its arrival. The clock must count time spent suspended.
-    pub fn open(now_ms: u64, takeover_delay_ms: u64) -> Self {
+    /// Creates a table without rounds, which permits no order before [`Self::on_loaded`]. `takeover_delay_ms` is the lease
+    /// plus the longest time from the announcement of an order to its arrival. The clock must count time spent suspended.
+    pub fn open(takeover_delay_ms: u64) -> Self {
         Self {
-            duties: DutyLeases::open(now_ms, takeover_delay_ms),
+            duties: DutyLeases::open(takeover_delay_ms),
         }
     }
 
+    /// Records that the rounds stored so far were loaded at `now_ms` and applied.
+    pub fn on_loaded(&mut self, now_ms: u64) {
+        self.duties.on_loaded(now_ms);
+    }
+
     /// Applies a round that was read at `now_ms`.
     pub fn on_round(&mut self, round: &SwapRound, now_ms: u64) {
         let engines = round.orders.iter().map(|(engine, ..)| engine);
@@ -48,9 +53,9 @@
         self.duties.held_by_others(holder, now_ms)
     }
 
-    /// Resets the table after rounds were missed.
-    pub fn reset(&mut self, now_ms: u64) {
-        self.duties.reset(now_ms);
+    /// Resets the table after rounds were missed; they have to be loaded again.
+    pub fn reset(&mut self) {
+        self.duties.reset();
     }
 
     /// The underlying leases of all duties; engines are subjects by endpoint id.
--- a/crates/borageshore_duty/src/leases.rs
+++ b/crates/borageshore_duty/src/leases.rs
@@ -15,11 +15,15 @@
 /// Actions of two holders on one subject must be a lease apart. Every action is announced before it is sent, so a
 /// daemon that has read all announcements knows each subject that another holder may be about to act on, and a time by
 /// which that was announced. A new holder waits only for these subjects and can act on all others at once.
+///
+/// A load returns only some announcements: newer ones replace others under the same key. A missing one may be as new as
+/// the load, so a daemon waits from the load on, however long ago its process started, before it acts on anything.
+/// The author of the newest announcement need not wait: that one lists what other holders may be acting on.
 #[derive(Debug)]
 pub struct DutyLeases {
-    /// When reading started; earlier announcements may be missing, as the log may have dropped them.
-    opened_at_ms: u64,
     takeover_delay_ms: u64,
+    /// When the announcements were loaded; `None` before that.
+    loaded_at_ms: Option<u64>,
     newest_holder: Option<Arc<str>>,
     /// Subjects that the newest announcement lists as held by other holders.
     newest_held_by_others: Vec<Arc<str>>,
@@ -27,18 +31,23 @@
 }
 
 impl DutyLeases {
-    /// Creates the table of a process that starts reading announcements at `now_ms`; a successor waits for
+    /// Creates a table without announcements, which permits no action before [`Self::on_loaded`]; a successor waits for
     /// `takeover_delay_ms`.
-    pub fn open(now_ms: u64, takeover_delay_ms: u64) -> Self {
+    pub fn open(takeover_delay_ms: u64) -> Self {
         Self {
-            opened_at_ms: now_ms,
             takeover_delay_ms,
+            loaded_at_ms: None,
             newest_holder: None,
             newest_held_by_others: Vec::new(),
             last_actions: SortedMap::default(),
         }
     }
 
+    /// Records that the stored announcements were loaded at `now_ms`, after all that the load returned were applied.
+    pub fn on_loaded(&mut self, now_ms: u64) {
+        self.loaded_at_ms = Some(now_ms);
+    }
+
     /// Applies an announcement read at `now_ms`: `holder` acts on `subjects`, and other holders still hold `others`.
     pub fn on_announcement(
         &mut self,
@@ -58,6 +67,11 @@
         }
     }
 
+    /// The number of subjects whose last action is known.
+    pub fn known_subjects(&self) -> usize {
+        self.last_actions.len()
+    }
+
     /// The author of the newest announcement.
     pub fn newest_holder(&self) -> Option<&Arc<str>> {
         self.newest_holder.as_ref()
@@ -65,18 +79,19 @@
 
     /// Whether `holder` may act on a subject at `now_ms`.
     pub fn may_act(&self, holder: &str, subject: &str, now_ms: u64) -> bool {
-        let has_passed = |seen_at_ms: u64| now_ms >= seen_at_ms + self.takeover_delay_ms;
+        let Some(loaded_at_ms) = self.loaded_at_ms else {
+            return false;
+        };
+        let has_passed = |since_ms: u64| now_ms >= since_ms + self.takeover_delay_ms;
+        let has_missed_none = self.newest_holder.as_deref() == Some(holder);
+        if !has_missed_none && !has_passed(loaded_at_ms) {
+            return false;
+        }
         match self.last_actions.get(subject) {
             Some(last) => &*last.holder == holder || has_passed(last.seen_at_ms),
-            // No announcement for this subject is known. The author of the newest announcement relies on the subjects
-            // that it listed there, also after a restart; any other daemon may have missed an earlier action.
             None => {
-                let is_own = self.newest_holder.as_deref() == Some(holder);
-                let is_held_by_others = self
-                    .newest_held_by_others
-                    .iter()
-                    .any(|other| **other == *subject);
-                (is_own && !is_held_by_others) || has_passed(self.opened_at_ms)
+                let mut held_by_others = self.newest_held_by_others.iter();
+                !held_by_others.any(|held| **held == *subject) || has_passed(loaded_at_ms)
             }
         }
     }
@@ -93,8 +108,8 @@
         subjects
     }
 
-    /// Clears the table after announcements were missed, as if opened at `now_ms`.
-    pub fn reset(&mut self, now_ms: u64) {
-        *self = Self::open(now_ms, self.takeover_delay_ms);
+    /// Clears the table after announcements were missed; they have to be loaded again.
+    pub fn reset(&mut self) {
+        *self = Self::open(self.takeover_delay_ms);
     }
 }
--- a/crates/borageshore_duty/src/lib.rs
+++ b/crates/borageshore_duty/src/lib.rs
@@ -11,7 +11,8 @@
 //! use borageshore_duty::{DutyLeases, DutyTiming};
 //!
 //! let timing = DutyTiming { lease_ms: 3_000, send_window_ms: 500, margin_ms: 300 };
-//! let mut leases = DutyLeases::open(0, timing.takeover_delay_ms());
+//! let mut leases = DutyLeases::open(timing.takeover_delay_ms());
+//! leases.on_loaded(0);
 //! leases.on_announcement(&"vm-1".into(), &["usage".into()], &[], 10_000);
 //! assert!(leases.may_act("vm-1", "usage", 10_100));
 //! assert!(!leases.may_act("vm-2", "usage", 10_100));
--- a/crates/borageshore_duty/tests/duty.rs
+++ b/crates/borageshore_duty/tests/duty.rs
@@ -17,8 +17,55 @@
     all.iter().map(|name| (*name).into()).collect()
 }
 
+/// The leases of a daemon that has loaded no announcement at `now_ms`.
 fn leases_at(now_ms: u64) -> DutyLeases {
-    DutyLeases::open(now_ms, TIMING.takeover_delay_ms())
+    let mut leases = DutyLeases::open(TIMING.takeover_delay_ms());
+    leases.on_loaded(now_ms);
+    leases
+}
+
+/// An announcement in the log; all are stored under one key, so that a load returns only the newest.
+struct Announced {
+    holder: Arc<str>,
+    subject: Arc<str>,
+    others: Vec<Arc<str>>,
+    at_ms: u64,
+}
+
+struct Daemon {
+    leases: DutyLeases,
+    /// How many announcements are read; `None` before the load.
+    read: Option<usize>,
+}
+
+impl Daemon {
+    fn started() -> Self {
+        Self {
+            leases: DutyLeases::open(TIMING.takeover_delay_ms()),
+            read: None,
+        }
+    }
+
+    fn load(&mut self, log: &[Announced], now_ms: u64) {
+        if let Some(newest) = log.last() {
+            self.apply(newest, now_ms);
+        }
+        self.leases.on_loaded(now_ms);
+        self.read = Some(log.len());
+    }
+
+    fn follow(&mut self, unread: &[Announced], now_ms: u64) {
+        for announced in unread {
+            self.apply(announced, (announced.at_ms + READ_WITHIN_MS).min(now_ms));
+        }
+        self.read = self.read.map(|read| read + unread.len());
+    }
+
+    fn apply(&mut self, announced: &Announced, seen_at_ms: u64) {
+        let subjects = [announced.subject.clone()];
+        self.leases
+            .on_announcement(&announced.holder, &subjects, &announced.others, seen_at_ms);
+    }
 }
 
 macro_rules! cases {
@@ -67,8 +114,9 @@
         let others = leases.held_by_others("vm-2", 10_100);
         leases.on_announcement(&"vm-2".into(), &names(&[SUBJECT]), &others, 10_100);
         assert!(!leases.may_act("vm-2", "e0", 13_000));
-        let mut restarted = leases_at(10_200);
+        let mut restarted = DutyLeases::open(TIMING.takeover_delay_ms());
         restarted.on_announcement(&"vm-2".into(), &names(&[SUBJECT]), &others, 10_300);
+        restarted.on_loaded(10_300);
         assert!(!restarted.may_act("vm-2", "e0", 13_000));
         assert!(restarted.may_act("vm-2", SUBJECT, 10_301));
     }
@@ -83,46 +131,63 @@
         assert_eq!(choose_holder("duties", None, &[]), None);
     }
 
-    // Daemons announce, pause, restart and send late, in any order: a subject never receives a lower epoch after a
-    // higher one, nor calls of two holders within the lease.
+    // Guards against two holders within one lease: vm-1 restarts behind a cut, and by the time it loads the announcements
+    // vm-2 has replaced the one of its last action.
+    a_daemon_that_loads_long_after_its_start_waits_from_the_load => {
+        let mut leases = DutyLeases::open(TIMING.takeover_delay_ms());
+        assert!(!leases.may_act("vm-1", SUBJECT, 60_000), "nothing is loaded");
+        leases.on_announcement(&"vm-2".into(), &[], &[], 60_000);
+        leases.on_loaded(60_000);
+        assert!(!leases.may_act("vm-1", SUBJECT, 63_799));
+        assert!(leases.may_act("vm-1", SUBJECT, 63_800));
+        assert!(leases.may_act("vm-2", SUBJECT, 60_000), "it restarted itself");
+    }
+
+    // Daemons announce, pause, restart, load late and send late, in any order: a subject never receives a lower epoch
+    // after a higher one, nor calls of two holders within the lease.
     no_order_of_events_breaks_the_lease => {
-        bolero::check!().with_type::<Vec<(u8, u16)>>().for_each(|events| {
-            let mut log: Vec<(Arc<str>, u64)> = Vec::new();
-            let mut daemons: Vec<(DutyLeases, usize)> = (0..3).map(|_| (leases_at(0), 0)).collect();
-            let mut sent: Vec<(u64, u64, Arc<str>)> = Vec::new();
+        bolero::check!().with_type::<Vec<(u8, u8, u16)>>().for_each(|events| {
+            let subjects = names(&["usage", "e0", "e1"]);
+            let mut log: Vec<Announced> = Vec::new();
+            let mut daemons: Vec<Daemon> = (0..3).map(|_| Daemon::started()).collect();
+            daemons.iter_mut().for_each(|daemon| daemon.load(&log, 0));
+            let mut sent: Vec<(u64, u64, Arc<str>, Arc<str>)> = Vec::new();
             let mut now_ms = 10_000;
-            for (what, pause_ms) in events {
+            for (what, which, pause_ms) in events {
                 now_ms += u64::from(*pause_ms) % 1_500;
                 let number = usize::from(*what) % 3;
                 let name: Arc<str> = format!("vm-{number}").into();
-                let (leases, read) = &mut daemons[number];
+                let daemon = &mut daemons[number];
                 if what & 0x80 != 0 {
-                    (*leases, *read) = (leases_at(now_ms), log.len().saturating_sub(1));
+                    *daemon = Daemon::started();
                 }
                 // The append's condition fails while the newest record may be unread.
-                let is_current = log.last().is_none_or(|(_, at_ms)| *at_ms + READ_WITHIN_MS <= now_ms);
+                let is_current = log.last().is_none_or(|last| last.at_ms + READ_WITHIN_MS <= now_ms);
                 if !is_current {
                     continue;
                 }
-                for (holder, at_ms) in &log[*read..] {
-                    let seen_at_ms = (*at_ms + READ_WITHIN_MS).min(now_ms);
-                    let seen_at_ms = if what & 0x80 != 0 { now_ms } else { seen_at_ms };
-                    leases.on_announcement(holder, &names(&[SUBJECT]), &[], seen_at_ms);
+                match daemon.read {
+                    None => daemon.load(&log, now_ms),
+                    Some(read) => daemon.follow(&log[read..], now_ms),
                 }
-                *read = log.len();
-                if leases.may_act(&name, SUBJECT, now_ms) {
-                    log.push((name.clone(), now_ms));
+                let subject = &subjects[usize::from(*which) % 3];
+                if daemon.leases.may_act(&name, subject, now_ms) {
+                    let others = daemon.leases.held_by_others(&name, now_ms);
+                    log.push(Announced { holder: name.clone(), subject: subject.clone(), others, at_ms: now_ms });
                     let send_at_ms = now_ms + u64::from(*what & 0x3f) * 20;
                     if TIMING.send_window(now_ms).is_open(send_at_ms) {
-                        sent.push((send_at_ms, log.len() as u64, name));
+                        sent.push((send_at_ms, log.len() as u64, name, subject.clone()));
                     }
                 }
             }
-            sent.sort();
-            for pair in sent.windows(2) {
-                let ((first_ms, first, one), (second_ms, second, other)) = (&pair[0], &pair[1]);
-                // Calls of one holder are sequential.
-                assert!(one == other || (first < second && first_ms + TIMING.lease_ms <= *second_ms));
+            for subject in &subjects {
+                let mut calls: Vec<_> = sent.iter().filter(|(.., called)| called == subject).collect();
+                calls.sort();
+                for pair in calls.windows(2) {
+                    let ((first_ms, first, one, _), (second_ms, second, other, _)) = (pair[0], pair[1]);
+                    // Calls of one holder are sequential.
+                    assert!(one == other || (first < second && first_ms + TIMING.lease_ms <= *second_ms));
+                }
             }
         });
     }
--- a/crates/borageshore_gateway/src/duties.rs
+++ b/crates/borageshore_gateway/src/duties.rs
@@ -102,7 +102,18 @@
     }
 
     fn on_gap(&self) {
-        self.leases.borrow_mut().reset(boot_time_ms());
+        self.leases.borrow_mut().reset();
+    }
+
+    fn on_loaded(&self, next_offset: u64) {
+        let mut leases = self.leases.borrow_mut();
+        leases.on_loaded(boot_time_ms());
+        let duties = leases.duties();
+        log::info!(
+            next_offset, holder = duties.newest_holder().map_or("", |holder| &**holder),
+            subjects = duties.known_subjects();
+            "announcements of duties loaded; a daemon that is not their newest holder waits for the leases of others"
+        );
     }
 }
 
@@ -155,10 +166,7 @@
             endpoints,
             usage,
             endpoint_orders,
-            leases: RefCell::new(OrderLeases::open(
-                boot_time_ms(),
-                timing.takeover_delay_ms(),
-            )),
+            leases: RefCell::new(OrderLeases::open(timing.takeover_delay_ms())),
             round_announced: Notify::new(),
         });
         Rc::new(Self {
--- a/tests/residency.rs
+++ b/tests/residency.rs
@@ -11,25 +11,12 @@
     RecordedRun,
 };
 use serde_json::{Value, json};
-use support::{Answer, Fleet, HOST, Spy};
+use support::{Answer, Fleet, HOST, Spy, put_routes, route};
 
 const MODEL: &str = "m0";
 /// How long a daemon takes to apply a record of the operator or of an endpoint.
 const APPLY_MS: u64 = 400;
 
-fn route(name: &str, kind: &str, service: &str, allowed_regions: Value) -> Value {
-    json!({
-        "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind, "service": service,
-        "timeout_ms": 2_000, "target_latency_ms": 100, "max_attempts": 3, "result_due_ms": 7_500,
-        "retention_s": 60, "allowed_regions": allowed_regions,
-    })
-}
-
-fn put_routes(store: &PlatformStore, version: u64, routes: &[Value], organisations: &[Value]) {
-    let text = json!({ "version": version, "routes": routes, "tenants": organisations });
-    store.put("keyed.op", "config", text.to_string().as_bytes());
-}
-
 fn list(store: &PlatformStore, id: &str, entry: Value) {
     let mut listed =
         json!({ "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": 1 });
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
 /// The host of all routes.
@@ -32,6 +33,26 @@
 /// The interval at which the recording peer renews its presence, which also refutes suspicions.
 const PRESENCE_INTERVAL_MS: u64 = 100;
 
+/// A route of one service; `kind` is one of the platform's.
+pub(crate) fn route(name: &str, kind: &str, service: &str, allowed_regions: Value) -> Value {
+    json!({
+        "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind, "service": service,
+        "timeout_ms": 2_000, "target_latency_ms": 100, "max_attempts": 3, "result_due_ms": 7_500,
+        "retention_s": 60, "allowed_regions": allowed_regions,
+    })
+}
+
+/// Writes the routes as the operator does.
+pub(crate) fn put_routes(
+    store: &PlatformStore,
+    version: u64,
+    routes: &[Value],
+    organisations: &[Value],
+) {
+    let text = json!({ "version": version, "routes": routes, "tenants": organisations });
+    store.put("keyed.op", "config", text.to_string().as_bytes());
+}
+
 /// The status and body of a response; status 0 if there was none.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -121,6 +142,15 @@
         self.daemons[number].kill();
     }
 
+    /// Asks a daemon to stop, as the platform does before maintenance.
+    pub(crate) fn stop(&self, number: usize) {
+        let child = self.daemons[number].child.borrow();
+        let pid = child.as_ref().map(|child| child.id() as i32);
+        if let Some(pid) = pid.and_then(Pid::from_raw) {
+            kill_process(pid, Signal::TERM).unwrap();
+        }
+    }
+
     /// Waits until all daemons are ready.
     pub(crate) async fn wait_until_ready(&self) {
         for daemon in &self.daemons {
