Judge what a load of the announcements missed by the load alone

A daemon that had just loaded them, with another holder's as the newest, could act at once on a subject whose last known action was its own, say the report of usage. Its own announcement then was the newest one, and it counted as the daemon that knows all leases, although its list names only subjects that it knows: it could order at once an engine that the other holder had just ordered. Not seen on a deployment; shown by the test.

Change: the load keeps the author of the newest announcement at that time, and only that decides. A daemon with another holder's acts on nothing, and announces nothing, before the takeover delay has passed. So each list in the store is complete, which is what its author relies on after a restart. A daemon that loaded its own as the newest stays complete when another holder takes over in between, since it reads every later announcement.

--- a/crates/borageshore_duty/src/leases.rs
+++ b/crates/borageshore_duty/src/leases.rs
@@ -10,6 +10,14 @@
     seen_at_ms: u64,
 }
 
+/// A load of the stored announcements.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Load {
+    at_ms: u64,
+    /// The author of the newest announcement at that time.
+    newest_holder: Option<Arc<str>>,
+}
+
 /// The last announced action on each subject.
 ///
 /// Actions of two holders on one subject must be a lease apart. Every action is announced before it is sent, so a
@@ -22,8 +30,8 @@
 #[derive(Debug)]
 pub struct DutyLeases {
     takeover_delay_ms: u64,
-    /// When the announcements were loaded; `None` before that.
-    loaded_at_ms: Option<u64>,
+    /// `None` before the announcements are loaded.
+    load: Option<Load>,
     newest_holder: Option<Arc<str>>,
     /// Subjects that the newest announcement lists as held by other holders.
     newest_held_by_others: Vec<Arc<str>>,
@@ -36,7 +44,7 @@
     pub fn open(takeover_delay_ms: u64) -> Self {
         Self {
             takeover_delay_ms,
-            loaded_at_ms: None,
+            load: None,
             newest_holder: None,
             newest_held_by_others: Vec::new(),
             last_actions: SortedMap::default(),
@@ -45,7 +53,10 @@
 
     /// Records that the stored announcements were loaded at `now_ms`, after all that the load returned were applied.
     pub fn on_loaded(&mut self, now_ms: u64) {
-        self.loaded_at_ms = Some(now_ms);
+        self.load = Some(Load {
+            at_ms: now_ms,
+            newest_holder: self.newest_holder.clone(),
+        });
     }
 
     /// Applies an announcement read at `now_ms`: `holder` acts on `subjects`, and other holders still hold `others`.
@@ -79,19 +90,19 @@
 
     /// Whether `holder` may act on a subject at `now_ms`.
     pub fn may_act(&self, holder: &str, subject: &str, now_ms: u64) -> bool {
-        let Some(loaded_at_ms) = self.loaded_at_ms else {
+        let Some(load) = &self.load else {
             return false;
         };
         let has_passed = |since_ms: u64| now_ms >= since_ms + self.takeover_delay_ms;
-        let has_missed_none = self.newest_holder.as_deref() == Some(holder);
-        if !has_missed_none && !has_passed(loaded_at_ms) {
+        let has_missed_none = load.newest_holder.as_deref() == Some(holder);
+        if !has_missed_none && !has_passed(load.at_ms) {
             return false;
         }
         match self.last_actions.get(subject) {
             Some(last) => &*last.holder == holder || has_passed(last.seen_at_ms),
             None => {
                 let mut held_by_others = self.newest_held_by_others.iter();
-                !held_by_others.any(|held| **held == *subject) || has_passed(loaded_at_ms)
+                !held_by_others.any(|held| **held == *subject) || has_passed(load.at_ms)
             }
         }
     }
--- a/crates/borageshore_duty/tests/duty.rs
+++ b/crates/borageshore_duty/tests/duty.rs
@@ -143,6 +143,19 @@
         assert!(leases.may_act("vm-2", SUBJECT, 60_000), "it restarted itself");
     }
 
+    // Guards against a daemon that announces an action on one subject right after its load, which lists no other holder's
+    // lease on subjects that it does not know, and then counts as the one that knows all leases.
+    an_announcement_does_not_reveal_what_the_load_missed => {
+        let mut leases = DutyLeases::open(TIMING.takeover_delay_ms());
+        leases.on_announcement(&"vm-1".into(), &names(&[SUBJECT]), &[], 10_000);
+        leases.on_announcement(&"vm-2".into(), &[], &[], 10_000);
+        leases.on_loaded(10_000);
+        assert!(!leases.may_act("vm-1", SUBJECT, 10_100));
+        leases.on_announcement(&"vm-1".into(), &names(&[SUBJECT]), &[], 10_100);
+        assert!(!leases.may_act("vm-1", "e0", 13_799));
+        assert!(leases.may_act("vm-1", "e0", 13_800));
+    }
+
     // Daemons announce, pause, restart, load late and send late, in any order: a subject never receives a lower epoch
     // after a higher one, nor calls of two holders within the lease.
     no_order_of_events_breaks_the_lease => {
