A pinned text gives its version up when no engine has it

Cause: a text that has events asks for a slot at engines with exactly its version. Whether an engine still has it was asked once, right after a failed attempt; the wait that follows asks no more. The lost engine is listed for another 3.6 s, so at that time the answer was yes.

Evidence: in the new test the items are logged as retried once and then not again, while the other engine has free slots. Ruled out: that the other engine was not known (new items are placed there) and the limit of attempts.

Change: the queue of waiting items looks at each pinned text in each of its rounds, with the engines that it has looked up anyway. The text gives its version up once no engine has had it for 0.5 s, or once it has waited for as long as its events took to generate, so that a wait behind full engines costs no more than a new start would have. Then it takes any slot that the submission allows, and drops its events only when it has one with another version. This replaces the check after attempts. Restarts are counted (`item`, `restarted`) and logged. No wake-up or look-up is added for an item that waits.

Tests: `texts_of_a_lost_engine_start_again_under_the_next_version` (real processes) fails before: not all results after 15 s; passes after.

Also lets the shared test support hold functions that one test file needs.

--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -36,6 +36,7 @@
 mod text_pieces;
 mod urgency;
 mod value_chunks;
+mod version_pin;
 mod view_position;
 
 pub use self::{
@@ -65,5 +66,6 @@
     urgency::{
         Backlog, ServiceLoad, StartOrder, StartPosition, Urgency, UrgencyRequest, mean_hint_tokens,
     },
+    version_pin::{PinnedWait, VersionPin},
     view_position::ViewPosition,
 };
--- a/crates/borageshore_batch/src/placement.rs
+++ b/crates/borageshore_batch/src/placement.rs
@@ -47,9 +47,9 @@
 /// What an item requires of an engine.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementRequest<'r> {
-    /// The oldest version that may generate its tokens.
+    /// The oldest version that may generate its next token.
     pub min_version: u64,
-    /// The newest version that may generate its tokens; `u64::MAX` unless all of the text must come from one
+    /// The newest version that may generate its next token; `u64::MAX` unless all of the text must come from one
     /// version.
     pub max_version: u64,
     /// Engines that have just refused or lost the item.
--- a/crates/borageshore_gateway/src/dispatch.rs
+++ b/crates/borageshore_gateway/src/dispatch.rs
@@ -1,12 +1,12 @@
 //! Assigns free engine slots to waiting items.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc};
+use std::{cell::RefCell, ops::RangeInclusive, rc::Rc, sync::Arc};
 
 use borageshore_base::SortedMap;
 use borageshore_batch::{
-    Backlog, EngineView, FinishedText, GenerationTimes, GroupPlacements, PlacementRequest,
-    RunningItem, ServiceLoad, StartOrder, can_take, choose_better_engine, choose_engine,
-    gets_free_slot,
+    Backlog, EngineView, FinishedText, GenerationTimes, GroupPlacements, PinnedWait,
+    PlacementRequest, RunningItem, ServiceLoad, StartOrder, VersionPin, can_take,
+    choose_better_engine, choose_engine, gets_free_slot,
 };
 use borageshore_diagnostics::Instruments;
 use borageshore_net::{sleep_ms, within_ms};
@@ -30,7 +30,8 @@
     pub(crate) service: Arc<str>,
     pub(crate) model: Option<Arc<str>>,
     pub(crate) min_version: u64,
-    pub(crate) max_version: u64,
+    /// Set for a text that only one version can continue.
+    pub(crate) pin: Option<VersionPin>,
     /// The regions in which the item may run.
     pub(crate) residency: Residency,
     pub(crate) group: Arc<str>,
@@ -38,16 +39,34 @@
     pub(crate) avoid: Vec<Arc<str>>,
 }
 
+impl SlotRequest {
+    /// The versions of the engines that can continue the item's text.
+    pub(crate) fn versions(&self) -> RangeInclusive<u64> {
+        match &self.pin {
+            Some(pin) => pin.versions(),
+            None => self.any_version(),
+        }
+    }
+
+    /// The versions of the engines at which the item may start.
+    fn any_version(&self) -> RangeInclusive<u64> {
+        self.min_version..=u64::MAX
+    }
+}
+
 /// A slot at an engine, released on drop.
 #[derive(Debug)]
 pub(crate) struct EngineSlot {
     pub(crate) target: EndpointTarget,
     pub(crate) in_flight: InFlight,
+    /// The version of the item's model at the engine, as far as known.
+    pub(crate) version: u64,
 }
 
 #[derive(Debug)]
 struct Waiter {
     request: SlotRequest,
+    pinned_wait: PinnedWait,
     sender: oneshot::Sender<EngineSlot>,
 }
 
@@ -125,7 +144,12 @@
                 let position = position_of(&request);
                 let at = waiting.partition_point(|waiter| position_of(&waiter.request) <= position);
                 let request = request.clone();
-                waiting.insert(at, Waiter { request, sender });
+                let waiter = Waiter {
+                    request,
+                    pinned_wait: PinnedWait::default(),
+                    sender,
+                };
+                waiting.insert(at, waiter);
             }
             self.endpoints.changed.notify_waiters();
             if let Ok(slot) = receiver.await {
@@ -147,9 +171,9 @@
             request.model.as_ref(),
             request.min_version,
         );
-        let chosen = choose_better_engine(&engines, placement(request), item)?;
-        let (target, in_flight) = self.endpoints.start(&chosen.instance)?;
-        Some(EngineSlot { target, in_flight })
+        let placement = placement(request, request.versions());
+        let chosen = choose_better_engine(&engines, placement, item)?;
+        self.start(chosen)
     }
 
     /// Takes a free slot elsewhere, in the regions that are allowed now, for an item whose engine leaves, if no item with
@@ -175,7 +199,7 @@
             request.model.as_ref(),
             request.min_version,
         );
-        let placement = placement(request);
+        let placement = placement(request, request.versions());
         let free = engines.iter().filter(|engine| can_take(engine, placement));
         let free_slots = free.map(|engine| engine.slots - engine.load).sum();
         let others = departing.iter().filter(|(other, _)| *other != key);
@@ -185,8 +209,17 @@
             return None;
         }
         let chosen = choose_engine(&engines, placement)?;
+        self.start(chosen)
+    }
+
+    /// Takes a slot at an engine; `None` if the engine is gone or may not be sent to now.
+    fn start(&self, chosen: &EngineView) -> Option<EngineSlot> {
         let (target, in_flight) = self.endpoints.start(&chosen.instance)?;
-        Some(EngineSlot { target, in_flight })
+        Some(EngineSlot {
+            target,
+            in_flight,
+            version: chosen.version,
+        })
     }
 
     /// Ends the part of an item in the comparison of [`Self::try_leave`].
@@ -263,10 +296,16 @@
         });
         let mut looked_up = self.engines_for_all(&waiting);
         let mut unserved = Vec::new();
-        for waiter in waiting {
+        for mut waiter in waiting {
             let request = &waiter.request;
             let engines = engines_for(request, &mut looked_up);
-            match self.try_take_slot(request, engines) {
+            let mut slot = self.try_take_slot(request, request.versions(), engines);
+            if let (None, Some(pin)) = (&slot, &request.pin)
+                && waiter.pinned_wait.gives_up(pin, engines, now_ms)
+            {
+                slot = self.try_take_slot(request, request.any_version(), engines);
+            }
+            match slot {
                 Some(slot) => {
                     // If the receiver is gone, the slot is dropped and thus released.
                     let _ = waiter.sender.send(slot);
@@ -356,9 +395,10 @@
     fn try_take_slot(
         &self,
         request: &SlotRequest,
+        versions: RangeInclusive<u64>,
         engines: &mut [EngineView],
     ) -> Option<EngineSlot> {
-        let placement = placement(request);
+        let placement = placement(request, versions);
         // A cheap check first: most items of a large step find no free engine.
         if !engines.iter().any(|engine| can_take(engine, placement)) {
             return None;
@@ -372,10 +412,10 @@
             let chosen = choose_engine(engines, placement)?.instance.clone();
             let mut chosen_engines = engines.iter_mut();
             let engine = chosen_engines.find(|engine| engine.instance == chosen)?;
-            if let Some((target, in_flight)) = self.endpoints.start(&chosen) {
+            if let Some(slot) = self.start(engine) {
                 engine.load += 1;
                 placed.record(&request.group, &chosen);
-                return Some(EngineSlot { target, in_flight });
+                return Some(slot);
             }
             // It may get no more requests in this round: it is cold and has got this daemon's share.
             engine.load = engine.load.max(engine.slots);
@@ -393,10 +433,10 @@
     of_service.map_or(&mut [], |of_service| &mut of_service.engines)
 }
 
-fn placement(request: &SlotRequest) -> PlacementRequest<'_> {
+fn placement(request: &SlotRequest, versions: RangeInclusive<u64>) -> PlacementRequest<'_> {
     PlacementRequest {
-        min_version: request.min_version,
-        max_version: request.max_version,
+        min_version: *versions.start(),
+        max_version: *versions.end(),
         avoid: &request.avoid,
     }
 }
--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -38,6 +38,9 @@
 /// four run at once.
 const LOAD_TIMEOUT_MS: u64 = 3_000;
 
+/// The assumed time between two events where no engine's is known.
+const UNKNOWN_EVENT_US: u64 = 40_000;
+
 /// A model version that an engine was ordered to load.
 #[derive(Debug, Clone)]
 struct Loading {
@@ -489,6 +492,15 @@
         taken
     }
 
+    /// The time that a number of events takes at a median engine.
+    pub(crate) fn generation_ms(&self, events: u64) -> u64 {
+        let median_us = match self.latencies.borrow().median_us(self.clock.now_ms()) {
+            0 => UNKNOWN_EVENT_US,
+            median_us => median_us,
+        };
+        events * median_us / 1_000
+    }
+
     /// An item that is running at an engine of a service.
     pub(crate) fn running_item(
         &self,
--- a/crates/borageshore_gateway/src/item/attempt.rs
+++ b/crates/borageshore_gateway/src/item/attempt.rs
@@ -149,7 +149,7 @@
         loop {
             if let Some(version) = version {
                 self.record_version(&instance, version);
-                if version < request.min_version || version > request.max_version {
+                if !request.versions().contains(&version) {
                     return AttemptOutcome::Retry { is_refused: true };
                 }
             }
@@ -165,7 +165,7 @@
                 Err(error) => return self.on_attempt_error(slot, &error, sent),
             };
             version = event.version.or(version);
-            if version.is_some_and(|version| version > request.max_version) {
+            if version.is_some_and(|version| !request.versions().contains(&version)) {
                 return AttemptOutcome::Retry { is_refused: true };
             }
             let events_before = text.last_event();
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -1,6 +1,7 @@
 //! Runs one item of a submission: generates its text, scores it and hands the result to the writer.
 
 mod attempt;
+mod versions;
 
 use std::{
     cell::{Cell, OnceCell, RefCell},
@@ -237,6 +238,7 @@
         let mut failures = 0;
         let mut avoid = Vec::new();
         let mut next_slot = None;
+        let mut pin = None;
         loop {
             let route = self.route().await;
             if self.context.clock.now_ms()
@@ -248,7 +250,9 @@
                 next_slot = None;
                 continue;
             };
-            let request = self.slot_request(&route, text, std::mem::take(&mut avoid));
+            pin = self.renew_pin(pin, &route, text);
+            let mut request = self.slot_request(&route, text, std::mem::take(&mut avoid));
+            request.pin = pin.map(|pin| pin.pin);
             let slot = match next_slot.take() {
                 Some(slot) => slot,
                 None => match self.acquire_slot(request.clone()).await {
@@ -273,6 +277,10 @@
             if self.context.endpoints.is_evacuated(&slot.target.instance) {
                 continue;
             }
+            if request.pin.is_some_and(|pin| pin.version != slot.version) {
+                self.restart(text, "no engine with its version has a slot");
+                request.pin = None;
+            }
             let instance = slot.target.instance.clone();
             if self.timing.attempts.replace(self.timing.attempts.get() + 1) == 0 {
                 self.timing.placed_ms.set(self.waited_ms());
@@ -303,10 +311,6 @@
                 }
                 AttemptOutcome::Retry { is_refused: false } => avoid.push(instance),
             }
-            if route.is_single_version && self.must_restart(text) {
-                *text = Text::default();
-                self.start_saving(text);
-            }
         }
     }
 
@@ -354,16 +358,14 @@
     }
 
     fn slot_request(&self, route: &Route, text: &Text, avoid: Vec<Arc<str>>) -> SlotRequest {
-        let version = text.versions().last().copied();
-        let pinned_version = version.filter(|_| route.is_single_version);
         let service = route.service_for(self.context.endpoints.random()).cloned();
         let service = service.unwrap_or_default();
         SlotRequest {
             order: self.start_order(route, &service, text),
             service,
             model: self.submission.model.clone(),
-            min_version: pinned_version.unwrap_or(self.submission.min_version),
-            max_version: pinned_version.unwrap_or(u64::MAX),
+            min_version: self.submission.min_version,
+            pin: None,
             residency: self.residency_now(),
             group: self.item.group.clone(),
             avoid,
@@ -445,23 +447,4 @@
             .wait_for_slot(SlotRequest { avoid, ..request })
             .await
     }
-
-    /// Whether a text that has to come from a single version must restart, because no engine serves that version any
-    /// more.
-    fn must_restart(&self, text: &Text) -> bool {
-        let Some(version) = text.versions().last() else {
-            return false;
-        };
-        let Some(model) = &self.submission.model else {
-            return false;
-        };
-        let engines = self.context.endpoints.routed_engines();
-        let has_version = |instance: &Arc<str>| {
-            let versions = |versions: &borageshore_batch::EngineVersions| {
-                versions.get(instance, model) == *version
-            };
-            self.context.endpoints.with_versions(versions)
-        };
-        !engines.iter().any(|engine| has_version(&engine.instance))
-    }
 }
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -1,14 +1,15 @@
 //! Daemons as real processes before engines that load weights.
 
-#[allow(dead_code, reason = "shared with the tests of residency")]
 mod support;
 
 use std::cmp::Reverse;
 
 use borageshore_base::rendezvous_weight;
 use borageshore_net::{Clock, run_event_loop, sleep_ms};
-use borageshore_standins::platform::{PlatformEngine, PlatformStore, ProxyMode};
-use serde_json::json;
+use borageshore_standins::platform::{
+    EngineSwitches, PlatformEngine, PlatformStore, Proxy, ProxyMode,
+};
+use serde_json::{Value, json};
 use support::{Fleet, put_routes, route};
 
 const MODEL: &str = "m0";
@@ -20,6 +21,11 @@
 const REPORTED_MS: u64 = 1_000;
 /// How long a daemon takes to hand over its duties once it is asked to stop.
 const DRAIN_BEGINS_MS: u64 = 250;
+/// A long text takes 3.6 s at this pace.
+const SLOW_EVENT_MS: u64 = 60;
+const LOAD_MS: u64 = 300;
+/// Longer than three texts, one after the other, and the loads between them.
+const RESULTS_WITHIN_MS: u64 = 15_000;
 
 fn engine(store: &PlatformStore, id: &str, clock: Clock) -> PlatformEngine {
     let engine = PlatformEngine::bind("llm", id, MODEL, 1, clock).unwrap();
@@ -45,6 +51,82 @@
     panic!("no order for version {version} after 10 s");
 }
 
+/// An engine whose texts last for several loads of weights.
+fn slow_engine(store: &PlatformStore, id: &str, clock: Clock) -> PlatformEngine {
+    let engine = engine(store, id, clock);
+    let timing = EngineSwitches {
+        event_ms: SLOW_EVENT_MS,
+        load_ms: LOAD_MS,
+        ..engine.switches()
+    };
+    engine.set_switches(timing);
+    engine
+}
+
+/// A route of trainers whose texts must come from one version each.
+fn single_version_route() -> Value {
+    let mut route = route("batch", "rollout", "llm", json!([]));
+    route["single_version"] = json!(true);
+    route
+}
+
+/// Submits items with long texts on a route, to the first daemon.
+async fn submit(fleet: &Fleet, route: &str, id: &str, items: usize) {
+    let item = |number: usize| {
+        json!({
+            "id": format!("long-{number}"), "path": format!("/{route}/x"), "num_tokens": 20, "group": "g", "body": "",
+            "headers": { "X-Model": MODEL, "X-Token-Count": "10,10" },
+        })
+    };
+    let items: Vec<Value> = (0..items).map(item).collect();
+    let body = json!({ "step": 1, "model": MODEL, "min_version": 1, "items": items }).to_string();
+    let answer = fleet
+        .request(0, "POST", &format!("/{route}/x"), id, body)
+        .await;
+    assert_eq!(answer.status, 202);
+}
+
+/// Waits for all results of a submission; returns the versions of each.
+async fn result_versions(fleet: &Fleet, id: &str, items: usize) -> Vec<Value> {
+    let path = format!("/api/lots/{id}?after=0");
+    for _ in 0..RESULTS_WITHIN_MS / 100 {
+        let answer = fleet.request(0, "GET", &path, "read", String::new()).await;
+        let page: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let results = page["results"].as_array().cloned().unwrap_or_default();
+        if results.len() == items {
+            assert!(
+                results.iter().all(|result| result["state"] == "done"),
+                "{results:?}"
+            );
+            return results
+                .iter()
+                .map(|result| result["versions"].clone())
+                .collect();
+        }
+        sleep_ms(100).await;
+    }
+    panic!(
+        "not all results in time; logs in {}",
+        fleet.folder().display()
+    );
+}
+
+async fn wait_for_runs(engine: &PlatformEngine, runs: usize) {
+    for _ in 0..500 {
+        if engine
+            .runs()
+            .iter()
+            .filter(|run| run.events.len() > 3)
+            .count()
+            >= runs
+        {
+            return;
+        }
+        sleep_ms(10).await;
+    }
+    panic!("fewer than {runs} texts have begun after 5 s");
+}
+
 /// The daemons in the order in which they hold the duties.
 fn by_rank(daemons: usize) -> Vec<usize> {
     let mut ranked: Vec<usize> = (0..daemons).collect();
@@ -94,4 +176,24 @@
         let (new, old) = (&orders[orders.len() - 1].holder, format!("vm-{second}"));
         assert_ne!(*new, old, "nobody took over");
     };
+
+    // The last engine of a version is lost while the others have the next one, and its texts wait for it for ever.
+    texts_of_a_lost_engine_start_again_under_the_next_version => async {
+        let clock = Clock::start();
+        let fleet = Fleet::open(&["a1"]).await;
+        let store = &fleet.store;
+        put_routes(store, 1, &[single_version_route()], &[]);
+        let lost = slow_engine(store, "e-0", clock);
+        let link = Proxy::bind(lost.address()).unwrap();
+        lost.list(store, &link.address().to_string(), "ready");
+        fleet.wait_until_ready().await;
+        submit(&fleet, "batch", "s-1", 4).await;
+        wait_for_runs(&lost, 4).await;
+        let next = slow_engine(store, "e-1", clock);
+        next.restart(2);
+        next.list(store, &next.address().to_string(), "ready");
+        link.close();
+        let versions = result_versions(&fleet, "s-1", 4).await;
+        assert_eq!(versions, vec![json!([2]); 4]);
+    };
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A fleet of daemon processes in zones of two regions, and a peer outside that records what it is sent.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use std::{
     cell::RefCell,
     collections::BTreeSet,
