Pin a text of a single-version route from its first event on

Cause: the versions that may generate a text were computed once for each attempt, from the events that the text had before. A text that begins has none, so its attempt accepted every newer version. Orders let texts run on while weights load (mode `retain`), so the engine went on under the next version, said so in the stream, and the daemon took the event.

Ruled out, as both need a second attempt: texts of two attempts joined, and a resumed run at an engine whose version was mistaken.

Change: `VersionRule`, code of its own, says which version may generate the next event of a text, and is asked for each event with the text as it is then. Moves to faster engines and off leaving ones get the pin as well, so they no longer go to an engine that would be refused. A text without a model, for which the versions of engines are not known in advance, starts again at once.

--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -37,6 +37,7 @@
 mod urgency;
 mod value_chunks;
 mod version_pin;
+mod version_rule;
 mod view_position;
 
 pub use self::{
@@ -67,5 +68,6 @@
         Backlog, ServiceLoad, StartOrder, StartPosition, Urgency, UrgencyRequest, mean_hint_tokens,
     },
     version_pin::{PinnedWait, VersionPin},
+    version_rule::VersionRule,
     view_position::ViewPosition,
 };
--- a/crates/borageshore_gateway/src/dispatch.rs
+++ b/crates/borageshore_gateway/src/dispatch.rs
@@ -41,7 +41,7 @@
 
 impl SlotRequest {
     /// The versions of the engines that can continue the item's text.
-    pub(crate) fn versions(&self) -> RangeInclusive<u64> {
+    fn versions(&self) -> RangeInclusive<u64> {
         match &self.pin {
             Some(pin) => pin.versions(),
             None => self.any_version(),
--- a/crates/borageshore_gateway/src/item/attempt.rs
+++ b/crates/borageshore_gateway/src/item/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use borageshore_batch::{Departure, Text, on_departure, on_evacuation};
+use borageshore_batch::{Departure, Text, VersionRule, on_departure, on_evacuation};
 use borageshore_platform::{
     AttemptError, Generation, GenerationError, GenerationRequest, RequestPurpose,
 };
@@ -41,6 +41,8 @@
     Move(EngineSlot),
     /// The engine is about to leave; the item waits for a slot at another one.
     Released,
+    /// The engine has a version that must not continue the text; the item continues at another one.
+    OtherVersion,
     /// The engine refused or was lost; the item continues at another one.
     Retry { is_refused: bool },
     /// The engine failed to run the item.
@@ -56,7 +58,8 @@
         slot: EngineSlot,
         permit: &Permit,
         route: &Route,
-        request: &SlotRequest,
+        rule: VersionRule,
+        request: &mut SlotRequest,
         text: &mut Text,
     ) -> AttemptOutcome {
         let organisation = self.submission.organisation.as_deref();
@@ -83,7 +86,10 @@
             .generate(&slot.target, &generation_request)
             .await;
         let outcome = match started {
-            Ok(generation) => self.read(slot, generation, request, text, &mut sent).await,
+            Ok(generation) => {
+                let reading = self.read(slot, generation, rule, request, text, &mut sent);
+                reading.await
+            }
             Err(GenerationError::Failed) => {
                 slot.in_flight.fail();
                 AttemptOutcome::Failed
@@ -127,13 +133,14 @@
         }
     }
 
-    /// Reads events until the text is complete, the engine fails, its version is out of range or a better engine has a
-    /// slot.
+    /// Reads events until the text is complete, the engine fails or changes to a version that must not continue the text,
+    /// or a better engine has a slot.
     async fn read<Content>(
         &self,
         slot: EngineSlot,
         mut generation: Generation,
-        request: &SlotRequest,
+        rule: VersionRule,
+        request: &mut SlotRequest,
         text: &mut Text,
         sent: &mut SentRequest<Content>,
     ) -> AttemptOutcome
@@ -146,13 +153,10 @@
         let mut version = generation.version;
         let mut event_at_us = None;
         let crash_free_at = text.last_event() + CRASH_FREE_EVENTS;
+        if !self.accepts_version(&instance, version, rule, text) {
+            return AttemptOutcome::OtherVersion;
+        }
         loop {
-            if let Some(version) = version {
-                self.record_version(&instance, version);
-                if !request.versions().contains(&version) {
-                    return AttemptOutcome::Retry { is_refused: true };
-                }
-            }
             let event = match generation.next_event(EVENT_TIMEOUT_MS).await {
                 Ok(Some(event)) => event,
                 Ok(None) => {
@@ -165,8 +169,8 @@
                 Err(error) => return self.on_attempt_error(slot, &error, sent),
             };
             version = event.version.or(version);
-            if version.is_some_and(|version| !request.versions().contains(&version)) {
-                return AttemptOutcome::Retry { is_refused: true };
+            if !self.accepts_version(&instance, version, rule, text) {
+                return AttemptOutcome::OtherVersion;
             }
             let events_before = text.last_event();
             let pushed = text.push(event.id, event.data.clone(), version);
@@ -180,6 +184,9 @@
                 let error = AttemptError::Unknown(format!("event {}: {fault:?}", event.id));
                 return self.on_attempt_error(slot, &error, sent);
             }
+            if request.pin.is_none() {
+                request.pin = self.pin(rule, text);
+            }
             let now_us = self.context.clock.now_us();
             if let Some(before_us) = event_at_us.replace(now_us) {
                 self.context
@@ -273,6 +280,19 @@
         Some(better)
     }
 
+    /// Records the version that an engine generates under; returns whether it may generate the next event of the text.
+    fn accepts_version(
+        &self,
+        instance: &Arc<str>,
+        version: Option<u64>,
+        rule: VersionRule,
+        text: &Text,
+    ) -> bool {
+        let Some(version) = version else { return true };
+        self.record_version(instance, version);
+        rule.allows_next(text.versions(), version)
+    }
+
     fn record_version(&self, instance: &Arc<str>, version: u64) {
         if let Some(model) = &self.submission.model {
             let known =
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -250,7 +250,8 @@
                 next_slot = None;
                 continue;
             };
-            pin = self.renew_pin(pin, &route, text);
+            let rule = self.version_rule_of(&route);
+            pin = self.renew_pin(pin, rule, text);
             let mut request = self.slot_request(&route, text, std::mem::take(&mut avoid));
             request.pin = pin.map(|pin| pin.pin);
             let slot = match next_slot.take() {
@@ -287,7 +288,8 @@
             }
             let is_whole = text.last_event() == 0;
             let started_at_ms = self.context.clock.now_ms();
-            match self.attempt(slot, &permit, &route, &request, text).await {
+            let attempt = self.attempt(slot, &permit, &route, rule, &mut request, text);
+            match attempt.await {
                 AttemptOutcome::Complete => {
                     if is_whole {
                         self.record_time(&request.service, text, started_at_ms);
@@ -310,6 +312,11 @@
                     sleep_ms(REFUSED_RETRY_MS).await;
                 }
                 AttemptOutcome::Retry { is_refused: false } => avoid.push(instance),
+                AttemptOutcome::OtherVersion => {
+                    self.on_other_version(rule, text);
+                    avoid.push(instance);
+                    sleep_ms(REFUSED_RETRY_MS).await;
+                }
             }
         }
     }
--- a/crates/borageshore_gateway/src/item/versions.rs
+++ b/crates/borageshore_gateway/src/item/versions.rs
@@ -1,6 +1,6 @@
-//! The model version that has to continue an item's text, and its new start under another one.
+//! The model versions that may generate an item's text, and its new start under another one.
 
-use borageshore_batch::{Text, VersionPin};
+use borageshore_batch::{Text, VersionPin, VersionRule};
 use borageshore_routing::Route;
 
 use super::ItemRun;
@@ -13,12 +13,19 @@
 }
 
 impl ItemRun<'_> {
+    /// What the submission and its route require.
+    pub(super) fn version_rule_of(&self, route: &Route) -> VersionRule {
+        VersionRule {
+            min_version: self.submission.min_version,
+            is_single: route.is_single_version,
+        }
+    }
+
     /// The pin of a text that only one version can continue. Without a model, the versions of the engines are not known
     /// before they respond.
-    fn pin(&self, route: &Route, text: &Text) -> Option<VersionPin> {
+    pub(super) fn pin(&self, rule: VersionRule, text: &Text) -> Option<VersionPin> {
         self.submission.model.as_ref()?;
-        let version = text.versions().last().copied();
-        let version = version.filter(|_| route.is_single_version)?;
+        let version = rule.pinned_version(text.versions())?;
         let endpoints = &self.context.endpoints;
         let generated_ms = endpoints.generation_ms(text.last_event());
         Some(VersionPin::open(version, generated_ms, endpoints.now_ms()))
@@ -27,12 +34,12 @@
     pub(super) fn renew_pin(
         &self,
         before: Option<TextPin>,
-        route: &Route,
+        rule: VersionRule,
         text: &Text,
     ) -> Option<TextPin> {
         let last_event = text.last_event();
         let unchanged = before.filter(|before| before.last_event == last_event);
-        let pin = self.pin(route, text)?;
+        let pin = self.pin(rule, text)?;
         Some(unchanged.unwrap_or(TextPin { pin, last_event }))
     }
 
@@ -46,4 +53,13 @@
         *text = Text::default();
         self.start_saving(text);
     }
+
+    /// Handles a refused version. A text that waits for its version at an engine with a known one is placed by that; one
+    /// without a model might be refused everywhere, and starts again.
+    pub(super) fn on_other_version(&self, rule: VersionRule, text: &mut Text) {
+        let is_pinned = rule.pinned_version(text.versions()).is_some();
+        if is_pinned && self.submission.model.is_none() {
+            self.restart(text, "its engine has another version");
+        }
+    }
 }
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -26,6 +26,8 @@
 const LOAD_MS: u64 = 300;
 /// Longer than three texts, one after the other, and the loads between them.
 const RESULTS_WITHIN_MS: u64 = 15_000;
+/// A daemon that starts gives no orders before it.
+const FIRST_ORDERS_MS: u64 = 4_000;
 
 fn engine(store: &PlatformStore, id: &str, clock: Clock) -> PlatformEngine {
     let engine = PlatformEngine::bind("llm", id, MODEL, 1, clock).unwrap();
@@ -177,6 +179,41 @@
         assert_ne!(*new, old, "nobody took over");
     };
 
+    // Engines load weights while they generate texts of a route whose texts must come from one version, and the results
+    // name two.
+    texts_that_are_running_when_weights_load_keep_one_version => async {
+        let clock = Clock::start();
+        let fleet = Fleet::open(&["a1"]).await;
+        let store = &fleet.store;
+        put_routes(store, 1, &[single_version_route()], &[]);
+        let engines = ["e-0", "e-1"].map(|id| slow_engine(store, id, clock));
+        fleet.wait_until_ready().await;
+        sleep_ms(FIRST_ORDERS_MS).await;
+        submit(&fleet, "batch", "s-1", 8).await;
+        wait_for_runs(&engines[0], 2).await;
+        publish(store, 2);
+        let versions = result_versions(&fleet, "s-1", 8).await;
+        assert!(engines.iter().any(|engine| !engine.orders().is_empty()), "nothing was loaded");
+        assert!(versions.iter().all(|versions| *versions == json!([1]) || *versions == json!([2])), "{versions:?}");
+    };
+
+    // The only engine moves on to the next version, and the texts that it began wait for the one before for ever.
+    texts_whose_version_is_gone_start_again => async {
+        let clock = Clock::start();
+        let fleet = Fleet::open(&["a1"]).await;
+        let store = &fleet.store;
+        put_routes(store, 1, &[single_version_route()], &[]);
+        let engine = slow_engine(store, "e-0", clock);
+        fleet.wait_until_ready().await;
+        sleep_ms(FIRST_ORDERS_MS).await;
+        submit(&fleet, "batch", "s-1", 4).await;
+        wait_for_runs(&engine, 4).await;
+        publish(store, 2);
+        let versions = result_versions(&fleet, "s-1", 4).await;
+        assert_eq!(versions, vec![json!([2]); 4]);
+        assert!(fleet.metrics(0).await.contains("outcome=\"restarted\""));
+    };
+
     // The last engine of a version is lost while the others have the next one, and its texts wait for it for ever.
     texts_of_a_lost_engine_start_again_under_the_next_version => async {
         let clock = Clock::start();
