Apply a route's version rule to stored texts, too

Unfinished texts are kept by item and stored for a successor; a later submission goes on with them, also on another route. A text with events of [1, 2] of a route without single_version was continued on one with it, under version 2, and listed as done with both. So was a complete text whose reward call was outstanding, and one whose route became single_version during the last attempt.

Change: `VersionRule::allows` decides for whole texts and results: which kept text is taken, whether a text may go on (else it starts again), whether a complete one may be delivered by the route in force now, and which result of an earlier submission is used. It replaces `Text::meets_min_version` and two checks of their own; the test of the former moves to tests/version_rule.rs, with the same versions.

--- a/crates/borageshore_batch/tests/ledger.rs
+++ b/crates/borageshore_batch/tests/ledger.rs
@@ -4,6 +4,7 @@
 
 use borageshore_batch::{
     Item, ItemResult, ItemState, Ledger, LedgerEntry, LedgerRecord, RewardCall, Submission,
+    VersionRule,
 };
 
 fn item(id: &str, group: &str) -> Item {
@@ -232,11 +233,12 @@
         partition.append(&result("a", "a"), "x.1");
         let ledger = followed(&partition);
         let again = item("a", "a");
-        let asked_under = |min_version| Submission { min_version, ..submission("s2", &["a"]) };
-        assert!(ledger.earlier_result(&asked_under(3), &again).is_some());
-        assert!(ledger.earlier_result(&asked_under(4), &again).is_none(), "made under an older version");
+        let later = submission("s2", &["a"]);
+        let since = |min_version| VersionRule { min_version, is_single: false };
+        assert!(ledger.earlier_result(&later, &again, since(3)).is_some());
+        assert!(ledger.earlier_result(&later, &again, since(4)).is_none(), "made under an older version");
         let other_reward = Item { reward: None, ..again };
-        assert!(ledger.earlier_result(&asked_under(3), &other_reward).is_none(), "its score is of another call");
+        assert!(ledger.earlier_result(&later, &other_reward, since(3)).is_none(), "its score is of another call");
     }
 
     // Guards against handing out the text of another organisation's item with the same id.
@@ -248,9 +250,10 @@
         let ledger = followed(&partition);
         let again = item("a", "a");
         let farm = Submission { organisation: Some("farm".into()), ..mill.clone() };
-        assert!(ledger.earlier_result(&mill, &again).is_some());
-        assert!(ledger.earlier_result(&farm, &again).is_none());
-        assert!(ledger.earlier_result(&submission("s2", &["a"]), &again).is_none());
+        let any = VersionRule { min_version: 0, is_single: false };
+        assert!(ledger.earlier_result(&mill, &again, any).is_some());
+        assert!(ledger.earlier_result(&farm, &again, any).is_none());
+        assert!(ledger.earlier_result(&submission("s2", &["a"]), &again, any).is_none());
         assert_ne!(mill.scoped_item_id(&again), farm.scoped_item_id(&again));
     }
 }
--- a/crates/borageshore_batch/tests/text.rs
+++ b/crates/borageshore_batch/tests/text.rs
@@ -48,10 +48,4 @@
         assert!(text.is_complete());
         assert_eq!(text.output(), "a\nb");
     }
-
-    a_text_fits_if_no_event_is_older => {
-        let text = text(&[(1, "a", Some(6)), (2, "b", Some(7))]);
-        assert!(text.meets_min_version(6));
-        assert!(!text.meets_min_version(7));
-    }
 }
--- a/crates/borageshore_batch/tests/version_rule.rs
+++ b/crates/borageshore_batch/tests/version_rule.rs
@@ -27,4 +27,13 @@
         assert!(ANY.allows_next(&[6], 7));
         assert!(!ANY.allows_next(&[], 5) && !SINGLE.allows_next(&[], 5));
     }
+
+    // Guards against delivering a text that was stored under another rule.
+    a_text_of_several_versions_fits_only_where_these_are_allowed => {
+        assert!(ANY.allows(&[6, 7]) && ANY.allows(&[]));
+        assert!(!ANY.allows(&[5, 6]), "an event is older");
+        assert!(SINGLE.allows(&[7]) && SINGLE.allows(&[]));
+        assert!(!SINGLE.allows(&[6, 7]));
+        assert!(!SINGLE.allows(&[5]));
+    }
 }
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -146,9 +146,9 @@
             return result;
         }
         let texts = &self.context.texts;
-        let mut cached = texts.take(&self.text_key, self.submission.min_version);
+        let mut cached = texts.take(&self.text_key, self.version_rule_now());
         let text = cached.text();
-        if !text.is_complete() && !self.generate(text).await {
+        if !self.is_deliverable(text) && !self.generate(text).await {
             cached.remove();
             return self.given_up();
         }
@@ -177,15 +177,14 @@
 
     /// The result of the same item with the same reward call in another submission, if its versions are permitted.
     fn earlier_result(&self) -> Option<ItemResult> {
-        let has_one_version = |result: &ItemResult| result.versions.len() <= 1;
         let route = self
             .context
             .routes
             .find(&self.submission.host, &self.submission.path)?;
+        let rule = self.version_rule(Some(&route));
         self.context.view.with(|ledger| {
-            let earlier = ledger.earlier_result(self.submission, self.item)?;
-            let is_valid = !route.is_single_version || has_one_version(&earlier);
-            is_valid.then(|| ItemResult::clone(&earlier))
+            let earlier = ledger.earlier_result(self.submission, self.item, rule)?;
+            Some(ItemResult::clone(&earlier))
         })
     }
 
@@ -250,7 +249,10 @@
                 next_slot = None;
                 continue;
             };
-            let rule = self.version_rule_of(&route);
+            let rule = self.version_rule(Some(&route));
+            if !rule.allows(text.versions()) {
+                self.restart(text, "the route in force does not allow its versions");
+            }
             pin = self.renew_pin(pin, rule, text);
             let mut request = self.slot_request(&route, text, std::mem::take(&mut avoid));
             request.pin = pin.map(|pin| pin.pin);
@@ -294,7 +296,9 @@
                     if is_whole {
                         self.record_time(&request.service, text, started_at_ms);
                     }
-                    return true;
+                    if self.is_deliverable(text) {
+                        return true;
+                    }
                 }
                 AttemptOutcome::Move(slot) => next_slot = Some(slot),
                 AttemptOutcome::Released => {}
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -233,4 +233,26 @@
         let versions = result_versions(&fleet, "s-1", 4).await;
         assert_eq!(versions, vec![json!([2]); 4]);
     };
+
+    // Texts that a submission on another route left unfinished, with events of two versions, go on where each must come
+    // from one.
+    stored_texts_of_two_versions_are_not_continued_under_one => async {
+        let clock = Clock::start();
+        let fleet = Fleet::open(&["a1"]).await;
+        let store = &fleet.store;
+        put_routes(store, 1, &[single_version_route(), route("free", "rollout", "llm", json!([]))], &[]);
+        let engine = slow_engine(store, "e-0", clock);
+        fleet.wait_until_ready().await;
+        sleep_ms(FIRST_ORDERS_MS).await;
+        submit(&fleet, "free", "s-1", 4).await;
+        wait_for_runs(&engine, 4).await;
+        publish(store, 2);
+        wait_for_order(&engine, 2).await;
+        sleep_ms(LOAD_MS + 10 * SLOW_EVENT_MS).await;
+        let ended = fleet.request(0, "DELETE", "/api/lots/s-1", "end", String::new()).await;
+        assert_eq!(ended.status, 200);
+        submit(&fleet, "batch", "s-2", 4).await;
+        let versions = result_versions(&fleet, "s-2", 4).await;
+        assert_eq!(versions, vec![json!([2]); 4]);
+    };
 }
