--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -150,6 +150,8 @@
     pub store_read_mb_per_s: Option<f64>,
     /// Whether all items generate many events.
     pub long_generations: bool,
+    /// Whether each text of the trainer must come from one version of the weights.
+    pub single_version: bool,
     /// Whether the daemons may order endpoints of the engines' service.
     pub endpoint_orders: bool,
     /// The faults to inject.
@@ -185,6 +187,7 @@
             mechanisms_off: Vec::new(),
             store_read_mb_per_s: None,
             long_generations: false,
+            single_version: false,
             endpoint_orders: false,
             script: Script::RandomExtended(8),
             folder: run_folder(seed),
--- a/crates/borageshore_soak/src/main.rs
+++ b/crates/borageshore_soak/src/main.rs
@@ -41,6 +41,9 @@
     /// Three zones in two regions, with restricted routes and callers, evacuations and cold endpoints.
     #[arg(long)]
     regions: bool,
+    /// Routes on which each text must come from one version of the weights, and texts that outlast several loads.
+    #[arg(long)]
+    single_version: bool,
     /// Other callers of the trainer's organisation that read and resend its submissions at any daemon.
     #[arg(long)]
     observers: bool,
@@ -63,6 +66,8 @@
             organisations: !seed.is_multiple_of(2),
             regions: arguments.regions,
             observers: arguments.observers,
+            single_version: arguments.single_version,
+            long_generations: arguments.single_version,
             duration_ms: arguments.duration_ms,
             script: Script::RandomExtended(arguments.faults),
             keeps_logs: arguments.keep_logs,
--- a/crates/borageshore_soak/src/oracle.rs
+++ b/crates/borageshore_soak/src/oracle.rs
@@ -69,6 +69,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Oracle {
     pub(crate) submissions: RefCell<BTreeMap<String, KnownSubmission>>,
+    /// Whether each text must come from one version of the weights.
+    pub(crate) is_single_version: Cell<bool>,
     /// Calls that must run at most once, with whether the response said that they did not run.
     pub(crate) at_most_once_calls: RefCell<BTreeMap<String, bool>>,
     /// When the caller of each call stops waiting.
@@ -214,6 +216,12 @@
                 result.id, result.versions
             ));
         }
+        if self.is_single_version.get() && result.versions.len() > 1 {
+            self.record_violation(format!(
+                "{id}: {} was generated under several versions {:?}",
+                result.id, result.versions
+            ));
+        }
         let signature = PlatformService::signature(&reward_id(&result.id));
         if result.score.as_deref() != Some(&signature) {
             self.record_violation(format!("{id}: {} has the score of another call", result.id));
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -53,6 +53,7 @@
     let clock = Clock::start();
     let mut random = Pcg64Mcg::seed_from_u64(options.seed);
     let oracle = Rc::new(Oracle::default());
+    oracle.is_single_version.set(options.single_version);
     let targets = Rc::new(build(options, clock, &oracle)?);
     for daemon in &targets.daemons {
         daemon.start()?;
@@ -272,6 +273,7 @@
             "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
             "timeout_ms": 2_000, "target_latency_ms": objective_ms, "priority": 1, "max_attempts": MAX_ATTEMPTS,
             "service": service, "result_due_ms": 7_500, "retention_s": 60,
+            "single_version": options.single_version && kind == "rollout",
         })
     };
     let mut config = json!({
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -165,6 +165,22 @@
         assert!(report.unanswered.is_empty(), "{:?}", report.unanswered);
     }
 
+    // Texts come from several versions although each must come from one, or wait for one that no engine has, when
+    // daemons that order loads or run steps are killed and engines restart with older weights.
+    texts_of_one_version_each_are_finished_through_faults => {
+        let script = vec![
+            (1_500, TimedFault::KillHolder),
+            (3_500, TimedFault::RestartEngine),
+            (5_000, TimedFault::SlowAllEngines),
+            (6_500, TimedFault::KillAllMidGeneration),
+        ];
+        let options = SoakOptions { single_version: true, long_generations: true, ..options(16, Script::Timed(script)) };
+        let report = play(&SoakOptions { duration_ms: 18_000, ..options });
+        assert_eq!(report.faults.len(), 4);
+        assert!(report.submissions >= 2, "{}", report.submissions);
+        assert!(report.results >= 15, "{}", report.results);
+    }
+
     // Partial outputs are lost when all daemons are killed.
     texts_outlive_a_stop_of_all_daemons => {
         let script = Script::Timed(vec![(500, TimedFault::KillAllMidGeneration)]);
