--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -15,6 +15,10 @@
 const MODEL: &str = "m0";
 /// The least time between orders of two daemons to one engine; the daemons' `order_lease_ms`.
 const LEASE_MS: u64 = 3_000;
+/// How long a new holder waits: the lease, and the time that an announced order takes to arrive.
+const TAKEOVER_DELAY_MS: u64 = LEASE_MS + 800;
+/// A daemon has started and loaded the announcements within this time.
+const START_MS: u64 = 1_000;
 /// Longer than a new holder waits for the lease of the one before it.
 const BEHIND_CUT_MS: u64 = 5_000;
 /// A holder has announced within this time that an order was carried out.
@@ -179,6 +183,36 @@
         assert_ne!(*new, old, "nobody took over");
     };
 
+    // After a stop of all daemons, a daemon that takes over the orders waits for more than the lease of the one that is
+    // lost, or for ever.
+    another_daemon_orders_soon_after_a_stop_of_all => async {
+        let clock = Clock::start();
+        let fleet = Fleet::open(&["a1", "a1", "a1"]).await;
+        let store = &fleet.store;
+        put_routes(store, 1, &[route("batch", "rollout", "llm", json!([]))], &[]);
+        let engine = engine(store, "e-0", clock);
+        let [first, second, third] = by_rank(3)[..] else { unreachable!() };
+        fleet.wait_until_ready().await;
+        publish(store, 2);
+        wait_for_order(&engine, 2).await;
+        sleep_ms(REPORTED_MS).await;
+        for number in [first, second, third] {
+            fleet.kill(number);
+        }
+        let started_at_ms = clock.now_ms();
+        for number in [second, third] {
+            fleet.start(number);
+        }
+        publish(store, 3);
+        wait_for_order(&engine, 3).await;
+        let orders = engine.orders();
+        let [before, after] = &orders[..] else { panic!("{orders:?}") };
+        assert_ne!(before.holder, after.holder);
+        assert!(after.at_ms - before.at_ms >= LEASE_MS, "{orders:?}");
+        let waited_ms = after.at_ms - started_at_ms;
+        assert!(waited_ms <= START_MS + TAKEOVER_DELAY_MS, "{waited_ms}");
+    };
+
     // Engines load weights while they generate texts of a route whose texts must come from one version, and the results
     // name two.
     texts_that_are_running_when_weights_load_keep_one_version => async {
