End an item's wait for a slot when the routes in force change

Cause: an item looks up its route, asks for a slot of the service named there, and then waits for that slot alone. Neither other routes nor the end of the retention period ended the wait.

Change: a request for a slot is valid while the route in force sends the item to its service, allows the same regions, has the same version rule, and the item's retention period is not over. A wait ends once that changes: views of the routes now notify, and the retention period is a timer. An item whose request stays valid keeps its place in the queue; this also replaces the poll that took items restricted to regions out of the queue once a second. A running text no longer moves to another engine of a service that its route does not name; at a leaving engine it goes on at a service that it does name. `Route::sends_to` agrees with `service_for`, also for routes that are split.

Reports of engines wake none of them.

--- a/crates/borageshore_gateway/src/item/attempt.rs
+++ b/crates/borageshore_gateway/src/item/attempt.rs
@@ -222,6 +222,9 @@
             None => on_evacuation(remaining_ms),
         };
         let outcome = match departure {
+            Departure::MoveIfFree if self.is_sent_elsewhere(&request.service) => {
+                AttemptOutcome::Released
+            }
             Departure::MoveIfFree if events.is_multiple_of(MOVE_CHECK_INTERVAL_EVENTS) => {
                 let remaining_ms = remaining_ms.unwrap_or(u64::MAX);
                 let dispatch = &self.context.dispatch;
@@ -265,6 +268,9 @@
         if !is_enabled || !events.is_multiple_of(MOVE_CHECK_INTERVAL_EVENTS) {
             return None;
         }
+        if self.is_sent_elsewhere(&request.service) {
+            return None;
+        }
         let endpoints = &self.context.endpoints;
         let item = endpoints.running_item(&request.service, instance, events);
         if item.latency_percent < MIN_SLOW_PERCENT {
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod versions;
+mod waiting;
 
 use std::{
     cell::{Cell, OnceCell, RefCell},
@@ -14,7 +15,7 @@
     Urgency, UrgencyRequest,
 };
 use borageshore_diagnostics::Instruments;
-use borageshore_net::{Clock, sleep_ms, within_ms};
+use borageshore_net::{Clock, sleep_ms};
 use borageshore_platform::{EndpointClient, item_fingerprint};
 use borageshore_routing::{Fingerprint, Route};
 use borageshore_topology::Residency;
@@ -22,10 +23,10 @@
 
 use self::attempt::AttemptOutcome;
 use crate::{
-    dispatch::{Dispatch, EngineSlot, SlotRequest},
+    dispatch::{Dispatch, SlotRequest},
     endpoints::Endpoints,
     ledger_view::LedgerView,
-    mechanisms::{Mechanism, Mechanisms},
+    mechanisms::Mechanisms,
     progress::{Progress, SaveHandle},
     quarantine::{Permit, Quarantine},
     rewards::{GroupMember, Reward, Rewards, ScoreRequest},
@@ -35,14 +36,10 @@
     writer::Writer,
 };
 
-/// How long an item waits for a slot at an engine other than those where its last attempts failed.
-const AVOID_TIMEOUT_MS: u64 = 300;
 /// The pause after a refusal, so that a full service is not retried in a tight loop.
 const REFUSED_RETRY_MS: u64 = 30;
 /// The pause before a missing route is looked up again.
 const NO_ROUTE_RETRY_MS: u64 = 500;
-/// The interval at which an item that waits for an engine in some regions looks up whether they still are the allowed ones.
-const RESIDENCY_RECHECK_MS: u64 = 1_000;
 
 /// The parts of the daemon that running items use.
 #[derive(Debug)]
@@ -177,10 +174,7 @@
 
     /// The result of the same item with the same reward call in another submission, if its versions are permitted.
     fn earlier_result(&self) -> Option<ItemResult> {
-        let route = self
-            .context
-            .routes
-            .find(&self.submission.host, &self.submission.path)?;
+        let route = self.route_in_force()?;
         let rule = self.version_rule(Some(&route));
         self.context.view.with(|ledger| {
             let earlier = ledger.earlier_result(self.submission, self.item, rule)?;
@@ -196,17 +190,25 @@
 
     /// When the item may be given up; never while its route is missing.
     fn deadline_ms(&self) -> u64 {
-        let (host, path) = (&self.submission.host, &self.submission.path);
-        let route = self.context.routes.find(host, path);
-        let retention_ms = route.map_or(u64::MAX, |route| route.retention_ms);
-        self.schedule.seen_at_ms.saturating_add(retention_ms)
+        let route = self.route_in_force();
+        route.map_or(u64::MAX, |route| self.deadline_on(&route))
+    }
+
+    /// When the item may be given up on a route.
+    fn deadline_on(&self, route: &Route) -> u64 {
+        self.schedule.seen_at_ms.saturating_add(route.retention_ms)
+    }
+
+    /// How long the item may not yet be given up on a route; 0 if it may.
+    fn remaining_retention_ms(&self, route: &Route) -> u64 {
+        let now_ms = self.context.clock.now_ms();
+        self.deadline_on(route).saturating_sub(now_ms)
     }
 
     fn score_request<'c>(&'c self, call: &'c RewardCall) -> ScoreRequest<'c> {
-        let Submission { host, path, .. } = self.submission;
         let organisation = self.submission.organisation.as_deref();
         let routes = &self.context.routes;
-        let route = routes.find(host, path);
+        let route = self.route_in_force();
         ScoreRequest {
             call,
             member: &self.member,
@@ -240,9 +242,7 @@
         let mut pin = None;
         loop {
             let route = self.route().await;
-            if self.context.clock.now_ms()
-                >= self.schedule.seen_at_ms.saturating_add(route.retention_ms)
-            {
+            if self.remaining_retention_ms(&route) == 0 {
                 return false;
             }
             let Some(permit) = self.admit(&route).await else {
@@ -258,7 +258,7 @@
             request.pin = pin.map(|pin| pin.pin);
             let slot = match next_slot.take() {
                 Some(slot) => slot,
-                None => match self.acquire_slot(request.clone()).await {
+                None => match self.acquire_slot(&request, rule).await {
                     Some(slot) => slot,
                     None => continue,
                 },
@@ -331,8 +331,7 @@
         match context.quarantine.admit(|| self.content()).await {
             Ok(permit) => Some(permit),
             Err(held) => {
-                let deadline_ms = self.schedule.seen_at_ms.saturating_add(route.retention_ms);
-                let remaining_ms = deadline_ms.saturating_sub(context.clock.now_ms());
+                let remaining_ms = self.remaining_retention_ms(route);
                 context.instruments.count("quarantine", "waits");
                 log::info!(item = &*self.item.id, content:% = self.content(), again_ms = held.retry_after_ms; "item waits: its request is held back for crashing endpoints");
                 let content = self.content();
@@ -355,13 +354,20 @@
         }
     }
 
+    fn route_in_force(&self) -> Option<Arc<Route>> {
+        let Submission { host, path, .. } = self.submission;
+        self.context.routes.find(host, path)
+    }
+
+    /// Whether the route in force sends the item to services other than this one.
+    fn is_sent_elsewhere(&self, service: &str) -> bool {
+        let route = self.route_in_force();
+        route.is_some_and(|route| !route.sends_to(service))
+    }
+
     async fn route(&self) -> Arc<Route> {
         loop {
-            let route = self
-                .context
-                .routes
-                .find(&self.submission.host, &self.submission.path);
-            if let Some(route) = route {
+            if let Some(route) = self.route_in_force() {
                 return route;
             }
             sleep_ms(NO_ROUTE_RETRY_MS).await;
@@ -428,34 +434,4 @@
         };
         self.context.dispatch.on_text_finished(service, finished);
     }
-
-    /// Waits for a slot; `None` after a while if the regions in which the item may run are restricted, since the routes
-    /// may allow others by then.
-    async fn acquire_slot(&self, request: SlotRequest) -> Option<EngineSlot> {
-        match request.residency.is_restricted() {
-            true => within_ms(RESIDENCY_RECHECK_MS, self.wait_for_slot(request)).await,
-            false => Some(self.wait_for_slot(request).await),
-        }
-    }
-
-    async fn wait_for_slot(&self, request: SlotRequest) -> EngineSlot {
-        let dispatch = &self.context.dispatch;
-        let is_enabled = self.context.mechanisms.is_enabled(Mechanism::Avoidance);
-        if request.avoid.is_empty() || !is_enabled {
-            let request = SlotRequest {
-                avoid: Vec::new(),
-                ..request
-            };
-            return dispatch.wait_for_slot(request).await;
-        }
-        if let Some(slot) =
-            within_ms(AVOID_TIMEOUT_MS, dispatch.wait_for_slot(request.clone())).await
-        {
-            return slot;
-        }
-        let avoid = Vec::new();
-        dispatch
-            .wait_for_slot(SlotRequest { avoid, ..request })
-            .await
-    }
 }
--- a/crates/borageshore_gateway/src/routes.rs
+++ b/crates/borageshore_gateway/src/routes.rs
@@ -39,6 +39,8 @@
     /// Whether any routes since the start restricted the regions of requests.
     has_seen_residency: Cell<bool>,
     published_versions: RefCell<Vec<ModelVersion>>,
+    /// Notified when other routes are in force.
+    pub(crate) changed: Notify,
     /// Notified when a trainer publishes a version.
     pub(crate) version_published: Notify,
 }
@@ -56,6 +58,7 @@
             is_unreadable: Cell::default(),
             has_seen_residency: Cell::default(),
             published_versions: RefCell::default(),
+            changed: Notify::new(),
             version_published: Notify::new(),
         })
     }
@@ -175,6 +178,7 @@
         *self.table.borrow_mut() = Rc::new(table);
         *self.scaling_limits.borrow_mut() = Rc::new(limits);
         *self.cold_limits.borrow_mut() = Rc::new(cold_limits);
+        self.changed.notify_waiters();
     }
 
     /// Reports routes whose requests have to be refused because no region of the deployment may serve them.
--- a/crates/borageshore_routing/src/routes.rs
+++ b/crates/borageshore_routing/src/routes.rs
@@ -72,6 +72,18 @@
         largest.map(|target| &target.service)
     }
 
+    /// Whether [`Self::service_for`] may pick a service.
+    pub fn sends_to(&self, service: &str) -> bool {
+        let mut weighted = self.targets.iter().filter(|target| target.weight > 0);
+        match weighted.clone().next() {
+            Some(_) => weighted.any(|target| *target.service == *service),
+            None => self
+                .targets
+                .first()
+                .is_some_and(|first| *first.service == *service),
+        }
+    }
+
     /// Picks a service by weight; `random` is a uniform random number.
     pub fn service_for(&self, random: u64) -> Option<&Arc<str>> {
         let total: u64 = self.targets.iter().map(|target| target.weight).sum();
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -30,6 +30,10 @@
 const LOAD_MS: u64 = 300;
 /// Longer than three texts, one after the other, and the loads between them.
 const RESULTS_WITHIN_MS: u64 = 15_000;
+/// The texts that an engine generates at once.
+const SLOTS: usize = 8;
+/// How long a daemon takes to apply a record of the operator or of an endpoint.
+const APPLY_MS: u64 = 400;
 /// A daemon that starts gives no orders before it.
 const FIRST_ORDERS_MS: u64 = 4_000;
 
@@ -92,22 +96,15 @@
     assert_eq!(answer.status, 202);
 }
 
-/// Waits for all results of a submission; returns the versions of each.
-async fn result_versions(fleet: &Fleet, id: &str, items: usize) -> Vec<Value> {
+/// Waits for all results of a submission.
+async fn results(fleet: &Fleet, id: &str, items: usize) -> Vec<Value> {
     let path = format!("/api/lots/{id}?after=0");
     for _ in 0..RESULTS_WITHIN_MS / 100 {
         let answer = fleet.request(0, "GET", &path, "read", String::new()).await;
         let page: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
         let results = page["results"].as_array().cloned().unwrap_or_default();
         if results.len() == items {
-            assert!(
-                results.iter().all(|result| result["state"] == "done"),
-                "{results:?}"
-            );
-            return results
-                .iter()
-                .map(|result| result["versions"].clone())
-                .collect();
+            return results;
         }
         sleep_ms(100).await;
     }
@@ -117,15 +114,24 @@
     );
 }
 
+/// Waits until all items of a submission are done; returns the versions of each.
+async fn result_versions(fleet: &Fleet, id: &str, items: usize) -> Vec<Value> {
+    let results = results(fleet, id, items).await;
+    assert!(
+        results.iter().all(|result| result["state"] == "done"),
+        "{results:?}"
+    );
+    results
+        .iter()
+        .map(|result| result["versions"].clone())
+        .collect()
+}
+
 async fn wait_for_runs(engine: &PlatformEngine, runs: usize) {
     for _ in 0..500 {
-        if engine
-            .runs()
-            .iter()
-            .filter(|run| run.events.len() > 3)
-            .count()
-            >= runs
-        {
+        let all = engine.runs();
+        let begun = all.iter().filter(|run| run.events.len() > 3);
+        if begun.count() >= runs {
             return;
         }
         sleep_ms(10).await;
@@ -289,4 +295,41 @@
         let versions = result_versions(&fleet, "s-2", 4).await;
         assert_eq!(versions, vec![json!([2]); 4]);
     };
+
+    // Items that wait for a slot wait for the service that their route named when they began to, after the route has
+    // moved to another one.
+    waiting_items_follow_a_route_that_moves => async {
+        let clock = Clock::start();
+        let fleet = Fleet::open(&["a1"]).await;
+        let store = &fleet.store;
+        put_routes(store, 1, &[route("batch", "rollout", "llm", json!([]))], &[]);
+        let before = slow_engine(store, "e-0", clock);
+        let after = PlatformEngine::bind("next", "e-1", MODEL, 1, clock).unwrap();
+        after.set_zone("a1");
+        after.list(store, &after.address().to_string(), "ready");
+        fleet.wait_until_ready().await;
+        submit(&fleet, "batch", "s-1", SLOTS + 4).await;
+        wait_for_runs(&before, SLOTS).await;
+        put_routes(store, 2, &[route("batch", "rollout", "next", json!([]))], &[]);
+        sleep_ms(APPLY_MS).await;
+        before.list(store, &before.address().to_string(), "draining");
+        let versions = result_versions(&fleet, "s-1", SLOTS + 4).await;
+        assert_eq!(versions, vec![json!([1]); SLOTS + 4]);
+        assert!(after.runs().len() >= 4, "{} texts at the service in force", after.runs().len());
+    };
+
+    // Items that wait for a service without engines have no result after the retention period.
+    items_that_never_ran_have_a_result_after_the_retention_period => async {
+        let fleet = Fleet::open(&["a1"]).await;
+        let mut batch = route("batch", "rollout", "llm", json!([]));
+        batch["retention_s"] = json!(2);
+        put_routes(&fleet.store, 1, &[batch], &[]);
+        let _engine = engine(&fleet.store, "e-0", Clock::start());
+        fleet.wait_until_ready().await;
+        fleet.store.put("keyed.servers", "e-0", b"");
+        sleep_ms(APPLY_MS).await;
+        submit(&fleet, "batch", "s-1", 4).await;
+        let results = results(&fleet, "s-1", 4).await;
+        assert!(results.iter().all(|result| result["state"] == "dead_lettered"), "{results:?}");
+    };
 }
