Do not spin on a route that names no service

Found by reading the change; such routes can be decoded, but no deployment has one.

Change: without a service there is no request for a slot; the item looks its route up again after a pause, as for one that is missing, and is given up after the retention period.

--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -38,7 +38,7 @@
 
 /// The pause after a refusal, so that a full service is not retried in a tight loop.
 const REFUSED_RETRY_MS: u64 = 30;
-/// The pause before a missing route is looked up again.
+/// The pause before a route is looked up again that is missing or names no service.
 const NO_ROUTE_RETRY_MS: u64 = 500;
 
 /// The parts of the daemon that running items use.
@@ -254,7 +254,11 @@
                 self.restart(text, "the route in force does not allow its versions");
             }
             pin = self.renew_pin(pin, rule, text);
-            let mut request = self.slot_request(&route, text, std::mem::take(&mut avoid));
+            let request = self.slot_request(&route, text, std::mem::take(&mut avoid));
+            let Some(mut request) = request else {
+                sleep_ms(NO_ROUTE_RETRY_MS).await;
+                continue;
+            };
             request.pin = pin.map(|pin| pin.pin);
             let slot = match next_slot.take() {
                 Some(slot) => slot,
@@ -374,19 +378,24 @@
         }
     }
 
-    fn slot_request(&self, route: &Route, text: &Text, avoid: Vec<Arc<str>>) -> SlotRequest {
-        let service = route.service_for(self.context.endpoints.random()).cloned();
-        let service = service.unwrap_or_default();
-        SlotRequest {
-            order: self.start_order(route, &service, text),
-            service,
+    /// What to ask an engine for; `None` if the route names no service.
+    fn slot_request(
+        &self,
+        route: &Route,
+        text: &Text,
+        avoid: Vec<Arc<str>>,
+    ) -> Option<SlotRequest> {
+        let service = route.service_for(self.context.endpoints.random())?;
+        Some(SlotRequest {
+            order: self.start_order(route, service, text),
+            service: service.clone(),
             model: self.submission.model.clone(),
             min_version: self.submission.min_version,
             pin: None,
             residency: self.residency_now(),
             group: self.item.group.clone(),
             avoid,
-        }
+        })
     }
 
     /// The regions in which the item may run: those that were allowed when its submission was accepted and that the
--- a/tests/engines.rs
+++ b/tests/engines.rs
@@ -318,6 +318,26 @@
         assert!(after.runs().len() >= 4, "{} texts at the service in force", after.runs().len());
     };
 
+    // Items whose route names no service keep their daemon busy, which then serves nobody.
+    items_of_a_route_without_services_are_given_up => async {
+        let fleet = Fleet::open(&["a1"]).await;
+        let mut batch = route("batch", "rollout", "llm", json!([]));
+        batch["retention_s"] = json!(6);
+        batch["service"] = json!(null);
+        put_routes(&fleet.store, 1, &[batch], &[]);
+        let clock = Clock::start();
+        let _engine = engine(&fleet.store, "e-0", clock);
+        fleet.wait_until_ready().await;
+        submit(&fleet, "batch", "s-1", 4).await;
+        sleep_ms(APPLY_MS).await;
+        let asked_at_ms = clock.now_ms();
+        fleet.request(0, "GET", "/api/lots/s-1?after=0", "read", String::new()).await;
+        let took_ms = clock.now_ms() - asked_at_ms;
+        assert!(took_ms < APPLY_MS, "a read took {took_ms} ms");
+        let results = results(&fleet, "s-1", 4).await;
+        assert!(results.iter().all(|result| result["state"] == "dead_lettered"), "{results:?}");
+    };
+
     // Items that wait for a service without engines have no result after the retention period.
     items_that_never_ran_have_a_result_after_the_retention_period => async {
         let fleet = Fleet::open(&["a1"]).await;
