Tests: do not hand out an address while a process is spawned

The daemon's log, its only line: "an address cannot be bound: Address already in use". No other daemon had that address.

Cause: `free_address` tries an address with a socket that it closes at once. A process that another test spawns at that moment has a copy of the socket until it runs its program, which takes longer on a busy machine, and the daemon that got the address finds it in use.

Change: trying an address and spawning a daemon exclude each other, in the soak and in the tests that use its addresses.

--- a/crates/borageshore_soak/src/daemons.rs
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -7,7 +7,7 @@
     net::{SocketAddr, TcpListener},
     process::{Child, Command, Stdio},
     sync::{
-        Mutex,
+        Mutex, PoisonError,
         atomic::{AtomicU16, Ordering},
     },
 };
@@ -28,6 +28,11 @@
 
 static PORT_RANGE: Mutex<Option<(u16, TcpListener)>> = Mutex::new(None);
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+/// Held while an address is tried and while a process is spawned.
+///
+/// Guards against a daemon that cannot bind its address: until a spawned process runs its program, it has a copy of
+/// all sockets, also of one that is open for a moment to try an address.
+static SPAWNING: Mutex<()> = Mutex::new(());
 
 /// Time between SIGTERM and SIGKILL of a daemon.
 pub(crate) const STOP_GRACE_S: u64 = 4;
@@ -105,13 +110,14 @@
             return Ok(());
         }
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        command
             .arg("gateway")
             .arg("--config")
             .arg(&self.config)
             .stdout(Stdio::from(log.try_clone()?))
-            .stderr(Stdio::from(log))
-            .spawn()?;
+            .stderr(Stdio::from(log));
+        let child = spawn_daemon(&mut command)?;
         *self.child.borrow_mut() = Some(child);
         Ok(())
     }
@@ -156,13 +162,21 @@
 /// Returns a free loopback address from the port range that this process has reserved, for a daemon to listen on.
 pub fn free_address() -> io::Result<SocketAddr> {
     let start = port_range_start()?;
-    let offset = 1 + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % (PORTS_PER_RANGE - 1);
-    match TcpListener::bind(("127.0.0.1", start + offset)) {
-        Ok(listener) => listener.local_addr(),
-        Err(_) => free_address(),
+    let _spawning = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
+    loop {
+        let offset = 1 + NEXT_PORT.fetch_add(1, Ordering::Relaxed) % (PORTS_PER_RANGE - 1);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", start + offset)) {
+            return listener.local_addr();
+        }
     }
 }
 
+/// Spawns a daemon that listens on addresses from [`free_address`].
+pub fn spawn_daemon(command: &mut Command) -> io::Result<Child> {
+    let _spawning = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
+
 /// Reserves a port range for this process, below the ephemeral ports, and returns its first port.
 ///
 /// Listening on the first port keeps the range reserved until the process exits, so that daemons of concurrent
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -24,7 +24,7 @@
 mod usage;
 mod world;
 
-pub use self::daemons::free_address;
+pub use self::daemons::{free_address, spawn_daemon};
 
 use std::{
     path::PathBuf,
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,7 +15,7 @@
 };
 
 use borageshore_net::{HttpClient, Timeouts, sleep_ms};
-use borageshore_soak::free_address;
+use borageshore_soak::{free_address, spawn_daemon};
 use borageshore_standins::platform::{PlatformStore, Proxy};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -130,13 +130,14 @@
             .append(true)
             .open(path("log"))
             .unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_borageshore"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_borageshore"));
+        command
             .args(["gateway", "--config"])
             .arg(path("yaml"))
             .stdout(Stdio::from(log.try_clone().unwrap()))
-            .stderr(Stdio::from(log))
-            .spawn();
-        self.daemons[number].child.replace(Some(child.unwrap()));
+            .stderr(Stdio::from(log));
+        let child = spawn_daemon(&mut command).unwrap();
+        self.daemons[number].child.replace(Some(child));
     }
 
     /// Kills a daemon.
