--- a/crates/borageshore_gateway/src/item/versions.rs
+++ b/crates/borageshore_gateway/src/item/versions.rs
@@ -41,6 +41,7 @@
         Some(VersionPin::open(version, generated_ms, endpoints.now_ms()))
     }
 
+    /// The pin for the next attempt, given that of the last one.
     pub(super) fn renew_pin(
         &self,
         before: Option<TextPin>,
@@ -64,8 +65,8 @@
         self.start_saving(text);
     }
 
-    /// Handles a refused version. A text that waits for its version at an engine with a known one is placed by that; one
-    /// without a model might be refused everywhere, and starts again.
+    /// Starts a pinned text without a model again after an engine had another version: the versions of the other engines
+    /// are not known, so it might try them all in vain. One with a model waits for an engine with its version.
     pub(super) fn on_other_version(&self, rule: VersionRule, text: &mut Text) {
         let is_pinned = rule.pinned_version(text.versions()).is_some();
         if is_pinned && self.submission.model.is_none() {
--- a/crates/borageshore_gateway/src/item/waiting.rs
+++ b/crates/borageshore_gateway/src/item/waiting.rs
@@ -16,7 +16,7 @@
 const AVOID_TIMEOUT_MS: u64 = 300;
 /// The interval at which an item that waits for an engine in some regions looks up whether they still are the allowed ones.
 const RESIDENCY_RECHECK_MS: u64 = 1_000;
-/// The same for an item that may run in any region; routes need not limit how long it waits.
+/// The same for an item that may run in any region. It is notified of changes; this bounds its timer.
 const RECHECK_MS: u64 = 60_000;
 
 impl ItemRun<'_> {
