Keep what the loaded announcement lists after later ones

vm-2 acts on e1; vm-0 announces another action and lists e1 as held; vm-0 restarts and loads its own announcement as the newest; vm-2 announces an action on e0. Its list names what others than vm-2 hold, so not e1, and replaced the list that vm-0 had loaded. vm-0 did not know of e1 otherwise, and acted on it 1.3 s after vm-2.

Change: the load keeps the list of the announcement that was the newest then, and that list alone says which unknown subjects are held. Actions after the load are known one by one.

Test: `a_later_announcement_does_not_replace_what_the_loaded_one_lists` fails before and passes after; the fuzz test passes in 5 of 5 runs after.

--- a/crates/borageshore_duty/src/leases.rs
+++ b/crates/borageshore_duty/src/leases.rs
@@ -16,6 +16,9 @@
     at_ms: u64,
     /// The author of the newest announcement at that time.
     newest_holder: Option<Arc<str>>,
+    /// The subjects that this announcement lists as held by others than its author. Later announcements replace the list,
+    /// and do not name what their own authors hold.
+    held_by_others: Vec<Arc<str>>,
 }
 
 /// The last announced action on each subject.
@@ -56,6 +59,7 @@
         self.load = Some(Load {
             at_ms: now_ms,
             newest_holder: self.newest_holder.clone(),
+            held_by_others: self.newest_held_by_others.clone(),
         });
     }
 
@@ -101,7 +105,7 @@
         match self.last_actions.get(subject) {
             Some(last) => &*last.holder == holder || has_passed(last.seen_at_ms),
             None => {
-                let mut held_by_others = self.newest_held_by_others.iter();
+                let mut held_by_others = load.held_by_others.iter();
                 !held_by_others.any(|held| **held == *subject) || has_passed(load.at_ms)
             }
         }
@@ -109,7 +113,8 @@
 
     /// The subjects that `holder` may not act on at `now_ms`, sorted, for its next announcement.
     pub fn held_by_others(&self, holder: &str, now_ms: u64) -> Vec<Arc<str>> {
-        let known = self.last_actions.keys().chain(&self.newest_held_by_others);
+        let loaded = self.load.iter().flat_map(|load| &load.held_by_others);
+        let known = self.last_actions.keys().chain(loaded);
         let mut subjects: Vec<Arc<str>> = known
             .filter(|subject| !self.may_act(holder, subject, now_ms))
             .cloned()
--- a/crates/borageshore_duty/tests/duty.rs
+++ b/crates/borageshore_duty/tests/duty.rs
@@ -156,6 +156,18 @@
         assert!(leases.may_act("vm-1", "e0", 13_800));
     }
 
+    // Guards against a holder that forgets after its restart what another one holds: that one announces another action, and
+    // its list names only what others than itself hold.
+    a_later_announcement_does_not_replace_what_the_loaded_one_lists => {
+        let mut leases = DutyLeases::open(TIMING.takeover_delay_ms());
+        leases.on_announcement(&"vm-0".into(), &names(&[SUBJECT]), &names(&["e1"]), 12_564);
+        leases.on_loaded(12_564);
+        leases.on_announcement(&"vm-2".into(), &names(&["e0"]), &names(&[SUBJECT]), 12_830);
+        assert!(!leases.may_act("vm-0", "e1", 12_830), "vm-2 holds it");
+        assert_eq!(leases.held_by_others("vm-0", 12_830), names(&["e0", "e1"]));
+        assert!(leases.may_act("vm-0", "e1", 16_364));
+    }
+
     // Daemons announce, pause, restart, load late and send late, in any order: a subject never receives a lower epoch
     // after a higher one, nor calls of two holders within the lease.
     no_order_of_events_breaks_the_lease => {
