Soak: the holder of the orders stays away until another one has taken over

Trace (logs of the three daemons): vm-2 held the duties, reported usage at 1.35 s, ordered loads at 1.46 s and endpoints at 1.62 s (seconds after 09:04:00), and got SIGTERM at 1.7 s. It stopped after 3.18 s, at 4.90 s, and was back and ready at 5.08 s. A successor may act 3.8 s after it has read an announcement on a subject (lease 3 s, send window 0.5 s, margin 0.3 s): on usage from 5.15 s, on the zones from 5.42 s. vm-2 came back 70 ms before the first of these as the newest holder, and kept the duties, as it should: a holder that is back within its lease need not be replaced. It was killed at about 6.5 s for 1.5 s, less than that delay, and went on at 8.17 s. No other daemon was allowed to order in either time.

So the check asked for what the script did not ensure: it passed only where the last report of usage was so old that another daemon could report, and become the newest holder, before the stopped one was back.

Change: the holder that is stopped, and the one that is killed, stay away for 8 s, longer than the delay and the search for something to order. The check asks for a takeover after each of the two; it asked for one in all. The other checks stand, with the last order later by as much as the kill.

--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -17,6 +17,8 @@
 
 /// Duration of a timed fault; a killed daemon is restarted after it.
 const TIMED_FAULT_MS: u64 = 1_500;
+/// A daemon that was stopped is restarted after it.
+const RESTART_DELAY_MS: u64 = 100;
 /// At this pace a generation of twelve events spans several loads of weights.
 const SLOW_EVENT_MS: u64 = 120;
 /// The delay of a slow store's answers, and how long it lasts. A daemon that starts reads it twice, one answer after the
@@ -26,7 +28,8 @@
 
 /// Longer than the timeout after which other daemons take over from a silent one.
 const PARTITION_MS: u64 = 4_000;
-/// Longer than a daemon may accept a revoked key while it cannot learn of the revocation.
+/// Longer than a daemon may accept a revoked key while it cannot learn of the revocation, and than the takeover delay of a
+/// duty together with the time in which a successor finds something to order.
 const LONG_PARTITION_MS: u64 = 8_000;
 /// Number of fault kinds that [`crate::Script::Random`] draws from. Changing it changes the faults of every seed.
 pub(crate) const RANDOM_KINDS: u64 = 18;
@@ -65,6 +68,8 @@
     KillAllWhileStoreIsSlow,
     Pause(usize),
     Stop(usize),
+    /// Like a stop, but the daemon stays away for the duration of the fault.
+    Leave(usize),
     Reload(usize),
     Store(StoreMode),
     DropHistory,
@@ -115,6 +120,7 @@
             Fault::Kill(number)
             | Fault::Pause(number)
             | Fault::Stop(number)
+            | Fault::Leave(number)
             | Fault::StoreLink(number, _)
             | Fault::SilentConnections(number) => Some(Some(number)),
             Fault::KillAll
@@ -160,7 +166,7 @@
                 TimedFault::KillHolder => Fault::Kill(self.holder().await),
                 TimedFault::KillReporter => Fault::Kill(self.reporter().await),
                 TimedFault::KillScaler => Fault::Kill(self.scaler().await),
-                TimedFault::StopScaler => Fault::Stop(self.scaler().await),
+                TimedFault::StopScaler => Fault::Leave(self.scaler().await),
                 TimedFault::StopOne => Fault::Stop(0),
                 TimedFault::PartitionHolderMidGeneration => {
                     self.wait_for_nearly_complete_run().await;
@@ -196,9 +202,11 @@
                 TimedFault::PartitionHolderMidGeneration
                 | TimedFault::StoreOutage
                 | TimedFault::KillZone(_) => PARTITION_MS,
-                TimedFault::LongOutage | TimedFault::NoEndpoints | TimedFault::SuspendAllButOne => {
-                    LONG_PARTITION_MS
-                }
+                TimedFault::LongOutage
+                | TimedFault::NoEndpoints
+                | TimedFault::SuspendAllButOne
+                | TimedFault::KillScaler
+                | TimedFault::StopScaler => LONG_PARTITION_MS,
                 _ => TIMED_FAULT_MS,
             };
             monoio::spawn(self.clone().inject(fault, length_ms));
@@ -303,7 +311,8 @@
                 join_all(numbers.map(|number| self.pause(number, length_ms))).await;
             }
             Fault::Pause(number) => self.pause(number, length_ms).await,
-            Fault::Stop(number) => self.stop(number).await,
+            Fault::Stop(number) => self.stop(number, RESTART_DELAY_MS).await,
+            Fault::Leave(number) => self.stop(number, length_ms).await,
             Fault::Reload(number) => self.daemons[number].signal(Signal::HUP),
             Fault::Store(mode) => {
                 self.store.set_mode(mode);
@@ -443,7 +452,7 @@
         self.oracle.resumed_at_ms.borrow_mut().push(resumed);
     }
 
-    async fn stop(&self, number: usize) {
+    async fn stop(&self, number: usize, away_ms: u64) {
         let daemon = &self.daemons[number];
         daemon.signal(Signal::TERM);
         let kill_at_ms = self.clock.now_ms() + crate::daemons::STOP_GRACE_S * 1_000;
@@ -451,7 +460,7 @@
             sleep_ms(50).await;
         }
         daemon.signal(Signal::KILL);
-        sleep_ms(100).await;
+        sleep_ms(away_ms).await;
         self.start(number);
     }
 
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -81,9 +81,9 @@
     LongOutage,
     /// The daemon that last reported usage is killed and restarted.
     KillReporter,
-    /// The daemon that last ordered endpoints is killed and restarted.
+    /// The daemon that last ordered endpoints is killed and stays away until others have taken over.
     KillScaler,
-    /// The daemon that last ordered endpoints is stopped with SIGTERM and restarted.
+    /// The daemon that last ordered endpoints is stopped with SIGTERM and stays away until others have taken over.
     StopScaler,
     /// The platform has no endpoints to order.
     NoEndpoints,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -351,13 +351,16 @@
         let script = vec![
             (0, TimedFault::LoseDutyResponses),
             (0, TimedFault::StopScaler),
-            (8_000, TimedFault::KillScaler),
+            (12_000, TimedFault::KillScaler),
         ];
         let options = SoakOptions { endpoint_orders: true, features: vec!["pressure"], engines: 1, ..options(51, Script::Timed(script)) };
-        let report = play(&SoakOptions { duration_ms: 17_000, ..options });
+        let report = play(&SoakOptions { duration_ms: 24_000, ..options });
         let orders = &report.endpoint_orders;
-        assert!(orders.iter().any(|order| order.holder != orders[0].holder), "{orders:?}");
-        assert!(orders.iter().any(|order| order.at_ms > 10_000), "{orders:?}");
+        let mut holders: Vec<&str> = orders.iter().map(|order| &*order.holder).collect();
+        holders.dedup();
+        // One takeover from the daemon that was stopped, one from the daemon that was killed.
+        assert!(holders.len() >= 3, "{orders:?}");
+        assert!(orders.iter().any(|order| order.at_ms > 14_000), "{orders:?}");
         assert!(orders.iter().all(|order| order.is_spot && order.count < 8), "{orders:?}");
         for zone in ["z1", "z2"] {
             assert!(orders.iter().any(|order| order.zone == zone && order.count > 0), "{orders:?}");
