Place accepted items again after crashes instead of holding them back

What trainers saw: an item under which three engines crashed in a row was held back like a call: for 1 s, then 10 s, then 10 min, with one trial at a time over all requests.

Cause: items went through the quarantine, whose evidence is about callers' requests. An item is owed by the system, nobody repeats it, and it does not crash engines by itself.

Change: items are neither reported nor asked about. An item whose engine is lost goes to another one at once; from the third consecutive loss on LossBackoff paces it (250 ms between the starts of two attempts, doubled with each further loss, 2 s at most) until its text grows. Records of crashed items by older daemons hold nothing, since no item asks. State is the item's own, so that any number of items proceeds and a restart or takeover starts anew.

A check was wrong and is replaced: an_item_that_crashes_its_engines_is_held_back, and the soak's crash bound for items, demanded that an item be held. Items have bodies of their own now, as sound items do; so the engines of a soak crash more often than before. The checks for calls and reward calls are as they were (check_crash_bound, at the services).

Ruled out: clearing items by fewer or parallel trials, which still waits for a claim in the store; a backoff by service or daemon, which one item would impose on others.

--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -23,6 +23,7 @@
 mod instance;
 mod item_rank;
 mod ledger;
+mod loss_backoff;
 mod order_lease;
 mod ownership;
 
@@ -49,6 +50,7 @@
     instance::instance_name,
     item_rank::{ItemRank, rank_items},
     ledger::{Ledger, LedgerEntry, SubmissionState},
+    loss_backoff::LossBackoff,
     order_lease::OrderLeases,
     ownership::work_key,
     placement::{
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -160,7 +160,6 @@
                 quarantine: quarantine.clone(),
                 instruments: instruments.clone(),
             }),
-            quarantine: quarantine.clone(),
             writer: writer.clone(),
             view: view.clone(),
             index: index.clone(),
--- a/crates/borageshore_gateway/src/item/attempt.rs
+++ b/crates/borageshore_gateway/src/item/attempt.rs
@@ -6,13 +6,12 @@
 use borageshore_platform::{
     AttemptError, Generation, GenerationError, GenerationRequest, RequestPurpose,
 };
-use borageshore_routing::{Fingerprint, Route};
+use borageshore_routing::Route;
 
 use super::ItemRun;
 use crate::{
     dispatch::{EngineSlot, SlotRequest},
     mechanisms::Mechanism,
-    quarantine::{Permit, SentRequest},
 };
 
 /// The timeout for the first byte of a response. An engine responds within a few ms of a slot becoming free and queues
@@ -28,9 +27,6 @@
 /// A better engine is searched for once in this many events, as each search visits all engines of the service. A daemon
 /// that runs three trainers reads 1,800 events a second.
 const MOVE_CHECK_INTERVAL_EVENTS: u64 = 4;
-/// A request counts as not crashing its engine after this many events, about 0.4 s: requests that crash engines do so
-/// when they start to run.
-const CRASH_FREE_EVENTS: u64 = 10;
 
 /// How an attempt ended.
 #[derive(Debug)]
@@ -43,8 +39,10 @@
     Released,
     /// The engine has a version that must not continue the text; the item continues at another one.
     OtherVersion,
-    /// The engine refused or was lost; the item continues at another one.
-    Retry { is_refused: bool },
+    /// The engine refused; the item continues at another one.
+    Refused,
+    /// The engine was lost or not reached; the item continues at another one.
+    Lost,
     /// The engine failed to run the item.
     Failed,
     /// The engine rejected the item as invalid; retries are useless.
@@ -56,7 +54,6 @@
     pub(super) async fn attempt(
         &self,
         slot: EngineSlot,
-        permit: &Permit,
         route: &Route,
         rule: VersionRule,
         request: &mut SlotRequest,
@@ -75,21 +72,13 @@
             },
             first_byte_ms: FIRST_BYTE_TIMEOUT_MS,
         };
-        let instance = slot.target.instance.clone();
-        let mut sent = self
-            .context
-            .quarantine
-            .track_send(|| self.content(), &instance, permit);
         let started = self
             .context
             .client
             .generate(&slot.target, &generation_request)
             .await;
         let outcome = match started {
-            Ok(generation) => {
-                let reading = self.read(slot, generation, rule, request, text, &mut sent);
-                reading.await
-            }
+            Ok(generation) => self.read(slot, generation, rule, request, text).await,
             Err(GenerationError::Failed) => {
                 slot.in_flight.fail();
                 AttemptOutcome::Failed
@@ -98,61 +87,46 @@
                 slot.in_flight.succeed();
                 AttemptOutcome::Invalid
             }
-            Err(GenerationError::Attempt(error)) => self.on_attempt_error(slot, &error, &mut sent),
+            Err(GenerationError::Attempt(error)) => self.on_attempt_error(slot, &error),
         };
         self.context.dispatch.end_departure(&self.text_key);
-        sent.on_end();
         outcome
     }
 
-    fn on_attempt_error<Content>(
-        &self,
-        slot: EngineSlot,
-        error: &AttemptError,
-        sent: &mut SentRequest<Content>,
-    ) -> AttemptOutcome
-    where
-        Content: Fn() -> Fingerprint,
-    {
+    fn on_attempt_error(&self, slot: EngineSlot, error: &AttemptError) -> AttemptOutcome {
         self.context.instruments.count("item", "goes_on_elsewhere");
         log::info!(item = &*self.item.id, content:% = self.content(), instance = &*slot.target.instance, error:% = error; "attempt of an item failed; retrying the item");
-        sent.on_error(error);
         match error {
             AttemptError::Refused { status: 421, .. } => {
                 slot.in_flight.fail();
-                AttemptOutcome::Retry { is_refused: true }
+                AttemptOutcome::Refused
             }
             AttemptError::Refused { load, .. } => {
                 slot.in_flight.on_load(*load);
-                AttemptOutcome::Retry { is_refused: true }
+                AttemptOutcome::Refused
             }
             AttemptError::NotSent(_) | AttemptError::Unknown(_) | AttemptError::Broken(_) => {
                 slot.in_flight.fail();
-                AttemptOutcome::Retry { is_refused: false }
+                AttemptOutcome::Lost
             }
         }
     }
 
     /// Reads events until the text is complete, the engine fails or changes to a version that must not continue the text,
     /// or a better engine has a slot.
-    async fn read<Content>(
+    async fn read(
         &self,
         slot: EngineSlot,
         mut generation: Generation,
         rule: VersionRule,
         request: &mut SlotRequest,
         text: &mut Text,
-        sent: &mut SentRequest<Content>,
-    ) -> AttemptOutcome
-    where
-        Content: Fn() -> Fingerprint,
-    {
+    ) -> AttemptOutcome {
         let instance = slot.in_flight.instance().clone();
         slot.in_flight.on_load(generation.load);
         slot.in_flight.on_cold_left(generation.cold_left_ms);
         let mut version = generation.version;
         let mut event_at_us = None;
-        let crash_free_at = text.last_event() + CRASH_FREE_EVENTS;
         if !self.accepts_version(&instance, version, rule, text) {
             return AttemptOutcome::OtherVersion;
         }
@@ -161,12 +135,11 @@
                 Ok(Some(event)) => event,
                 Ok(None) => {
                     text.mark_complete();
-                    sent.on_success();
                     generation.release(&self.context.client);
                     slot.in_flight.succeed();
                     return AttemptOutcome::Complete;
                 }
-                Err(error) => return self.on_attempt_error(slot, &error, sent),
+                Err(error) => return self.on_attempt_error(slot, &error),
             };
             version = event.version.or(version);
             if !self.accepts_version(&instance, version, rule, text) {
@@ -176,13 +149,10 @@
             let pushed = text.push(event.id, event.data.clone(), version);
             if text.last_event() > events_before {
                 self.save_event(event.data, version);
-                if text.last_event() == crash_free_at {
-                    sent.on_success();
-                }
             }
             if let Err(fault) = pushed {
                 let error = AttemptError::Unknown(format!("event {}: {fault:?}", event.id));
-                return self.on_attempt_error(slot, &error, sent);
+                return self.on_attempt_error(slot, &error);
             }
             if request.pin.is_none() {
                 request.pin = self.pin(rule, text);
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -11,8 +11,8 @@
 };
 
 use borageshore_batch::{
-    FinishedText, Item, ItemRank, ItemResult, ItemState, RewardCall, StartOrder, Submission, Text,
-    Urgency, UrgencyRequest,
+    FinishedText, Item, ItemRank, ItemResult, ItemState, LossBackoff, RewardCall, StartOrder,
+    Submission, Text, Urgency, UrgencyRequest,
 };
 use borageshore_diagnostics::Instruments;
 use borageshore_net::{Clock, sleep_ms};
@@ -28,7 +28,6 @@
     ledger_view::LedgerView,
     mechanisms::Mechanisms,
     progress::{Progress, SaveHandle},
-    quarantine::{Permit, Quarantine},
     rewards::{GroupMember, Reward, Rewards, ScoreRequest},
     routes::Routes,
     submission_index::SubmissionIndex,
@@ -57,7 +56,6 @@
     pub(crate) progress: Rc<Progress>,
     pub(crate) instruments: Rc<Instruments>,
     pub(crate) writer: Rc<Writer>,
-    pub(crate) quarantine: Rc<Quarantine>,
 }
 
 /// What the start order of an item depends on.
@@ -237,6 +235,7 @@
     async fn generate(&self, text: &mut Text) -> bool {
         self.start_saving(text);
         let mut failures = 0;
+        let mut losses = LossBackoff::default();
         let mut avoid = Vec::new();
         let mut next_slot = None;
         let mut pin = None;
@@ -245,15 +244,12 @@
             if self.remaining_retention_ms(&route) == 0 {
                 return false;
             }
-            let Some(permit) = self.admit(&route).await else {
-                next_slot = None;
-                continue;
-            };
             let rule = self.version_rule(Some(&route));
             if !rule.allows(text.versions()) {
                 self.restart(text, "the route in force does not allow its versions");
             }
             pin = self.renew_pin(pin, rule, text);
+            avoid.extend_from_slice(losses.lost_engines());
             let request = self.slot_request(&route, text, std::mem::take(&mut avoid));
             let Some(mut request) = request else {
                 sleep_ms(NO_ROUTE_RETRY_MS).await;
@@ -276,10 +272,6 @@
             if !is_inside {
                 continue;
             }
-            // The request may have been quarantined during the wait for a slot.
-            if !permit.is_trial() && !self.context.quarantine.may_repeat(|| self.content()) {
-                continue;
-            }
             // The zone may have been evacuated since the slot was taken.
             if self.context.endpoints.is_evacuated(&slot.target.instance) {
                 continue;
@@ -294,8 +286,13 @@
             }
             let is_whole = text.last_event() == 0;
             let started_at_ms = self.context.clock.now_ms();
-            let attempt = self.attempt(slot, &permit, &route, rule, &mut request, text);
-            match attempt.await {
+            let events_before = text.last_event();
+            let attempt = self.attempt(slot, &route, rule, &mut request, text);
+            let outcome = attempt.await;
+            if text.last_event() > events_before {
+                losses.on_progress();
+            }
+            match outcome {
                 AttemptOutcome::Complete => {
                     if is_whole {
                         self.record_time(&request.service, text, started_at_ms);
@@ -315,11 +312,15 @@
                     // A single faulty engine must not use up the item's attempts.
                     avoid.push(instance);
                 }
-                AttemptOutcome::Retry { is_refused: true } => {
+                AttemptOutcome::Refused => {
                     avoid.push(instance);
                     sleep_ms(REFUSED_RETRY_MS).await;
                 }
-                AttemptOutcome::Retry { is_refused: false } => avoid.push(instance),
+                AttemptOutcome::Lost => {
+                    let attempt_ms = self.context.clock.now_ms() - started_at_ms;
+                    let pause_ms = losses.on_lost(&instance, attempt_ms);
+                    self.pause(pause_ms, losses.lost_engines().len()).await;
+                }
                 AttemptOutcome::OtherVersion => {
                     self.on_other_version(rule, text);
                     avoid.push(instance);
@@ -329,20 +330,14 @@
         }
     }
 
-    /// Asks the quarantine for permission to send the item; `None`, after a wait, if it is held.
-    async fn admit(&self, route: &Route) -> Option<Permit> {
-        let context = self.context;
-        match context.quarantine.admit(|| self.content()).await {
-            Ok(permit) => Some(permit),
-            Err(held) => {
-                let remaining_ms = self.remaining_retention_ms(route);
-                context.instruments.count("quarantine", "waits");
-                log::info!(item = &*self.item.id, content:% = self.content(), again_ms = held.retry_after_ms; "item waits: its request is held back for crashing endpoints");
-                let content = self.content();
-                context.quarantine.wait(content, held, remaining_ms).await;
-                None
-            }
+    /// Pauses between attempts that were lost one after the other.
+    async fn pause(&self, pause_ms: u64, lost_engines: usize) {
+        if pause_ms == 0 {
+            return;
         }
+        self.context.instruments.count("item", "paced");
+        log::info!(item = &*self.item.id, lost_engines, pause_ms; "attempts of an item were lost one after the other; it goes on after a pause");
+        sleep_ms(pause_ms).await;
     }
 
     fn start_saving(&self, text: &Text) {
--- a/crates/borageshore_gateway/src/quarantine/mod.rs
+++ b/crates/borageshore_gateway/src/quarantine/mod.rs
@@ -29,7 +29,6 @@
 pub(crate) use self::{
     records::KEY_PREFIX,
     reporting::{CLEARED_PATH, CRASHES_PATH},
-    sent::SentRequest,
     trials::Permit,
 };
 use crate::{
--- a/crates/borageshore_soak/src/crashes.rs
+++ b/crates/borageshore_soak/src/crashes.rs
@@ -24,6 +24,9 @@
 /// Maximum number of times that a request may reach endpoints after that.
 const MAX_LATER_REQUESTS: usize = 3;
 
+/// Minimum time between two sends of an item under which engines keep crashing, once [`CRASHES_UNTIL_KNOWN`] are known.
+const ITEM_INTERVAL_MS: u64 = 2_000;
+
 /// A period in which a daemon, or all of them, were faulty or had no access to the store.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Disturbance {
@@ -133,6 +136,63 @@
     }
 }
 
+/// Checks that an item under which engines keep crashing is sent at most once in [`ITEM_INTERVAL_MS`].
+pub(crate) fn check_item_pace(oracle: &Oracle, requests: Vec<CrashingRequest>) {
+    for (body, requests) in group_by_body(requests) {
+        let mut crashes = requests.iter().filter(|request| request.has_crashed);
+        let Some(third) = crashes.nth(CRASHES_UNTIL_KNOWN - 1) else {
+            continue;
+        };
+        let known_at_ms = third.at_ms + PROPAGATION_MS;
+        let counts = |request: &&CrashingRequest| {
+            request.at_ms > known_at_ms
+                && !oracle.is_disturbed(&request.id, request.at_ms, PROPAGATION_MS)
+        };
+        let later: Vec<u64> = requests.iter().filter(counts).map(|r| r.at_ms).collect();
+        let lasted_ms = later.last().map_or(0, |last_ms| last_ms - known_at_ms);
+        let allowed = 1 + lasted_ms / ITEM_INTERVAL_MS;
+        if later.len() as u64 > allowed {
+            oracle.record_violation(format!(
+                "{body}: sent {} times in the last {lasted_ms} ms in which engines crashed under it, {allowed} are allowed",
+                later.len()
+            ));
+        }
+    }
+}
+
+/// Checks at `due_ms` that each item which was accepted while engines crashed has its result.
+pub(crate) async fn check_owed_items(traffic: Rc<Traffic>, due_ms: u64) {
+    sleep_ms(due_ms.saturating_sub(traffic.clock.now_ms())).await;
+    let kept: Vec<String> = {
+        let submissions = traffic.oracle.submissions.borrow();
+        let accepted = submissions.iter().filter(|(_, known)| known.is_accepted);
+        let ids = accepted.map(|(id, _)| id.clone());
+        ids.filter(|id| traffic.is_kept(id)).collect()
+    };
+    for id in kept {
+        for front in &traffic.fronts {
+            let after = traffic.oracle.submissions.borrow()[&id].results.len();
+            traffic.read(&id, after, *front, 0).await;
+        }
+        let submissions = traffic.oracle.submissions.borrow();
+        let known = &submissions[&id];
+        let done = known
+            .results
+            .values()
+            .filter(|result| result.state == "done");
+        let done: Vec<&str> = done.map(|result| &*result.id).collect();
+        let is_missing = |item: &&String| !done.contains(&item.as_str());
+        let missing: Vec<&String> = known.items.iter().filter(is_missing).collect();
+        if !missing.is_empty() {
+            traffic.oracle.record_violation(format!(
+                "{id}: {} of {} items have no result although no engine crashed for a while: {missing:?}",
+                missing.len(),
+                known.items.len()
+            ));
+        }
+    }
+}
+
 fn group_by_body(all: Vec<CrashingRequest>) -> BTreeMap<String, Vec<CrashingRequest>> {
     let mut requests: BTreeMap<String, Vec<CrashingRequest>> = BTreeMap::new();
     for request in all {
--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -136,6 +136,16 @@
 }
 
 impl Targets {
+    /// Sets when requests stop crashing endpoints.
+    pub(crate) fn set_crash_until_ms(&self, until_ms: u64) {
+        for (engine, _) in &self.engines {
+            engine.set_crash_until_ms(until_ms);
+        }
+        for (service, _) in &self.services {
+            service.set_crash_until_ms(until_ms);
+        }
+    }
+
     /// Injects random faults, spread until `until_ms`, each for 0.8 to 3 s.
     pub(crate) async fn inject_random(
         self: Rc<Self>,
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -130,10 +130,17 @@
     pub crash_after_ms: u64,
     /// How long the caller of a crashing call waits before it disconnects.
     pub crashing_call_timeout_ms: u64,
-    /// Whether each step contains an item that crashes the engines that run it.
-    pub has_crashing_item: bool,
+    /// Number of items of each step under which engines crash when they start them.
+    pub crashing_items: usize,
     /// Whether each step contains an item whose reward call crashes the endpoints that run it.
     pub has_crashing_reward: bool,
+    /// Whether endpoints crash when they start the reward call of any item.
+    pub has_crashing_rewards: bool,
+    /// When requests stop crashing endpoints, in ms after traffic began; steps accepted before are not ended. Never if
+    /// `None`.
+    pub crash_until_ms: Option<u64>,
+    /// Time after [`SoakOptions::crash_until_ms`] in which every item accepted before it must have its result.
+    pub result_bound_ms: u64,
     /// Whether callers belong to organisations and authenticate with keys.
     pub organisations: bool,
     /// Whether daemons and endpoints are spread over three zones of two regions, with routes and callers that are
@@ -178,8 +185,11 @@
             crashing_calls: 0,
             crash_after_ms: 0,
             crashing_call_timeout_ms: 2_500,
-            has_crashing_item: false,
+            crashing_items: 0,
             has_crashing_reward: false,
+            has_crashing_rewards: false,
+            crash_until_ms: None,
+            result_bound_ms: 5_000,
             organisations: false,
             regions: false,
             observers: false,
--- a/crates/borageshore_soak/src/main.rs
+++ b/crates/borageshore_soak/src/main.rs
@@ -61,7 +61,7 @@
             engines: arguments.engines,
             services: arguments.services,
             crashing_calls: arguments.crashing_calls,
-            has_crashing_item: seed.is_multiple_of(2),
+            crashing_items: usize::from(seed.is_multiple_of(2)),
             has_crashing_reward: seed.is_multiple_of(3),
             organisations: !seed.is_multiple_of(2),
             regions: arguments.regions,
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -74,8 +74,11 @@
     /// Whether callers ask for addresses from zones of several regions, and every other step is restricted to one.
     pub(crate) has_regions: bool,
     pub(crate) crashing_call_timeout_ms: u64,
-    pub(crate) has_crashing_item: bool,
+    pub(crate) crashing_items: usize,
     pub(crate) has_crashing_reward: bool,
+    pub(crate) has_crashing_rewards: bool,
+    /// When requests stop crashing endpoints; steps accepted before are not ended.
+    pub(crate) crash_until_ms: Option<u64>,
     pub(crate) calls: Cell<usize>,
     pub(crate) calls_answered: Cell<usize>,
     /// When harmless calls were refused because they were held back.
@@ -293,7 +296,9 @@
                 } else {
                     self.read_step_results(&id, &mut random).await;
                 }
-                self.end_submission(&id, &mut random).await;
+                if !self.is_kept(&id) {
+                    self.end_submission(&id, &mut random).await;
+                }
             }
             step += 1;
             let version = json!({ "model": MODEL, "version": step });
@@ -303,6 +308,13 @@
         }
     }
 
+    /// Whether a step was accepted while requests crashed endpoints, so that its items stay owed.
+    pub(crate) fn is_kept(&self, id: &str) -> bool {
+        let accepted_at_ms = self.oracle.submissions.borrow()[id].accepted_at_ms;
+        self.crash_until_ms
+            .is_some_and(|until_ms| accepted_at_ms < until_ms)
+    }
+
     async fn submit(&self, id: &str, step: u64, random: &mut Pcg64Mcg) -> bool {
         let (groups, size, wanted) = self.step_shape();
         let path = Self::submission_path(id);
@@ -317,16 +329,17 @@
             let item = format!("{id}-item-{number}");
             // Both are in the first group: the trainer does not need that one to finish a step.
             let is_crashing_reward = self.has_crashing_reward && number == 0;
-            let is_crashing_item = self.has_crashing_item && number == 1;
-            let reward_body = match is_crashing_reward {
-                true => BASE64_STANDARD.encode(format!("{crash_mark}-reward")),
-                false => String::new(),
+            let is_crashing_item = (1..=self.crashing_items).contains(&number);
+            let reward_body = match (is_crashing_reward, self.has_crashing_rewards) {
+                (true, _) => BASE64_STANDARD.encode(format!("{crash_mark}-reward")),
+                (false, true) => BASE64_STANDARD.encode(format!("{crash_mark}-{item}")),
+                (false, false) => String::new(),
             };
             let reward = json!({
                 "id": reward_id(&item), "host": HOST, "path": reward_path, "body": reward_body,
             });
             let item_body = match is_crashing_item {
-                true => format!("{crash_mark}-item"),
+                true => format!("{crash_mark}-{item}"),
                 false if self.has_failing_items && item.ends_with(IMPOSSIBLE_ITEM) => {
                     IMPOSSIBLE_BODY.into()
                 }
--- a/crates/borageshore_standins/src/platform/plain.rs
+++ b/crates/borageshore_standins/src/platform/plain.rs
@@ -137,6 +137,11 @@
         self.shared.crashes.set_after_ms(after_ms);
     }
 
+    /// Sets when marked calls stop crashing it.
+    pub fn set_crash_until_ms(&self, until_ms: u64) {
+        self.shared.crashes.set_until_ms(until_ms);
+    }
+
     /// Waits until a call has crashed it.
     pub async fn wait_for_crash(&self) {
         self.shared.crashes.wait_for_crash().await;
@@ -241,8 +246,8 @@
         let Ok(body) = read_body(request.into_body(), limits()).await else {
             return status(400);
         };
-        if Crashes::is_crashing(&body) {
-            let at_ms = shared.clock.now_ms();
+        let at_ms = shared.clock.now_ms();
+        if shared.crashes.is_crashing(&body, at_ms) {
             return shared.crashes.crash(id, &body, at_ms).await;
         }
         let count = shared.calls.get() + 1;
