Bound what a connection may send without content, and let timers run while bytes arrive

What callers saw: an endpoint, peer or store that sends without end kept the daemon's only event loop busy. hyper reads on while bytes arrive: interim (1xx) responses, sizes of chunks, blanks after them, and short chunks carry no content that a limit on the body counts, and monoio checks no timer while any task can run. No timeout fired, of this call or any other, until the other side stopped. The same held for a caller's chunked body.

Second fault with the same origin: a body that breaks the chunked format, or exceeds hyper's limits on extensions and trailers, counted as a connection that broke off, as in a crash, so that the request was blamed for it. It is an answer that is not valid.

A response's head, and what is read at once, is limited to 64 KiB instead of 408 KiB. Invalid bytes are NoResponse.

Ruled out: yielding by waking the task at once; monoio's inner loop calls submit, which checks no timer, while a task can run.

--- a/crates/borageshore_daemon/src/platform/engine.rs
+++ b/crates/borageshore_daemon/src/platform/engine.rs
@@ -2,13 +2,12 @@
 
 use std::{collections::VecDeque, future::Future, sync::Arc};
 
-use borageshore_net::{CallError, Connection, HttpClient, Timeouts, within_ms};
+use borageshore_net::{CallError, Connection, HttpClient, ReceivedBody, Timeouts, within_ms};
 use borageshore_routing::LoadReport;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{
     Request, StatusCode,
-    body::Incoming,
     header::{HOST, HeaderMap},
 };
 use serde::{Deserialize, Serialize};
@@ -222,7 +221,7 @@
     address: Arc<str>,
     /// Returned to the pool once the body is read to its end.
     sender: Connection,
-    body: Incoming,
+    body: ReceivedBody,
     buffer: Vec<u8>,
     lines: VecDeque<EngineChunk>,
 }
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -9,7 +9,7 @@
 use borageshore_membership::{AddressRequest, PresenceState};
 use borageshore_net::{
     BodyError, Deadline, EdgeRequest, EdgeResponse, Handler, HeldBody, HeldBodyError, MemoryBudget,
-    ServerLimits, full_body, read_body,
+    ReceivedBody, ServerLimits, full_body, read_body,
 };
 use borageshore_platform::{
     CallHead, CallerRequest, SubmissionRequest, addresses_response, caller_host, caller_key,
@@ -20,7 +20,6 @@
 use bytes::Bytes;
 use hyper::{
     Response, StatusCode,
-    body::Incoming,
     header::{CONNECTION, HeaderValue},
     http::request::Parts,
 };
@@ -234,7 +233,7 @@
         mut call: CallHead,
         key: Option<KeyDigest>,
         head: &Parts,
-        body: Incoming,
+        body: ReceivedBody,
     ) -> EdgeResponse {
         if !self.routes.is_known() {
             return not_ready();
@@ -298,7 +297,7 @@
         }
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<HeldBody, HeldBodyError> {
+    async fn read_body(&self, body: ReceivedBody) -> Result<HeldBody, HeldBodyError> {
         match &self.memory {
             Some(memory) => memory.read_body(body, server_limits()).await,
             None => {
--- a/crates/borageshore_net/src/client.rs
+++ b/crates/borageshore_net/src/client.rs
@@ -1,6 +1,6 @@
 //! An HTTP client whose errors tell whether a request can have reached the server.
 
-use std::{cell::RefCell, fmt, net::SocketAddr, pin::pin, rc::Rc, sync::Arc};
+use std::{cell::RefCell, error::Error, fmt, io, net::SocketAddr, pin::pin, rc::Rc, sync::Arc};
 
 use borageshore_base::SortedMap;
 use bytes::Bytes;
@@ -8,7 +8,6 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
     client::conn::http1::{Builder, SendRequest},
     header::HOST,
 };
@@ -17,10 +16,15 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::oneshot;
 
-use crate::event_loop::within_ms;
+use crate::{
+    event_loop::within_ms,
+    metered::{MeteredIo, ReadCredit, ReceivedBody},
+};
 
 /// The maximum number of pooled connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
+/// The maximum size of a response's head, and of what is read of its body at once.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// The maximum size of a response body that is buffered.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -45,7 +49,7 @@
     }
 }
 
-impl std::error::Error for CallError {}
+impl Error for CallError {}
 
 /// Timeouts of a call.
 #[derive(Debug, Clone, Copy)]
@@ -63,6 +67,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    credit: ReadCredit,
     is_new: bool,
     /// Ends the task that drives the socket when it is dropped.
     _task_guard: oneshot::Sender<()>,
@@ -137,7 +142,11 @@
         let stream = stream
             .into_poll_io()
             .map_err(|error| CallError::NotSent(error.to_string()))?;
-        let handshake = Builder::new().handshake(MonoioIo::new(stream)).await;
+        let credit = ReadCredit::open();
+        let io = MonoioIo::new(MeteredIo::new(stream, credit.clone()));
+        let mut builder = Builder::new();
+        builder.max_buf_size(READ_BUFFER_BYTES);
+        let handshake = builder.handshake(io).await;
         let (sender, connection) =
             handshake.map_err(|error| CallError::NotSent(error.to_string()))?;
         let (task_guard, closed) = oneshot::channel();
@@ -149,6 +158,7 @@
         });
         Ok(Connection {
             sender,
+            credit,
             is_new: true,
             _task_guard: task_guard,
         })
@@ -160,10 +170,14 @@
         connection: &mut Connection,
         request: Request<Full<Bytes>>,
         timeouts: Timeouts,
-    ) -> Result<Response<Incoming>, CallError> {
+    ) -> Result<Response<ReceivedBody>, CallError> {
+        connection.credit.restart();
         let sending = connection.sender.try_send_request(request);
         match within_ms(timeouts.first_byte_ms, sending).await {
-            Some(Ok(response)) => Ok(response),
+            Some(Ok(response)) => {
+                let credit = connection.credit.clone();
+                Ok(response.map(|body| ReceivedBody::new(body, credit)))
+            }
             Some(Err(mut error)) => {
                 // Hyper returns the request only if no byte of it was written.
                 match error.take_message() {
@@ -262,7 +276,7 @@
     }
 }
 
-async fn collect(body: Incoming, timeout_ms: u64) -> Result<Bytes, CallError> {
+async fn collect(body: ReceivedBody, timeout_ms: u64) -> Result<Bytes, CallError> {
     let collecting = Limited::new(body, MAX_BODY_BYTES).collect();
     match within_ms(timeout_ms, collecting).await {
         Some(Ok(collected)) => Ok(collected.to_bytes()),
@@ -272,16 +286,23 @@
 }
 
 /// Converts an error from reading a response body: the connection ended, or the body is invalid.
-pub fn response_body_error(error: &(dyn std::error::Error + 'static)) -> CallError {
+pub fn response_body_error(error: &(dyn Error + 'static)) -> CallError {
     match error.downcast_ref::<hyper::Error>() {
         Some(error) => response_error(error),
         None => CallError::NoResponse(error.to_string()),
     }
 }
 
-/// Converts a hyper error: an unparsable response, or else the end of the connection.
+/// Converts a hyper error: an invalid response, or else the end of the connection.
 pub fn response_error(error: &hyper::Error) -> CallError {
-    match error.is_parse() {
+    let cause = error.source().and_then(|cause| cause.downcast_ref());
+    let is_invalid = cause.map(io::Error::kind).is_some_and(|kind| {
+        matches!(
+            kind,
+            io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput
+        )
+    });
+    match error.is_parse() || is_invalid {
         true => CallError::NoResponse(error.to_string()),
         false => CallError::Disconnected(error.to_string()),
     }
--- a/crates/borageshore_net/src/lib.rs
+++ b/crates/borageshore_net/src/lib.rs
@@ -10,6 +10,7 @@
 mod frame;
 mod hedge;
 mod memory;
+mod metered;
 mod server;
 
 pub use self::{
@@ -18,6 +19,7 @@
     frame::{FrameError, read_frame, write_frame},
     hedge::hedged,
     memory::{HeldBody, HeldBodyError, MemoryBudget, MemoryLimits},
+    metered::ReceivedBody,
     server::{
         BodyError, EdgeBody, EdgeRequest, EdgeResponse, Handler, HttpServer, ServerLimits,
         StreamBodyError, bind_listener, empty_body, full_body, json_response, read_body,
--- a/crates/borageshore_net/src/memory.rs
+++ b/crates/borageshore_net/src/memory.rs
@@ -15,13 +15,14 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::{
-    body::{Body, Incoming},
+    body::Body,
     rt::{Read, ReadBufCursor, Write},
 };
 use tokio::sync::Notify;
 
 use crate::{
     event_loop::{Clock, sleep_ms, within_ms},
+    metered::ReceivedBody,
     server::{BodyError, EdgeBody, ServerLimits},
 };
 
@@ -143,7 +144,7 @@
     /// it does not fit the budget: unread if its length is known, otherwise as soon as it does not fit.
     pub async fn read_body(
         &self,
-        mut body: Incoming,
+        mut body: ReceivedBody,
         limits: ServerLimits,
     ) -> Result<HeldBody, HeldBodyError> {
         let declared_bytes = body.size_hint().lower();
@@ -450,7 +451,7 @@
 }
 
 async fn read_held(
-    body: &mut Incoming,
+    body: &mut ReceivedBody,
     hold: &mut BodyHold,
     limits: ServerLimits,
 ) -> Result<Bytes, HeldBodyError> {
@@ -478,7 +479,7 @@
 }
 
 /// Receives the rest of a body without holding it.
-async fn discard(mut body: Incoming) {
+async fn discard(mut body: ReceivedBody) {
     let mut discarded_bytes = 0;
     while let Some(Ok(frame)) = body.frame().await {
         discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
--- a/crates/borageshore_net/src/server.rs
+++ b/crates/borageshore_net/src/server.rs
@@ -29,6 +29,7 @@
 use crate::{
     event_loop::{sleep_ms, within_ms},
     memory::{AccountedIo, ConnectionAccount, MemoryBudget},
+    metered::{MeteredIo, ReadCredit, ReceivedBody},
 };
 
 /// The pause after a failed accept.
@@ -43,7 +44,7 @@
 /// A response body: complete, or streamed with back-pressure.
 pub type EdgeBody = Either<Full<Bytes>, Channel<Bytes, StreamBodyError>>;
 /// A request as received by a [`Handler`].
-pub type EdgeRequest = Request<Incoming>;
+pub type EdgeRequest = Request<ReceivedBody>;
 /// A response as returned by a [`Handler`].
 pub type EdgeResponse = Response<EdgeBody>;
 
@@ -245,10 +246,14 @@
 {
     let (limits, shared) = (server.limits, &server.shared);
     let _ = stream.set_nodelay(true);
-    let io = AccountedIo::new(MonoioIo::new(stream.into_poll_io()?), account.clone());
+    let credit = ReadCredit::open();
+    let io = MonoioIo::new(MeteredIo::new(stream.into_poll_io()?, credit.clone()));
+    let io = AccountedIo::new(io, account.clone());
     let has_request = Rc::new(Cell::new(false));
-    let service = service_fn(|request| {
+    let service = service_fn(|request: Request<Incoming>| {
         has_request.set(true);
+        credit.restart();
+        let request = request.map(|body| ReceivedBody::new(body, credit.clone()));
         let (server, account) = (server.clone(), account.clone());
         async move {
             let mut response = server.handler.handle(request, remote).await;
@@ -313,7 +318,7 @@
 }
 
 /// Reads a request body within the limits.
-pub async fn read_body(body: Incoming, limits: ServerLimits) -> Result<Bytes, BodyError> {
+pub async fn read_body(body: ReceivedBody, limits: ServerLimits) -> Result<Bytes, BodyError> {
     // Reject a `Content-Length` over the limit without reading the body.
     if body.size_hint().lower() > limits.body_bytes as u64 {
         return Err(BodyError::TooLarge);
--- a/crates/borageshore_standins/src/callers.rs
+++ b/crates/borageshore_standins/src/callers.rs
@@ -3,11 +3,13 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
-use borageshore_net::{CallError, Clock, Connection, HttpClient, Timeouts, sleep_ms, within_ms};
+use borageshore_net::{
+    CallError, Clock, Connection, HttpClient, ReceivedBody, Timeouts, sleep_ms, within_ms,
+};
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use http_body_util::{BodyExt, Full};
-use hyper::{Request, Response, StatusCode, body::Incoming, header::HOST};
+use hyper::{Request, Response, StatusCode, header::HOST};
 use serde::{Deserialize, Serialize};
 
 use crate::engine::expected_token;
@@ -258,7 +260,7 @@
         address: &str,
         path: &str,
         body: String,
-    ) -> Result<(Connection, Response<Incoming>), CallError> {
+    ) -> Result<(Connection, Response<ReceivedBody>), CallError> {
         let request = Request::post(path)
             .header(HOST, address)
             .header("x-node", &*self.shared.options.node)
@@ -290,7 +292,7 @@
         }
     }
 
-    fn record_refusal(&self, response: &Response<Incoming>) -> Option<u16> {
+    fn record_refusal(&self, response: &Response<ReceivedBody>) -> Option<u16> {
         let code = header(response, "x-result-code")?.parse().ok()?;
         let mut summary = self.shared.summary.borrow_mut();
         summary.refused += 1;
@@ -351,7 +353,7 @@
     }
 }
 
-fn header(response: &Response<Incoming>, name: &str) -> Option<String> {
+fn header(response: &Response<ReceivedBody>, name: &str) -> Option<String> {
     response
         .headers()
         .get(name)?
@@ -360,7 +362,11 @@
         .map(str::to_owned)
 }
 
-async fn read_stream(response: Response<Incoming>, prompt: &str, max_tokens: u64) -> StreamOutcome {
+async fn read_stream(
+    response: Response<ReceivedBody>,
+    prompt: &str,
+    max_tokens: u64,
+) -> StreamOutcome {
     let collected = within_ms(STREAM_TIMEOUT_MS, response.into_body().collect()).await;
     let Some(Ok(body)) = collected else {
         return StreamOutcome::Truncated;
