Leave an engine of the daemon's own protocol that sends without progress

What callers saw: a generation waited for the caller's whole timeout on an engine that sent a line without end, empty lines or chunks of another request, as each read restarted the chunk timeout. Tokens beyond max_tokens were kept without end.

Change: the chunk timeout counts from the last token of the request; more tokens than were asked for fail the attempt, which goes on at another engine.

Before: the 3 new tests failed, no answer within 20 s. After: the tests of the crate pass, streams in 3.4 s.

--- a/crates/borageshore_daemon/src/generation.rs
+++ b/crates/borageshore_daemon/src/generation.rs
@@ -258,8 +258,17 @@
         }
     };
     let chunk_timeout_ms = daemon.setting(&generation.node, "chunk_timeout_ms");
+    let mut progress_at_ms = daemon.now_ms();
     loop {
-        match chunks.next_chunk(chunk_timeout_ms).await {
+        // Chunks of other requests are no progress.
+        let silent_ms = daemon.now_ms() - progress_at_ms;
+        if silent_ms >= chunk_timeout_ms {
+            daemon.http.discard_idle_connections(&address);
+            let error = CallError::NoResponse("no chunk of the request in time".into());
+            return AttemptEnd::Failed(error);
+        }
+        let known_tokens = produced.len();
+        match chunks.next_chunk(chunk_timeout_ms - silent_ms).await {
             Err(error) => {
                 daemon.http.discard_idle_connections(&address);
                 return AttemptEnd::Failed(error);
@@ -275,6 +284,13 @@
                     }
                     return end;
                 }
+                if produced.len() as u64 > generation.max_tokens {
+                    let error = CallError::NoResponse("more tokens than were asked for".into());
+                    return AttemptEnd::Failed(error);
+                }
+                if produced.len() > known_tokens {
+                    progress_at_ms = daemon.now_ms();
+                }
             }
         }
     }
--- a/crates/borageshore_daemon/src/platform/engine.rs
+++ b/crates/borageshore_daemon/src/platform/engine.rs
@@ -250,25 +250,16 @@
     }
 }
 
-impl ChunkStream for HttpChunks {
-    fn release(mut self) {
-        monoio::spawn(async move {
-            if let Some(None) = within_ms(BODY_END_TIMEOUT_MS, self.body.frame()).await {
-                self.http.return_to_pool(&self.address, self.sender);
-            }
-        });
-    }
-
-    async fn next_chunk(&mut self, timeout_ms: u64) -> Result<Option<EngineChunk>, CallError> {
+impl HttpChunks {
+    async fn read_chunk(&mut self) -> Result<Option<EngineChunk>, CallError> {
         loop {
             if let Some(chunk) = self.lines.pop_front() {
                 return Ok(Some(chunk));
             }
-            match within_ms(timeout_ms, self.body.frame()).await {
-                None => return Err(CallError::NoResponse("the stream went silent".into())),
-                Some(None) => return Ok(None),
-                Some(Some(Err(error))) => return Err(CallError::NoResponse(error.to_string())),
-                Some(Some(Ok(frame))) => {
+            match self.body.frame().await {
+                None => return Ok(None),
+                Some(Err(error)) => return Err(CallError::NoResponse(error.to_string())),
+                Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
                         self.parse_lines(&data)?;
                     }
@@ -277,3 +268,18 @@
         }
     }
 }
+
+impl ChunkStream for HttpChunks {
+    fn release(mut self) {
+        monoio::spawn(async move {
+            if let Some(None) = within_ms(BODY_END_TIMEOUT_MS, self.body.frame()).await {
+                self.http.return_to_pool(&self.address, self.sender);
+            }
+        });
+    }
+
+    async fn next_chunk(&mut self, timeout_ms: u64) -> Result<Option<EngineChunk>, CallError> {
+        let read = within_ms(timeout_ms, self.read_chunk()).await;
+        read.unwrap_or_else(|| Err(CallError::NoResponse("no chunk in time".into())))
+    }
+}
--- a/crates/borageshore_daemon/tests/streams.rs
+++ b/crates/borageshore_daemon/tests/streams.rs
@@ -2,6 +2,13 @@
 
 mod support;
 
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+    thread,
+    time::Duration,
+};
+
 use borageshore_net::{HttpClient, HttpServer, Timeouts, run_event_loop, sleep_ms};
 use borageshore_standins::{
     engine::{EngineOptions, EngineStandin, EngineSwitches},
@@ -23,8 +30,32 @@
     http: HttpClient,
 }
 
+/// An engine that answers each request with a line without end, or the same one again and again.
+fn bind_endless(line: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            thread::spawn(move || {
+                let _ = stream.read(&mut [0; 4 * 1024]);
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n");
+                while stream.write_all(line.as_bytes()).is_ok() {
+                    thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+    });
+    address
+}
+
 impl Fixture {
     async fn open() -> Self {
+        Self::open_beside(None).await
+    }
+
+    /// Opens a daemon in front of two engines and another one.
+    async fn open_beside(other: Option<SocketAddr>) -> Self {
         let options = EngineOptions {
             step_ms: 2,
             ..EngineOptions::default()
@@ -32,11 +63,12 @@
         let engines: Vec<HttpServer> = (0..2)
             .map(|_| EngineStandin::bind("127.0.0.1:0", options.clone()).unwrap())
             .collect();
-        let vms = engines.iter().enumerate().map(|(number, engine)| Vm {
+        let addresses = engines.iter().map(HttpServer::address).chain(other);
+        let vms = addresses.enumerate().map(|(number, address)| Vm {
             name: format!("engine-{number}").into(),
             service: "llm".into(),
             zone: "suva-hall".into(),
-            address: engine.address().to_string().into(),
+            address: address.to_string().into(),
             state: VmState::Live,
         });
         let daemon = support::open_daemon(vms.collect()).await;
@@ -147,3 +179,26 @@
         fixture.assert_complete("short stall").await;
     };
 }
+
+macro_rules! endless_engines {
+    ($($name:ident: $line:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                run_event_loop(async {
+                    let fixture = Fixture::open_beside(Some(bind_endless($line))).await;
+                    for number in 0..6 {
+                        fixture.assert_complete(&format!("endless {number}")).await;
+                    }
+                });
+            }
+        )*
+    };
+}
+
+// Guard against requests that wait for an engine that sends without end and makes no progress.
+endless_engines! {
+    a_line_without_end_is_left: "x";
+    empty_lines_are_left: "\n";
+    chunks_of_another_request_without_end_are_left: "{\"request_id\":\"x\",\"index\":0,\"token\":\"t\",\"version\":1}\n";
+}
