Give each kind of response its own size, and all of them a share of the memory

What would happen: a buffered response was limited to 64 MiB (reports, orders, store pages, peers), 32 MiB (calls, error bodies of generations), or not at all (calls of duties, whose body is not used). A daemon may have 120 MB, so two or three servers that answer without end would end the process.

Calls, the store and peers share 15% of the process's memory: a body may take as much as it leaves free, and up to 16 KiB in any case, so that sound answers pass beside a flood. Chunks are copied into one buffer: hyper's chunks of one byte kept the whole read buffer. Errors show at most 200 characters of their reason, and of a body.

Limit: with 120 MB, a single response larger than 9 MB does not fit.

--- a/crates/borageshore_daemon/src/daemon.rs
+++ b/crates/borageshore_daemon/src/daemon.rs
@@ -14,6 +14,7 @@
 use borageshore_routing::{AdmissionLimits, EndpointTable, KeyTable, RetryBudget};
 use borageshore_settings::{ROOT, SettingsFold};
 use borageshore_topology::Topology;
+use borageshore_wire::MAX_FRAME_BYTES;
 use monoio::net::udp::UdpSocket;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -117,7 +118,7 @@
         let incarnation = jiff::Timestamp::now().as_millisecond() as u64;
         let session: Arc<str> = format!("{}.{incarnation}", config.name).into();
         let metrics = Rc::new(Metrics::open());
-        let http = HttpClient::open();
+        let http = HttpClient::open_limited(MAX_FRAME_BYTES);
         let own = own_entry(&config, incarnation);
         let seeds = config.gossip_seeds.clone();
         let keys = KeyTable::open(config.name.clone(), incarnation, 600_000, KEY_MEMORY_BYTES);
--- a/crates/borageshore_gateway/src/feed/mod.rs
+++ b/crates/borageshore_gateway/src/feed/mod.rs
@@ -42,6 +42,9 @@
 /// The least interval at which readers are told that nothing has changed.
 const CONFIRM_INTERVAL_MS: u64 = 400;
 
+/// The largest response of a peer: its pages end after 256 KiB with the record that exceeds it.
+const MAX_PAGE_BYTES: usize = 4 * 1024 * 1024;
+
 /// Dependencies of [`Feed`].
 #[derive(Debug)]
 pub(crate) struct FeedParts {
@@ -111,7 +114,7 @@
         let feed = Rc::new(Self {
             random: RefCell::new(Pcg64Mcg::seed_from_u64(parts.seed)),
             parts,
-            http: HttpClient::open(),
+            http: HttpClient::open_limited(MAX_PAGE_BYTES),
             logs: Default::default(),
             phase: RefCell::new(Phase::Looking),
             announced_readers: Cell::new(0),
--- a/crates/borageshore_gateway/src/peers.rs
+++ b/crates/borageshore_gateway/src/peers.rs
@@ -4,7 +4,9 @@
 use std::{cell::RefCell, sync::Arc};
 
 use borageshore_base::SortedMap;
-use borageshore_net::{CallError, Clock, EdgeResponse, HttpClient, Timeouts, full_body};
+use borageshore_net::{
+    CallError, Clock, EdgeResponse, HttpClient, ResponseMemory, Timeouts, full_body,
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -19,6 +21,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 200;
 /// The time that a response may take beyond the wait that the caller asked for.
 const RESPONSE_SLACK_MS: u64 = 600;
+/// The largest response, the body of an item; a submission is at most as large.
+const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
 /// How long a peer that did not respond is avoided. Longer than it takes to detect its death, about a second.
 const AVOIDANCE_MS: u64 = 2_000;
 
@@ -45,9 +49,9 @@
 }
 
 impl Peers {
-    pub(crate) fn open(clock: Clock) -> Self {
+    pub(crate) fn open(clock: Clock, response_memory: ResponseMemory) -> Self {
         Self {
-            http: HttpClient::open(),
+            http: HttpClient::open_within(MAX_RESPONSE_BYTES, response_memory),
             clock,
             avoided_until_ms: RefCell::default(),
         }
--- a/crates/borageshore_gateway/src/quarantine/reporting.rs
+++ b/crates/borageshore_gateway/src/quarantine/reporting.rs
@@ -19,6 +19,8 @@
 };
 use crate::{follow::ONLY_PARTITION, server::server_limits};
 
+/// The largest response of a peer, which has no body.
+const MAX_RESPONSE_BYTES: usize = 4 * 1024;
 /// Path for crash reports, served only at the address for peers.
 pub(crate) const CRASHES_PATH: &str = "/crashes";
 /// Path for clearances, served only at the address for peers.
@@ -131,7 +133,7 @@
     /// Guards against each daemon losing endpoints of its own to the same request during a store outage. Otherwise each
     /// would lose three before it holds the request back.
     pub(super) async fn notify_peers(self: Rc<Self>) {
-        let http = HttpClient::open();
+        let http = HttpClient::open_limited(MAX_RESPONSE_BYTES);
         loop {
             self.peer_queue_changed.notified().await;
             loop {
--- a/crates/borageshore_gateway/src/true_time.rs
+++ b/crates/borageshore_gateway/src/true_time.rs
@@ -21,6 +21,8 @@
 const MAX_SYNC_ATTEMPTS: usize = 8;
 /// The interval at which the estimate is slewed.
 const SLEW_INTERVAL_MS: u64 = 10_000;
+/// The largest reading, which has two numbers.
+const MAX_READING_BYTES: usize = 4 * 1024;
 /// Timeouts of a clock request; peers are a few ms away, and a slow response makes an imprecise sample.
 const TIMEOUTS: Timeouts = Timeouts {
     connect_ms: 200,
@@ -48,7 +50,7 @@
         let shared = Rc::new(Self {
             members,
             time: RefCell::new(TrueTime::new(time_of_day_ms(), boot_time_ms())),
-            http: HttpClient::open(),
+            http: HttpClient::open_limited(MAX_READING_BYTES),
         });
         monoio::spawn(shared.clone().run());
         shared
--- a/crates/borageshore_net/src/client.rs
+++ b/crates/borageshore_net/src/client.rs
@@ -5,7 +5,7 @@
 use borageshore_base::SortedMap;
 use bytes::Bytes;
 use futures_util::future::{Either, select};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, Response, StatusCode,
     client::conn::http1::{Builder, SendRequest},
@@ -19,15 +19,19 @@
 use crate::{
     event_loop::within_ms,
     metered::{MeteredIo, ReadCredit, ReceivedBody},
+    response_memory::ResponseMemory,
 };
 
 /// The maximum number of pooled connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 /// The maximum size of a response's head, and of what is read of its body at once.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
-/// The maximum size of a response body that is buffered.
+/// The maximum size of a buffered response body, if a client has no limit of its own.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
+/// What an error repeats of a response.
+const MAX_QUOTED_BYTES: usize = 200;
+
 /// Why a call failed, which tells whether the server can have run the request.
 #[derive(Debug)]
 pub enum CallError {
@@ -42,9 +46,9 @@
 impl fmt::Display for CallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            CallError::NotSent(why) => write!(f, "not sent: {why}"),
-            CallError::NoResponse(why) => write!(f, "no answer: {why}"),
-            CallError::Disconnected(why) => write!(f, "broken off: {why}"),
+            CallError::NotSent(why) => write!(f, "not sent: {why:.MAX_QUOTED_BYTES$}"),
+            CallError::NoResponse(why) => write!(f, "no answer: {why:.MAX_QUOTED_BYTES$}"),
+            CallError::Disconnected(why) => write!(f, "broken off: {why:.MAX_QUOTED_BYTES$}"),
         }
     }
 }
@@ -85,15 +89,37 @@
 /// If a request was sent and no valid response head arrives, [`HttpClient::call`] discards all idle
 /// connections to the address, so that the next request does not reuse a dead one; users of
 /// [`HttpClient::send`] do so with [`HttpClient::discard_idle_connections`].
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct HttpClient {
     idle: Rc<RefCell<SortedMap<Arc<str>, Vec<Connection>>>>,
+    max_body_bytes: usize,
+    memory: ResponseMemory,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::open()
+    }
 }
 
 impl HttpClient {
     /// Creates a client with an empty pool.
     pub fn open() -> Self {
-        Self::default()
+        Self::open_within(MAX_BODY_BYTES, ResponseMemory::of_process(None))
+    }
+
+    /// Creates a client with an empty pool, which buffers response bodies up to a size.
+    pub fn open_limited(max_body_bytes: usize) -> Self {
+        Self::open_within(max_body_bytes, ResponseMemory::of_process(None))
+    }
+
+    /// Creates a client with an empty pool, which buffers response bodies up to a size in shared memory.
+    pub fn open_within(max_body_bytes: usize, memory: ResponseMemory) -> Self {
+        Self {
+            idle: Rc::default(),
+            max_body_bytes,
+            memory,
+        }
     }
 
     /// Discards the idle connections to an address.
@@ -229,11 +255,23 @@
                 }
             })?;
         let status = response.status();
-        let body = collect(response.into_body(), timeouts.first_byte_ms).await?;
+        let body = response.into_body();
+        let reading = self.read_body(body, self.max_body_bytes, timeouts.first_byte_ms);
+        let body = reading.await?;
         self.return_to_pool(address, connection);
         Ok((status, body))
     }
 
+    /// Reads a response body of at most `max_bytes`, within a time in all.
+    pub async fn read_body(
+        &self,
+        body: ReceivedBody,
+        max_bytes: usize,
+        timeout_ms: u64,
+    ) -> Result<Bytes, CallError> {
+        self.memory.read_body(body, max_bytes, timeout_ms).await
+    }
+
     /// Sends a JSON request and decodes the JSON response.
     pub async fn call_json<Payload, Answer>(
         &self,
@@ -257,10 +295,8 @@
         let (status, body) = self.call(address, request, timeouts).await?;
         let answer = serde_json::from_slice(&body);
         answer.map(|answer| (status, answer)).map_err(|error| {
-            CallError::NoResponse(format!(
-                "{status}: {error}: {}",
-                String::from_utf8_lossy(&body)
-            ))
+            let quoted = String::from_utf8_lossy(&body[..body.len().min(MAX_QUOTED_BYTES)]);
+            CallError::NoResponse(format!("{status}: {error}: {quoted}"))
         })
     }
 
@@ -276,15 +312,6 @@
     }
 }
 
-async fn collect(body: ReceivedBody, timeout_ms: u64) -> Result<Bytes, CallError> {
-    let collecting = Limited::new(body, MAX_BODY_BYTES).collect();
-    match within_ms(timeout_ms, collecting).await {
-        Some(Ok(collected)) => Ok(collected.to_bytes()),
-        Some(Err(error)) => Err(response_body_error(&*error)),
-        None => Err(CallError::NoResponse("the body took too long".into())),
-    }
-}
-
 /// Converts an error from reading a response body: the connection ended, or the body is invalid.
 pub fn response_body_error(error: &(dyn Error + 'static)) -> CallError {
     match error.downcast_ref::<hyper::Error>() {
--- a/crates/borageshore_net/src/lib.rs
+++ b/crates/borageshore_net/src/lib.rs
@@ -11,6 +11,7 @@
 mod hedge;
 mod memory;
 mod metered;
+mod response_memory;
 mod server;
 
 pub use self::{
@@ -20,6 +21,7 @@
     hedge::hedged,
     memory::{HeldBody, HeldBodyError, MemoryBudget, MemoryLimits},
     metered::ReceivedBody,
+    response_memory::ResponseMemory,
     server::{
         BodyError, EdgeBody, EdgeRequest, EdgeResponse, Handler, HttpServer, ServerLimits,
         StreamBodyError, bind_listener, empty_body, full_body, json_response, read_body,
--- a/crates/borageshore_net/tests/endless.rs
+++ b/crates/borageshore_net/tests/endless.rs
@@ -9,8 +9,8 @@
 };
 
 use borageshore_net::{
-    CallError, EdgeRequest, EdgeResponse, Handler, HttpClient, HttpServer, ServerLimits, Timeouts,
-    full_body, read_body, run_event_loop, sleep_ms, within_ms,
+    CallError, EdgeRequest, EdgeResponse, Handler, HttpClient, HttpServer, ResponseMemory,
+    ServerLimits, Timeouts, full_body, read_body, run_event_loop, sleep_ms, within_ms,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -21,6 +21,8 @@
 const ENDLESS_MS: u64 = 6_000;
 /// What the sockets of both sides may hold, beyond what was read.
 const SOCKETS_BYTES: usize = 16 * 1024 * 1024;
+/// The largest body that the client reads.
+const MAX_BODY_BYTES: usize = 1024 * 1024;
 const TIMEOUTS: Timeouts = Timeouts {
     connect_ms: 500,
     first_byte_ms: 500,
@@ -96,11 +98,11 @@
 
 /// Calls a server that answers without end: the call fails as one without a valid answer, in time, and the server
 /// finds the connection closed.
-fn check_answer(endless: Endless, size_bound_bytes: usize) {
+fn check_answer(endless: Endless) {
     let (address, written_bytes) = serve(endless);
     let started_at = Instant::now();
     run_event_loop(async {
-        let client = HttpClient::open();
+        let client = HttpClient::open_limited(MAX_BODY_BYTES);
         let ticking = monoio::spawn(async {
             let mut longest = Duration::ZERO;
             for _ in 0..20 {
@@ -132,7 +134,7 @@
         started_at.elapsed()
     );
     let taken_bytes = took_bytes(&written_bytes);
-    let most_bytes = size_bound_bytes + SOCKETS_BYTES;
+    let most_bytes = MAX_BODY_BYTES + SOCKETS_BYTES;
     assert!(
         taken_bytes < most_bytes,
         "the client took {taken_bytes} bytes"
@@ -205,7 +207,7 @@
 }
 
 // Guard against answers without end that hold memory, the processor or an attempt until the other side gives up.
-endless! { |endless| check_answer(endless, 0);
+endless! { check_answer;
     answer_of_garbage: "", "\0\x17~ no answer \r\n";
     answer_with_a_status_line_without_end: "HTTP/1.1 200 ", "O";
     answer_with_a_header_without_end: "HTTP/1.1 200 OK\r\nx: ", "y";
@@ -216,9 +218,6 @@
     answer_with_a_chunk_extension_without_end: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;", "x";
     answer_with_an_invalid_chunk: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "body\r\n";
     answer_with_trailers_without_end: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", "x: y\r\n";
-}
-
-endless! { |endless| check_answer(endless, 64 * 1024 * 1024);
     answer_with_a_body_until_the_end: "HTTP/1.1 200 OK\r\n\r\n", "body";
     answer_with_a_huge_length: "HTTP/1.1 200 OK\r\ncontent-length: 99999999999999\r\n\r\n", "body";
     answer_in_chunks: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "4\r\nbody\r\n";
@@ -255,3 +254,65 @@
     });
     assert!(took_bytes(&written_bytes) < SOCKETS_BYTES);
 }
+
+// Guards against a process that runs out of memory when many servers answer without end, and against a small answer
+// that fails beside them.
+#[test]
+fn endless_answers_share_the_memory() {
+    const LIMIT_BYTES: u64 = 8 * 1024 * 1024;
+    let endless = Endless {
+        begin: "HTTP/1.1 200 OK\r\n\r\n",
+        repeat: "body",
+        is_slow: false,
+    };
+    let (address, _written_bytes) = serve(endless);
+    run_event_loop(async {
+        let server = HttpServer::bind("127.0.0.1:0", LIMITS, ReadsBodies).unwrap();
+        let sound = server.address().to_string();
+        let memory = ResponseMemory::within(LIMIT_BYTES);
+        let client = HttpClient::open_within(usize::MAX, memory.clone());
+        let calls: Vec<_> = (0..24)
+            .map(|_| {
+                let (client, address) = (client.clone(), address.clone());
+                monoio::spawn(async move { client.call(&address, request(), TIMEOUTS).await })
+            })
+            .collect();
+        let mut most_bytes = 0;
+        for _ in 0..20 {
+            most_bytes = most_bytes.max(memory.held_bytes());
+            let answered = client.call(&sound, request(), TIMEOUTS).await;
+            assert!(answered.is_ok(), "{answered:?}");
+            sleep_ms(5).await;
+        }
+        for call in calls {
+            let called = call.await;
+            assert!(
+                matches!(called, Err(CallError::NoResponse(_))),
+                "{called:?}"
+            );
+        }
+        assert!(
+            (1..=LIMIT_BYTES).contains(&most_bytes),
+            "{most_bytes} bytes"
+        );
+        assert_eq!(memory.held_bytes(), 0);
+    });
+}
+
+// Guards against log lines of the size of a body that is no answer.
+#[test]
+fn an_error_quotes_little_of_a_body() {
+    let (address, _written_bytes) = serve(Endless {
+        begin: "HTTP/1.1 200 OK\r\ncontent-length: 100000\r\n\r\n",
+        repeat: "no answer",
+        is_slow: false,
+    });
+    run_event_loop(async {
+        let client = HttpClient::open();
+        let called = client
+            .call_json::<_, u64>(&address, "POST", "/", &(), TIMEOUTS)
+            .await;
+        let error = format!("{:?}", called.unwrap_err());
+        assert!(error.contains("no answer") && error.len() < 500, "{error}");
+    });
+}
