Pause the reader of a body in short chunks

answer_in_chunks::flood failed once, beside other load: a sleep of 10 ms took 567 ms. Traced: a quantum of 128 KiB has 20,000 chunks of a byte, and the work for each is far more than for its bytes, so that a few such answers hold the loop for seconds.

Change: the reader of a body pauses after 256 frames as well.

Before: with 16 answers in chunks of one byte the longest sleep of 10 ms was 2.4 s (debug build). After: the new test passes under 0.5 s; the crate's tests pass, the file 4 times in a row beside a load of 24.

--- a/crates/borageshore_net/src/metered.rs
+++ b/crates/borageshore_net/src/metered.rs
@@ -30,6 +30,9 @@
 /// The bytes that may arrive for each byte of content; a chunk of one byte takes 6.
 const BYTES_PER_CONTENT_BYTE: u64 = 8;
 
+/// The number of frames of a body after which its reader pauses as well: in short chunks, a quantum has many of them.
+const FRAMES_QUANTUM: usize = 256;
+
 /// The number of bytes that may still be read of a connection; shared with the body that is being read.
 #[derive(Debug, Clone)]
 pub(crate) struct ReadCredit {
@@ -63,16 +66,40 @@
     }
 }
 
+/// A pause in reading, as a timer.
+#[derive(Debug, Default)]
+struct Pause {
+    sleep: Option<Pin<Box<Sleep>>>,
+}
+
+impl Pause {
+    /// Completes after [`PAUSE_MS`], and starts anew when it is polled again.
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let new_sleep = || Box::pin(sleep(Duration::from_millis(PAUSE_MS)));
+        let sleep = self.sleep.get_or_insert_with(new_sleep);
+        ready!(sleep.as_mut().poll(context));
+        self.sleep = None;
+        Poll::Ready(())
+    }
+}
+
 /// The body of a received message.
 #[derive(Debug)]
 pub struct ReceivedBody {
     body: Incoming,
     credit: ReadCredit,
+    unpaused_frames: usize,
+    pause: Pause,
 }
 
 impl ReceivedBody {
     pub(crate) fn new(body: Incoming, credit: ReadCredit) -> Self {
-        Self { body, credit }
+        Self {
+            body,
+            credit,
+            unpaused_frames: 0,
+            pause: Pause::default(),
+        }
     }
 }
 
@@ -84,7 +111,12 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if self.unpaused_frames >= FRAMES_QUANTUM {
+            ready!(self.pause.poll(context));
+            self.unpaused_frames = 0;
+        }
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        self.unpaused_frames += 1;
         if let Some(Ok(frame)) = &frame {
             self.credit
                 .on_content(frame.data_ref().map_or(0, Bytes::len));
@@ -107,7 +139,7 @@
     io: Io,
     credit: ReadCredit,
     unpaused_bytes: usize,
-    pause: Option<Pin<Box<Sleep>>>,
+    pause: Pause,
 }
 
 impl<Io> MeteredIo<Io> {
@@ -116,7 +148,7 @@
             io,
             credit,
             unpaused_bytes: 0,
-            pause: None,
+            pause: Pause::default(),
         }
     }
 }
@@ -135,11 +167,7 @@
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
         }
         if self.unpaused_bytes >= READ_QUANTUM_BYTES {
-            let pause = self
-                .pause
-                .get_or_insert_with(|| Box::pin(sleep(Duration::from_millis(PAUSE_MS))));
-            ready!(pause.as_mut().poll(context));
-            self.pause = None;
+            ready!(self.pause.poll(context));
             self.unpaused_bytes = 0;
         }
         let filled_bytes = buffer.filled().len();
--- a/crates/borageshore_net/tests/endless.rs
+++ b/crates/borageshore_net/tests/endless.rs
@@ -96,6 +96,17 @@
     written_bytes.recv_timeout(longest).unwrap()
 }
 
+/// The longest of some sleeps of 10 ms.
+async fn longest_pause(sleeps: usize) -> Duration {
+    let mut longest = Duration::ZERO;
+    for _ in 0..sleeps {
+        let before = Instant::now();
+        sleep_ms(10).await;
+        longest = longest.max(before.elapsed());
+    }
+    longest
+}
+
 /// Calls a server that answers without end: the call fails as one without a valid answer, in time, and the server
 /// finds the connection closed.
 fn check_answer(endless: Endless) {
@@ -103,15 +114,7 @@
     let started_at = Instant::now();
     run_event_loop(async {
         let client = HttpClient::open_limited(MAX_BODY_BYTES);
-        let ticking = monoio::spawn(async {
-            let mut longest = Duration::ZERO;
-            for _ in 0..20 {
-                let before = Instant::now();
-                sleep_ms(10).await;
-                longest = longest.max(before.elapsed());
-            }
-            longest
-        });
+        let ticking = monoio::spawn(longest_pause(20));
         let called = client.call(&address, request(), TIMEOUTS).await;
         assert!(
             matches!(called, Err(CallError::NoResponse(_))),
@@ -299,6 +302,25 @@
     });
 }
 
+// Guards against timers that stand still while many servers send bodies in short chunks.
+#[test]
+fn timers_run_beside_many_endless_answers() {
+    let (address, _written_bytes) = serve(Endless {
+        begin: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        repeat: "1\r\nx\r\n",
+        is_slow: false,
+    });
+    run_event_loop(async {
+        let client = HttpClient::open();
+        for _ in 0..16 {
+            let (client, address) = (client.clone(), address.clone());
+            monoio::spawn(async move { client.call(&address, request(), TIMEOUTS).await });
+        }
+        let longest = longest_pause(40).await;
+        assert!(longest < Duration::from_millis(SLACK_MS), "{longest:?}");
+    });
+}
+
 // Guards against log lines of the size of a body that is no answer.
 #[test]
 fn an_error_quotes_little_of_a_body() {
