Hold reward calls for seconds, and clear many in a few rounds

What trainers would see: a harmless reward call that met three crashes and lost its trial to the same burst was held for 10 min, and its item with it; many were tried one after the other.

Cause: the holds are made for callers, who are told when to repeat. Nobody repeats a reward call: its item is owed and waits.

Change: reward calls have holds of 1, 2, 5 and then 10 s. Whoever asks says what the request is, and a claim's record says so too, so that all daemons agree (older ones ignore the field and judge by the longer holds: they then accept fewer claims, which changes their own view only). One reward call is tried at a time, one more with each trial that succeeds, and one again after a trial that crashed its endpoint. A call's trial still excludes all others, also those of reward calls.

Ruled out, by a trial: all reward calls tried at once, calls not excluded. Ruled out without a trial: pacing each by itself like items, which would send the same crashing call of several items three times each.

What remains: a harmless call waits up to 10 s after a burst; each reward call that does crash endpoints costs one every 10 s for as long as its item is owed (10 min and more before).

--- a/crates/borageshore_gateway/src/calls.rs
+++ b/crates/borageshore_gateway/src/calls.rs
@@ -16,7 +16,7 @@
 };
 use borageshore_routing::{
     AttemptEvent, CallTerms, Fingerprint, Idempotent, MAX_RETRY_AFTER_PART, Outcome,
-    RequestAttempts, RetryBudget, Route, RouteKind,
+    RequestAttempts, RequestKind, RetryBudget, Route, RouteKind,
 };
 use borageshore_topology::Residency;
 use bytes::Bytes;
@@ -158,7 +158,11 @@
             content: OnceCell::new(),
             caller_deadline,
         };
-        let permit = match self.quarantine.admit(|| call.content()).await {
+        let permit = match self
+            .quarantine
+            .admit(RequestKind::Call, || call.content())
+            .await
+        {
             Ok(permit) => permit,
             Err(held) => return self.refuse_held(&call, route, held),
         };
--- a/crates/borageshore_gateway/src/quarantine/mod.rs
+++ b/crates/borageshore_gateway/src/quarantine/mod.rs
@@ -20,7 +20,7 @@
 use borageshore_platform::KeyedRecord;
 use borageshore_routing::{
     AbandonedAttempts, Crash, CrashEffect, CrashReport, CrashReports, Fingerprint, HoldDecision,
-    Quarantine as Table,
+    Quarantine as Table, RequestKind,
 };
 use bytes::Bytes;
 use tokio::sync::Notify;
@@ -137,7 +137,11 @@
 
     /// Decides whether a request may be sent, and claims its trial if one is due. `content` is not called while no
     /// request is suspected.
-    pub(crate) async fn admit<Content>(self: &Rc<Self>, content: Content) -> Result<Permit, Held>
+    pub(crate) async fn admit<Content>(
+        self: &Rc<Self>,
+        kind: RequestKind,
+        content: Content,
+    ) -> Result<Permit, Held>
     where
         Content: FnOnce() -> Fingerprint,
     {
@@ -146,21 +150,21 @@
             return Ok(Permit { trial: None });
         }
         let content = content();
-        match self.decision(&content) {
+        match self.decision(kind, &content) {
             HoldDecision::Allowed => Ok(Permit { trial: None }),
             HoldDecision::Held { retry_after_ms } => Err(Held { retry_after_ms }),
-            HoldDecision::TrialDue => self.claim(content).await,
+            HoldDecision::TrialDue => self.claim(kind, content).await,
         }
     }
 
-    /// Waits until a held request may be tried or is cleared, for `max_wait_ms` at most.
+    /// Waits until a held reward call may be tried or is cleared, for `max_wait_ms` at most.
     pub(crate) async fn wait(&self, content: Fingerprint, held: Held, max_wait_ms: u64) {
         let until_ms = self.clock.now_ms().saturating_add(max_wait_ms);
         // Guards against a busy loop: a trial that cannot be claimed stays due.
         sleep_ms(held.retry_after_ms.min(CLAIM_TIMEOUT_MS).min(max_wait_ms)).await;
         loop {
             let remaining_ms = until_ms.saturating_sub(self.clock.now_ms());
-            match self.decision(&content) {
+            match self.decision(RequestKind::RewardCall, &content) {
                 HoldDecision::Held { retry_after_ms } if remaining_ms > 0 => {
                     within_ms(retry_after_ms.min(remaining_ms), self.changed.notified()).await;
                 }
@@ -174,7 +178,7 @@
     where
         Content: FnOnce() -> Fingerprint,
     {
-        self.table.borrow().is_empty() || self.decision(&content()) == HoldDecision::Allowed
+        self.table.borrow().is_empty() || !self.is_held(&content())
     }
 
     /// Watches for endpoints that end without notice; requests whose attempts were abandoned there shortly before are
@@ -223,7 +227,7 @@
             return;
         }
         let content = content();
-        let was_held = self.decision(&content) != HoldDecision::Allowed;
+        let was_held = self.is_held(&content);
         let Some(mut crashes) = self.table.borrow_mut().on_success(&content) else {
             return;
         };
@@ -267,8 +271,14 @@
         self.start_unix_ms + self.clock.now_ms()
     }
 
-    fn decision(&self, content: &Fingerprint) -> HoldDecision {
-        self.table.borrow().decision(content, self.unix_ms())
+    fn decision(&self, kind: RequestKind, content: &Fingerprint) -> HoldDecision {
+        let now_ms = self.unix_ms();
+        self.table.borrow().decision_for(kind, content, now_ms)
+    }
+
+    /// Whether a request is held or due for a trial, which does not depend on its kind.
+    fn is_held(&self, content: &Fingerprint) -> bool {
+        self.decision(RequestKind::Call, content) != HoldDecision::Allowed
     }
 
     fn on_crash(&self, report: CrashReport) -> CrashEffect {
@@ -279,7 +289,7 @@
         let effect = self.table.borrow_mut().on_crash(content, crash);
         if effect == CrashEffect::Held {
             let crashes = self.table.borrow().crashes(&content);
-            log::warn!(content:%, instance = &*instance, crashes, verdict:? = self.decision(&content); "request held back for crashing endpoints");
+            log::warn!(content:%, instance = &*instance, crashes, verdict:? = self.decision(RequestKind::Call, &content); "request held back for crashing endpoints");
             self.instruments.count("quarantine", "held");
         }
         if effect != CrashEffect::Known {
--- a/crates/borageshore_gateway/src/quarantine/records.rs
+++ b/crates/borageshore_gateway/src/quarantine/records.rs
@@ -4,7 +4,7 @@
 
 use borageshore_base::rendezvous_weight;
 use borageshore_platform::KeyedRecord;
-use borageshore_routing::{Crash, CrashReport, Fingerprint};
+use borageshore_routing::{Crash, CrashReport, Fingerprint, RequestKind};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -40,6 +40,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct TrialRecord {
     pub(super) content: Fingerprint,
+    pub(super) kind: RequestKind,
     /// Ordinal of the trial among those of the request, from 1.
     pub(super) number: u64,
     /// Unique id of the claim.
@@ -63,6 +64,8 @@
     claim: Arc<str>,
     state: TrialState,
     at_ms: u64,
+    #[serde(default)]
+    is_reward_call: bool,
 }
 
 /// A crash with its request, as sent from peer to peer.
@@ -82,6 +85,10 @@
             let wire: WireTrial = serde_json::from_slice(value).ok()?;
             QuarantineRecord::Trial(TrialRecord {
                 content,
+                kind: match wire.is_reward_call {
+                    true => RequestKind::RewardCall,
+                    false => RequestKind::Call,
+                },
                 number: wire.number,
                 claim: wire.claim,
                 state: wire.state,
@@ -137,6 +144,7 @@
         claim: trial.claim.clone(),
         state: trial.state,
         at_ms: trial.at_ms,
+        is_reward_call: trial.kind == RequestKind::RewardCall,
     };
     (trial_key(trial.content), encoded(&wire))
 }
--- a/crates/borageshore_gateway/src/quarantine/trials.rs
+++ b/crates/borageshore_gateway/src/quarantine/trials.rs
@@ -4,7 +4,7 @@
 
 use borageshore_net::within_ms;
 use borageshore_platform::{StoreError, Topic};
-use borageshore_routing::{Fingerprint, HoldDecision};
+use borageshore_routing::{Fingerprint, HoldDecision, RequestKind};
 
 use super::{
     CLAIM_TIMEOUT_MS, Held, Quarantine,
@@ -54,11 +54,16 @@
 
 impl Quarantine {
     /// Claims the trial of a request. If several daemons claim it, the one whose record is first in the log wins.
-    pub(super) async fn claim(self: &Rc<Self>, content: Fingerprint) -> Result<Permit, Held> {
+    pub(super) async fn claim(
+        self: &Rc<Self>,
+        kind: RequestKind,
+        content: Fingerprint,
+    ) -> Result<Permit, Held> {
         let count = self.claims.replace(self.claims.get() + 1);
         let (name, incarnation) = self.members.own_identity();
         let trial_record = TrialRecord {
             content,
+            kind,
             number: self.table.borrow().trials(&content) + 1,
             claim: format!("{name}.{incarnation}.{count}").into(),
             state: TrialState::Claimed,
@@ -75,7 +80,7 @@
             self.store
                 .append(Topic::Members, ONLY_PARTITION, &records, None)
                 .await?;
-            while self.decision(&content) == HoldDecision::TrialDue {
+            while self.decision(kind, &content) == HoldDecision::TrialDue {
                 self.changed.notified().await;
             }
             Ok::<(), StoreError>(())
@@ -86,7 +91,7 @@
             self.instruments.count("quarantine", "tried");
             return Ok(Permit { trial: Some(trial) });
         }
-        match self.decision(&content) {
+        match self.decision(kind, &content) {
             HoldDecision::Allowed => Ok(Permit { trial: None }),
             HoldDecision::Held { retry_after_ms } => Err(Held { retry_after_ms }),
             HoldDecision::TrialDue if self.members.is_first_for(&content.to_string()) => {
@@ -110,7 +115,8 @@
         log::info!(content:% = trial_record.content; "trial of a held-back request not claimed in the store; sending the request once without a claim");
         self.instruments.count("quarantine", "tried");
         self.is_store_late.set(true);
-        self.table.borrow_mut().on_claim(
+        self.table.borrow_mut().on_claim_for(
+            trial_record.kind,
             trial_record.content,
             trial_record.claim.clone(),
             trial_record.number,
@@ -148,7 +154,7 @@
         let end_ms = trial.at_ms.min(now_ms);
         match trial.state {
             TrialState::Claimed => {
-                table.on_claim(trial.content, trial.claim, trial.number, now_ms);
+                table.on_claim_for(trial.kind, trial.content, trial.claim, trial.number, now_ms);
             }
             TrialState::Finished => {
                 table.on_trial_finished(&trial.content, &trial.claim, trial.number, end_ms);
--- a/crates/borageshore_gateway/src/rewards/mod.rs
+++ b/crates/borageshore_gateway/src/rewards/mod.rs
@@ -15,7 +15,7 @@
 use borageshore_diagnostics::Instruments;
 use borageshore_net::{Clock, sleep_ms};
 use borageshore_platform::{EndpointClient, OutboundRequest};
-use borageshore_routing::{Fingerprint, RetryBudget};
+use borageshore_routing::{Fingerprint, RequestKind, RetryBudget};
 
 pub(crate) use self::groups::GroupMember;
 use self::{attempt::NoScore, groups::Groups, slots::RewardSlots};
@@ -136,7 +136,8 @@
                 continue;
             };
             let quarantine = &self.parts.quarantine;
-            let permit = match quarantine.admit(|| scoring.content()).await {
+            let kind = RequestKind::RewardCall;
+            let permit = match quarantine.admit(kind, || scoring.content()).await {
                 Ok(permit) => permit,
                 Err(held) => {
                     let now_ms = self.parts.clock.now_ms();
--- a/crates/borageshore_routing/src/lib.rs
+++ b/crates/borageshore_routing/src/lib.rs
@@ -51,7 +51,7 @@
         CallTerms, LoadSummary, MAX_RETRY_AFTER_PART, OverloadControl, OverloadDecision,
         OverloadReason,
     },
-    quarantine::{Crash, CrashEffect, HoldDecision, Quarantine},
+    quarantine::{Crash, CrashEffect, HoldDecision, Quarantine, RequestKind},
     registry::{EndpointRegistry, EntryEffect},
     request_attempts::RequestAttempts,
     residency::{UnservableRoute, regions_without_zones, residencies, unservable_routes},
--- a/crates/borageshore_routing/src/quarantine.rs
+++ b/crates/borageshore_routing/src/quarantine.rs
@@ -21,6 +21,9 @@
 /// endpoints to one trial a day. A request that crashes its endpoints has three trials in the first seven hours, and
 /// one a day after that.
 const HOLD_STEPS_MS: [u64; 6] = [1_000, 10_000, 600_000, HOUR_MS, 6 * HOUR_MS, 24 * HOUR_MS];
+/// The same for reward calls, which accepted items wait for: one that met crashes by coincidence is tried again within
+/// 10 s, and one that crashes its endpoints has at most three trials in any 15 s after the first.
+const REWARD_HOLD_STEPS_MS: [u64; 6] = [1_000, 2_000, 5_000, 10_000, 10_000, 10_000];
 const HOUR_MS: u64 = 3_600_000;
 /// Time after the last crash at which a suspicion expires. Callers repeat a failed request
 /// within minutes.
@@ -38,11 +41,33 @@
 /// The maximum number of trials that do not count because another request crashed the same endpoint. Without a limit, a
 /// request that does crash endpoints could be tried without end.
 const MAX_UNCOUNTED_SHARED_TRIALS: u64 = 1;
+/// The maximum number of trials of reward calls at the same time. It starts at one, grows by one with each that succeeds
+/// and returns to one when one crashes its endpoint: many harmless calls that met a burst of crashes are cleared in a few
+/// rounds, and many that crash endpoints are tried one after the other.
+const MAX_REWARD_TRIALS: usize = 64;
 /// Capacity of the quarantine in requests. Sized for 680 daemons with 240 VM failures a day over seven hours.
 const MAX_ENTRIES: usize = 4_096;
 /// Crashes that are kept for each request. Those of its trials are always kept.
 const MAX_CRASHES: usize = 8;
 
+/// What a request is, which decides how long it is held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestKind {
+    /// A caller's request. It may crash endpoints by itself, and its caller is told when to repeat it.
+    Call,
+    /// The reward call of an accepted item.
+    RewardCall,
+}
+
+impl RequestKind {
+    fn hold_steps_ms(self) -> [u64; 6] {
+        match self {
+            RequestKind::Call => HOLD_STEPS_MS,
+            RequestKind::RewardCall => REWARD_HOLD_STEPS_MS,
+        }
+    }
+}
+
 /// The crash of an endpoint while it ran a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Crash {
@@ -97,7 +122,7 @@
 
     /// The end of the hold, or `None` if the request is only suspected. `shared_trials` is the number of trials whose
     /// endpoint another request crashed at the same time; they prove nothing.
-    fn held_until_ms(&self, shared_trials: u64) -> Option<u64> {
+    fn held_until_ms(&self, kind: RequestKind, shared_trials: u64) -> Option<u64> {
         if !self.is_held() {
             return None;
         }
@@ -106,7 +131,8 @@
             .trials
             .saturating_sub(shared_trials.min(MAX_UNCOUNTED_SHARED_TRIALS));
         let step = (counted_trials.max(failed) + failed) as usize;
-        let hold_ms = HOLD_STEPS_MS[step.min(HOLD_STEPS_MS.len() - 1)];
+        let steps_ms = kind.hold_steps_ms();
+        let hold_ms = steps_ms[step.min(steps_ms.len() - 1)];
         let until_ms = self.last_crash_ms().max(self.last_trial_ms) + hold_ms;
         Some(until_ms.max(self.no_trial_before_ms))
     }
@@ -122,23 +148,30 @@
     }
 
     fn expires_at_ms(&self) -> u64 {
-        match self.held_until_ms(0) {
+        match self.held_until_ms(RequestKind::Call, 0) {
             Some(until_ms) => until_ms + HELD_RETENTION_MS,
             None => self.last_crash_ms() + SUSPICION_MS,
         }
     }
 }
 
-/// The trial in progress: a single send of a held request to see whether it still crashes endpoints.
+/// A trial in progress: a single send of a held request to see whether it still crashes endpoints.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Trial {
     content: Fingerprint,
+    kind: RequestKind,
     claim: Arc<str>,
     started_at_ms: u64,
     /// When the trial before this one started or ended.
     previous_trial_ms: u64,
 }
 
+impl Trial {
+    fn times_out_at_ms(&self) -> u64 {
+        self.started_at_ms + TRIAL_TIMEOUT_MS
+    }
+}
+
 /// The requests that are suspected of crashing endpoints, as reported by all daemons.
 ///
 /// Guards against a request that is repeated at any daemon and crashes one endpoint after another until none
@@ -146,8 +179,10 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     entries: SortedMap<Fingerprint, Entry>,
-    /// At most one at a time: if two requests share an endpoint that crashes, either may be the cause.
-    trial: Option<Trial>,
+    /// No other beside one of a call: if two requests share an endpoint that crashes, either may be the cause.
+    trials: Vec<Trial>,
+    /// Reward calls beyond the first one that may be tried at the same time.
+    extra_reward_trials: usize,
 }
 
 impl Quarantine {
@@ -181,9 +216,12 @@
         if is_known || is_over_limit {
             return CrashEffect::Known;
         }
+        let is_failed_trial = crash.is_trial;
         entry.crashes.push(crash);
         let is_held = entry.is_held();
-        self.end_trial(&content);
+        if self.end_trial(&content) == Some(RequestKind::RewardCall) && is_failed_trial {
+            self.extra_reward_trials = 0;
+        }
         match is_held {
             true => CrashEffect::Held,
             false => CrashEffect::Suspected,
@@ -193,46 +231,87 @@
     /// Records that a request succeeded, which clears it. Returns the crashes that had been counted against
     /// it, or `None` if it was not suspected.
     pub fn on_success(&mut self, content: &Fingerprint) -> Option<Vec<Crash>> {
-        self.end_trial(content);
+        if self.end_trial(content) == Some(RequestKind::RewardCall) {
+            let extra = self.extra_reward_trials + 1;
+            self.extra_reward_trials = extra.min(MAX_REWARD_TRIALS - 1);
+        }
         Some(self.entries.remove(content)?.crashes)
     }
 
-    /// Returns whether a request may be sent now.
+    /// Returns whether a call may be sent now.
     pub fn decision(&self, content: &Fingerprint, now_ms: u64) -> HoldDecision {
+        self.decision_for(RequestKind::Call, content, now_ms)
+    }
+
+    /// Returns whether a request may be sent now.
+    pub fn decision_for(
+        &self,
+        kind: RequestKind,
+        content: &Fingerprint,
+        now_ms: u64,
+    ) -> HoldDecision {
         let entry = self.entries.get(content);
         let held_until_ms =
-            entry.map(|entry| entry.held_until_ms(self.shared_trials(content, entry)));
+            entry.map(|entry| entry.held_until_ms(kind, self.shared_trials(content, entry)));
         let Some(until_ms) = held_until_ms.flatten() else {
             return HoldDecision::Allowed;
         };
-        // A trial in progress, also that of another request, delays all others.
-        let trial = self
-            .trial
-            .as_ref()
-            .map_or(0, |trial| trial.started_at_ms + TRIAL_TIMEOUT_MS);
-        match until_ms.max(trial).checked_sub(now_ms) {
+        let until_ms = until_ms.max(self.trials_until_ms(kind, content, now_ms));
+        match until_ms.checked_sub(now_ms) {
             Some(retry_after_ms) if retry_after_ms > 0 => HoldDecision::Held { retry_after_ms },
             _ => HoldDecision::TrialDue,
         }
     }
 
+    /// How long trials in progress, also those of other requests, delay one of a request.
+    fn trials_until_ms(&self, kind: RequestKind, content: &Fingerprint, now_ms: u64) -> u64 {
+        let is_exclusive = |trial: &&Trial| {
+            kind == RequestKind::Call
+                || trial.kind == RequestKind::Call
+                || trial.content == *content
+        };
+        let exclusive = self.trials.iter().filter(is_exclusive);
+        let exclusive_until_ms = exclusive.map(Trial::times_out_at_ms).max().unwrap_or(0);
+        let all = self.trials.iter().map(Trial::times_out_at_ms);
+        let mut running: Vec<u64> = all.filter(|until_ms| now_ms < *until_ms).collect();
+        running.sort_unstable();
+        let surplus = running.len().checked_sub(1 + self.extra_reward_trials);
+        let place_free_at_ms = surplus.map_or(0, |surplus| running[surplus]);
+        exclusive_until_ms.max(place_free_at_ms)
+    }
+
     /// The number of trials of a request so far.
     pub fn trials(&self, content: &Fingerprint) -> u64 {
         let entry = self.entries.get(content);
         entry.map_or(0, |entry| entry.trials)
     }
 
-    /// Records that a daemon claims trial `number` of a request. The first of several claims wins.
+    /// Records that a daemon claims trial `number` of a call. The first of several claims wins.
     pub fn on_claim(&mut self, content: Fingerprint, claim: Arc<str>, number: u64, now_ms: u64) {
-        if self.decision(&content, now_ms) != HoldDecision::TrialDue {
+        self.on_claim_for(RequestKind::Call, content, claim, number, now_ms);
+    }
+
+    /// Records that a daemon claims trial `number` of a request. The first of several claims wins.
+    pub fn on_claim_for(
+        &mut self,
+        kind: RequestKind,
+        content: Fingerprint,
+        claim: Arc<str>,
+        number: u64,
+        now_ms: u64,
+    ) {
+        if self.decision_for(kind, &content, now_ms) != HoldDecision::TrialDue {
             return;
         }
         let entry = self.entries.get(&content);
-        self.trial = Some(Trial {
+        let previous_trial_ms = entry.map_or(0, |entry| entry.last_trial_ms);
+        self.trials.retain(|trial| now_ms < trial.times_out_at_ms());
+        self.trials.push(Trial {
             content,
+            kind,
             claim,
             started_at_ms: now_ms,
-            previous_trial_ms: entry.map_or(0, |entry| entry.last_trial_ms),
+            previous_trial_ms,
         });
         self.count_trial(&content, number, now_ms);
     }
@@ -245,10 +324,9 @@
         number: u64,
         now_ms: u64,
     ) {
-        let trial = self.trial.as_ref();
         let is_another = |trial: &Trial| trial.content == *content && &*trial.claim != claim;
         // A late report of an earlier trial must not end the current one.
-        if trial.is_some_and(is_another) {
+        if self.trials.iter().any(is_another) {
             return;
         }
         self.end_trial(content);
@@ -258,9 +336,10 @@
     /// Records that a claimed trial was not sent, because no endpoint was available or its caller's deadline
     /// had passed.
     pub fn on_trial_cancelled(&mut self, content: &Fingerprint, claim: &str, now_ms: u64) {
-        let Some(trial) = self.trial.take_if(|trial| &*trial.claim == claim) else {
+        let Some(at) = self.trials.iter().position(|trial| &*trial.claim == claim) else {
             return;
         };
+        let trial = self.trials.remove(at);
         if let Some(entry) = self.entries.get_mut(content) {
             entry.trials = entry.trials.saturating_sub(1);
             entry.last_trial_ms = trial.previous_trial_ms;
@@ -277,14 +356,18 @@
         }
     }
 
-    /// Returns whether the trial in progress belongs to a claim.
+    /// Returns whether a trial in progress belongs to a claim.
     pub fn has_trial(&self, claim: &str) -> bool {
-        let trial = self.trial.as_ref();
-        trial.is_some_and(|trial| &*trial.claim == claim)
+        self.trials.iter().any(|trial| &*trial.claim == claim)
     }
 
-    fn end_trial(&mut self, content: &Fingerprint) {
-        self.trial.take_if(|trial| trial.content == *content);
+    /// Ends the trial of a request; returns the request's kind if there was one.
+    fn end_trial(&mut self, content: &Fingerprint) -> Option<RequestKind> {
+        let at = self
+            .trials
+            .iter()
+            .position(|trial| trial.content == *content)?;
+        Some(self.trials.remove(at).kind)
     }
 
     /// Removes the requests whose retention is over and returns them with their crashes.
--- a/crates/borageshore_routing/tests/quarantine.rs
+++ b/crates/borageshore_routing/tests/quarantine.rs
@@ -1,10 +1,10 @@
 //! Requests that crash their endpoints are held, those that only share an endpoint with them are not.
 
-use std::sync::Arc;
+use std::{ops::Range, sync::Arc};
 
 use borageshore_routing::{
     AbandonedAttempts, Crash, CrashEffect, CrashReport, CrashReports, Fingerprint, HoldDecision,
-    Quarantine, RequestContent,
+    Quarantine, RequestContent, RequestKind,
 };
 
 const FIRST_HOLD_MS: u64 = 1_000;
@@ -40,6 +40,20 @@
     quarantine
 }
 
+/// Claims the trials of all reward calls that are due; returns their numbers.
+fn claim_due(quarantine: &mut Quarantine, numbers: Range<u64>, now_ms: u64) -> Vec<u64> {
+    let kind = RequestKind::RewardCall;
+    let mut claimed = Vec::new();
+    for number in numbers {
+        if quarantine.decision_for(kind, &content(number), now_ms) == HoldDecision::TrialDue {
+            let claim = format!("vm-{number}").into();
+            quarantine.on_claim_for(kind, content(number), claim, 1, now_ms);
+            claimed.push(number);
+        }
+    }
+    claimed
+}
+
 macro_rules! cases {
     ($($name:ident => $body:block)*) => {
         $(#[test] fn $name() $body)*
@@ -206,6 +220,90 @@
         assert_eq!(quarantine.decision(&content(1), due_ms + 2), HoldDecision::TrialDue);
     }
 
+    // Harmless reward calls that met the same crashes are cleared one after the other.
+    reward_calls_that_met_the_same_crashes_are_cleared_in_few_rounds => {
+        let mut quarantine = Quarantine::default();
+        for number in 0..50 {
+            for instance in 1..=3 {
+                quarantine.on_crash(content(number), crash(instance, 990 + 10 * instance));
+            }
+        }
+        let due_ms = 1_020 + FIRST_HOLD_MS;
+        let mut rounds = 0;
+        while !quarantine.is_empty() {
+            let tried = claim_due(&mut quarantine, 0..50, due_ms + rounds);
+            for number in &tried {
+                quarantine.on_success(&content(*number));
+            }
+            rounds += 1;
+        }
+        assert!(rounds <= 7, "{rounds}");
+    }
+
+    // Many reward calls that do crash endpoints are tried at once and crash all of a service.
+    reward_calls_whose_trials_crash_are_tried_one_at_a_time => {
+        let mut quarantine = Quarantine::default();
+        for number in 0..50 {
+            for instance in 1..=3 {
+                quarantine.on_crash(content(number), crash(instance, 990 + 10 * instance));
+            }
+        }
+        let due_ms = 1_020 + FIRST_HOLD_MS;
+        for _ in 0..3 {
+            for number in claim_due(&mut quarantine, 0..25, due_ms) {
+                quarantine.on_success(&content(number));
+            }
+        }
+        let tried = claim_due(&mut quarantine, 0..50, due_ms + 1);
+        assert_eq!(tried.len(), 8);
+        for number in &tried {
+            quarantine.on_crash(content(*number), Crash { is_trial: true, ..crash(4 + number, due_ms + 2) });
+        }
+        assert_eq!(claim_due(&mut quarantine, 0..50, due_ms + 3).len(), 1);
+    }
+
+    // A call's trial shares an endpoint with that of a reward call, so that either may have crashed it.
+    calls_and_reward_calls_are_not_tried_at_once => {
+        let mut quarantine = crashed(1, 3);
+        for instance in 1..=3 {
+            quarantine.on_crash(content(2), crash(instance, 1_000));
+        }
+        let due_ms = 1_020 + FIRST_HOLD_MS;
+        assert_eq!(claim_due(&mut quarantine, 2..3, due_ms), [2]);
+        assert!(matches!(quarantine.decision(&content(1), due_ms), HoldDecision::Held { .. }));
+        quarantine.on_success(&content(2));
+        quarantine.on_claim(content(1), "vm-1".into(), 1, due_ms);
+        for instance in 1..=3 {
+            quarantine.on_crash(content(2), crash(instance, 1_000));
+        }
+        assert!(claim_due(&mut quarantine, 2..3, due_ms).is_empty());
+    }
+
+    // A harmless reward call is held for minutes once a trial was lost to a burst of crashes, or one that crashes its
+    // endpoints is sent more than three times after these are known.
+    a_reward_call_is_held_for_seconds_but_seldom_sent => {
+        let mut quarantine = crashed(1, 3);
+        let kind = RequestKind::RewardCall;
+        let (mut now_ms, mut sent_at_ms) = (1_020, Vec::new());
+        while now_ms < 1_020 + 15_000 {
+            match quarantine.decision_for(kind, &content(1), now_ms) {
+                HoldDecision::Held { retry_after_ms } => {
+                    assert!(retry_after_ms <= 10_000);
+                    now_ms += retry_after_ms;
+                }
+                _ => {
+                    sent_at_ms.push(now_ms);
+                    let number = sent_at_ms.len() as u64;
+                    quarantine.on_claim_for(kind, content(1), "vm-1".into(), number, now_ms);
+                    quarantine.on_crash(content(1), Crash { is_trial: true, ..crash(3 + number, now_ms) });
+                    quarantine.on_trial_finished(&content(1), "vm-1", number, now_ms);
+                }
+            }
+        }
+        let later = sent_at_ms.iter().filter(|at_ms| **at_ms > 1_020 + 3_000);
+        assert!(later.count() <= 3, "{sent_at_ms:?}");
+    }
+
     // Guards against blocking all trials after the daemon that claimed one was killed.
     a_trial_without_an_outcome_ends => {
         let mut quarantine = crashed(1, 3);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -295,6 +295,15 @@
         assert!(report.submissions >= 3, "{}", report.submissions);
     }
 
+    // Harmless reward calls that met crashes together are held for minutes, and so are their items.
+    reward_calls_under_which_endpoints_crash_are_scored_after_the_crashes => {
+        let options = SoakOptions { services: 4, has_crashing_rewards: true, ..options(86, Script::Timed(Vec::new())) };
+        // A hold of 10 s and a trial.
+        let options = SoakOptions { crash_until_ms: Some(8_000), result_bound_ms: 11_000, ..options };
+        let report = play(&SoakOptions { duration_ms: 20_000, ..options });
+        assert!(report.crashed_endpoints >= 3, "{}", report.crashed_endpoints);
+    }
+
     // A call that is held back crashes endpoints again after all daemons have restarted.
     what_is_held_back_outlasts_a_stop_of_all_daemons => {
         let script = Script::Timed(vec![(4_000, TimedFault::KillAllMidGeneration), (5_500, TimedFault::KillHolder)]);
