Play servers that write bytes without end in the soak

A proxy before an endpoint, an engine or the store closes its connections and answers new ones without end: garbage, interim responses, a body, or comments of an event stream, one form after the other. The new case runs daemons with 120 MB.

The report of a run is made before the daemons are killed, as it reads their memory.

--- a/crates/borageshore_soak/src/daemons.rs
+++ b/crates/borageshore_soak/src/daemons.rs
@@ -68,6 +68,8 @@
         let (metrics, peers) = (free_address()?, free_address()?);
         let limit = |mb: f64| format!("store_read_mb_per_s: {mb}\n");
         let store_limit = options.store_read_mb_per_s.map(limit).unwrap_or_default();
+        let memory = |mb: u64| format!("memory_mb: {mb}\n");
+        let memory_limit = options.memory_mb.map(memory).unwrap_or_default();
         let kinds = if options.endpoint_orders {
             "  kinds: [usage, scale]\n"
         } else {
@@ -84,7 +86,7 @@
              store_partitions: 2\naddress_ttl_s: {ADDRESS_TTL_S}\nstop_grace_s: {STOP_GRACE_S}\nresults_kept_s: {}\norder_lease_ms: 3000\n\
              parallel_loads_percent: 50\nload_share_percent: 50\nkey_revocation_ms: {REVOCATION_MS}\n\
              duties:\n  address: {duties}\n{kinds}  usage_window_s: {WINDOW_S}\n  usage_late_s: {REPORT_DUE_S}\n\
-             features: [{}]\nmechanisms_off: [{}]\ndeployment: soak\n{}",
+             features: [{}]\nmechanisms_off: [{}]\ndeployment: soak\n{}{memory_limit}",
             store.address(),
             options.results_kept_s,
             options.features.join(", "),
@@ -137,6 +139,17 @@
         }
     }
 
+    /// The most memory that the process has used; 0 if it does not run.
+    pub(crate) fn most_memory_kb(&self) -> u64 {
+        let id = self.child.borrow().as_ref().map(Child::id);
+        let status = id.and_then(|id| std::fs::read_to_string(format!("/proc/{id}/status")).ok());
+        let most = status.as_deref().and_then(|status| {
+            let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+            line.split_whitespace().nth(1)?.parse().ok()
+        });
+        most.unwrap_or(0)
+    }
+
     /// Sends a signal to the process if it is running.
     pub(crate) fn signal(&self, signal: Signal) {
         if !self.is_running() {
--- a/crates/borageshore_soak/src/lib.rs
+++ b/crates/borageshore_soak/src/lib.rs
@@ -75,6 +75,12 @@
     ForeignEntry,
     /// The first endpoint of the plain service receives no requests and sends no responses.
     SilentService,
+    /// The first endpoint of the plain service writes bytes without end.
+    EndlessService,
+    /// The first engine writes bytes without end.
+    EndlessEngine,
+    /// The store writes bytes without end to the first daemon.
+    EndlessStore,
     /// The store answers no request.
     StoreOutage,
     /// The store answers no request for longer than a revoked key may be accepted.
@@ -155,6 +161,8 @@
     pub mechanisms_off: Vec<&'static str>,
     /// Megabytes a second that the daemons are told the store's reads return; few make them read from each other.
     pub store_read_mb_per_s: Option<f64>,
+    /// The memory that the daemons are told they may use.
+    pub memory_mb: Option<u64>,
     /// Whether all items generate many events.
     pub long_generations: bool,
     /// Whether each text of the trainer must come from one version of the weights.
@@ -196,6 +204,7 @@
             features: Vec::new(),
             mechanisms_off: Vec::new(),
             store_read_mb_per_s: None,
+            memory_mb: None,
             long_generations: false,
             single_version: false,
             endpoint_orders: false,
@@ -290,6 +299,10 @@
     pub given_up: usize,
     /// Requests of observers that were answered, and all.
     pub observations: (usize, usize),
+    /// Connections that were answered without end.
+    pub endless_answers: usize,
+    /// The most memory that a daemon that runs at the end has used.
+    pub most_memory_kb: u64,
     /// What was seen of regions.
     pub regions: RegionReport,
     /// Violated guarantees.
--- a/crates/borageshore_soak/src/world.rs
+++ b/crates/borageshore_soak/src/world.rs
@@ -193,10 +193,19 @@
     crashes::check_crash_bound(&oracle, calls.collect(), options.crash_after_ms);
     let items = engines.iter().flat_map(PlatformEngine::crashing_requests);
     crashes::check_item_pace(&oracle, items.collect());
+    let report = report(options, &traffic, &targets, &oracle);
     for daemon in &targets.daemons {
         daemon.signal(Signal::KILL);
     }
-    Ok(report(options, &traffic, &targets, &oracle))
+    Ok(report)
+}
+
+fn endless_answers(targets: &Targets) -> usize {
+    let engines = targets.engines.iter().map(|(_, proxy)| proxy);
+    let services = targets.services.iter().map(|(_, proxy)| proxy);
+    let stores = targets.daemons.iter().map(|daemon| &daemon.store);
+    let proxies = engines.chain(services).chain(stores);
+    proxies.map(Proxy::endless_answers).sum()
 }
 
 fn crashed_endpoints(targets: &Targets) -> usize {
@@ -414,6 +423,13 @@
         given_up: given_up(&submissions),
         observations: oracle.observations.get(),
         regions: oracle.regions.borrow().clone(),
+        endless_answers: endless_answers(targets),
+        most_memory_kb: targets
+            .daemons
+            .iter()
+            .map(DaemonProcess::most_memory_kb)
+            .max()
+            .unwrap_or(0),
         violations,
     }
 }
--- a/crates/borageshore_standins/src/platform/proxy.rs
+++ b/crates/borageshore_standins/src/platform/proxy.rs
@@ -21,6 +21,19 @@
 /// Interval at which a stalled connection checks whether it may continue.
 const RECHECK_INTERVAL_MS: u64 = 20;
 
+/// The forms of answers without end, each a beginning and what is repeated.
+const ENDLESS_RESPONSES: [(&str, &str); 4] = [
+    ("", "no answer at all "),
+    ("", "HTTP/1.1 102 Processing\r\n\r\n"),
+    ("HTTP/1.1 200 OK\r\nx-server-stamp: x\r\n\r\n", "body"),
+    (
+        "HTTP/1.1 200 OK\r\nx-weight-versions: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+        "4\r\n:\n\n\n\r\n",
+    ),
+];
+/// The pause of an answer without end after each chunk, which leaves time for other work.
+const ENDLESS_PAUSE_MS: u64 = 2;
+
 const UNAVAILABLE_RESPONSE: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
@@ -39,6 +52,8 @@
     Reset,
     /// Closes open connections and answers requests on new ones with 503.
     Busy,
+    /// Closes open connections, and writes bytes without end to new ones until they are closed.
+    Endless,
 }
 
 #[derive(Debug)]
@@ -53,6 +68,7 @@
     /// Bytes to look for in responses, and how often they were forwarded.
     marker: RefCell<Vec<u8>>,
     markers_seen: Cell<usize>,
+    endless_answers: Cell<usize>,
 }
 
 impl Shared {
@@ -95,6 +111,7 @@
             generation: Cell::new(0),
             marker: RefCell::default(),
             markers_seen: Cell::new(0),
+            endless_answers: Cell::new(0),
         });
         monoio::spawn(accept(listener, shared.clone()));
         Ok(Self { shared })
@@ -130,6 +147,11 @@
         self.shared.marker.replace(marker.into());
     }
 
+    /// The number of connections that were answered without end.
+    pub fn endless_answers(&self) -> usize {
+        self.shared.endless_answers.get()
+    }
+
     /// How often responses contained the bytes of [`Proxy::look_for`].
     pub fn markers_seen(&self) -> usize {
         self.shared.markers_seen.get()
@@ -159,6 +181,13 @@
             monoio::spawn(answer_unavailable(caller));
             continue;
         }
+        if shared.mode.get() == ProxyMode::Endless {
+            let number = shared.endless_answers.get();
+            shared.endless_answers.set(number + 1);
+            let form = ENDLESS_RESPONSES[number % ENDLESS_RESPONSES.len()];
+            monoio::spawn(answer_endlessly(caller, form));
+            continue;
+        }
         let target = shared.target;
         let shared = shared.clone();
         monoio::spawn(async move {
@@ -176,6 +205,18 @@
     }
 }
 
+async fn answer_endlessly(mut caller: TcpStream, (begin, repeat): (&str, &str)) {
+    let (read, _) = caller.read(vec![0_u8; CHUNK_BYTES]).await;
+    let mut written = read.map(|_| ());
+    let mut block = begin.to_owned();
+    while written.is_ok() {
+        block.push_str(&repeat.repeat(CHUNK_BYTES / repeat.len()));
+        let bytes = std::mem::take(&mut block).into_bytes();
+        written = caller.write_all(bytes).await.0.map(|_| ());
+        sleep_ms(ENDLESS_PAUSE_MS).await;
+    }
+}
+
 async fn relay(caller: TcpStream, target: TcpStream, shared: Rc<Shared>) {
     let _ = (caller.set_nodelay(true), target.set_nodelay(true));
     let generation = shared.generation.get();
@@ -216,7 +257,7 @@
         loop {
             let is_stalled = shared.generation.get() != generation;
             match shared.mode.get() {
-                ProxyMode::Reset | ProxyMode::Busy => return,
+                ProxyMode::Reset | ProxyMode::Busy | ProxyMode::Endless => return,
                 ProxyMode::Delay(ms) if !is_stalled => {
                     sleep_ms(ms).await;
                     break;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -105,6 +105,23 @@
         assert!(report.results >= 3 * 15, "{}", report.results);
     }
 
+    // Callers and trainers go without answers, or a daemon out of memory, while servers write bytes without end.
+    servers_that_answer_without_end_stop_nobody => {
+        let script = vec![
+            (1_000, TimedFault::EndlessService),
+            (3_500, TimedFault::EndlessEngine),
+            (6_000, TimedFault::EndlessStore),
+        ];
+        let memory_mb = Some(120);
+        let options = SoakOptions { services: 4, memory_mb, ..options(78, Script::Timed(script)) };
+        let report = play(&options);
+        assert!(report.endless_answers > 10, "{}", report.endless_answers);
+        assert!((1..120 * 1024).contains(&report.most_memory_kb), "{} kB", report.most_memory_kb);
+        let unanswered = report.calls - report.calls_answered;
+        assert!(unanswered * 20 < report.calls, "{unanswered} of {}", report.calls);
+        assert!(report.submissions >= 3, "{}", report.submissions);
+    }
+
     // A trainer waits forever for a step whose daemon was killed.
     the_daemon_that_runs_a_step_is_killed => {
         let script = vec![(1_500, TimedFault::KillHolder), (4_500, TimedFault::KillHolder)];
