Pause loops that receive datagrams or accept connections

While datagrams arrive faster than they are handled, a daemon does nothing else, sends no heartbeat and is taken for dead.

Change: these loops pause for 1 ms after 64 messages.

--- a/crates/borageshore_daemon/src/gossip.rs
+++ b/crates/borageshore_daemon/src/gossip.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, rc::Rc, sync::Arc};
 
 use borageshore_membership::{GOSSIP_INTERVAL_MS, GossipMessage};
-use borageshore_net::sleep_ms;
+use borageshore_net::{ReceivePace, sleep_ms};
 use borageshore_wire::{
     MembersReply, MembersRequest, PeerReply, PeerRequest, WireGossip, decode, encode,
     gossip_from_wire, gossip_to_wire, member_from_wire, member_to_wire,
@@ -73,7 +73,9 @@
 
 async fn receive_loop(daemon: Rc<Daemon>, socket: Rc<UdpSocket>, key: [u8; 32]) {
     let mut buffer = vec![0_u8; DATAGRAM_BYTES];
+    let mut pace = ReceivePace::default();
     loop {
+        pace.on_message().await;
         let (received, returned) = socket.recv_from(buffer).await;
         buffer = returned;
         let Ok((length, _)) = received else {
--- a/crates/borageshore_daemon/src/peer_server.rs
+++ b/crates/borageshore_daemon/src/peer_server.rs
@@ -3,7 +3,7 @@
 use std::{io, rc::Rc};
 
 use borageshore_base::{Fault, ResultCode};
-use borageshore_net::{bind_listener, read_frame, sleep_ms, within_ms, write_frame};
+use borageshore_net::{ReceivePace, bind_listener, read_frame, sleep_ms, within_ms, write_frame};
 use borageshore_wire::{
     CallReply, FollowReply, MAX_FRAME_BYTES, PeerReply, PeerRequest, PullReply, SampleReply,
     decode, encode,
@@ -25,7 +25,9 @@
 }
 
 async fn accept_loop(daemon: Rc<Daemon>, listener: TcpListener) {
+    let mut pace = ReceivePace::default();
     loop {
+        pace.on_message().await;
         match listener.accept().await {
             Ok((stream, _)) => {
                 monoio::spawn(serve(daemon.clone(), stream));
--- a/crates/borageshore_gateway/src/watch.rs
+++ b/crates/borageshore_gateway/src/watch.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, rc::Rc, sync::Arc};
 
 use borageshore_membership::HEARTBEAT_INTERVAL_MS;
-use borageshore_net::sleep_ms;
+use borageshore_net::{ReceivePace, sleep_ms};
 use borageshore_wire::{WireHeartbeat, decode, encode};
 use monoio::net::udp::UdpSocket;
 
@@ -71,7 +71,9 @@
 
     async fn receive(self: Rc<Self>) {
         let mut buffer = vec![0_u8; DATAGRAM_BYTES];
+        let mut pace = ReceivePace::default();
         loop {
+            pace.on_message().await;
             let (received, returned) = self.socket.recv_from(buffer).await;
             buffer = returned;
             match received {
--- a/crates/borageshore_net/src/event_loop.rs
+++ b/crates/borageshore_net/src/event_loop.rs
@@ -7,6 +7,9 @@
 
 use monoio::{LegacyDriver, RuntimeBuilder};
 
+/// The messages after which a loop that receives them pauses.
+const MESSAGES_QUANTUM: usize = 64;
+
 /// Runs a future to completion on an epoll event loop.
 ///
 /// Selects monoio's legacy driver explicitly: `monoio::main` and the fusion driver prefer io_uring,
@@ -25,6 +28,23 @@
     monoio::time::sleep(Duration::from_millis(duration_ms)).await;
 }
 
+/// Pauses a loop that handles what others send: an operation that completes at once lets no other task run, and the event
+/// loop checks no timer while any task can.
+#[derive(Debug, Default)]
+pub struct ReceivePace {
+    received: usize,
+}
+
+impl ReceivePace {
+    /// Counts a message, and pauses after each [`MESSAGES_QUANTUM`].
+    pub async fn on_message(&mut self) {
+        self.received += 1;
+        if self.received.is_multiple_of(MESSAGES_QUANTUM) {
+            sleep_ms(1).await;
+        }
+    }
+}
+
 /// Waits for a future; returns `None` if it does not complete within the duration.
 pub async fn within_ms<Work>(duration_ms: u64, work: Work) -> Option<Work::Output>
 where
--- a/crates/borageshore_net/src/lib.rs
+++ b/crates/borageshore_net/src/lib.rs
@@ -16,7 +16,7 @@
 
 pub use self::{
     client::{CallError, Connection, HttpClient, Timeouts, response_body_error, response_error},
-    event_loop::{Clock, Deadline, boot_time_ms, run_event_loop, sleep_ms, within_ms},
+    event_loop::{Clock, Deadline, ReceivePace, boot_time_ms, run_event_loop, sleep_ms, within_ms},
     frame::{FrameError, read_frame, write_frame},
     hedge::hedged,
     memory::{HeldBody, HeldBodyError, MemoryBudget, MemoryLimits},
--- a/crates/borageshore_net/src/server.rs
+++ b/crates/borageshore_net/src/server.rs
@@ -27,7 +27,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    event_loop::{sleep_ms, within_ms},
+    event_loop::{ReceivePace, sleep_ms, within_ms},
     memory::{AccountedIo, ConnectionAccount, MemoryBudget},
     metered::{MeteredIo, ReadCredit, ReceivedBody},
 };
@@ -187,7 +187,9 @@
     Service: Handler + 'static,
 {
     let shared = &server.shared;
+    let mut pace = ReceivePace::default();
     while !shared.is_closed.get() {
+        pace.on_message().await;
         let closed = shared.closed.notified();
         match select(pin!(listener.accept()), pin!(closed)).await {
             Race::Left((Ok(accepted), _)) => spawn_connection(accepted, &server),
