Limit the waits and messages that peers and callers state

A caller's wait for results was limited where it is served, but not where it is passed on to the owner. Messages at the address for peers could have 32 MiB, as callers' bodies.

After: the platform's tests pass.

--- a/crates/borageshore_gateway/src/feed/batch.rs
+++ b/crates/borageshore_gateway/src/feed/batch.rs
@@ -17,7 +17,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::{Feed, FeedTopic, Phase};
-use crate::{follow::ONLY_PARTITION, server::server_limits};
+use crate::{follow::ONLY_PARTITION, server::peer_limits};
 
 /// The path of records that a peer asks to be written, served only at the address for peers.
 pub(crate) const REGISTER_PATH: &str = "/register";
@@ -128,7 +128,7 @@
 
     /// Writes the record of a peer, and answers when it is in the store.
     pub(crate) async fn on_register(&self, request: EdgeRequest) -> EdgeResponse {
-        let decoded = match read_body(request.into_body(), server_limits()).await {
+        let decoded = match read_body(request.into_body(), peer_limits()).await {
             Ok(body) => decode::<WireFeedRecord>(&body).ok(),
             Err(_) => None,
         };
--- a/crates/borageshore_gateway/src/feed/serve.rs
+++ b/crates/borageshore_gateway/src/feed/serve.rs
@@ -10,7 +10,7 @@
 use hyper::{Response, StatusCode};
 
 use super::{Feed, FeedTopic, pages::encode_record};
-use crate::server::server_limits;
+use crate::server::peer_limits;
 
 /// The path of requests for shared topics, served only at the address for peers.
 pub(crate) const FEED_PATH: &str = "/feed";
@@ -53,7 +53,7 @@
     /// Answers a peer as soon as there is something new for it, or after the wait that it asks for.
     pub(crate) async fn on_poll(self: &Rc<Self>, request: EdgeRequest) -> EdgeResponse {
         let received_at_ms = boot_time_ms();
-        let Ok(body) = read_body(request.into_body(), server_limits()).await else {
+        let Ok(body) = read_body(request.into_body(), peer_limits()).await else {
             return empty(StatusCode::BAD_REQUEST);
         };
         let request: WireFeedRequest = match decode(&body) {
--- a/crates/borageshore_gateway/src/quarantine/reporting.rs
+++ b/crates/borageshore_gateway/src/quarantine/reporting.rs
@@ -17,7 +17,7 @@
     Quarantine,
     records::{decode_cleared, decode_reports, encode_cleared, encode_crash, encode_reports},
 };
-use crate::{follow::ONLY_PARTITION, server::server_limits};
+use crate::{follow::ONLY_PARTITION, server::peer_limits};
 
 /// The largest response of a peer, which has no body.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024;
@@ -176,7 +176,7 @@
 
     /// Handles clearances from a peer.
     pub(crate) async fn on_cleared(&self, request: EdgeRequest) -> EdgeResponse {
-        let body = read_body(request.into_body(), server_limits()).await;
+        let body = read_body(request.into_body(), peer_limits()).await;
         let contents = body.ok().and_then(|body| decode_cleared(&body));
         let Some(contents) = contents else {
             log::warn!("a peer's message about cleared requests cannot be decoded");
@@ -196,7 +196,7 @@
 
     /// Handles crash reports from a peer.
     pub(crate) async fn on_crash_reports(&self, request: EdgeRequest) -> EdgeResponse {
-        let body = read_body(request.into_body(), server_limits()).await;
+        let body = read_body(request.into_body(), peer_limits()).await;
         let reports = body.ok().and_then(|body| decode_reports(&body));
         let Some(reports) = reports else {
             log::warn!("a peer's message about crashes cannot be decoded");
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -31,7 +31,7 @@
     members::Members,
     peers::{FORWARDED_HEADER, Peers, SubmitOutcome},
     routes::Routes,
-    submissions::Submissions,
+    submissions::{MAX_WAIT_MS, Submissions},
 };
 
 /// The retry delay given to callers while the daemon starts; routes are read within a second.
@@ -49,6 +49,9 @@
 /// The size limit of a request body, as on the platform.
 const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
 
+/// The size limit of a peer's message: twice the records of an append to the store, the largest one.
+const MAX_PEER_BODY_BYTES: usize = 4 * 1024 * 1024;
+
 /// The number of peers that are asked to accept a submission. When the store refuses only some of the VMs, these are
 /// about a third of all.
 const MAX_SUBMIT_PEERS: usize = 2;
@@ -62,6 +65,14 @@
     }
 }
 
+/// The limits on requests of peers at their own address.
+pub(crate) fn peer_limits() -> ServerLimits {
+    ServerLimits {
+        body_bytes: MAX_PEER_BODY_BYTES,
+        ..server_limits()
+    }
+}
+
 /// Serves counters and histograms as text, at any path.
 #[derive(Debug)]
 pub(crate) struct MetricsPage {
@@ -187,7 +198,7 @@
             return None;
         }
         let wait_ms = match request {
-            SubmissionRequest::Results { wait_ms, .. } => *wait_ms,
+            SubmissionRequest::Results { wait_ms, .. } => (*wait_ms).min(MAX_WAIT_MS),
             SubmissionRequest::Body { .. } | SubmissionRequest::End => 0,
         };
         let asked = match request {
--- a/crates/borageshore_gateway/src/store_transport.rs
+++ b/crates/borageshore_gateway/src/store_transport.rs
@@ -22,7 +22,7 @@
 use crate::{
     feed::{FEED_PATH, Feed, REGISTER_PATH},
     quarantine::{CLEARED_PATH, CRASHES_PATH, Quarantine},
-    server::server_limits,
+    server::peer_limits,
     true_time::{CLOCK_PATH, SharedTime},
 };
 
@@ -319,7 +319,7 @@
             return self.time.clock_response();
         }
         let (head, body) = request.into_parts();
-        let Ok(body) = read_body(body, server_limits()).await else {
+        let Ok(body) = read_body(body, peer_limits()).await else {
             return status(StatusCode::BAD_REQUEST);
         };
         let target = head
--- a/crates/borageshore_gateway/src/submissions.rs
+++ b/crates/borageshore_gateway/src/submissions.rs
@@ -21,7 +21,7 @@
 /// second after the first one has shown it; half of that second is left for the delivery of the response.
 const MAX_VIEW_AGE_MS: u64 = 500;
 /// The longest wait of a read for a result.
-const MAX_WAIT_MS: u64 = 5_000;
+pub(crate) const MAX_WAIT_MS: u64 = 5_000;
 /// The retry delay given to a reader when this daemon's view may be too old. The next read may succeed.
 const READ_RETRY_AFTER_MS: u64 = 300;
 /// The retry delay given for a submission that the store did not accept. Outages of the store last for seconds, but
