--- a/crates/borageshore_net/tests/endless.rs
+++ b/crates/borageshore_net/tests/endless.rs
@@ -33,7 +33,7 @@
 const SLACK_MS: u64 = 500;
 
 /// What is written without end after a beginning.
-#[derive(Clone, Copy)]
+#[derive(Debug, Clone, Copy)]
 struct Endless {
     begin: &'static str,
     repeat: &'static str,
