Play crashing reward calls before twelve endpoints

Trace (logs of its three daemons): all four endpoints crash under reward calls for the first 8 of 20 s, in which calls are refused and come again after 40 ms, 30 to 44 a second; afterwards 7 to 29 a second are answered, as many as the busy machine allows. The check of the soak is on calls, the case is on items.

Change: twelve endpoints, so that calls are served while the reward calls meet their crashes.

--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -314,7 +314,7 @@
 
     // Harmless reward calls that met crashes together are held for minutes, and so are their items.
     reward_calls_under_which_endpoints_crash_are_scored_after_the_crashes => {
-        let options = SoakOptions { services: 4, has_crashing_rewards: true, ..options(86, Script::Timed(Vec::new())) };
+        let options = SoakOptions { services: 12, has_crashing_rewards: true, ..options(86, Script::Timed(Vec::new())) };
         // A hold of 10 s and a trial.
         let options = SoakOptions { crash_until_ms: Some(8_000), result_bound_ms: 11_000, ..options };
         let report = play(&SoakOptions { duration_ms: 20_000, ..options });
