--- a/crates/borageshore_gateway/src/endpoints/mod.rs
+++ b/crates/borageshore_gateway/src/endpoints/mod.rs
@@ -270,7 +270,7 @@
     }
 
     /// The usable engines of a service in allowed regions, in an order that differs between daemons, that have at least
-    /// `min_version` of a model, for the placement of items; ejected ones if there is no other.
+    /// `min_version` of a model, for the placement of items.
     pub(crate) fn engines(
         &self,
         service: &str,
@@ -303,7 +303,7 @@
                 has_group: false,
             })
         };
-        let mut engines: Vec<EngineView> = table.usable_or_ejected(service, now_ms, view);
+        let mut engines: Vec<EngineView> = table.usable(service, now_ms).filter_map(view).collect();
         // Each daemon starts elsewhere among equal engines, and at about the same place when engines come and go.
         let share = rendezvous_weight(service, &self.own_name) >> 32;
         let start = (share * engines.len() as u64) >> 32;
--- a/crates/borageshore_routing/src/endpoint.rs
+++ b/crates/borageshore_routing/src/endpoint.rs
@@ -453,35 +453,9 @@
         service: &'t str,
         now_ms: u64,
     ) -> impl Iterator<Item = &'t Endpoint> {
-        let unheld = self.unheld(service, now_ms);
-        unheld.filter(move |endpoint| endpoint.is_usable(now_ms))
-    }
-
-    /// Views of the endpoints of a service that may receive work which can't be refused: the usable ones for which `view`
-    /// returns one or, if there is none, also ejected ones.
-    ///
-    /// Ejections spare half of a service, but not of the endpoints that a request is restricted to, and may last a minute.
-    pub fn usable_or_ejected<View, Viewed>(
-        &self,
-        service: &str,
-        now_ms: u64,
-        view: View,
-    ) -> Vec<Viewed>
-    where
-        View: Fn(&Endpoint) -> Option<Viewed>,
-    {
-        let usable: Vec<Viewed> = self.usable(service, now_ms).filter_map(&view).collect();
-        match usable.is_empty() {
-            true => self.unheld(service, now_ms).filter_map(&view).collect(),
-            false => usable,
-        }
-    }
-
-    /// The live endpoints of a service that no gate keeps back, ejected ones too.
-    fn unheld<'t>(&'t self, service: &'t str, now_ms: u64) -> impl Iterator<Item = &'t Endpoint> {
         self.endpoints.values().filter(move |endpoint| {
             &*endpoint.listing.service == service
-                && endpoint.listing.state == EndpointState::Live
+                && endpoint.is_usable(now_ms)
                 && self.may_send(&endpoint.listing, now_ms)
         })
     }
