--- a/crates/borageshore_soak/src/crashes.rs
+++ b/crates/borageshore_soak/src/crashes.rs
@@ -36,6 +36,25 @@
     pub(crate) until_ms: u64,
 }
 
+impl Traffic {
+    /// The body of the reward call of an item with this number in its step; marked if it crashes endpoints. A single
+    /// one is in the first group, which the trainer does not need to finish a step.
+    pub(crate) fn reward_body(&self, crash_mark: &str, item: &str, number: usize) -> String {
+        match (self.has_crashing_reward, self.has_crashing_rewards) {
+            (true, _) if number == 0 => format!("{crash_mark}-reward"),
+            (_, true) => format!("{crash_mark}-{item}"),
+            _ => String::new(),
+        }
+    }
+
+    /// Whether a step was accepted while requests crashed endpoints, so that its items stay owed.
+    pub(crate) fn is_kept(&self, id: &str) -> bool {
+        let accepted_at_ms = self.oracle.submissions.borrow()[id].accepted_at_ms;
+        self.crash_until_ms
+            .is_some_and(|until_ms| accepted_at_ms < until_ms)
+    }
+}
+
 /// Restarts an endpoint of the plain service after each crash, as a new instance.
 pub(crate) async fn restart_service_after_crashes(targets: Rc<Targets>, number: usize) {
     let (service, proxy) = &targets.services[number];
--- a/crates/borageshore_soak/src/traffic.rs
+++ b/crates/borageshore_soak/src/traffic.rs
@@ -308,13 +308,6 @@
         }
     }
 
-    /// Whether a step was accepted while requests crashed endpoints, so that its items stay owed.
-    pub(crate) fn is_kept(&self, id: &str) -> bool {
-        let accepted_at_ms = self.oracle.submissions.borrow()[id].accepted_at_ms;
-        self.crash_until_ms
-            .is_some_and(|until_ms| accepted_at_ms < until_ms)
-    }
-
     async fn submit(&self, id: &str, step: u64, random: &mut Pcg64Mcg) -> bool {
         let (groups, size, wanted) = self.step_shape();
         let path = Self::submission_path(id);
@@ -327,16 +320,11 @@
         let mut items = Vec::new();
         for number in 0..groups * size {
             let item = format!("{id}-item-{number}");
-            // Both are in the first group: the trainer does not need that one to finish a step.
-            let is_crashing_reward = self.has_crashing_reward && number == 0;
             let is_crashing_item = (1..=self.crashing_items).contains(&number);
-            let reward_body = match (is_crashing_reward, self.has_crashing_rewards) {
-                (true, _) => BASE64_STANDARD.encode(format!("{crash_mark}-reward")),
-                (false, true) => BASE64_STANDARD.encode(format!("{crash_mark}-{item}")),
-                (false, false) => String::new(),
-            };
+            let reward_body = self.reward_body(&crash_mark, &item, number);
             let reward = json!({
-                "id": reward_id(&item), "host": HOST, "path": reward_path, "body": reward_body,
+                "id": reward_id(&item), "host": HOST, "path": reward_path,
+                "body": BASE64_STANDARD.encode(reward_body),
             });
             let item_body = match is_crashing_item {
                 true => format!("{crash_mark}-{item}"),
