Bound pages of the store and peers by their own size only

Found by the review: responses of endpoints, the store and peers shared 15% of the process's memory. A few endpoints that answer slowly without end could leave too little for a page of the store; the refused page counted as a store that does not answer, was read again by a peer, and a daemon that loads its shards could fail again and again.

Change: the shared memory is for the responses of endpoints, of which any number may be in trouble. The number of such reads at a time is the daemon's own.

Ruled out: a share each, since a read that finds no room fails instead of waiting.

--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -82,16 +82,17 @@
         let incarnation = time_of_day_ms();
         let mechanisms = Rc::new(Mechanisms::without(config.mechanisms_off.clone()));
         let topology = Rc::new(config.topology());
-        let response_memory = ResponseMemory::of_process(config.memory_mb);
         let transport = FailoverTransport::open(
             config.store_address.clone(),
-            response_memory.clone(),
             clock,
             topology.clone(),
             mechanisms.is_enabled(Mechanism::StoreDetour),
         );
         let store = Store::open(transport.clone());
-        let client = EndpointClient::open(instruments.clone(), response_memory.clone());
+        let client = EndpointClient::open(
+            instruments.clone(),
+            ResponseMemory::of_process(config.memory_mb),
+        );
         let seed = rendezvous_weight(&config.name, &incarnation.to_string());
         let routes = Routes::open(topology.clone(), instruments.clone());
         let endpoints = Endpoints::open(EndpointParts {
@@ -301,7 +302,7 @@
                 quarantine.clone(),
                 instruments.clone(),
             ),
-            peers: Rc::new(Peers::open(clock, response_memory)),
+            peers: Rc::new(Peers::open(clock)),
             submissions,
             memory: memory.clone(),
             address_ttl_s: config.address_ttl_s,
--- a/crates/borageshore_gateway/src/peers.rs
+++ b/crates/borageshore_gateway/src/peers.rs
@@ -4,9 +4,7 @@
 use std::{cell::RefCell, sync::Arc};
 
 use borageshore_base::SortedMap;
-use borageshore_net::{
-    CallError, Clock, EdgeResponse, HttpClient, ResponseMemory, Timeouts, full_body,
-};
+use borageshore_net::{CallError, Clock, EdgeResponse, HttpClient, Timeouts, full_body};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -49,9 +47,9 @@
 }
 
 impl Peers {
-    pub(crate) fn open(clock: Clock, response_memory: ResponseMemory) -> Self {
+    pub(crate) fn open(clock: Clock) -> Self {
         Self {
-            http: HttpClient::open_within(MAX_RESPONSE_BYTES, response_memory),
+            http: HttpClient::open_limited(MAX_RESPONSE_BYTES),
             clock,
             avoided_until_ms: RefCell::default(),
         }
--- a/crates/borageshore_gateway/src/store_transport.rs
+++ b/crates/borageshore_gateway/src/store_transport.rs
@@ -9,9 +9,7 @@
 };
 
 use borageshore_membership::{StoreCallOutcome, StoreFailover, StorePeer, StoreRoute};
-use borageshore_net::{
-    CallError, Clock, EdgeRequest, EdgeResponse, Handler, ResponseMemory, full_body, read_body,
-};
+use borageshore_net::{CallError, Clock, EdgeRequest, EdgeResponse, Handler, full_body, read_body};
 use borageshore_platform::{StoreCall, StoreConnections, StoreTransport, is_store_response};
 use borageshore_topology::Topology;
 use bytes::Bytes;
@@ -66,7 +64,6 @@
 impl FailoverTransport {
     pub(crate) fn open(
         address: Arc<str>,
-        response_memory: ResponseMemory,
         clock: Clock,
         topology: Rc<Topology>,
         may_use_peers: bool,
@@ -76,7 +73,7 @@
                 address,
                 clock,
                 topology,
-                connections: StoreConnections::open(response_memory),
+                connections: StoreConnections::open(),
                 may_use_peers,
                 failover: RefCell::default(),
                 peers: RefCell::default(),
