Bound an item's whole text by its size in a result

Found by the review: a text of several runs had no limit, as the one of the parser starts again with each run, and counts bytes before they are escaped as JSON. A result over the 2 MiB of an append is refused by the store for ever and blocks all results of its shard behind it: a trainer would read nothing more of any submission of that shard.

Change: a text takes events up to 1 MB of JSON, whatever runs they come from; one that would be longer starts again at another engine, since an engine that sends without end may have made it.

Test: a_text_is_limited_by_its_size_in_a_result; there was no limit before, so that its loop does not end on the code before.

--- a/crates/borageshore_batch/src/text.rs
+++ b/crates/borageshore_batch/src/text.rs
@@ -2,6 +2,9 @@
 
 use bytes::Bytes;
 
+/// The maximum size of a text in a stored result, which has to fit into one append to the store.
+const MAX_ENCODED_BYTES: usize = 1_000_000;
+
 /// Why an event cannot be appended to a text.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TextError {
@@ -9,12 +12,16 @@
     Gap,
     /// The version of the weights that generated the event is unknown.
     NoVersion,
+    /// The text would not fit into a result.
+    TooLong,
 }
 
 /// The events of a text generated so far.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Text {
     events: Vec<Bytes>,
+    /// The size of the events as JSON.
+    encoded_bytes: usize,
     versions: Vec<u64>,
     is_complete: bool,
 }
@@ -30,6 +37,11 @@
             return Err(TextError::Gap);
         }
         let version = version.ok_or(TextError::NoVersion)?;
+        let encoded_bytes = self.encoded_bytes + encoded_bytes(&data);
+        if encoded_bytes > MAX_ENCODED_BYTES {
+            return Err(TextError::TooLong);
+        }
+        self.encoded_bytes = encoded_bytes;
         self.events.push(data);
         if let Err(at) = self.versions.binary_search(&version) {
             self.versions.insert(at, version);
@@ -48,7 +60,10 @@
             return;
         }
         let known = (last_event + 1 - first_event) as usize;
-        self.events.extend(events.into_iter().skip(known));
+        for event in events.into_iter().skip(known) {
+            self.encoded_bytes += encoded_bytes(&event);
+            self.events.push(event);
+        }
         if self.last_event() > last_event {
             self.versions.extend_from_slice(versions);
             self.versions.sort_unstable();
@@ -93,3 +108,15 @@
         parts.join("\n")
     }
 }
+
+/// The size of an event in a JSON string, with the line feed that separates it from the next one.
+fn encoded_bytes(event: &[u8]) -> usize {
+    let escaped_line_feed_bytes = 2;
+    let sizes = String::from_utf8_lossy(event);
+    let sizes = sizes.chars().map(|char| match char {
+        '"' | '\\' | '\n' | '\r' | '\t' | '\u{8}' | '\u{c}' => 2,
+        char if char < ' ' => 6,
+        char => char.len_utf8(),
+    });
+    sizes.sum::<usize>() + escaped_line_feed_bytes
+}
--- a/crates/borageshore_batch/tests/text.rs
+++ b/crates/borageshore_batch/tests/text.rs
@@ -40,6 +40,21 @@
         assert!(text.is_empty());
     }
 
+    // Guards against a result that fits into no append to the store and blocks all results behind it: a text of many runs,
+    // or of bytes that take more room when they are escaped.
+    a_text_is_limited_by_its_size_in_a_result => {
+        for (event, most_events) in [(vec![b'a'; 10_000], 99), (vec![1; 10_000], 16), (vec![0xff; 10_000], 33)] {
+            let mut text = Text::default();
+            let mut pushed = Ok(());
+            while pushed.is_ok() {
+                pushed = text.push(text.last_event() + 1, event.clone().into(), Some(6));
+            }
+            assert_eq!(pushed, Err(TextError::TooLong));
+            assert_eq!(text.last_event(), most_events);
+            assert!(serde_json::to_string(&text.output()).unwrap().len() < 1_000_000);
+        }
+    }
+
     // Guards against endless retries after an engine is lost between the last event and the end of its stream: the
     // engine that resumes the text generates nothing and reports no version.
     a_run_that_goes_on_after_the_last_event_needs_no_version => {
--- a/crates/borageshore_gateway/src/item/attempt.rs
+++ b/crates/borageshore_gateway/src/item/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use borageshore_batch::{Departure, Text, VersionRule, on_departure, on_evacuation};
+use borageshore_batch::{Departure, Text, TextError, VersionRule, on_departure, on_evacuation};
 use borageshore_platform::{
     AttemptError, Generation, GenerationError, GenerationRequest, RequestPurpose,
 };
@@ -151,6 +151,9 @@
                 self.save_event(event.data, version);
             }
             if let Err(fault) = pushed {
+                if fault == TextError::TooLong {
+                    self.restart(text, "it is too long for a result");
+                }
                 let error = AttemptError::Unknown(format!("event {}: {fault:?}", event.id));
                 return self.on_attempt_error(slot, &error);
             }
