Do not pace an item for engines that it did not reach

Found by the review: LossBackoff counted connections that were refused like crashes. After the loss of a zone its engines look idle until their entries lapse, about 3.6 s; an item that met three of them paused 250 ms to 2 s each time, although other zones had room.

Change: an engine that was not reached is avoided and costs 30 ms, which keeps a service without any engine from a tight loop; only attempts that were lost with their engine are paced.

Test: engines_that_are_not_reached_cost_little_time (of a new function; 20 such engines took 31.75 s of pauses before, by its formula). By reading; not played.

--- a/crates/borageshore_batch/src/loss_backoff.rs
+++ b/crates/borageshore_batch/src/loss_backoff.rs
@@ -6,6 +6,9 @@
 const LOSSES_TO_PACE: u32 = 3;
 /// The minimum time between the starts of two attempts at first; it doubles with each further loss.
 const FIRST_INTERVAL_MS: u64 = 250;
+/// The pause after an engine that was not reached, so that an item tries the engines of a lost zone one after the other
+/// until their entries lapse, but not in a tight loop.
+const UNREACHED_PAUSE_MS: u64 = 30;
 /// Limit of the doublings, at 2 s. An item is owed and must not be without an engine for 5 s while there is room; it still
 /// has to be placed after its pause.
 const MAX_DOUBLINGS: u32 = 3;
@@ -22,16 +25,26 @@
 }
 
 impl LossBackoff {
-    /// Records that an attempt was lost with its engine, or on the way to it; returns how long the item pauses.
+    /// Records that an attempt was lost with its engine; returns how long the item pauses.
     pub fn on_lost(&mut self, instance: &Arc<str>, attempt_ms: u64) -> u64 {
         self.losses = self.losses.saturating_add(1);
+        self.add_engine(instance);
+        self.interval_ms().saturating_sub(attempt_ms)
+    }
+
+    /// Records that an engine was not reached, which says nothing about the item; returns how long the item pauses.
+    pub fn on_unreached(&mut self, instance: &Arc<str>) -> u64 {
+        self.add_engine(instance);
+        UNREACHED_PAUSE_MS
+    }
+
+    fn add_engine(&mut self, instance: &Arc<str>) {
         if !self.lost_engines.contains(instance) {
             if self.lost_engines.len() == MAX_LOST_ENGINES {
                 self.lost_engines.remove(0);
             }
             self.lost_engines.push(instance.clone());
         }
-        self.interval_ms().saturating_sub(attempt_ms)
     }
 
     /// Records that the text grew.
@@ -39,7 +52,7 @@
         *self = Self::default();
     }
 
-    /// The engines that were lost, which are to be avoided while others have room. One that starts again has another name.
+    /// The engines that were lost or not reached, which are to be avoided while others have room. One that starts again has another name.
     pub fn lost_engines(&self) -> &[Arc<str>] {
         &self.lost_engines
     }
--- a/crates/borageshore_batch/tests/loss_backoff.rs
+++ b/crates/borageshore_batch/tests/loss_backoff.rs
@@ -58,6 +58,16 @@
         assert_eq!(backoff.lost_engines(), [engine(5)]);
     }
 
+    // An item waits for seconds after the loss of a zone, whose dead engines look free, although others have room.
+    engines_that_are_not_reached_cost_little_time => {
+        let mut backoff = LossBackoff::default();
+        let pause_ms: u64 = (0..20).map(|number| backoff.on_unreached(&engine(number))).sum();
+        assert!(pause_ms < 1_000, "{pause_ms}");
+        assert!(backoff.on_unreached(&engine(0)) > 0);
+        assert_eq!(backoff.lost_engines().len(), 20);
+        assert_eq!(backoff.on_lost(&engine(20), 0), 0);
+    }
+
     // An item returns to an engine that is down while others have room.
     all_engines_that_were_lost_in_a_row_are_avoided => {
         let mut backoff = LossBackoff::default();
--- a/crates/borageshore_gateway/src/item/attempt.rs
+++ b/crates/borageshore_gateway/src/item/attempt.rs
@@ -41,8 +41,10 @@
     OtherVersion,
     /// The engine refused; the item continues at another one.
     Refused,
-    /// The engine was lost or not reached; the item continues at another one.
+    /// The engine was lost; the item continues at another one.
     Lost,
+    /// The engine was not reached; the item continues at another one.
+    Unreached,
     /// The engine failed to run the item.
     Failed,
     /// The engine rejected the item as invalid; retries are useless.
@@ -105,7 +107,11 @@
                 slot.in_flight.on_load(*load);
                 AttemptOutcome::Refused
             }
-            AttemptError::NotSent(_) | AttemptError::Unknown(_) | AttemptError::Broken(_) => {
+            AttemptError::NotSent(_) => {
+                slot.in_flight.fail();
+                AttemptOutcome::Unreached
+            }
+            AttemptError::Unknown(_) | AttemptError::Broken(_) => {
                 slot.in_flight.fail();
                 AttemptOutcome::Lost
             }
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -321,6 +321,7 @@
                     let pause_ms = losses.on_lost(&instance, attempt_ms);
                     self.pause(pause_ms, losses.lost_engines().len()).await;
                 }
+                AttemptOutcome::Unreached => sleep_ms(losses.on_unreached(&instance)).await,
                 AttemptOutcome::OtherVersion => {
                     self.on_other_version(rule, text);
                     avoid.push(instance);
