Log and count refused requests about submissions

What callers saw: reads that end with 503 or 404. Cause: a refused read left no line in the log and no count, so that a store at its limit cannot be told from a daemon that denies a submission it does not know. Change: one line and one count for each. Ruled out: nothing yet; behaviour is unchanged.

--- a/crates/borageshore_gateway/src/submissions.rs
+++ b/crates/borageshore_gateway/src/submissions.rs
@@ -53,10 +53,10 @@
         if !self.index.knows(id) && self.routes.has_seen_residency() {
             match self.index.look_up(id).await {
                 Ok(true) => {}
-                Ok(false) => return Err(unknown_submission(id)),
+                Ok(false) => return Err(self.unknown_submission(id)),
                 Err(error) => {
                     log::info!(submission = &**id, error:% = error; "index entry not read; refusing a request about the submission");
-                    return Err(view_too_old(id));
+                    return Err(self.view_too_old(id));
                 }
             }
         }
@@ -69,11 +69,11 @@
     /// restrictions which were lifted before this daemon started: it is in another shard.
     async fn unknown(&self, id: &Arc<str>) -> EdgeResponse {
         if !self.index.may_be_elsewhere(id) {
-            return unknown_submission(id);
+            return self.unknown_submission(id);
         }
         match self.index.look_up(id).await {
-            Ok(false) => unknown_submission(id),
-            Ok(true) | Err(_) => view_too_old(id),
+            Ok(false) => self.unknown_submission(id),
+            Ok(true) | Err(_) => self.view_too_old(id),
         }
     }
 
@@ -81,7 +81,7 @@
     pub(crate) fn refuse_elsewhere(&self, id: &Arc<str>) -> EdgeResponse {
         self.instruments.count("residency", "not_read_here");
         log::info!(submission = &**id; "submission not read: it may not be held in this region, and no daemon inside answered");
-        view_too_old(id)
+        self.view_too_old(id)
     }
 
     /// Accepts a submission: the response is sent after all of it is in the store. Accepting it twice writes the
@@ -182,7 +182,7 @@
     pub(crate) async fn results(&self, id: &Arc<str>, after: usize, wait_ms: u64) -> EdgeResponse {
         let deadline_ms = self.clock.now_ms() + wait_ms.min(MAX_WAIT_MS);
         if !self.view.load(id).await {
-            return view_too_old(id);
+            return self.view_too_old(id);
         }
         loop {
             let changed = self.view.changed.notified();
@@ -196,11 +196,11 @@
             within_ms(remaining_ms, changed).await;
         }
         if !self.confirm_view(id).await {
-            return view_too_old(id);
+            return self.view_too_old(id);
         }
         match self.page(id, after, true) {
             Some(page) => page,
-            None if !self.view.confirm_now(id).await => view_too_old(id),
+            None if !self.view.confirm_now(id).await => self.view_too_old(id),
             None => match self.page(id, after, true) {
                 Some(page) => page,
                 None => self.unknown(id).await,
@@ -236,13 +236,13 @@
             return body;
         }
         if !self.confirm_view(id).await {
-            return view_too_old(id);
+            return self.view_too_old(id);
         }
         if let Some(body) = self.item_body(id, item) {
             return body;
         }
         if !self.view.confirm_now(id).await {
-            return view_too_old(id);
+            return self.view_too_old(id);
         }
         match self.item_body(id, item) {
             Some(body) => body,
@@ -261,10 +261,10 @@
             return ok_response();
         }
         if !self.is_accepted(id) && !self.confirm_view(id).await {
-            return view_too_old(id);
+            return self.view_too_old(id);
         }
         if !self.is_accepted(id) && !self.view.confirm_now(id).await {
-            return view_too_old(id);
+            return self.view_too_old(id);
         }
         if !self.is_accepted(id) {
             return self.unknown(id).await;
@@ -284,7 +284,7 @@
                     StoreError::Unknown(_) => {
                         refusal(&Fault::new(ResultCode::EndUnknown, &**id), None)
                     }
-                    _ => view_too_old(id),
+                    _ => self.view_too_old(id),
                 }
             }
         }
@@ -294,13 +294,17 @@
         let is_ended = self.view.with_loaded(id, SubmissionState::is_ended);
         is_ended.unwrap_or(false)
     }
-}
 
-fn view_too_old(id: &str) -> EdgeResponse {
-    let fault = Fault::new(ResultCode::ViewTooOld, id);
-    refusal(&fault, Some(READ_RETRY_AFTER_MS))
-}
+    fn view_too_old(&self, id: &str) -> EdgeResponse {
+        log::info!(submission = id; "request about a submission refused: its records are not current here");
+        self.instruments.count("submission_request", "view_too_old");
+        let fault = Fault::new(ResultCode::ViewTooOld, id);
+        refusal(&fault, Some(READ_RETRY_AFTER_MS))
+    }
 
-fn unknown_submission(id: &str) -> EdgeResponse {
-    refusal(&Fault::new(ResultCode::UnknownSubmission, id), None)
+    fn unknown_submission(&self, id: &str) -> EdgeResponse {
+        log::info!(submission = id; "request about a submission refused: there is no such submission or item");
+        self.instruments.count("submission_request", "unknown");
+        refusal(&Fault::new(ResultCode::UnknownSubmission, id), None)
+    }
 }
