Do not deny a submission whose records are being loaded again

What callers saw: a read, or the end, of an accepted submission answered 404 (LOST: a machine in touch answers 404 for a batch submission, or it can't be read). Cause: before 404 a daemon reads the shard up to its end, but a gap in the records, as when the store drops its history before a daemon has read it, removes the submission from the view meanwhile; the view is current again, and empty. Class: an answer about absence from a view that may be incomplete. Change: a view of a submission is confirmed only if its records are loaded, so the reader is told to come back (503). Ruled out: that the owner answers wrongly while a step runs; it loads the records again at once. Whether the report from the fleet was this is not known.

--- a/crates/borageshore_gateway/src/ledger_view.rs
+++ b/crates/borageshore_gateway/src/ledger_view.rs
@@ -93,22 +93,27 @@
         }
     }
 
-    /// Brings the view of a submission to an age of at most `age_ms`; returns whether that succeeded.
+    /// Brings the view of a loaded submission to an age of at most `age_ms`; returns whether that succeeded.
     pub(crate) async fn confirm(self: &Rc<Self>, id: &str, age_ms: u64) -> bool {
         if !self.index.may_hold(id) {
             return false;
         }
         let follower = self.follow(self.shard_of(id));
-        follower.confirm(age_ms).await
+        follower.confirm(age_ms).await && self.is_loaded(id)
     }
 
-    /// Brings the view of a submission up to the present end of the store; returns whether that succeeded.
+    /// Brings the view of a loaded submission up to the present end of the store; returns whether that succeeded.
     pub(crate) async fn confirm_now(self: &Rc<Self>, id: &str) -> bool {
         if !self.index.may_hold(id) {
             return false;
         }
         let follower = self.follow(self.shard_of(id));
-        follower.confirm_now().await
+        follower.confirm_now().await && self.is_loaded(id)
+    }
+
+    /// Whether all records of a submission are loaded. A gap in the records removes them while a read is answered.
+    fn is_loaded(&self, id: &str) -> bool {
+        self.with_loaded(id, |_| ()).is_some()
     }
 
     /// Loads the records of a submission unless they are loaded; returns whether they are now. Never loads those of one
@@ -121,7 +126,7 @@
         let follower = self.follow(self.shard_of(id));
         loop {
             let changed = self.changed.notified();
-            if self.with_loaded(id, |_| ()).is_some() {
+            if self.is_loaded(id) {
                 return true;
             }
             if !self.loading.borrow().contains(id) {
@@ -163,7 +168,7 @@
                 let entries = page.records.into_iter().filter_map(entry).collect();
                 self.ledger.borrow_mut().load(id, entries, page.end);
                 log::info!(submission = &**id, end = page.end, took_ms = self.clock.now_ms() - now_ms; "submission loaded");
-                self.with_loaded(id, |_| ()).is_some()
+                self.is_loaded(id)
             }
             Err(error) => {
                 log::warn!(submission = &**id, error:% = error; "submission not loaded");
--- a/crates/borageshore_standins/src/platform/store.rs
+++ b/crates/borageshore_standins/src/platform/store.rs
@@ -158,6 +158,19 @@
         self.shared.loads.borrow().get(topic).copied().unwrap_or(0)
     }
 
+    /// Appends a record to each partition of the topics whose names start with `topics`, regardless of the mode.
+    pub fn append_to_all(&self, topics: &str) {
+        let mut partitions = self.shared.partitions.borrow_mut();
+        let matching = partitions
+            .iter_mut()
+            .filter(|((topic, _), _)| topic.starts_with(topics));
+        for (_, partition) in matching {
+            partition.push(Bytes::from_static(b"\x05otherrecord"));
+        }
+        drop(partitions);
+        self.shared.appended.notify_waiters();
+    }
+
     /// Drops the log records of all topics; the newest record of each key is kept.
     pub fn drop_history(&self) {
         for partition in self.shared.partitions.borrow_mut().values_mut() {
--- /dev/null
+++ b/tests/submissions.rs
@@ -0,0 +1,75 @@
+//! Reads of submissions while the store drops records that a daemon has not read.
+
+mod support;
+
+use borageshore_net::{run_event_loop, sleep_ms};
+use borageshore_standins::platform::{PlatformStore, StoreMode};
+use serde_json::json;
+use support::{Answer, Fleet, put_routes, route};
+
+const MODEL: &str = "m0";
+/// The topics of submissions.
+const TOPICS: &str = "keyed.batch-";
+/// The age of a view that is read again before it answers, shorter than a read that waits for records.
+const VIEW_AGE_MS: u64 = 700;
+/// The delay of that read's answer, and when its records are dropped.
+const SLOW_MS: u64 = 400;
+const DROP_AFTER_MS: u64 = 150;
+
+fn submission() -> String {
+    let item = json!({
+        "id": "item", "path": "/batch/x", "num_tokens": 20, "group": "g", "body": "Ym9keQ==",
+        "headers": { "X-Model": MODEL, "X-Token-Count": "10,10" },
+    });
+    json!({ "step": 1, "model": MODEL, "min_version": 1, "items": [item] }).to_string()
+}
+
+fn list_engine(store: &PlatformStore, address: &str, started_at_ms: u64) {
+    let entry = json!({
+        "service": "llm", "address": address, "zone": "a1", "version": "v1", "slots": 6, "stage": "both",
+        "state": "ready", "cold_left_ms": 0, "seq": 1, "born": started_at_ms,
+        "models": [{ "name": MODEL, "version": 1, "adapters": [] }],
+    });
+    store.put("keyed.servers", "e-1", entry.to_string().as_bytes());
+}
+
+/// Reads from a daemon that misses records of the store while it answers.
+async fn read_beside_a_gap(fleet: &Fleet, path: &str) -> Answer {
+    fleet.request(0, "GET", path, "read", String::new()).await;
+    fleet.store.append_to_all(TOPICS);
+    sleep_ms(VIEW_AGE_MS).await;
+    fleet.store.set_mode(StoreMode::Slow(SLOW_MS));
+    let read = fleet.request(0, "GET", path, "read", String::new());
+    let drop_unread = async {
+        sleep_ms(DROP_AFTER_MS).await;
+        fleet.store.set_mode(StoreMode::Up);
+        fleet.store.append_to_all(TOPICS);
+        fleet.store.drop_history();
+    };
+    let (answer, ()) = monoio::join!(read, drop_unread);
+    answer
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {
+        $(#[test] fn $name() { run_event_loop($body); })*
+    };
+}
+
+cases! {
+    // A daemon whose records of an ended submission are dropped while it answers says that there is no such submission.
+    a_submission_whose_records_were_missed_is_not_denied => async {
+        let fleet = Fleet::open(&["a1"]).await;
+        list_engine(&fleet.store, "127.0.0.1:9", 1);
+        put_routes(&fleet.store, 1, &[route("batch", "rollout", "llm", json!([]))], &[]);
+        fleet.wait_until_ready().await;
+        let submit = fleet.request(0, "POST", "/batch/x", "step", submission());
+        assert_eq!(submit.await.status, 202);
+        let end = fleet.request(0, "DELETE", "/api/lots/step", "end", String::new());
+        assert_eq!(end.await.status, 200);
+        let read = read_beside_a_gap(&fleet, "/api/lots/step?after=0").await;
+        assert!([200, 503].contains(&read.status), "{read:?}");
+        let next = fleet.request(0, "GET", "/api/lots/step?after=0", "read", String::new());
+        assert_eq!(next.await.status, 200);
+    };
+}
