Do not set a view's position by a read from before a gap

What callers see: nothing at a position that another daemon has shown, or another result there. Cause: a gap resets the position; a read that was sent before it and answered after it set the position, so the view went on from there, and the load that followed moved it to the end of the shard. Records between the load of a submission and that end were skipped. A reset view also counted as current for as long as the view before it. Change: only a load sets the position, and a reset view is not current. Evidence: the two tests fail on the code before (position 140 instead of none; current within 500 ms).

--- a/crates/borageshore_batch/src/view_position.rs
+++ b/crates/borageshore_batch/src/view_position.rs
@@ -18,9 +18,10 @@
         self.next_offset
     }
 
-    /// Discards the position, because records may have been missed.
+    /// Discards the position, because records may have been missed. The view is not current before the next snapshot.
     pub fn reset(&mut self) {
         self.next_offset = None;
+        self.current_at_ms = None;
     }
 
     /// Records a first read that returned every record below `end`.
@@ -30,9 +31,12 @@
     }
 
     /// Records a read: the offset after its last record, and the end of the partition at that time. Returns whether
-    /// the view is current now. A read older than the position does not move it back.
+    /// the view is current now. A read older than the position does not move it back, and one that was sent before a
+    /// reset does not set it.
     pub fn on_page(&mut self, after_last: u64, end: u64, now_ms: u64) -> bool {
-        let applied_until = self.next_offset.unwrap_or(0);
+        let Some(applied_until) = self.next_offset else {
+            return false;
+        };
         self.next_offset = Some(applied_until.max(after_last));
         let is_current = after_last >= end;
         if is_current {
--- a/crates/borageshore_batch/tests/view_position.rs
+++ b/crates/borageshore_batch/tests/view_position.rs
@@ -61,3 +61,26 @@
         "what is known is as old as before"
     );
 }
+
+// Guards against results that a daemon never shows: a read from before a gap in the records moved the view to its end,
+// and the records up to the end that the view was loaded at were skipped.
+#[test]
+fn a_read_from_before_a_reset_does_not_set_the_position() {
+    let mut position = ViewPosition::default();
+    position.on_snapshot(100, 1_000);
+    position.reset();
+    assert!(!position.on_page(140, 140, 1_100));
+    assert_eq!(position.next_offset(), None);
+}
+
+// Guards against an answer from a view that has lost its records.
+#[test]
+fn a_view_that_was_reset_is_not_current() {
+    let mut position = ViewPosition::default();
+    position.on_snapshot(100, 1_000);
+    position.reset();
+    assert!(!position.is_current_within(500, 1_100));
+    assert!(!position.is_current_since(1_000));
+    position.on_snapshot(140, 1_200);
+    assert!(position.is_current_within(500, 1_300));
+}
--- a/crates/borageshore_gateway/src/follow.rs
+++ b/crates/borageshore_gateway/src/follow.rs
@@ -237,6 +237,10 @@
             return Err(StoreError::NotDone("nothing was read yet".into()));
         };
         let page = self.spec.source.read(from, wait_ms).await?;
+        if self.next_offset().is_none() {
+            // After a gap the view begins with what the next load returns.
+            return Err(StoreError::NotDone("records were missed meanwhile".into()));
+        }
         Ok(self.take(page))
     }
 
