Keep the index of submissions until it is loaded again

What callers see: a step's items stop and start again, at a text's last saved event, when their daemon misses records of the index; on a store that is slow, or with a large index, they are at no endpoint until it is loaded. Cause: a gap removed all entries at once, so the daemon owned nothing and cancelled its items. Class: the same, absence taken from a view that may be incomplete. Change: entries stay until the load after the gap, which removes those that it did not return. Evidence: the test sees two runs of one item on the code before, and one after it.

--- a/crates/borageshore_gateway/src/submission_index.rs
+++ b/crates/borageshore_gateway/src/submission_index.rs
@@ -55,6 +55,8 @@
     parts: IndexParts,
     is_known: Cell<bool>,
     entries: RefCell<SortedMap<Arc<str>, IndexEntry>>,
+    /// The entries from before a gap in the records that the load after it has not returned yet, sorted.
+    unconfirmed: RefCell<Vec<Arc<str>>>,
     /// Entries that were looked up in the store because they are not, or not yet, among `entries`.
     looked_up: RefCell<SortedMap<Arc<str>, IndexEntry>>,
     /// Where restricted submissions may be stored. Outlasts a gap in the records, as running items write meanwhile.
@@ -71,6 +73,7 @@
             parts,
             is_known: Cell::new(false),
             entries: RefCell::default(),
+            unconfirmed: RefCell::default(),
             looked_up: RefCell::default(),
             restricted: RefCell::default(),
             demand: RefCell::default(),
@@ -302,6 +305,11 @@
 impl RecordView for SubmissionIndex {
     fn apply(&self, records: &[KeyedRecord]) {
         for record in records {
+            let mut unconfirmed = self.unconfirmed.borrow_mut();
+            if let Ok(at) = unconfirmed.binary_search(&record.key) {
+                unconfirmed.remove(at);
+            }
+            drop(unconfirmed);
             let Some(value) = &record.value else {
                 self.entries.borrow_mut().remove(&record.key);
                 self.looked_up.borrow_mut().remove(&record.key);
@@ -329,7 +337,16 @@
         self.is_known.set(true);
     }
 
+    /// Keeps the entries until the next load: a submission that runs must not stop for that time.
     fn on_gap(&self) {
-        self.entries.borrow_mut().retain(|_, _| false);
+        let entries = self.entries.borrow();
+        *self.unconfirmed.borrow_mut() = entries.keys().cloned().collect();
+    }
+
+    fn on_loaded(&self, _next_offset: u64) {
+        for id in self.unconfirmed.take() {
+            self.entries.borrow_mut().remove(&id);
+        }
+        self.changed.notify_waiters();
     }
 }
--- a/tests/submissions.rs
+++ b/tests/submissions.rs
@@ -2,12 +2,14 @@
 
 mod support;
 
-use borageshore_net::{run_event_loop, sleep_ms};
-use borageshore_standins::platform::{PlatformStore, StoreMode};
+use borageshore_net::{Clock, run_event_loop, sleep_ms};
+use borageshore_standins::platform::{EngineSwitches, PlatformEngine, PlatformStore, StoreMode};
 use serde_json::json;
 use support::{Answer, Fleet, put_routes, route};
 
 const MODEL: &str = "m0";
+/// Long enough for an item to start, and shorter than its run.
+const RUN_MS: u64 = 700;
 /// The topics of submissions.
 const TOPICS: &str = "keyed.batch-";
 /// The age of a view that is read again before it answers, shorter than a read that waits for records.
@@ -72,4 +74,24 @@
         let next = fleet.request(0, "GET", "/api/lots/step?after=0", "read", String::new());
         assert_eq!(next.await.status, 200);
     };
+
+    // A daemon that misses records of the index stops the items that it runs.
+    a_gap_in_the_index_leaves_running_items_alone => async {
+        let clock = Clock::start();
+        let fleet = Fleet::open(&["a1"]).await;
+        let engine = PlatformEngine::bind("llm", "e-1", MODEL, 1, clock).unwrap();
+        engine.set_switches(EngineSwitches { event_ms: 400, ..engine.switches() });
+        list_engine(&fleet.store, &engine.address().to_string(), engine.started_at_ms());
+        put_routes(&fleet.store, 1, &[route("batch", "rollout", "llm", json!([]))], &[]);
+        fleet.wait_until_ready().await;
+        let submit = fleet.request(0, "POST", "/batch/x", "step", submission());
+        assert_eq!(submit.await.status, 202);
+        sleep_ms(RUN_MS).await;
+        fleet.store.set_mode(StoreMode::Slow(SLOW_MS));
+        fleet.store.append_to_all("keyed.index");
+        fleet.store.drop_history();
+        sleep_ms(RUN_MS).await;
+        assert!(fleet.log(0).contains("records expired before they were read"));
+        assert_eq!(engine.runs().len(), 1, "{:?}", engine.runs());
+    };
 }
