Pace the appends of refused members' records, and append suspicions in batches

Cause: writers append again at once, suspicions are appends of their own and are sent again after 200 ms: between 39 and 46 s the 121 daemons log some 117 refused suspicions and 145 records of their own a second, where the partition takes 250 a second from all 985 (worked out, 4 ms each). The load that is sent again is above what the store takes, so the overload outlasts its cause. Class: retries that keep an overload going, as in the feed's reads, which are paced since the fleet was built. Change: a writer pauses after a refused batch, twice as long after each failure, up to the time in which the store takes one append of each daemon; suspicions go through the same batches; a record whose sender gave up is dropped. Small fleets, in which all read the store, append as before. Not measured: the whole fleet.

--- a/crates/borageshore_gateway/src/feed/batch.rs
+++ b/crates/borageshore_gateway/src/feed/batch.rs
@@ -12,6 +12,7 @@
 use borageshore_platform::{StoreError, Topic};
 use borageshore_wire::{WireFeedRecord, decode, encode};
 use bytes::Bytes;
+use futures_util::future::join_all;
 use http_body_util::Full;
 use hyper::{Request, Response, StatusCode};
 use tokio::sync::{Notify, oneshot};
@@ -25,6 +26,12 @@
 const COLLECT_MS: u64 = 20;
 /// The interval at which a starting daemon checks whether it knows who writes its record.
 const PHASE_CHECK_MS: u64 = 100;
+/// The pause after a refused batch. It doubles with each failure in a row, up to [`MAX_RETRY_MS`] or the time in which
+/// the store takes an append of each daemon, whichever is longer.
+const RETRY_MS: u64 = 20;
+const MAX_RETRY_MS: u64 = 500;
+/// The time that an append takes the store.
+const APPEND_MS: u64 = 4;
 /// The maximum number of records in a batch.
 const MAX_RECORDS: usize = 512;
 /// Timeouts of a record that a peer writes: a batch waits for those of other daemons at the store.
@@ -76,6 +83,19 @@
         }
     }
 
+    /// Appends suspicions of other daemons like records of this one, or together if it writes to the store itself.
+    pub(crate) async fn append_suspicions(
+        &self,
+        records: &[(Arc<str>, Bytes)],
+    ) -> Result<(), StoreError> {
+        if *self.phase.borrow() == Phase::Joined && self.tree().is_flat() {
+            return self.append_directly(records).await;
+        }
+        let appends = records.iter().cloned();
+        let appends = appends.map(|record| self.append_member(record));
+        join_all(appends).await.into_iter().collect()
+    }
+
     async fn append_directly(&self, records: &[(Arc<str>, Bytes)]) -> Result<(), StoreError> {
         let store = &self.parts.store;
         let appended = store.append(Topic::Members, ONLY_PARTITION, records, None);
@@ -93,25 +113,44 @@
 
     /// Writes the records that wait, as long as the process runs.
     pub(super) async fn write_batches(self: Rc<Self>) {
+        let mut failures = 0;
         loop {
             self.batch.added.notified().await;
             sleep_ms(COLLECT_MS).await;
             while !self.batch.waiting.borrow().is_empty() {
                 let batch: Vec<Waiting> = {
                     let mut waiting = self.batch.waiting.borrow_mut();
+                    // Whoever gave up sends its record again.
+                    waiting.retain(|(_, sender)| !sender.is_closed());
                     let count = waiting.len().min(MAX_RECORDS);
                     waiting.drain(..count).collect()
                 };
                 let (records, senders): (Vec<_>, Vec<_>) = batch.into_iter().unzip();
+                if records.is_empty() {
+                    continue;
+                }
                 let written = self.append_directly(&records).await;
                 for sender in senders {
                     // Whoever waited may have given up.
                     let _ = sender.send(written.clone());
                 }
+                if written.is_ok() {
+                    failures = 0;
+                } else {
+                    sleep_ms(self.batch_retry_ms(failures)).await;
+                    failures += 1;
+                }
             }
         }
     }
 
+    fn batch_retry_ms(&self, failures: u32) -> u64 {
+        let daemons = self.fallback_budget().daemons as u64;
+        let longest_ms = MAX_RETRY_MS.max(daemons * APPEND_MS);
+        let pause_ms = (RETRY_MS << failures.min(16)).min(longest_ms);
+        pause_ms / 2 + self.random() % pause_ms
+    }
+
     async fn send_record(&self, peer: &str, record: &(Arc<str>, Bytes)) -> Result<(), CallError> {
         let (key, value) = record;
         let value = (!value.is_empty()).then(|| value.to_vec());
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -284,7 +284,7 @@
         monoio::spawn(cleaner.run());
         monoio::spawn(members.clone().announce(feed.clone()));
         monoio::spawn(members.clone().expire_suspicions());
-        Watch::bind(&config.peer_address, members.clone(), store.clone())?;
+        Watch::bind(&config.peer_address, members.clone(), feed.clone())?;
         let lifecycle = Lifecycle::open();
         let limits = config.memory_limits();
         let memory = limits.map(|limits| MemoryBudget::spawn(limits, clock));
--- a/crates/borageshore_gateway/src/members/writing.rs
+++ b/crates/borageshore_gateway/src/members/writing.rs
@@ -40,7 +40,7 @@
     }
 
     /// Writes suspicions; daemons that do not refute theirs in time are declared dead.
-    pub(crate) async fn suspect(&self, store: &Store, silent: &[Suspicion]) {
+    pub(crate) async fn suspect(&self, feed: &Feed, silent: &[Suspicion]) {
         let record = |suspicion: &Suspicion| {
             let key = format!("{SUSPICION_PREFIX}{}", suspicion.name);
             let value = serde_json::to_vec(suspicion).expect("plain data");
@@ -48,11 +48,8 @@
         };
         let records: Vec<(Arc<str>, Bytes)> = silent.iter().map(record).collect();
         let names: Vec<&str> = silent.iter().map(|suspicion| &*suspicion.name).collect();
-        let written = store
-            .append(Topic::Members, ONLY_PARTITION, &records, None)
-            .await;
-        match written {
-            Ok(_) => log::warn!(silent:? = names; "daemons missed heartbeats; suspecting them"),
+        match feed.append_suspicions(&records).await {
+            Ok(()) => log::warn!(silent:? = names; "daemons missed heartbeats; suspecting them"),
             Err(error) => {
                 log::info!(silent:? = names, error:% = error; "daemons missed heartbeats, but the suspicions could not be written to the store; retrying unless heartbeats resume");
                 let now_ms = self.clock.now_ms();
--- a/crates/borageshore_gateway/src/watch.rs
+++ b/crates/borageshore_gateway/src/watch.rs
@@ -7,7 +7,7 @@
 use borageshore_wire::{WireHeartbeat, decode, encode};
 use monoio::net::udp::UdpSocket;
 
-use crate::{members::Members, store_transport::Store};
+use crate::{feed::Feed, members::Members};
 
 /// Size of the receive buffer; a heartbeat is a name and two numbers.
 const DATAGRAM_BYTES: usize = 512;
@@ -18,17 +18,17 @@
 #[derive(Debug)]
 pub(crate) struct Watch {
     members: Rc<Members>,
-    store: Store,
+    feed: Rc<Feed>,
     socket: UdpSocket,
 }
 
 impl Watch {
     /// Binds the address and spawns the tasks that send heartbeats and receive those of others.
-    pub(crate) fn bind(address: &str, members: Rc<Members>, store: Store) -> io::Result<()> {
+    pub(crate) fn bind(address: &str, members: Rc<Members>, feed: Rc<Feed>) -> io::Result<()> {
         let socket = UdpSocket::bind(address)?;
         let watch = Rc::new(Self {
             members,
-            store,
+            feed,
             socket,
         });
         monoio::spawn(watch.clone().check_members());
@@ -45,7 +45,7 @@
             if !check.silent.is_empty() {
                 let watch = self.clone();
                 monoio::spawn(
-                    async move { watch.members.suspect(&watch.store, &check.silent).await },
+                    async move { watch.members.suspect(&watch.feed, &check.silent).await },
                 );
             }
             sleep_ms(HEARTBEAT_INTERVAL_MS).await;
--- a/crates/borageshore_standins/src/platform/store.rs
+++ b/crates/borageshore_standins/src/platform/store.rs
@@ -88,6 +88,8 @@
     partitions: RefCell<BTreeMap<(String, u64), Partition>>,
     /// The requests for the newest records of each topic.
     loads: RefCell<BTreeMap<String, usize>>,
+    /// The appends to each topic.
+    appends: RefCell<BTreeMap<String, usize>>,
     appended: Notify,
 }
 
@@ -109,6 +111,7 @@
             mode: Cell::new(StoreMode::Up),
             partitions: RefCell::default(),
             loads: RefCell::default(),
+            appends: RefCell::default(),
             appended: Notify::new(),
         });
         let server = HttpServer::bind(address, limits(), Service(shared.clone()))?;
@@ -160,6 +163,16 @@
         self.shared.loads.borrow().get(topic).copied().unwrap_or(0)
     }
 
+    /// The number of appends to a topic, also those that were not answered.
+    pub fn appends(&self, topic: &str) -> usize {
+        self.shared
+            .appends
+            .borrow()
+            .get(topic)
+            .copied()
+            .unwrap_or(0)
+    }
+
     /// Appends a record to each partition of the topics whose names start with `topics`, regardless of the mode.
     pub fn append_to_all(&self, topics: &str) {
         let mut partitions = self.shared.partitions.borrow_mut();
@@ -184,7 +197,7 @@
 impl Handler for Service {
     async fn handle(&self, request: EdgeRequest, _remote: SocketAddr) -> EdgeResponse {
         let shared = &self.0;
-        shared.count_load(&request);
+        shared.count_call(&request);
         match shared.mode.get() {
             StoreMode::Busy => return status(503),
             StoreMode::BusyAppends if request.uri().path() == "/api/log-append" => {
@@ -209,11 +222,14 @@
 }
 
 impl Shared {
-    fn count_load(&self, request: &EdgeRequest) {
-        if request.uri().path() == "/api/log-newest" {
-            let (topic, _) = topic_partition(request.uri().query().unwrap_or_default());
-            *self.loads.borrow_mut().entry(topic).or_default() += 1;
-        }
+    fn count_call(&self, request: &EdgeRequest) {
+        let counts = match request.uri().path() {
+            "/api/log-newest" => &self.loads,
+            "/api/log-append" => &self.appends,
+            _ => return,
+        };
+        let (topic, _) = topic_partition(request.uri().query().unwrap_or_default());
+        *counts.borrow_mut().entry(topic).or_default() += 1;
     }
 
     async fn on_append(&self, query_string: &str, request: EdgeRequest) -> EdgeResponse {
