Bound the pause of refused batches by the number of writers

Cause: the pause could grow to the time in which the store takes an append of each daemon, 4 s in the whole fleet, and so keep records of members back for as long after an outage. One daemon in some eight writes. Change: 1 ms a daemon at most, which keeps the writers within half of what the partition takes.

--- a/crates/borageshore_gateway/src/feed/batch.rs
+++ b/crates/borageshore_gateway/src/feed/batch.rs
@@ -26,12 +26,12 @@
 const COLLECT_MS: u64 = 20;
 /// The interval at which a starting daemon checks whether it knows who writes its record.
 const PHASE_CHECK_MS: u64 = 100;
-/// The pause after a refused batch. It doubles with each failure in a row, up to [`MAX_RETRY_MS`] or the time in which
-/// the store takes an append of each daemon, whichever is longer.
+/// The pause after a refused batch. It doubles with each failure in a row, up to [`MAX_RETRY_MS`], or longer in a fleet
+/// of more daemons than that has ms.
 const RETRY_MS: u64 = 20;
 const MAX_RETRY_MS: u64 = 500;
-/// The time that an append takes the store.
-const APPEND_MS: u64 = 4;
+/// Keeps the writers, one for some eight daemons, within half of the appends that a partition takes, one in 4 ms.
+const MAX_RETRY_MS_PER_DAEMON: u64 = 1;
 /// The maximum number of records in a batch.
 const MAX_RECORDS: usize = 512;
 /// Timeouts of a record that a peer writes: a batch waits for those of other daemons at the store.
@@ -146,7 +146,7 @@
 
     fn batch_retry_ms(&self, failures: u32) -> u64 {
         let daemons = self.fallback_budget().daemons as u64;
-        let longest_ms = MAX_RETRY_MS.max(daemons * APPEND_MS);
+        let longest_ms = MAX_RETRY_MS.max(daemons * MAX_RETRY_MS_PER_DAEMON);
         let pause_ms = (RETRY_MS << failures.min(16)).min(longest_ms);
         pause_ms / 2 + self.random() % pause_ms
     }
