--- a/crates/borageshore_net/src/event_loop.rs
+++ b/crates/borageshore_net/src/event_loop.rs
@@ -36,7 +36,7 @@
 }
 
 impl ReceivePace {
-    /// Counts a message, and pauses after each [`MESSAGES_QUANTUM`].
+    /// Counts a message, and pauses after a number of them.
     pub async fn on_message(&mut self) {
         self.received += 1;
         if self.received.is_multiple_of(MESSAGES_QUANTUM) {
