--- a/crates/borageshore_soak/src/faults.rs
+++ b/crates/borageshore_soak/src/faults.rs
@@ -1,11 +1,13 @@
 //! Faults injected from outside the daemons, at random or set times; they may overlap.
 
+mod endpoints;
+
 use std::{cell::RefCell, rc::Rc};
 
 use borageshore_net::{Clock, sleep_ms};
 use borageshore_standins::platform::{
-    DutyMode, EngineSwitches, ListeningPeer, PlainSwitches, PlatformDuties, PlatformEngine,
-    PlatformService, PlatformStore, Proxy, ProxyMode, StoreMode,
+    DutyMode, EngineSwitches, ListeningPeer, PlatformDuties, PlatformEngine, PlatformService,
+    PlatformStore, Proxy, ProxyMode, StoreMode,
 };
 use futures_util::future::join_all;
 use rand_core::Rng;
@@ -483,76 +485,6 @@
                 .record_violation(format!("vm-{number} cannot be started: {error}"));
         }
     }
-
-    /// Restarts an engine under the same id without a moment in which it is unlisted.
-    fn restart_engine(&self, number: usize) {
-        let (engine, proxy) = &self.engines[number];
-        engine.restart(1);
-        proxy.stall_open_connections();
-        engine.list(&self.store, &proxy.address().to_string(), "ready");
-    }
-
-    /// Overwrites an endpoint's entry as another writer would, and restores it after `length_ms`.
-    async fn put_foreign_entry(&self, number: usize, length_ms: u64) {
-        let (service, proxy) = &self.services[number];
-        let address = proxy.address().to_string();
-        let foreign =
-            json!({ "service": "app", "address": address, "state": "ready", "slots": "6" });
-        let key = format!("s-{number}");
-        self.store
-            .put("keyed.servers", &key, foreign.to_string().as_bytes());
-        if number == 0 {
-            self.oracle
-                .foreign_entry_at_ms
-                .set(Some(self.clock.now_ms()));
-        }
-        sleep_ms(length_ms).await;
-        service.list(&self.store, &address, "ready");
-    }
-
-    /// Lists an engine as draining for `length_ms`.
-    async fn drain_engine(&self, number: usize, length_ms: u64) {
-        let (engine, proxy) = &self.engines[number];
-        let address = proxy.address().to_string();
-        engine.list(&self.store, &address, "draining");
-        sleep_ms(length_ms).await;
-        engine.list(&self.store, &address, "ready");
-    }
-
-    async fn switch_engine<Change>(&self, number: usize, length_ms: u64, change: Change)
-    where
-        Change: FnOnce(&mut EngineSwitches),
-    {
-        let engine = &self.engines[number].0;
-        let usual = engine.switches();
-        let mut switches = usual;
-        change(&mut switches);
-        engine.set_switches(switches);
-        sleep_ms(length_ms).await;
-        engine.set_switches(EngineSwitches {
-            event_ms: 15,
-            cut_every: 0,
-            order_delay_ms: 0,
-            ..usual
-        });
-    }
-
-    async fn switch_service<Change>(&self, number: usize, length_ms: u64, change: Change)
-    where
-        Change: FnOnce(&mut PlainSwitches),
-    {
-        let usual = PlainSwitches {
-            work_ms: 5,
-            lose_every: 0,
-            wrong_id_every: 0,
-        };
-        let mut switches = usual;
-        change(&mut switches);
-        let service = &self.services[number].0;
-        service.set_switches(switches);
-        sleep_ms(length_ms).await;
-        service.set_switches(usual);
-    }
 }
 
 async fn degrade_link(proxy: &Proxy, mode: ProxyMode, length_ms: u64) {
