--- a/crates/borageshore_net/src/response_memory.rs
+++ b/crates/borageshore_net/src/response_memory.rs
@@ -18,10 +18,10 @@
 /// Bodies up to this size are always read.
 const SMALL_BODY_BYTES: u64 = 16 * 1024;
 
-/// The memory for response bodies while they are read, shared by the clients of a process.
+/// The memory for response bodies while they are read, shared by the calls of a client.
 ///
-/// A body may take as much as it leaves free. So a few servers that answer without end can't take the memory from
-/// others: each of them gets less than the one before, and loses it when it asks for more.
+/// A body may take as much as it leaves free, so that none takes all of it, and small bodies are always read. One that asks
+/// for more is given up.
 #[derive(Debug, Clone)]
 pub struct ResponseMemory {
     limit_bytes: u64,
