--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Plays the case; see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not be played.
+cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
+for program in target/release/borageshore target/review-2/release/review_cast_2; do
+  if [ ! -x "$program" ]; then
+    echo "$program is missing: build with the command of deploy/system.toml and review/build-2.sh" >&2
+    exit 2
+  fi
+done
+timeout --kill-after=2 110 target/review-2/release/review_cast_2 bodies review/6
+status=$?
+if [ "$status" -gt 2 ]; then exit 2; fi
+exit "$status"
