--- a/review/cast-2/src/daemons.rs
+++ b/review/cast-2/src/daemons.rs
@@ -29,12 +29,14 @@
 /// The ports for daemons, below those that the system gives to connections.
 const FIRST_PORT: u16 = 12_000;
 const PORTS: u16 = 20_000;
+const SPREAD: u32 = 97;
 
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
 /// A loopback address that was free a moment ago.
 fn free_address() -> SocketAddr {
-    let start = (std::process::id() % u32::from(PORTS)) as u16;
+    // Plays that start together get ports that are far apart.
+    let start = (std::process::id().wrapping_mul(SPREAD) % u32::from(PORTS)) as u16;
     loop {
         let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + (start + next % PORTS) % PORTS;
@@ -86,9 +88,10 @@
         self.child = Some(command.spawn().unwrap());
     }
 
-    pub fn wait_until_ready(&self) -> bool {
+    pub fn wait_until_ready(&mut self) -> bool {
         let until = Instant::now() + START_LIMIT;
-        while Instant::now() < until {
+        // One that has ended may have found its address in use.
+        while Instant::now() < until && !self.has_ended() {
             let answer = http::call(
                 self.ready,
                 "GET /api/ready",
--- a/review/cast-2/src/world.rs
+++ b/review/cast-2/src/world.rs
@@ -65,7 +65,7 @@
         let open = |number| Daemon::open(&work_folder, number, &ZONES, store_address);
         let mut daemons: Vec<Daemon> = (0..daemons).map(open).collect();
         daemons.iter_mut().for_each(Daemon::start);
-        let are_ready = daemons.iter().all(Daemon::wait_until_ready);
+        let are_ready = daemons.iter_mut().all(Daemon::wait_until_ready);
         record.line(&format!(
             "{} daemons started, ready: {are_ready}",
             daemons.len()
