--- a/review/cast-2/src/main.rs
+++ b/review/cast-2/src/main.rs
@@ -1,4 +1,4 @@
-//! Plays a case of the review: `review_cast_2 CASE FOLDER`. Exits with 1 if a rule was broken, with 0 if it held and
+//! Plays a case of the review: `review_cast_2 CASE FOLDER with|without` (the disruption). Exits with 1 if a rule was broken, with 0 if it held and
 //! with 2 if the case could not be played.
 
 mod base64;
@@ -25,7 +25,11 @@
     let mut arguments = std::env::args().skip(1);
     let case = arguments.next().unwrap_or_default();
     let folder = PathBuf::from(arguments.next().unwrap_or(".".into()));
-    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let has_trouble = match arguments.next().as_deref() {
+        Some("with") => true,
+        Some("without") => false,
+        _ => return ExitCode::from(2),
+    };
     let verdict = match case.as_str() {
         "stop" => stop::play(&folder, has_trouble),
         "items" => memory::play(&folder, has_trouble, memory::MANY_ITEMS),
