Start a submission's items as slots become free

Cause: each unfinished item was a task from the start. Each task reserved the state of a whole attempt and of a reward call, some 26 kB, whatever the number of slots. Ruled out: the records; with the same records and without those tasks the daemon peaks at 46 MB.

Change: a submission keeps its unfinished items in a sorted list and starts them in order: four waiting items a slot, all submissions together within a tenth of the memory (256 MB where the settings do not say), a few of each submission in any case. Texts without scores, and results that the store does not take, hold up new starts. Attempts and reward calls are on the heap while they last. Gauges items_started, items_not_started, results_unwritten_bytes.

Test: a_submission_of_many_items_fits_the_smallest_vm, with 120 MB.

--- a/crates/borageshore_batch/src/item_rank.rs
+++ b/crates/borageshore_batch/src/item_rank.rs
@@ -11,6 +11,13 @@
     index: usize,
 }
 
+impl ItemRank {
+    /// The position of the item in its submission.
+    pub fn index(self) -> usize {
+        self.index
+    }
+}
+
 /// Ranks the items of a submission, longest expected text first; the ranks are in the order of the items.
 ///
 /// A step ends when `target_groups` groups are complete, so its longest text bounds its duration. Items are ranked
--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -31,6 +31,7 @@
 mod record;
 mod reward_latencies;
 mod reward_queue;
+mod start_window;
 mod submission;
 mod swaps;
 mod text;
@@ -59,6 +60,7 @@
     record::LedgerRecord,
     reward_latencies::RewardLatencies,
     reward_queue::{RewardQueue, RewardRank, reward_slot_limit},
+    start_window::{StartWindow, StartedItems},
     submission::{Item, ItemResult, ItemState, ModelVersion, RewardCall, Submission},
     swaps::{
         EngineState, EngineVersions, ModelTarget, SwapLimits, SwapRound, load_candidates,
--- a/crates/borageshore_batch/src/record.rs
+++ b/crates/borageshore_batch/src/record.rs
@@ -52,6 +52,14 @@
         }
     }
 
+    /// About the memory that the result takes, in bytes; 0 for the other records.
+    pub fn result_bytes(&self) -> usize {
+        match self {
+            LedgerRecord::Result { result, .. } => result.held_bytes(),
+            LedgerRecord::Accept(_) | LedgerRecord::End { .. } => 0,
+        }
+    }
+
     /// The prefix of the keys of a submission's records; no other key starts with it.
     pub fn key_prefix(submission: &str) -> String {
         format!("{submission}:")
--- a/crates/borageshore_batch/src/submission.rs
+++ b/crates/borageshore_batch/src/submission.rs
@@ -103,6 +103,15 @@
     pub score: Option<Arc<str>>,
 }
 
+impl ItemResult {
+    /// About the memory that the result takes, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        let score_bytes = self.score.as_ref().map_or(0, |score| score.len());
+        let texts_bytes = self.item.len() + self.output.len() + score_bytes;
+        size_of::<Self>() + texts_bytes + size_of_val(&*self.versions)
+    }
+}
+
 /// A version of a model's weights, as published by its trainer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ModelVersion {
--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -14,6 +14,13 @@
 
 use crate::mechanisms::Mechanism;
 
+/// The memory that the process may use if the settings do not say: what the users allow a daemon for control.
+const DEFAULT_MEMORY_MB: u64 = 256;
+/// The share of the process's memory for items that were started and have no result yet, in percent.
+const STARTED_ITEMS_PERCENT: u64 = 10;
+/// What a started item takes while it waits for a slot, with its reward call and its place in the queue.
+const STARTED_ITEM_BYTES: u64 = 8 * 1024;
+
 /// The largest bound on requests to cold endpoints that makes sense.
 const MAX_COLD_BOUND: f64 = 1_000.0;
 
@@ -78,7 +85,7 @@
     /// The names by which the deployment says what it expects of the system; see [`Features`].
     #[serde(default)]
     pub features: Vec<Arc<str>>,
-    /// The memory that the process may use; without it, no limit on what is held for callers.
+    /// The memory that the process may use; without it, or with 0, 256 MB.
     #[serde(default)]
     pub memory_mb: Option<u64>,
     /// The platform's duties, if it has any.
@@ -182,6 +189,18 @@
         is_needed.then(|| MemoryLimits::of_process(memory_mb))
     }
 
+    /// The memory that the process may use.
+    pub(crate) fn memory_mb(&self) -> u64 {
+        let stated_mb = self.memory_mb.filter(|memory_mb| *memory_mb > 0);
+        stated_mb.unwrap_or(DEFAULT_MEMORY_MB)
+    }
+
+    /// The started items that fit into the process's memory.
+    pub(crate) fn most_started_items(&self) -> u64 {
+        let memory_bytes = self.memory_mb() * 1024 * 1024;
+        memory_bytes / 100 * STARTED_ITEMS_PERCENT / STARTED_ITEM_BYTES
+    }
+
     /// What the store gives to all daemons together.
     pub(crate) fn feed_limits(&self) -> FeedLimits {
         FeedLimits {
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -21,7 +21,7 @@
     feed::{Feed, FeedParts, FeedTopic, FeedTopicSource},
     fleet_records::FleetRecords,
     follow::{FollowSpec, Follower},
-    item::ItemContext,
+    item::{ItemContext, StartedTotal},
     ledger_view::LedgerView,
     lifecycle::{self, DrainTiming, Lifecycle, Signals},
     mechanisms::{Mechanism, Mechanisms},
@@ -164,6 +164,7 @@
                 instruments: instruments.clone(),
             }),
             writer: writer.clone(),
+            started_total: StartedTotal::open(config.most_started_items()),
             view: view.clone(),
             index: index.clone(),
             texts: Rc::new(TextCache::open(mechanisms.is_enabled(Mechanism::KeptTexts))),
@@ -334,6 +335,8 @@
             instruments,
             lifecycle: lifecycle.clone(),
             memory,
+            runner: runner.clone(),
+            writer: writer.clone(),
         };
         let metrics = HttpServer::bind(&config.metrics_address, server_limits(), metrics_page)?;
         log::info!(zone = &*config.zone, http_address = &*config.http_address, incarnation; "daemon started");
--- a/crates/borageshore_gateway/src/item/mod.rs
+++ b/crates/borageshore_gateway/src/item/mod.rs
@@ -1,6 +1,7 @@
 //! Runs one item of a submission: generates its text, scores it and hands the result to the writer.
 
 mod attempt;
+mod queue;
 mod versions;
 mod waiting;
 
@@ -21,7 +22,8 @@
 use borageshore_topology::Residency;
 use bytes::Bytes;
 
-use self::attempt::AttemptOutcome;
+pub(crate) use self::queue::{ItemQueue, StartedTotal};
+use self::{attempt::AttemptOutcome, queue::StartedItem};
 use crate::{
     dispatch::{Dispatch, SlotRequest},
     endpoints::Endpoints,
@@ -56,6 +58,7 @@
     pub(crate) progress: Rc<Progress>,
     pub(crate) instruments: Rc<Instruments>,
     pub(crate) writer: Rc<Writer>,
+    pub(crate) started_total: Rc<StartedTotal>,
 }
 
 /// What the start order of an item depends on.
@@ -69,13 +72,13 @@
 }
 
 /// Runs an item until it has a result and queues the result for writing.
-pub(crate) async fn run_item(
+async fn run_item(
     context: Rc<ItemContext>,
     submission: Arc<Submission>,
-    index: usize,
     schedule: ItemSchedule,
+    started: StartedItem,
 ) {
-    let item = &submission.items[index];
+    let item = &submission.items[schedule.rank.index()];
     let run = ItemRun {
         context: &context,
         submission: &submission,
@@ -86,6 +89,7 @@
         save_handle: RefCell::default(),
         content: OnceCell::new(),
         member: context.rewards.join_group(&submission, item),
+        started,
     };
     let result = run.finish().await;
     let outcome = match result.state {
@@ -117,6 +121,8 @@
     content: OnceCell<Fingerprint>,
     /// The item, counted in its group until it has a result.
     member: GroupMember,
+    /// The item, counted in its submission's queue.
+    started: StartedItem,
 }
 
 /// Progress of an item; times are in ms since its submission was first seen.
@@ -150,9 +156,12 @@
         self.timing.generated_ms.set(self.waited_ms());
         self.timing.events.set(text.last_event());
         self.member.on_text_complete();
+        self.started.on_generated();
         let mut score = None;
         if let Some(call) = &self.item.reward {
-            match self.context.rewards.score(self.score_request(call)).await {
+            // On the heap, so that an item takes the memory only while it is scored.
+            let scoring = Box::pin(self.context.rewards.score(self.score_request(call)));
+            match scoring.await {
                 Reward::Score(signature) => score = Some(signature),
                 Reward::Failed => {
                     cached.remove();
@@ -283,11 +292,13 @@
             let instance = slot.target.instance.clone();
             if self.timing.attempts.replace(self.timing.attempts.get() + 1) == 0 {
                 self.timing.placed_ms.set(self.waited_ms());
+                self.started.on_placed();
             }
             let is_whole = text.last_event() == 0;
             let started_at_ms = self.context.clock.now_ms();
             let events_before = text.last_event();
-            let attempt = self.attempt(slot, &route, rule, &mut request, text);
+            // On the heap, so that an item takes the memory only while it is at an engine.
+            let attempt = Box::pin(self.attempt(slot, &route, rule, &mut request, text));
             let outcome = attempt.await;
             if text.last_event() > events_before {
                 losses.on_progress();
--- a/crates/borageshore_gateway/src/runner.rs
+++ b/crates/borageshore_gateway/src/runner.rs
@@ -8,14 +8,13 @@
 };
 
 use borageshore_base::SortedMap;
-use borageshore_batch::{Submission, SubmissionState, mean_hint_tokens, rank_items};
+use borageshore_batch::{Submission, SubmissionState};
 use borageshore_diagnostics::Instruments;
 use borageshore_net::{sleep_ms, within_ms};
 use futures_util::future::select;
-use tokio::sync::Notify;
 
 use crate::{
-    item::{ItemContext, ItemSchedule, run_item},
+    item::{ItemContext, ItemQueue},
     ledger_view::LedgerView,
     mechanisms::Mechanism,
     members::Members,
@@ -38,36 +37,6 @@
 /// Cancelled items return their texts to the cache within this time.
 const CANCEL_MS: u64 = 100;
 
-/// Cancels the tasks of a submission.
-#[derive(Debug)]
-struct Cancel {
-    submission: Arc<Submission>,
-    is_cancelled: Cell<bool>,
-    notify: Notify,
-}
-
-impl Cancel {
-    fn of(submission: Arc<Submission>) -> Self {
-        Self {
-            submission,
-            is_cancelled: Cell::default(),
-            notify: Notify::new(),
-        }
-    }
-
-    fn cancel(&self) {
-        self.is_cancelled.set(true);
-        self.notify.notify_waiters();
-    }
-
-    async fn cancelled(&self) {
-        let notified = self.notify.notified();
-        if !self.is_cancelled.get() {
-            notified.await;
-        }
-    }
-}
-
 /// Runs the open submissions that this daemon owns.
 ///
 /// Each daemon derives ownership from its own view of the live members. Two daemons that own a submission for a moment
@@ -79,7 +48,7 @@
     index: Rc<SubmissionIndex>,
     members: Rc<Members>,
     context: Rc<ItemContext>,
-    running: RefCell<SortedMap<Arc<str>, Rc<Cancel>>>,
+    running: RefCell<SortedMap<Arc<str>, Rc<ItemQueue>>>,
     loading: RefCell<Vec<Arc<str>>>,
     /// Where the texts of each open submission may be.
     origins: RefCell<SortedMap<Arc<str>, Origin>>,
@@ -134,6 +103,13 @@
         self.running.borrow().len()
     }
 
+    /// The numbers of unfinished items here that are started, and that are not.
+    pub(crate) fn item_counts(&self) -> (u64, u64) {
+        let running = self.running.borrow();
+        let pending: usize = running.values().map(|queue| queue.pending()).sum();
+        (self.context.started_total.count(), pending as u64)
+    }
+
     async fn run(self: Rc<Self>) {
         loop {
             let ledger_changed = pin!(self.view.changed.notified());
@@ -165,16 +141,16 @@
         };
         let own: Vec<&OpenSubmission> = open.iter().filter(is_own).collect();
         self.update_origins(&open, &own);
-        self.running.borrow_mut().retain(|id, cancel| {
+        self.running.borrow_mut().retain(|id, queue| {
             // `None` if records may have been missed; the items continue until the submission is loaded again.
             let is_open = self.view.with_loaded(id, SubmissionState::is_open);
             let is_own = own.iter().any(|known| known.id == *id);
             let keeps_running = is_own && is_open.unwrap_or(true);
             if !keeps_running {
                 log::info!(submission = &**id; "submission ended or owned by another daemon; cancelling its items");
-                cancel.cancel();
+                queue.cancel();
                 if !self.index.may_hold(id) {
-                    self.remove_texts(&cancel.submission);
+                    self.remove_texts(queue.submission());
                 }
             }
             keeps_running
@@ -185,6 +161,9 @@
                 self.take_over(known);
             }
         }
+        for queue in self.running.borrow().values() {
+            queue.refresh();
+        }
         self.members.set_holds(self.held_submissions(&own));
         self.report_waiting(&open);
         !open.is_empty()
@@ -312,24 +291,13 @@
             return;
         };
         log::info!(submission = &**id, items = unfinished.pending.len(); "submission taken over");
-        let cancel = Rc::new(Cancel::of(unfinished.submission.clone()));
-        let ranks = rank_items(&unfinished.submission);
-        let mean_hint_tokens = mean_hint_tokens(&unfinished.submission);
-        for index in unfinished.pending {
-            let own_hint_tokens = unfinished.submission.items[index].length_hint_tokens;
-            let schedule = ItemSchedule {
-                seen_at_ms: unfinished.seen_at_ms,
-                rank: ranks[index],
-                hint_tokens: own_hint_tokens.or(mean_hint_tokens),
-            };
-            let submission = unfinished.submission.clone();
-            let item = run_item(self.context.clone(), submission, index, schedule);
-            let cancel = cancel.clone();
-            monoio::spawn(async move {
-                select(pin!(item), pin!(cancel.cancelled())).await;
-            });
-        }
-        self.running.borrow_mut().insert(id.clone(), cancel);
+        let Unfinished {
+            submission,
+            seen_at_ms,
+            pending,
+        } = unfinished;
+        let queue = ItemQueue::spawn(self.context.clone(), submission, seen_at_ms, &pending);
+        self.running.borrow_mut().insert(id.clone(), queue);
     }
 }
 
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -31,7 +31,9 @@
     members::Members,
     peers::{FORWARDED_HEADER, Peers, SubmitOutcome},
     routes::Routes,
+    runner::Runner,
     submissions::{MAX_WAIT_MS, Submissions},
+    writer::Writer,
 };
 
 /// The retry delay given to callers while the daemon starts; routes are read within a second.
@@ -79,6 +81,8 @@
     pub(crate) instruments: Rc<Instruments>,
     pub(crate) lifecycle: Rc<Lifecycle>,
     pub(crate) memory: Option<MemoryBudget>,
+    pub(crate) runner: Rc<Runner>,
+    pub(crate) writer: Rc<Writer>,
 }
 
 impl Handler for MetricsPage {
@@ -89,6 +93,12 @@
             instruments.set("memory_refused_bodies", memory.refused_bodies());
             instruments.set("memory_closed_connections", memory.closed_connections());
         }
+        let (started, pending) = self.runner.item_counts();
+        self.instruments.set("items_started", started);
+        self.instruments.set("items_not_started", pending);
+        let unwritten_bytes = self.writer.unwritten_bytes() as u64;
+        self.instruments
+            .set("results_unwritten_bytes", unwritten_bytes);
         self.instruments
             .set("requests_in_flight", self.lifecycle.in_flight() as u64);
         Response::new(full_body(self.instruments.to_text()))
--- a/crates/borageshore_gateway/src/writer.rs
+++ b/crates/borageshore_gateway/src/writer.rs
@@ -1,6 +1,10 @@
 //! Writes item results to the store.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
 
 use borageshore_base::SortedMap;
 use borageshore_batch::{ItemResult, LedgerRecord};
@@ -18,6 +22,10 @@
 /// The maximum bytes of one append; the store's limit is 2 MiB.
 const MAX_APPEND_BYTES: usize = 1_500_000;
 
+/// The bytes of results that may wait for the store before no other item is started. Texts that are being generated then
+/// still add theirs.
+const MAX_WAITING_BYTES: usize = 4 * 1024 * 1024;
+
 /// Appends queued results, one queue per shard, and retries until the store has them.
 #[derive(Debug)]
 pub(crate) struct Writer {
@@ -27,6 +35,8 @@
     index: Rc<SubmissionIndex>,
     queues: RefCell<SortedMap<Shard, Rc<Queue>>>,
     attempts: RefCell<u64>,
+    /// The bytes of the results that the store does not have yet.
+    unwritten_bytes: Cell<usize>,
 }
 
 #[derive(Debug, Default)]
@@ -44,12 +54,14 @@
             index,
             queues: RefCell::default(),
             attempts: RefCell::default(),
+            unwritten_bytes: Cell::default(),
         })
     }
 
     /// Queues a result.
     pub(crate) fn write(self: &Rc<Self>, submission: Arc<str>, result: ItemResult) {
         let queue = self.queue(self.index.shard_of(&submission));
+        self.add_bytes(result.held_bytes() as isize);
         queue.waiting.borrow_mut().push(LedgerRecord::Result {
             submission,
             result: Arc::new(result),
@@ -75,6 +87,22 @@
         self.queues.borrow().values().map(queue_len).sum()
     }
 
+    /// The bytes of the results that the store does not have yet.
+    pub(crate) fn unwritten_bytes(&self) -> usize {
+        self.unwritten_bytes.get()
+    }
+
+    /// Whether so much waits for the store that no other item should be started.
+    pub(crate) fn is_behind(&self) -> bool {
+        self.unwritten_bytes.get() > MAX_WAITING_BYTES
+    }
+
+    fn add_bytes(&self, change: isize) {
+        let unwritten_bytes = self.unwritten_bytes.get();
+        self.unwritten_bytes
+            .set(unwritten_bytes.saturating_add_signed(change));
+    }
+
     async fn run(self: Rc<Self>, shard: Shard, queue: Rc<Queue>) {
         let store = shard.store(&self.store);
         loop {
@@ -84,7 +112,9 @@
             }
             let records = queue.waiting.take();
             *queue.in_flight.borrow_mut() = records.len();
+            let bytes: usize = records.iter().map(LedgerRecord::result_bytes).sum();
             self.append(&store, &shard, records).await;
+            self.add_bytes(-(bytes as isize));
             *queue.in_flight.borrow_mut() = 0;
         }
     }
--- /dev/null
+++ b/tests/memory.rs
@@ -0,0 +1,121 @@
+//! Daemons with the memory of the smallest VMs: what accepted work takes.
+
+mod support;
+
+use std::rc::Rc;
+
+use borageshore_net::{Clock, run_event_loop, sleep_ms};
+use borageshore_standins::platform::PlatformEngine;
+use serde_json::{Value, json};
+use support::{Answer, Fleet, put_routes, route};
+
+const MODEL: &str = "m0";
+/// The memory of the smallest VM.
+const MEMORY_MB: u64 = 120;
+/// What the platform allows in a body.
+const MAX_BODY_BYTES: usize = 32 * 1024 * 1024;
+
+/// A fleet whose daemons have the smallest memory, before one engine.
+struct SmallFleet {
+    fleet: Rc<Fleet>,
+    _engine: PlatformEngine,
+}
+
+impl SmallFleet {
+    async fn open(zones: &[&str]) -> Self {
+        let fleet = Rc::new(Fleet::open_within(zones, MEMORY_MB).await);
+        let engine = PlatformEngine::bind("llm", "e-1", MODEL, 1, Clock::start()).unwrap();
+        let entry = json!({
+            "service": "llm", "address": engine.address().to_string(), "zone": "a1", "version": "v1",
+            "slots": 6, "stage": "both", "state": "ready", "cold_left_ms": 0, "seq": 1,
+            "born": engine.started_at_ms(),
+            "models": [{ "name": MODEL, "version": 1, "adapters": [] }],
+        });
+        fleet
+            .store
+            .put("keyed.servers", "e-1", entry.to_string().as_bytes());
+        put_routes(
+            &fleet.store,
+            1,
+            &[route("batch", "rollout", "llm", json!([]))],
+            &[],
+        );
+        fleet.wait_until_ready().await;
+        Self {
+            fleet,
+            _engine: engine,
+        }
+    }
+
+    async fn submit(&self, daemon: usize, id: &str, submission: String) -> Answer {
+        let path = format!("/batch/{id}");
+        self.fleet
+            .request(daemon, "POST", &path, id, submission)
+            .await
+    }
+
+    /// Waits until a submission has a number of results; returns how many it has in the end.
+    async fn wait_for_results(&self, daemon: usize, id: &str, results: u64) -> u64 {
+        let mut found = 0;
+        for _ in 0..100 {
+            let path = format!("/api/lots/{id}?after=0");
+            let read = self
+                .fleet
+                .request(daemon, "GET", &path, "read", String::new());
+            let page: Value = serde_json::from_slice(&read.await.body).unwrap_or_default();
+            found = page["next_token"].as_u64().unwrap_or(0);
+            if found >= results {
+                break;
+            }
+            sleep_ms(200).await;
+        }
+        found
+    }
+
+    /// Asserts that no daemon has ever exceeded its memory.
+    fn assert_within_memory(&self, daemons: usize) {
+        for daemon in 0..daemons {
+            let peak_mb = self.fleet.peak_memory_kb(daemon) / 1024;
+            assert!(
+                (1..MEMORY_MB).contains(&peak_mb),
+                "vm-{daemon}: {peak_mb} MB"
+            );
+        }
+    }
+}
+
+fn submission(items: usize, body_bytes: usize) -> String {
+    let body = "QUFB".repeat(body_bytes / 3);
+    let item = |number: usize| {
+        json!({
+            "id": format!("item-{number}"), "path": "/batch/x", "num_tokens": 20,
+            "group": format!("g-{}", number / 4), "body": body,
+            "headers": { "X-Model": MODEL, "X-Token-Count": "10,10" },
+        })
+    };
+    let items: Vec<Value> = (0..items).map(item).collect();
+    let text = json!({ "step": 1, "model": MODEL, "min_version": 1, "items": items }).to_string();
+    assert!(
+        text.len() <= MAX_BODY_BYTES,
+        "more than the platform allows"
+    );
+    text
+}
+
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[test] fn $name() { run_event_loop(async $body) })*
+    };
+}
+
+cases! {
+    // A submission of many items takes the memory of its daemon, and then that of each one that takes it over.
+    a_submission_of_many_items_fits_the_smallest_vm => {
+        let fleet = SmallFleet::open(&["a1"]).await;
+        let accepted = fleet.submit(0, "step", submission(16_000, 30)).await;
+        assert_eq!(accepted.status, 202);
+        let results = fleet.wait_for_results(0, "step", 200).await;
+        fleet.assert_within_memory(1);
+        assert!(results >= 200, "{results} results");
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -99,6 +99,11 @@
         Self::open_with(zones, "store_read_mb_per_s: 0.03\n").await
     }
 
+    /// Like [`Fleet::open`], with daemons that may use so much memory.
+    pub(crate) async fn open_within(zones: &[&str], memory_mb: u64) -> Self {
+        Self::open_with(zones, &format!("memory_mb: {memory_mb}\n")).await
+    }
+
     async fn open_with(zones: &[&str], settings: &str) -> Self {
         let store = PlatformStore::bind("127.0.0.1:0").unwrap();
         let thread = format!("{:?}", thread::current().id());
@@ -234,6 +239,17 @@
         members.iter().find_map(holds)
     }
 
+    /// The most memory that a daemon has used since it was started; 0 if it has ended.
+    pub(crate) fn peak_memory_kb(&self, number: usize) -> u64 {
+        let child = self.daemons[number].child.borrow();
+        let id = child.as_ref().map_or(0, Child::id);
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let mut lines = status.lines();
+        let line = lines.find(|line| line.starts_with("VmHWM"));
+        let number = line.and_then(|line| line.split_whitespace().nth(1));
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+
     /// What a daemon has logged so far.
     pub(crate) fn log(&self, number: usize) -> String {
         let path = self.folder.join(format!("vm-{number}.log"));
