Answer what a stopping daemon has taken, and refuse what it has no time for

Cause: the wait for requests in flight ended 0.9 s before the end of the grace period, which is reserved for leaving the fleet, and the process exited 0.3 s later whatever was in flight; and requests were taken until then, however long they may take. Evidence: the line "daemon stopped" says is_idle false, so the request was counted and the exit was by plan. Ruled out: an idle connection that is closed.

Change: leaving and answering run side by side; the daemon leaves 0.9 s before the end as before, answers until 0.2 s before it, and exits as soon as all is written. A request whose time limit ends later is refused at once as not run. What is left at the end, such as a request from before the signal, is answered without a result. Submissions need 3 s, and reads that wait end 1 s before. The grace period counts from the last time at which there was no signal.

--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -69,6 +69,7 @@
     usage: Option<Rc<UsageCounter>>,
     runner: Rc<Runner>,
     writer: Rc<Writer>,
+    memory: MemoryBudget,
     /// The servers for callers and for peers.
     servers: Vec<HttpServer>,
     _metrics: HttpServer,
@@ -297,7 +298,7 @@
         monoio::spawn(members.clone().announce(feed.clone()));
         monoio::spawn(members.clone().expire_suspicions());
         Watch::bind(&config.peer_address, members.clone(), feed.clone())?;
-        let lifecycle = Lifecycle::open();
+        let lifecycle = Lifecycle::open(clock);
         let memory = MemoryBudget::spawn(config.memory_limits(), clock);
         let server = Server {
             lifecycle: lifecycle.clone(),
@@ -350,7 +351,7 @@
         let metrics_page = MetricsPage {
             instruments,
             lifecycle: lifecycle.clone(),
-            memory,
+            memory: memory.clone(),
             work_memory,
             runner: runner.clone(),
             writer: writer.clone(),
@@ -372,6 +373,7 @@
             usage,
             runner,
             writer,
+            memory,
             servers,
             _metrics: metrics,
         })
@@ -379,8 +381,9 @@
 
     /// Serves until SIGTERM or SIGINT, then stops gracefully.
     pub async fn run_until_stopped(&self) -> io::Result<()> {
-        Signals::open()?.wait_for_stop(self).await;
+        let started_at_ms = Signals::open()?.wait_for_stop(self).await;
         let timing = DrainTiming {
+            started_at_ms,
             grace_ms: self.config.stop_grace_s * 1_000,
             address_retention_ms: ADDRESS_RETENTION_TTLS * self.config.address_ttl_s * 1_000,
         };
@@ -416,6 +419,10 @@
         }
     }
 
+    pub(crate) fn lifecycle(&self) -> &Lifecycle {
+        &self.lifecycle
+    }
+
     pub(crate) fn poll_ms(&self) -> u64 {
         self.lifecycle.poll_ms()
     }
@@ -435,6 +442,11 @@
                 .is_some_and(|usage| usage.has_unwritten())
     }
 
+    /// The bytes of responses to callers that are not written out.
+    pub(crate) fn unwritten_bytes(&self) -> u64 {
+        self.memory.unwritten_bytes()
+    }
+
     /// Removes this daemon's presence record, so that other daemons do not have to detect its exit by missing
     /// heartbeats.
     pub(crate) async fn leave(&self) {
--- a/crates/borageshore_gateway/src/server.rs
+++ b/crates/borageshore_gateway/src/server.rs
@@ -1,6 +1,6 @@
 //! Serves the three addresses for callers and the platform, and the metrics page.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc};
+use std::{net::SocketAddr, pin::pin, rc::Rc, sync::Arc};
 
 use borageshore_access::{Credentials, KeyDigest, Organisations, scoped};
 use borageshore_base::{Fault, ResultCode};
@@ -18,6 +18,7 @@
 use borageshore_routing::{MAX_RETRY_AFTER_PART, Route, RouteKind};
 use borageshore_topology::Residency;
 use bytes::Bytes;
+use futures_util::future::{Either, select};
 use hyper::{
     Response, StatusCode,
     header::{CONNECTION, HeaderValue},
@@ -39,6 +40,12 @@
 
 /// The retry delay given to callers while the daemon starts; routes are read within a second.
 const NOT_READY_RETRY_MS: u64 = 300;
+/// The retry delay given to callers that this daemon has no time left for; another one takes the request at once.
+const DRAINING_RETRY_MS: u64 = 50;
+/// The time that accepting a submission takes while the store is slow; without it left, a daemon that drains takes none.
+const ACCEPTANCE_TIME_MS: u64 = 3_000;
+/// How long before its end a daemon that drains answers reads that wait for results.
+const READ_MARGIN_MS: u64 = 1_000;
 /// The shortest retry delay given to callers whose body does not fit the memory budget, about the time in which some
 /// bodies in use are done with.
 const OVER_MEMORY_RETRY_MS: u64 = 400;
@@ -139,7 +146,15 @@
 impl Handler for Server {
     async fn handle(&self, request: EdgeRequest, _remote: SocketAddr) -> EdgeResponse {
         let _in_flight = self.lifecycle.track_request();
-        let mut response = self.answer(request).await;
+        let answer = pin!(self.answer(request));
+        let end = pin!(self.lifecycle.end_of_answers());
+        let mut response = match select(answer, end).await {
+            Either::Left((response, _)) => response,
+            Either::Right(_) => {
+                let fault = Fault::new(ResultCode::TimeoutAfterHandover, "the daemon stops");
+                refusal(&fault, None)
+            }
+        };
         if self.lifecycle.state() == PresenceState::Draining {
             // Makes the caller open its next connection to another daemon.
             let close = HeaderValue::from_static("close");
@@ -204,7 +219,8 @@
         }
         match request {
             SubmissionRequest::Results { after, wait_ms } => {
-                self.submissions.results(&id, *after, *wait_ms).await
+                let wait_ms = self.read_wait_ms(*wait_ms);
+                self.submissions.results(&id, *after, wait_ms).await
             }
             SubmissionRequest::Body { item } => self.submissions.body(&id, item).await,
             SubmissionRequest::End => self.submissions.end(&id).await,
@@ -224,7 +240,7 @@
             return None;
         }
         let wait_ms = match request {
-            SubmissionRequest::Results { wait_ms, .. } => (*wait_ms).min(MAX_WAIT_MS),
+            SubmissionRequest::Results { wait_ms, .. } => self.read_wait_ms(*wait_ms),
             SubmissionRequest::Body { .. } | SubmissionRequest::End => 0,
         };
         let asked = match request {
@@ -240,6 +256,15 @@
         None
     }
 
+    /// How long a read waits for results that was asked to wait for `wait_ms`.
+    fn read_wait_ms(&self, wait_ms: u64) -> u64 {
+        let remaining_ms = self.lifecycle.remaining_ms();
+        let longest_ms = remaining_ms.map_or(MAX_WAIT_MS, |remaining_ms| {
+            remaining_ms.saturating_sub(READ_MARGIN_MS)
+        });
+        wait_ms.min(longest_ms).min(MAX_WAIT_MS)
+    }
+
     fn ready(&self) -> EdgeResponse {
         match self.lifecycle.state() {
             PresenceState::Ready => ok_response(),
@@ -303,6 +328,13 @@
         {
             call.remove_api_key();
         }
+        let longest_ms = match route.kind {
+            RouteKind::Batch => ACCEPTANCE_TIME_MS,
+            _ => call.deadline_ms.min(route.timeout_ms),
+        };
+        if !self.lifecycle.has_time_for(longest_ms) {
+            return self.refuse_draining(&call.id, &route.name);
+        }
         if route.kind == RouteKind::Batch {
             let submission = CallerSubmission {
                 call: &call,
@@ -377,6 +409,15 @@
         self.memory.read_body(body, server_limits()).await
     }
 
+    /// Refuses a request that may take longer than this daemon has before it exits.
+    fn refuse_draining(&self, request: &str, route: &str) -> EdgeResponse {
+        let remaining_ms = self.lifecycle.remaining_ms().unwrap_or(0);
+        self.submissions.instruments.count("call", "not_run");
+        log::info!(request, route, remaining_ms; "request refused: the daemon stops before it would have to be answered");
+        let fault = Fault::new(ResultCode::Draining, "");
+        refusal(&fault, Some(DRAINING_RETRY_MS))
+    }
+
     /// Refuses a request whose body does not fit the memory budget; nothing of it was run.
     fn refuse_body(&self, request: &str, route: &str, caller_deadline: Deadline) -> EdgeResponse {
         let refused = self.memory.refused_bodies();
--- a/crates/borageshore_net/src/memory.rs
+++ b/crates/borageshore_net/src/memory.rs
@@ -134,6 +134,11 @@
         self.state.held_bytes()
     }
 
+    /// The bytes of responses that are not written out.
+    pub fn unwritten_bytes(&self) -> u64 {
+        self.state.response_bytes.get()
+    }
+
     /// The number of bodies that were refused.
     pub fn refused_bodies(&self) -> u64 {
         self.state.refused_bodies.get()
