Bound what many small submissions start, and let them in beside full records

With that bounded, a test with 600 open submissions of 40 items showed that work that waits to run kept new small submissions out: 8 of 20 refused.

Change: a submission runs once there is memory for the items that it starts in any case, the oldest first; one runs in any case. Acceptances have a share of their own. No item starts while results exceed the limit. Reward calls that wait hold no body, and an item is encoded without a second copy. A daemon that stops waits for results and request counts to be written while it answers.

Tests: many_submissions_fit_the_smallest_vm (120 MB, failed as above before acceptances had their share) and small_submissions_are_accepted_beside_full_records.

--- a/crates/borageshore_batch/src/accepted_record.rs
+++ b/crates/borageshore_batch/src/accepted_record.rs
@@ -2,7 +2,7 @@
 
 use std::{iter::FusedIterator, sync::Arc};
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
@@ -105,8 +105,7 @@
         if !std::mem::replace(&mut self.is_first_item, false) {
             self.encoded.extend_from_slice(b",");
         }
-        let text = serde_json::to_vec(&item).expect("plain data");
-        self.encoded.extend_from_slice(&text);
+        serde_json::to_writer((&mut self.encoded).writer(), &item).expect("plain data");
     }
 }
 
--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -67,7 +67,7 @@
     record::LedgerRecord,
     reward_latencies::RewardLatencies,
     reward_queue::{RewardQueue, RewardRank, reward_slot_limit},
-    start_window::{StartWindow, StartedItems},
+    start_window::{StartWindow, StartedItems, most_started, share_bytes},
     submission::{Header, Item, ItemResult, ItemState, ModelVersion, RewardCall, Submission},
     swaps::{
         EngineState, EngineVersions, ModelTarget, SwapLimits, SwapRound, load_candidates,
@@ -81,5 +81,5 @@
     version_pin::{PinnedWait, VersionPin},
     version_rule::VersionRule,
     view_position::ViewPosition,
-    work_memory::{HeldKind, WorkHold, WorkMemory},
+    work_memory::{HeldKind, WorkHold, WorkLimits, WorkMemory},
 };
--- a/crates/borageshore_batch/src/start_window.rs
+++ b/crates/borageshore_batch/src/start_window.rs
@@ -12,6 +12,19 @@
 /// does not hold up the rest.
 const MIN_SHARE: u64 = 16;
 
+/// What a started item takes while it waits for a slot, with its reward call and its place in the queue.
+const STARTED_ITEM_BYTES: u64 = 8 * 1024;
+
+/// The started items that fit into some memory.
+pub fn most_started(bytes: u64) -> u64 {
+    bytes / STARTED_ITEM_BYTES
+}
+
+/// The memory of the items that a submission may start whatever others have, given how many are left.
+pub fn share_bytes(items_left: usize) -> u64 {
+    MIN_SHARE.min(items_left as u64) * STARTED_ITEM_BYTES
+}
+
 /// The started items of a submission that have no result yet.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct StartedItems {
--- a/crates/borageshore_batch/src/work_memory.rs
+++ b/crates/borageshore_batch/src/work_memory.rs
@@ -6,10 +6,14 @@
 use std::{cell::Cell, rc::Rc};
 
 /// The share of a process's memory that accepted work may hold, in percent. The rest is for callers and the process itself.
-const WORK_PERCENT: u64 = 35;
+const WORK_PERCENT: u64 = 33;
 /// The share for the bodies of items on their way to engines, in percent.
 const SENDS_PERCENT: u64 = 8;
 
+/// The share for submissions that are being accepted whatever accepted ones hold, in percent: those that wait to run must
+/// not keep small ones from being accepted.
+const ACCEPTANCE_PERCENT: u64 = 4;
+
 /// What accepted work holds memory for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeldKind {
@@ -17,6 +21,8 @@
     Acceptance,
     /// The records of submissions that this daemon runs, or that are read here.
     Records,
+    /// The items that each submission that runs here may start in any case.
+    Started,
     /// Bodies of items on their way to engines.
     Sends,
     /// Unfinished texts that are kept, or restored after a takeover.
@@ -25,23 +31,52 @@
 
 impl HeldKind {
     /// All kinds.
-    pub const ALL: [Self; 4] = [Self::Acceptance, Self::Records, Self::Sends, Self::Texts];
+    pub const ALL: [Self; 5] = [
+        Self::Acceptance,
+        Self::Records,
+        Self::Started,
+        Self::Sends,
+        Self::Texts,
+    ];
 
     /// Its name in metrics and log lines.
     pub fn name(self) -> &'static str {
         match self {
             Self::Acceptance => "acceptance",
             Self::Records => "records",
+            Self::Started => "started",
             Self::Sends => "sends",
             Self::Texts => "texts",
         }
     }
 }
 
+/// Limits on the memory of accepted work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorkLimits {
+    /// What all of it may hold.
+    pub total_bytes: u64,
+    /// What bodies on their way to engines may hold, but for one that is larger by itself.
+    pub sends_bytes: u64,
+    /// What acceptances may hold in any case.
+    pub acceptance_bytes: u64,
+}
+
+impl WorkLimits {
+    /// The limits of a process that may use `memory_mb`.
+    pub fn of_process(memory_mb: u64) -> Self {
+        let share = |percent: u64| memory_mb * 1024 * 1024 / 100 * percent;
+        Self {
+            total_bytes: share(WORK_PERCENT),
+            sends_bytes: share(SENDS_PERCENT),
+            acceptance_bytes: share(ACCEPTANCE_PERCENT),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct State {
-    limit_bytes: u64,
-    sends_limit_bytes: u64,
+    limits: WorkLimits,
     held_bytes: [Cell<u64>; HeldKind::ALL.len()],
     /// What submissions need that are accepted and wait for memory; new ones leave it free.
     wanted_bytes: Cell<u64>,
@@ -55,18 +90,11 @@
 }
 
 impl WorkMemory {
-    /// The memory of a process that may use `memory_mb`.
-    pub fn of_process(memory_mb: u64) -> Self {
-        let share = |percent: u64| memory_mb * 1024 * 1024 / 100 * percent;
-        Self::within(share(WORK_PERCENT), share(SENDS_PERCENT))
-    }
-
-    /// Memory of a size, of which `sends_limit_bytes` are for bodies on their way to engines.
-    pub fn within(limit_bytes: u64, sends_limit_bytes: u64) -> Self {
+    /// Memory within limits.
+    pub fn within(limits: WorkLimits) -> Self {
         Self {
             state: Rc::new(State {
-                limit_bytes,
-                sends_limit_bytes,
+                limits,
                 held_bytes: Default::default(),
                 wanted_bytes: Cell::default(),
                 refused: Cell::default(),
@@ -76,7 +104,7 @@
 
     /// What accepted work may hold.
     pub fn limit_bytes(&self) -> u64 {
-        self.state.limit_bytes
+        self.state.limits.total_bytes
     }
 
     /// What work of a kind holds now.
@@ -89,6 +117,11 @@
         self.state.held_bytes.iter().map(Cell::get).sum()
     }
 
+    /// Whether more is held than may be, as results grew.
+    pub fn is_exceeded(&self) -> bool {
+        self.total_bytes() > self.state.limits.total_bytes
+    }
+
     /// How often memory was refused.
     pub fn refused(&self) -> u64 {
         self.state.refused.get()
@@ -124,17 +157,19 @@
 
     /// Whether work of a kind may hold that many bytes more.
     fn has_room(&self, kind: HeldKind, more_bytes: u64) -> bool {
-        let total_bytes: u64 = self.held_bytes.iter().map(Cell::get).sum();
+        let limits = &self.limits;
+        let kind_bytes = self.held(kind).get() + more_bytes;
+        let total_bytes = self.held_bytes.iter().map(Cell::get).sum::<u64>() + more_bytes;
         match kind {
-            HeldKind::Sends => {
-                let sends_bytes = self.held(kind).get();
-                // The largest item could not be sent otherwise.
-                sends_bytes == 0 || sends_bytes + more_bytes <= self.sends_limit_bytes
-            }
+            // The largest item could not be sent otherwise.
+            HeldKind::Sends => kind_bytes == more_bytes || kind_bytes <= limits.sends_bytes,
             HeldKind::Acceptance => {
-                total_bytes + more_bytes + self.wanted_bytes.get() <= self.limit_bytes
+                kind_bytes <= limits.acceptance_bytes
+                    || total_bytes + self.wanted_bytes.get() <= limits.total_bytes
+            }
+            HeldKind::Records | HeldKind::Started | HeldKind::Texts => {
+                total_bytes <= limits.total_bytes
             }
-            HeldKind::Records | HeldKind::Texts => total_bytes + more_bytes <= self.limit_bytes,
         }
     }
 }
--- a/crates/borageshore_batch/tests/work_memory.rs
+++ b/crates/borageshore_batch/tests/work_memory.rs
@@ -1,12 +1,15 @@
 //! The memory of accepted work.
 
-use borageshore_batch::{HeldKind, WorkMemory};
+use borageshore_batch::{HeldKind, WorkLimits, WorkMemory};
 
-const LIMIT: u64 = 1_000;
-const SENDS_LIMIT: u64 = 200;
+const LIMITS: WorkLimits = WorkLimits {
+    total_bytes: 1_000,
+    sends_bytes: 200,
+    acceptance_bytes: 50,
+};
 
 fn memory() -> WorkMemory {
-    WorkMemory::within(LIMIT, SENDS_LIMIT)
+    WorkMemory::within(LIMITS)
 }
 
 macro_rules! cases {
@@ -37,6 +40,15 @@
         assert!(memory.try_hold(HeldKind::Records, 1_000).is_some());
     }
 
+    // Guards against small submissions that are refused as long as accepted ones wait to run.
+    small_submissions_are_accepted_beside_full_records => {
+        let memory = memory();
+        let _records = memory.try_hold(HeldKind::Records, 1_000).unwrap();
+        memory.set_wanted(700);
+        let _small = memory.try_hold(HeldKind::Acceptance, 50).unwrap();
+        assert!(memory.try_hold(HeldKind::Acceptance, 1).is_none());
+    }
+
     // Guards against an item that is larger than the share for bodies and is never sent.
     the_largest_body_is_sent_by_itself => {
         let memory = memory();
--- a/crates/borageshore_gateway/src/acceptance.rs
+++ b/crates/borageshore_gateway/src/acceptance.rs
@@ -122,6 +122,7 @@
             submission, again_ms, limit_bytes = memory.limit_bytes(),
             acceptance_bytes = memory.held_bytes(HeldKind::Acceptance),
             records_bytes = memory.held_bytes(HeldKind::Records),
+            started_bytes = memory.held_bytes(HeldKind::Started),
             sends_bytes = memory.held_bytes(HeldKind::Sends),
             texts_bytes = memory.held_bytes(HeldKind::Texts);
             "submission refused: no memory for it beside other accepted work"
--- a/crates/borageshore_gateway/src/config.rs
+++ b/crates/borageshore_gateway/src/config.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use borageshore_base::{Fault, ResultCode};
+use borageshore_batch::most_started;
 use borageshore_feed::FeedLimits;
 use borageshore_net::MemoryLimits;
 use borageshore_platform::{DutyKind, Features};
@@ -18,8 +19,6 @@
 const DEFAULT_MEMORY_MB: u64 = 256;
 /// The share of the process's memory for items that were started and have no result yet, in percent.
 const STARTED_ITEMS_PERCENT: u64 = 10;
-/// What a started item takes while it waits for a slot, with its reward call and its place in the queue.
-const STARTED_ITEM_BYTES: u64 = 8 * 1024;
 
 /// The largest bound on requests to cold endpoints that makes sense.
 const MAX_COLD_BOUND: f64 = 1_000.0;
@@ -196,7 +195,7 @@
     /// The started items that fit into the process's memory.
     pub(crate) fn most_started_items(&self) -> u64 {
         let memory_bytes = self.memory_mb() * 1024 * 1024;
-        memory_bytes / 100 * STARTED_ITEMS_PERCENT / STARTED_ITEM_BYTES
+        most_started(memory_bytes / 100 * STARTED_ITEMS_PERCENT)
     }
 
     /// What the store gives to all daemons together.
--- a/crates/borageshore_gateway/src/gateway.rs
+++ b/crates/borageshore_gateway/src/gateway.rs
@@ -3,7 +3,7 @@
 use std::{io, path::PathBuf, rc::Rc};
 
 use borageshore_base::rendezvous_weight;
-use borageshore_batch::{SwapLimits, WorkMemory};
+use borageshore_batch::{SwapLimits, WorkLimits, WorkMemory};
 use borageshore_diagnostics::Instruments;
 use borageshore_membership::{Presence, PresenceState};
 use borageshore_net::{Clock, HttpServer, MemoryBudget, ResponseMemory, boot_time_ms};
@@ -129,7 +129,7 @@
             topology,
             partitions,
         });
-        let work_memory = WorkMemory::of_process(config.memory_mb());
+        let work_memory = WorkMemory::within(WorkLimits::of_process(config.memory_mb()));
         let view = LedgerView::spawn(store.clone(), index.clone(), work_memory.clone(), clock);
         let acceptance = Acceptance::open(
             work_memory.clone(),
@@ -435,11 +435,13 @@
     pub(crate) fn is_idle(&self) -> bool {
         self.lifecycle.in_flight() == 0
             && self.runner.running_count() == 0
-            && self.writer.unwritten() == 0
-            && !self
-                .usage
-                .as_ref()
-                .is_some_and(|usage| usage.has_unwritten())
+            && !self.has_unwritten_records()
+    }
+
+    /// Whether the store lacks results or counts of requests.
+    pub(crate) fn has_unwritten_records(&self) -> bool {
+        let usage = self.usage.as_ref();
+        self.writer.unwritten() > 0 || usage.is_some_and(|usage| usage.has_unwritten())
     }
 
     /// The bytes of responses to callers that are not written out.
--- a/crates/borageshore_gateway/src/item/queue.rs
+++ b/crates/borageshore_gateway/src/item/queue.rs
@@ -8,7 +8,7 @@
 };
 
 use borageshore_batch::{
-    ItemRank, StartWindow, StartedItems, Submission, mean_hint_tokens, rank_items,
+    ItemRank, StartWindow, StartedItems, Submission, WorkHold, mean_hint_tokens, rank_items,
 };
 use futures_util::future::select;
 use tokio::sync::Notify;
@@ -57,6 +57,8 @@
     slots: Cell<u64>,
     is_cancelled: Cell<bool>,
     cancelled: Notify,
+    /// For the items that it may start in any case.
+    _hold: WorkHold,
 }
 
 impl ItemQueue {
@@ -66,6 +68,7 @@
         submission: Arc<Submission>,
         seen_at_ms: u64,
         pending: &[usize],
+        hold: WorkHold,
     ) -> Rc<Self> {
         let ranks = rank_items(&submission);
         let mut pending: Vec<ItemRank> = pending.iter().map(|index| ranks[*index]).collect();
@@ -80,6 +83,7 @@
             slots: Cell::default(),
             is_cancelled: Cell::default(),
             cancelled: Notify::new(),
+            _hold: hold,
         });
         queue.refresh();
         queue
@@ -123,7 +127,8 @@
     }
 
     fn start_items(self: &Rc<Self>) {
-        if self.pending.borrow().is_empty() || self.context.writer.is_behind() {
+        let has_room = !self.context.writer.is_behind() && !self.context.memory.is_exceeded();
+        if self.pending.borrow().is_empty() || !has_room {
             return;
         }
         let total = &self.context.started_total;
--- a/crates/borageshore_gateway/src/lifecycle.rs
+++ b/crates/borageshore_gateway/src/lifecycle.rs
@@ -214,8 +214,8 @@
     log::info!(took_ms = gateway.now_ms() - timing.started_at_ms, is_idle = gateway.is_idle(); "daemon stopped");
 }
 
-/// Waits until all requests are answered and the responses written, at most until the grace period ends; shortly before,
-/// it answers the requests that are left.
+/// Waits until all requests are answered and the responses and records written, at most until the grace period ends;
+/// shortly before, it answers the requests that are left.
 async fn answer_all(gateway: &Gateway, servers: &[HttpServer], timing: DrainTiming) {
     let lifecycle = gateway.lifecycle();
     let answers_at_ms = timing.before_end_ms(ANSWER_MARGIN_MS);
@@ -225,7 +225,8 @@
     while gateway.now_ms() < exit_at_ms {
         let now_ms = gateway.now_ms();
         let in_flight = lifecycle.in_flight();
-        if in_flight > 0 || gateway.unwritten_bytes() > 0 {
+        let is_busy = in_flight > 0 || gateway.unwritten_bytes() > 0;
+        if is_busy || gateway.has_unwritten_records() {
             idle_since_ms = None;
         } else {
             let are_closed = servers.iter().all(|server| server.open_connections() == 0);
--- a/crates/borageshore_gateway/src/rewards/attempt.rs
+++ b/crates/borageshore_gateway/src/rewards/attempt.rs
@@ -38,7 +38,7 @@
         &self,
         route: &Route,
         request: &ScoreRequest<'_>,
-        scoring: &Scoring,
+        scoring: &Scoring<'_>,
         permit: &Permit,
     ) -> Result<Arc<str>, NoScore> {
         let parts = &self.parts;
@@ -114,7 +114,7 @@
         &self,
         service: &Arc<str>,
         residency: &Residency,
-        scoring: &Scoring,
+        scoring: &Scoring<'_>,
         first: &Arc<str>,
         deadline: Deadline,
     ) -> Option<PendingSend> {
@@ -132,7 +132,7 @@
                 .choose(service, residency, std::slice::from_ref(first))?;
         parts.instruments.count("reward", "hedged");
         log::info!(
-            call = &*scoring.outbound.id, instance = &**first, to = &*target.instance,
+            call = &*scoring.call.id, instance = &**first, to = &*target.instance,
             remaining_ms = deadline.remaining_ms();
             "reward call takes long; sent to a second endpoint"
         );
@@ -158,7 +158,7 @@
 
     async fn send(
         &self,
-        scoring: &Scoring,
+        scoring: &Scoring<'_>,
         permit: &Permit,
         send: PendingSend,
     ) -> Result<Score, NoScore> {
@@ -169,15 +169,16 @@
             _slot,
         } = send;
         let parts = &self.parts;
-        let call = &*scoring.outbound.id;
+        let call = &*scoring.call.id;
         let result = {
             let content = || scoring.content();
+            let outbound = scoring.outbound();
             let mut sent = parts
                 .quarantine
                 .track_send(content, &target.instance, permit);
             let result = parts
                 .client
-                .call(&target, &scoring.outbound, RequestPurpose::Reward, deadline)
+                .call(&target, &outbound, RequestPurpose::Reward, deadline)
                 .await;
             sent.on_outcome(&result);
             result
--- a/crates/borageshore_gateway/src/rewards/mod.rs
+++ b/crates/borageshore_gateway/src/rewards/mod.rs
@@ -75,8 +75,8 @@
 
 /// A reward call in progress.
 #[derive(Debug)]
-struct Scoring {
-    outbound: OutboundRequest,
+struct Scoring<'c> {
+    call: &'c RewardCall<'c>,
     content: OnceCell<Fingerprint>,
     /// The endpoints of the last attempt that returned no score.
     last_failed: RefCell<Vec<Arc<str>>>,
@@ -84,18 +84,23 @@
     failures: Cell<u64>,
 }
 
-impl Scoring {
-    fn open(call: &RewardCall<'_>) -> Self {
+impl<'c> Scoring<'c> {
+    fn open(call: &'c RewardCall<'c>) -> Self {
         Self {
-            outbound: OutboundRequest::reward(call),
+            call,
             content: OnceCell::new(),
             last_failed: RefCell::default(),
             failures: Cell::new(0),
         }
     }
 
+    /// The request, built when it is sent: many calls may wait, each with a body.
+    fn outbound(&self) -> OutboundRequest {
+        OutboundRequest::reward(self.call)
+    }
+
     fn content(&self) -> Fingerprint {
-        *self.content.get_or_init(|| self.outbound.fingerprint())
+        *self.content.get_or_init(|| self.outbound().fingerprint())
     }
 }
 
--- a/crates/borageshore_gateway/src/runner.rs
+++ b/crates/borageshore_gateway/src/runner.rs
@@ -8,7 +8,7 @@
 };
 
 use borageshore_base::SortedMap;
-use borageshore_batch::{Submission, SubmissionState};
+use borageshore_batch::{HeldKind, Submission, SubmissionState, WorkHold, share_bytes};
 use borageshore_diagnostics::Instruments;
 use borageshore_net::{sleep_ms, within_ms};
 use futures_util::future::select;
@@ -337,17 +337,35 @@
         let Some(Some(unfinished)) = self.view.with_loaded(id, unfinished) else {
             return;
         };
+        let Some(hold) = self.hold_items(unfinished.pending.len()) else {
+            return;
+        };
         log::info!(submission = &**id, items = unfinished.pending.len(); "submission taken over");
         let Unfinished {
             submission,
             seen_at_ms,
             pending,
         } = unfinished;
-        let queue = ItemQueue::spawn(self.context.clone(), submission, seen_at_ms, &pending);
+        let queue = ItemQueue::spawn(self.context.clone(), submission, seen_at_ms, &pending, hold);
         self.running.borrow_mut().insert(id.clone(), queue);
     }
 }
 
+impl Runner {
+    /// Holds memory for the items that a submission starts in any case. Without room it is tried again at the next check:
+    /// the submissions that run make room when they end.
+    fn hold_items(&self, items_left: usize) -> Option<WorkHold> {
+        let memory = &self.context.memory;
+        let bytes = share_bytes(items_left);
+        let has_room = self.view.make_room(bytes);
+        // Records alone may take all the memory; one submission runs in any case.
+        match has_room || self.running.borrow().is_empty() {
+            true => Some(memory.hold(HeldKind::Started, bytes)),
+            false => None,
+        }
+    }
+}
+
 /// What the owner of an open submission does next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum NextStep {
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -187,6 +187,25 @@
         assert!(metrics.contains("kind=\"records\""), "{metrics}");
     }
 
+    // Many small submissions that are open at once each start some items, together without a bound.
+    many_submissions_fit_the_smallest_vm => {
+        let fleet = SmallFleet::open(&["a1"]).await;
+        let text = submission(40, 30);
+        let ids: Vec<String> = (0..600).map(|number| format!("step-{number}")).collect();
+        for some in ids.chunks(20) {
+            // Each with items of its own, or the results of the first would do for all.
+            let texts = some.iter().map(|id| text.replace("item-", &format!("{id}-")));
+            let texts: Vec<String> = texts.collect();
+            let submissions = some.iter().zip(&texts);
+            let answers = submissions.map(|(id, text)| fleet.submit_until_taken(0, id, text));
+            let statuses = join_all(answers).await;
+            assert!(statuses.iter().all(|status| *status == 202), "{statuses:?}");
+        }
+        let oldest = fleet.wait_for_results(0, "step-0", 40).await;
+        fleet.assert_within_memory(&[0]);
+        assert_eq!(oldest, 40, "the oldest submission is not served");
+    }
+
     // A submission of many items takes the memory of its daemon, and then that of each one that takes it over.
     a_submission_of_many_items_fits_the_smallest_vm => {
         let fleet = SmallFleet::open(&["a1"]).await;
