Keep the body of a submission out of Debug output

Headers of its items may contain credentials. The hold for the items of a submission moves to the other methods of the runner. No change of behaviour.

--- a/crates/borageshore_gateway/src/acceptance.rs
+++ b/crates/borageshore_gateway/src/acceptance.rs
@@ -42,8 +42,8 @@
     refused: Cell<u64>,
 }
 
-/// The body of a submission, with the memory that its acceptance takes.
-#[derive(Debug)]
+/// The body of a submission, with the memory that its acceptance takes. Without `Debug`, as headers of its items may
+/// contain credentials.
 pub(crate) struct AcceptedBody<'a> {
     pub(crate) bytes: Bytes,
     hold: WorkHold,
--- a/crates/borageshore_gateway/src/runner.rs
+++ b/crates/borageshore_gateway/src/runner.rs
@@ -349,9 +349,7 @@
         let queue = ItemQueue::spawn(self.context.clone(), submission, seen_at_ms, &pending, hold);
         self.running.borrow_mut().insert(id.clone(), queue);
     }
-}
 
-impl Runner {
     /// Holds memory for the items that a submission starts in any case. Without room it is tried again at the next check:
     /// the submissions that run make room when they end.
     fn hold_items(&self, items_left: usize) -> Option<WorkHold> {
