Start items until records and results hold half of the memory

Results of running items are held whether there is room or not, and no items started above the limit for records, a third of the memory: a submission whose results exceed that would stop, although the process has room (by reading; not run). The limit for it is half of the memory now, so that about a sixth more is for results. Test: items_start_until_results_exceed_their_share.

--- a/crates/borageshore_batch/src/work_memory.rs
+++ b/crates/borageshore_batch/src/work_memory.rs
@@ -14,6 +14,10 @@
 /// not keep small ones from being accepted.
 const ACCEPTANCE_PERCENT: u64 = 4;
 
+/// The share above which no items start, in percent. Results of items that run are stored already and are held whether
+/// there is room or not.
+const RESULTS_PERCENT: u64 = 50;
+
 /// What accepted work holds memory for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeldKind {
@@ -60,6 +64,8 @@
     pub sends_bytes: u64,
     /// What acceptances may hold in any case.
     pub acceptance_bytes: u64,
+    /// What it may hold with the results of items that run before no other items start.
+    pub with_results_bytes: u64,
 }
 
 impl WorkLimits {
@@ -70,6 +76,7 @@
             total_bytes: share(WORK_PERCENT),
             sends_bytes: share(SENDS_PERCENT),
             acceptance_bytes: share(ACCEPTANCE_PERCENT),
+            with_results_bytes: share(RESULTS_PERCENT),
         }
     }
 }
@@ -117,9 +124,9 @@
         self.state.held_bytes.iter().map(Cell::get).sum()
     }
 
-    /// Whether more is held than may be, as results grew.
+    /// Whether results have grown so much that no other items should start.
     pub fn is_exceeded(&self) -> bool {
-        self.total_bytes() > self.state.limits.total_bytes
+        self.total_bytes() > self.state.limits.with_results_bytes
     }
 
     /// How often memory was refused.
--- a/crates/borageshore_batch/tests/work_memory.rs
+++ b/crates/borageshore_batch/tests/work_memory.rs
@@ -6,6 +6,7 @@
     total_bytes: 1_000,
     sends_bytes: 200,
     acceptance_bytes: 50,
+    with_results_bytes: 1_500,
 };
 
 fn memory() -> WorkMemory {
@@ -61,6 +62,16 @@
         assert!(memory.try_hold(HeldKind::Sends, 100).is_some());
     }
 
+    // Guards against results that fill the memory as items run on, and against items that stop at the first byte too much.
+    items_start_until_results_exceed_their_share => {
+        let memory = memory();
+        let mut records = memory.try_hold(HeldKind::Records, 1_000).unwrap();
+        records.set(1_500);
+        assert!(!memory.is_exceeded());
+        records.set(1_501);
+        assert!(memory.is_exceeded());
+    }
+
     // Guards against growth that is counted although it was refused.
     a_refused_growth_changes_nothing => {
         let memory = memory();
