Take only final responses whose body was decoded for answers

What callers saw: an endpoint that answers with status 101 or 600 to 999, or with a transfer coding that nobody offered, was passed on: (101, "") and (999, "ok") to the caller, and a body in gzip or cut into pieces as if it were the endpoint's. The same bytes counted as an answer of an engine to an item, a report, an order, of the receiver of duty calls and of the store.

Cause: hyper rejects what its parser can't read, but returns 101 as a final response, lets 600 to 999 through, reads a body with an unknown transfer coding to the end of the connection and one with 'gzip, chunked' as chunks, and lets a length stand beside chunks. Nothing of ours looked at that.

Change: HttpClient::send checks the head: a status of 200 to 599 (RFC 9110, 15), and no transfer coding but one 'chunked' without a length beside it (RFC 9112, 6.1). All clients use it: calls, streams, items, reward calls, reports, orders, duty calls, the store and peers. The error is NoResponse, so the request counts as possibly run.

Ruled out: 206 and 304 without a request for them are left alone, as the caller's header fields are forwarded and may ask for them; so is a Content-Encoding, which HTTP defines and the endpoint chose.

--- a/crates/borageshore_net/src/client.rs
+++ b/crates/borageshore_net/src/client.rs
@@ -1,6 +1,9 @@
 //! An HTTP client whose errors tell whether a request can have reached the server.
 
-use std::{cell::RefCell, error::Error, fmt, io, net::SocketAddr, pin::pin, rc::Rc, sync::Arc};
+use std::{
+    cell::RefCell, error::Error, fmt, io, net::SocketAddr, ops::RangeInclusive, pin::pin, rc::Rc,
+    sync::Arc,
+};
 
 use borageshore_base::SortedMap;
 use bytes::Bytes;
@@ -9,7 +12,7 @@
 use hyper::{
     Request, Response, StatusCode,
     client::conn::http1::{Builder, SendRequest},
-    header::HOST,
+    header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
 };
 use monoio::{io::IntoPollIo, net::TcpStream};
 use monoio_compat::hyper::MonoioIo;
@@ -29,6 +32,9 @@
 /// The maximum size of a buffered response body, if a client has no limit of its own.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
+/// The statuses that HTTP defines for final responses (RFC 9110, 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// What an error repeats of a response.
 const MAX_QUOTED_BYTES: usize = 200;
 
@@ -201,6 +207,7 @@
         let sending = connection.sender.try_send_request(request);
         match within_ms(timeouts.first_byte_ms, sending).await {
             Some(Ok(response)) => {
+                check_head(&response)?;
                 let credit = connection.credit.clone();
                 Ok(response.map(|body| ReceivedBody::new(body, credit)))
             }
@@ -305,6 +312,31 @@
     }
 }
 
+/// Checks what hyper leaves to its user: that a head is one of a final response (RFC 9110, 15), and that its body was
+/// delimited and decoded as the sender meant it (RFC 9112, 6.1). No transfer coding is offered, so only `chunked` is valid.
+fn check_head<Body>(response: &Response<Body>) -> Result<(), CallError> {
+    let status = response.status();
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        let why = format!("status {} is not one of a final response", status.as_u16());
+        return Err(CallError::NoResponse(why));
+    }
+    let headers = response.headers();
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    let Some(coding) = codings.next() else {
+        return Ok(());
+    };
+    if !coding.as_bytes().eq_ignore_ascii_case(b"chunked") || codings.next().is_some() {
+        let why = "a transfer coding other than chunked";
+        return Err(CallError::NoResponse(why.into()));
+    }
+    match headers.contains_key(CONTENT_LENGTH) {
+        true => Err(CallError::NoResponse(
+            "both a length and a transfer coding".into(),
+        )),
+        false => Ok(()),
+    }
+}
+
 /// Sets the `Host` header to the address unless the request has one.
 fn set_host(request: &mut Request<Full<Bytes>>, address: &str) {
     if let Ok(host) = address.parse() {
