Let the stand-in of the store read queries as HTTP servers do

The stand-in compared the undecoded text of a query with its keys, so a daemon that escapes nothing seemed to be right, and no test could show what a real store makes of a key with '&', '+', '#', '%' or a blank. It also dropped records whose key is not UTF-8 from its lists; a real store has no reason to.

Change: queries are decoded as forms (form_urlencoded), and keys are bytes; a list names a key that is no text with replacement characters. A key of over 255 bytes, which the wire has no room for, ends the test instead of being cut.

--- a/crates/borageshore_gateway/tests/evacuations.rs
+++ b/crates/borageshore_gateway/tests/evacuations.rs
@@ -115,7 +115,7 @@
 
     fn evacuate(&self, zone: &str) {
         self.store
-            .put("keyed.op", &format!("evacuate/{zone}"), b"{}");
+            .put("keyed.op", format!("evacuate/{zone}"), b"{}");
     }
 
     /// Writes records, and drops them from the history before any daemon has read them.
@@ -132,7 +132,7 @@
     }
 
     fn end_evacuation(&self, zone: &str) {
-        self.store.put("keyed.op", &format!("evacuate/{zone}"), b"");
+        self.store.put("keyed.op", format!("evacuate/{zone}"), b"");
     }
 
     /// Starts a daemon and waits until it is ready.
--- a/crates/borageshore_standins/src/platform/mod.rs
+++ b/crates/borageshore_standins/src/platform/mod.rs
@@ -14,6 +14,8 @@
 mod proxy;
 mod store;
 
+use std::borrow::Cow;
+
 use borageshore_net::EdgeResponse;
 use hyper::HeaderMap;
 
@@ -69,9 +71,10 @@
     response
 }
 
-fn query_parameter<'q>(query: &'q str, name: &str) -> Option<&'q str> {
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+/// Returns a parameter's value in a query, decoded.
+fn query_parameter<'q>(query: &'q str, name: &str) -> Option<Cow<'q, str>> {
+    let mut pairs = form_urlencoded::parse(query.as_bytes());
+    pairs.find(|(key, _)| key == name).map(|(_, value)| value)
 }
 
 /// A deterministic hash for generated sizes and signatures.
--- a/crates/borageshore_standins/src/platform/plain.rs
+++ b/crates/borageshore_standins/src/platform/plain.rs
@@ -129,7 +129,7 @@
     /// Removes its entry from the store.
     pub fn unlist(&self, store: &PlatformStore) {
         self.shared.listed.replace(None);
-        store.put("keyed.servers", &self.shared.instance.borrow(), b"");
+        store.put("keyed.servers", self.shared.instance.borrow().as_str(), b"");
     }
 
     /// Sets how long a crashing call runs before the crash, even if its caller has disconnected.
@@ -200,7 +200,11 @@
             "slots": 6, "state": state, "cold_left_ms": cold_left_ms, "seq": 1,
         });
         let instance = self.instance.borrow();
-        store.put("keyed.servers", &instance, entry.to_string().as_bytes());
+        store.put(
+            "keyed.servers",
+            instance.as_str(),
+            entry.to_string().as_bytes(),
+        );
     }
 
     async fn write_entries_while_cold(self: Rc<Self>) {
--- a/crates/borageshore_standins/src/platform/store.rs
+++ b/crates/borageshore_standins/src/platform/store.rs
@@ -53,8 +53,8 @@
 struct Partition {
     end: u64,
     records: Vec<Record>,
-    /// The newest record of each key, for keyed topics.
-    newest: BTreeMap<String, Record>,
+    /// The newest record of each key, for keyed topics. Keys may be any bytes.
+    newest: BTreeMap<Bytes, Record>,
 }
 
 impl Partition {
@@ -128,11 +128,15 @@
         self.shared.mode.set(mode);
     }
 
-    /// Appends a keyed record as an operator or endpoint would, regardless of the mode.
-    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+    /// Appends a keyed record as an operator or endpoint would, regardless of the mode. A key has at most 255 bytes.
+    pub fn put<Key>(&self, topic: &str, key: Key, value: &[u8])
+    where
+        Key: AsRef<[u8]>,
+    {
+        let key = key.as_ref();
         let mut record = BytesMut::new();
-        record.put_u8(key.len() as u8);
-        record.put_slice(key.as_bytes());
+        record.put_u8(u8::try_from(key.len()).expect("keys have at most 255 bytes"));
+        record.put_slice(key);
         record.put_slice(value);
         self.shared.append(topic, 0, vec![record.freeze()]);
     }
@@ -144,9 +148,8 @@
         let records = partition
             .into_iter()
             .flat_map(|partition| partition.newest.values());
-        records
-            .filter_map(|record| split_key(&record.bytes))
-            .collect()
+        let keyed = records.filter_map(|record| split_key(&record.bytes));
+        keyed.map(|(key, value)| (text(&key), value)).collect()
     }
 
     /// The number of keys in all topics whose names start with `topics`.
@@ -310,9 +313,8 @@
 
     fn on_newest(&self, query_string: &str) -> EdgeResponse {
         let (topic, partition) = topic_partition(query_string);
-        let after = query_parameter(query_string, "after")
-            .unwrap_or_default()
-            .to_owned();
+        let after = query_parameter(query_string, "after").unwrap_or_default();
+        let after = Bytes::copy_from_slice(after.as_bytes());
         let mut partitions = self.partitions.borrow_mut();
         let partition = partitions.entry((topic, partition)).or_default();
         let mut items = Vec::new();
@@ -329,7 +331,7 @@
             let (_, value) = split_key(&record.bytes).unwrap_or_default();
             bytes += value.len();
             let value = base64(&value);
-            items.push(json!({ "key": key, "value": value, "offset": record.offset }));
+            items.push(json!({ "key": text(key), "value": value, "offset": record.offset }));
         }
         let end = partition.end;
         json_response(
@@ -340,11 +342,14 @@
 }
 
 fn topic_partition(query_string: &str) -> (String, u64) {
-    let topic = query_parameter(query_string, "topic")
-        .unwrap_or_default()
-        .to_owned();
+    let topic = query_parameter(query_string, "topic").unwrap_or_default();
     let partition = query_parameter(query_string, "part").and_then(|part| part.parse().ok());
-    (topic, partition.unwrap_or(0))
+    (topic.into_owned(), partition.unwrap_or(0))
+}
+
+/// A key as it is listed: JSON has no text for bytes that are not UTF-8.
+fn text(key: &[u8]) -> String {
+    String::from_utf8_lossy(key).into_owned()
 }
 
 fn split_records(mut body: Bytes) -> Vec<Bytes> {
@@ -356,11 +361,9 @@
     records
 }
 
-fn split_key(record: &Bytes) -> Option<(String, Bytes)> {
-    let length = *record.first()? as usize;
-    let key = record.get(1..1 + length)?;
-    let key = std::str::from_utf8(key).ok()?.to_owned();
-    Some((key, record.slice(1 + length..)))
+fn split_key(record: &Bytes) -> Option<(Bytes, Bytes)> {
+    let end = 1 + usize::from(*record.first()?);
+    (record.len() >= end).then(|| (record.slice(1..end), record.slice(end..)))
 }
 
 fn base64(bytes: &[u8]) -> String {
