Leave out a listed record that cannot be read, instead of its page

What callers saw: none yet. Shown by a test: one record of a list whose key or value is not of the type that the store documents (a lone surrogate for a byte that is no UTF-8, a null, a number out of range) fails the whole page, so a daemon that starts reads the list again for ever, and one that looks up a submission answers 503 for each that shares the page.

Cause: a page was decoded as one value. Paging itself was written four times (whole lists, one key, a submission's records, shared topics), each on the undecoded page.

Change: NewestReader reads lists page by page for all of them; a page's items are decoded one by one. A record that cannot be decoded is left out with one line, kept by LogOnce, as lists are read again after each gap. Where absence matters, the record of one key, or those of one submission, the read fails instead, as it is not known what was left out. Daemons that pass topics on are read from all pages, not the first.

Ruled out: the values themselves, which each reader decodes by itself; log pages, whose records are decoded one by one already.

--- a/crates/borageshore_diagnostics/src/lib.rs
+++ b/crates/borageshore_diagnostics/src/lib.rs
@@ -11,12 +11,14 @@
 
 mod exposition;
 mod instruments;
+mod log_once;
 mod logging;
 mod rate_limit;
 
 pub use self::{
     exposition::Exposition,
     instruments::Instruments,
+    log_once::LogOnce,
     logging::{install_logger, set_level},
     rate_limit::{LineDecision, LogRateLimiter},
 };
--- a/crates/borageshore_gateway/src/cleaner.rs
+++ b/crates/borageshore_gateway/src/cleaner.rs
@@ -82,6 +82,9 @@
         for chunk in removals.chunks(KEYS_PER_APPEND) {
             store.append(topic, partition, chunk, None).await?;
         }
+        if !kept.is_complete {
+            return Err(StoreError::NotDone("not all records were listed".into()));
+        }
         self.index.remove(id).await
     }
 }
--- a/crates/borageshore_gateway/src/feed/direct.rs
+++ b/crates/borageshore_gateway/src/feed/direct.rs
@@ -1,6 +1,6 @@
 //! Reads the shared topics from the store.
 
-use std::{rc::Rc, sync::Arc};
+use std::rc::Rc;
 
 use borageshore_feed::{FallbackLoad, LogRecord, Readers, encoded_bytes, read_interval_ms};
 use borageshore_net::{boot_time_ms, sleep_ms, within_ms};
@@ -155,36 +155,34 @@
     /// Loads the newest record of each key. A part that fails is asked for again, and the parts before it are kept.
     async fn load_newest(&self, topic: FeedTopic) -> Result<usize, StoreError> {
         let requested_at_ms = boot_time_ms();
-        let mut chunk_requested_at_ms = requested_at_ms;
+        let mut page_requested_at_ms = requested_at_ms;
         let store = &self.parts.store;
         let mut records: Vec<KeyedRecord> = Vec::new();
         let mut first_end = None;
-        let mut after: Arc<str> = "".into();
+        let mut reader = store.newest_pages(topic.store_topic(), ONLY_PARTITION, "");
         loop {
-            let read = store.newest_chunk(topic.store_topic(), ONLY_PARTITION, &after);
-            let chunk = match read.await {
-                Ok(chunk) => chunk,
+            let page = match reader.next_page().await {
+                Ok(Some(page)) => page,
+                Ok(None) => break,
                 Err(_)
                     if !records.is_empty()
                         && self.is_joined_reader()
                         && self.reads_directly(topic) =>
                 {
                     self.pause_after_failure(topic).await;
-                    chunk_requested_at_ms = boot_time_ms();
+                    page_requested_at_ms = boot_time_ms();
                     continue;
                 }
                 Err(error) => return Err(error),
             };
             self.load_progressed_at_ms.set(boot_time_ms());
-            first_end.get_or_insert(chunk.end);
-            let pause_ms = self.page_pause_ms(&chunk.records, chunk_requested_at_ms);
-            records.extend(chunk.records);
-            match chunk.next_after {
-                Some(key) => after = key,
-                None => break,
+            first_end.get_or_insert(page.end);
+            let pause_ms = self.page_pause_ms(&page.records, page_requested_at_ms);
+            records.extend(page.records);
+            if reader.has_more() {
+                sleep_ms(pause_ms).await;
+                page_requested_at_ms = boot_time_ms();
             }
-            sleep_ms(pause_ms).await;
-            chunk_requested_at_ms = boot_time_ms();
         }
         records.sort_by_key(|record| record.offset);
         // Records that were appended after the first part are read again in the order of their offsets.
--- a/crates/borageshore_gateway/src/feed/start.rs
+++ b/crates/borageshore_gateway/src/feed/start.rs
@@ -95,8 +95,8 @@
         let store = &self.parts.store;
         let mut doublings = 0;
         loop {
-            match store.newest_chunk(Topic::Feeders, ONLY_PARTITION, "").await {
-                Ok(chunk) => return chunk.records.iter().filter_map(decode_feeder).collect(),
+            match store.newest(Topic::Feeders, ONLY_PARTITION, "").await {
+                Ok(list) => return list.records.iter().filter_map(decode_feeder).collect(),
                 Err(error) => {
                     log::info!(error:% = error; "could not read which daemons pass topics on; retrying");
                     if error == StoreError::RateLimited {
--- a/crates/borageshore_gateway/src/ledger_view.rs
+++ b/crates/borageshore_gateway/src/ledger_view.rs
@@ -236,26 +236,24 @@
         let mut records = Vec::new();
         let mut first_end = None;
         let mut bytes = 0;
-        let mut after: Arc<str> = prefix.as_str().into();
-        loop {
-            let chunk = store.newest_chunk(shard.topic(), shard.partition(), &after);
-            let chunk = chunk.await?;
-            let end = *first_end.get_or_insert(chunk.end);
-            let mut wanted = chunk.records;
-            wanted.retain(|record| record.key.starts_with(&prefix));
-            bytes += wanted.iter().map(value_bytes).sum::<u64>();
-            records.extend(wanted);
+        let mut reader = store.newest_pages(shard.topic(), shard.partition(), &prefix);
+        while let Some(page) = reader.next_page().await? {
+            first_end.get_or_insert(page.end);
+            bytes += page.records.iter().map(value_bytes).sum::<u64>();
+            records.extend(page.records);
             if bytes > self.held_bytes(id) && !self.hold_records(id, bytes) {
                 return Err(LoadError::OverMemory(bytes));
             }
-            match chunk.next_after.filter(|key| key.starts_with(&prefix)) {
-                Some(key) => after = key,
-                None => {
-                    records.sort_by_key(|record: &KeyedRecord| record.offset);
-                    return Ok(Page { end, records });
-                }
-            }
         }
+        if !reader.is_complete() {
+            let why = "the records cannot be read to their end";
+            return Err(StoreError::NotDone(why.into()).into());
+        }
+        records.sort_by_key(|record: &KeyedRecord| record.offset);
+        Ok(Page {
+            end: first_end.unwrap_or(0),
+            records,
+        })
     }
 
     /// Holds memory for a submission's records, for which others may be evicted; returns whether there is enough.
