--- a/crates/borageshore_standins/src/platform/store.rs
+++ b/crates/borageshore_standins/src/platform/store.rs
@@ -37,6 +37,8 @@
     Silent,
     /// Delays every call by this many ms.
     Slow(u64),
+    /// Says of each list that there is more, and begins again behind its end.
+    EndlessLists,
     /// Applies appends without responding to them.
     LostAnswers,
     /// Applies appends after this many ms if their condition still holds, without responding to them.
@@ -210,6 +212,7 @@
             StoreMode::Slow(ms) => sleep_ms(ms).await,
             StoreMode::Up
             | StoreMode::BusyAppends
+            | StoreMode::EndlessLists
             | StoreMode::LostAnswers
             | StoreMode::DelayedAppends(_) => {}
         }
@@ -319,7 +322,12 @@
         let partition = partitions.entry((topic, partition)).or_default();
         let mut items = Vec::new();
         let mut bytes = 0;
-        let mut has_more = false;
+        let mut has_more = self.mode.get() == StoreMode::EndlessLists;
+        let is_behind_end = partition.newest.keys().next_back() <= Some(&after);
+        let after = match has_more && is_behind_end {
+            true => Bytes::new(),
+            false => after,
+        };
         for (key, record) in partition.newest.range(after.clone()..) {
             if *key <= after && !after.is_empty() {
                 continue;
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use borageshore_net::{Clock, run_event_loop, sleep_ms};
-use borageshore_standins::platform::{PlatformService, PlatformStore};
+use borageshore_standins::platform::{PlatformService, PlatformStore, StoreMode};
 use serde_json::json;
 use support::{Fleet, put_routes, route};
 
@@ -69,6 +69,35 @@
     });
 }
 
+macro_rules! cases {
+    ($($name:ident => $body:block)*) => {
+        $(#[test] fn $name() $body)*
+    };
+}
+
+cases! {
+    // Daemons that start read a list without end and never become ready.
+    a_daemon_starts_beside_lists_that_do_not_end => {
+        run_event_loop(async {
+            let fleet = Fleet::open(&["a1"]).await;
+            put_routes(&fleet.store, 1, &[route("last", "unsafe", "last", json!([]))], &[]);
+            list_pages(&fleet.store, b"i-1 odd");
+            let _last = service(&fleet.store, "last", "i-3000");
+            fleet.wait_until_ready().await;
+            fleet.kill(0);
+            fleet.store.set_mode(StoreMode::EndlessLists);
+            fleet.start(0);
+            fleet.wait_until_ready().await;
+            sleep_ms(APPLY_MS).await;
+            let answer = fleet.request(0, "POST", "/last/x", "x", "body".into()).await;
+            assert_eq!(answer.status, 200, "logs in {}", fleet.folder().display());
+            let log = fleet.log(0);
+            let lines = log.lines().filter(|line| line.contains("list is not read to its end"));
+            assert!((1..=10).contains(&lines.count()), "a line for each list: {log}");
+        });
+    }
+}
+
 macro_rules! names {
     ($($name:ident: $odd:expr;)*) => {
         $(#[test] fn $name() { check_name($odd.as_ref()) })*
