--- a/crates/borageshore_batch/src/lib.rs
+++ b/crates/borageshore_batch/src/lib.rs
@@ -53,7 +53,7 @@
     generation_times::{FinishedText, GenerationTimes},
     group_placements::GroupPlacements,
     index_entry::{Demand, IndexEntry, SubmissionOrigin},
-    instance::instance_name,
+    instance::{INSTANCE_SEPARATOR, instance_name},
     item_rank::{ItemRank, rank_items},
     ledger::{Ledger, LedgerEntry, SubmissionState},
     loss_backoff::LossBackoff,
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -98,6 +98,91 @@
     }
 }
 
+/// An entry of the service with a field replaced by a text in JSON.
+fn entry_with(field: &str, text: &str) -> Vec<u8> {
+    let mut entry = json!({
+        "service": "last", "address": "127.0.0.1:9", "zone": "a1", "version": "v1", "slots": 6, "state": "ready",
+        "cold_left_ms": 0, "seq": 1, "born": 1_700_000_000_000_u64,
+        "models": [{ "name": "m0", "version": 1, "adapters": [] }],
+    });
+    entry[field] = json!("REPLACED");
+    entry.to_string().replace("\"REPLACED\"", text).into_bytes()
+}
+
+/// Writes an entry beside a sound one of the same service, and restarts a daemon beside it.
+fn check_value(value: &[u8]) {
+    run_event_loop(async {
+        let fleet = Fleet::open(&["a1"]).await;
+        put_routes(
+            &fleet.store,
+            1,
+            &[route("last", "unsafe", "last", json!([]))],
+            &[],
+        );
+        let _last = service(&fleet.store, "last", "i-1");
+        fleet.wait_until_ready().await;
+        for is_restarted in [false, true] {
+            fleet.store.put("keyed.servers", "i-2", value);
+            if is_restarted {
+                fleet.kill(0);
+                fleet.start(0);
+                fleet.wait_until_ready().await;
+            }
+            sleep_ms(APPLY_MS).await;
+            for number in 0..4 {
+                let id = format!("{is_restarted}-{number}");
+                let answer = fleet
+                    .request(0, "POST", "/last/x", &id, "body".into())
+                    .await;
+                assert_eq!(
+                    answer.status,
+                    200,
+                    "{id}; logs in {}",
+                    fleet.folder().display()
+                );
+            }
+            for _ in 0..5 {
+                fleet.store.put("keyed.servers", "i-2", value);
+                sleep_ms(50).await;
+            }
+        }
+        let log = fleet.log(0);
+        let lines = log.lines().filter(|line| line.contains("i-2"));
+        let lines: Vec<&str> = lines.collect();
+        assert_eq!(lines.len(), 2, "a line for each start: {lines:?}");
+    });
+}
+
+fn nested(levels: usize) -> String {
+    format!("{}{}", "[".repeat(levels), "]".repeat(levels))
+}
+
+macro_rules! values {
+    ($($name:ident: $value:expr;)*) => {
+        $(#[test] fn $name() { check_value($value.as_ref()) })*
+    };
+}
+
+// Guard against daemons that end, or stop to follow the list, because of what an entry of another writer holds.
+values! {
+    an_entry_that_is_nested_deeply: nested(100_000);
+    an_entry_with_a_field_that_is_nested_deeply: entry_with("zone", &nested(100_000));
+    an_entry_with_adapters_that_are_nested_deeply: entry_with("models", &format!(r#"[{{"name":"m0","version":1,"adapters":{}}}]"#, nested(100_000)));
+    an_entry_with_an_unknown_field_that_is_nested_deeply: entry_with("slots", &format!(r#"0,"x":{}"#, nested(100_000)));
+    an_entry_of_the_largest_size: vec![b'['; 256 * 1024 - 8];
+    an_entry_with_a_port_out_of_range: entry_with("address", r#""127.0.0.1:65536""#);
+    an_entry_with_a_negative_port: entry_with("address", r#""127.0.0.1:-1""#);
+    an_entry_with_port_zero: entry_with("address", r#""127.0.0.1:0""#);
+    an_entry_with_an_unspecified_address: entry_with("address", r#""0.0.0.0:9""#);
+    an_entry_with_more_slots_than_64_bits: entry_with("slots", "18446744073709551616");
+    an_entry_with_the_most_slots_of_64_bits: entry_with("slots", "18446744073709551615");
+    an_entry_with_an_infinite_number: entry_with("cold_left_ms", "1e999");
+    an_entry_with_a_start_beyond_64_bits: entry_with("born", "1e300");
+    an_entry_with_the_last_start_of_64_bits: entry_with("born", "18446744073709551615");
+    an_entry_with_the_last_version_of_64_bits: entry_with("models", r#"[{"name":"m0","version":18446744073709551615,"adapters":[]}]"#);
+    an_entry_that_leaves_in_the_far_future: entry_with("leaves_ms", "1e300");
+}
+
 macro_rules! names {
     ($($name:ident: $odd:expr;)*) => {
         $(#[test] fn $name() { check_name($odd.as_ref()) })*
