Doubt keys of callers only after routes that cannot be decoded

What callers saw: a record such as "version/odd" in the operator's topic that cannot be decoded has every daemon answer 503 to all requests with a key, until the operator writes new routes. It takes no odd name, one odd value is enough.

Cause: a record that cannot be decoded may have withdrawn keys, so daemons stop to trust those they know. Any record of the topic counted, though only "config" has keys.

Change: only that record does. The versions that trainers publish are ignored if they cannot be decoded, as before.

Evidence: an_odd_version_leaves_callers_with_keys_alone: 503 before, 200 now.

--- a/crates/borageshore_gateway/src/routes.rs
+++ b/crates/borageshore_gateway/src/routes.rs
@@ -11,6 +11,7 @@
 use borageshore_diagnostics::Instruments;
 use borageshore_platform::{
     ColdServiceLimits, KeyedRecord, OperatorRecord, ServiceLimits, decode_operator_record,
+    is_routes_key,
 };
 use borageshore_routing::{
     Route, RouteTable, UnservableRoute, regions_without_zones, unservable_routes,
@@ -34,7 +35,7 @@
     scaling_limits: RefCell<Rc<ServiceLimits>>,
     cold_limits: RefCell<Rc<ColdServiceLimits>>,
     is_known: Cell<bool>,
-    /// Whether a record since the routes in force could not be decoded: it may have changed keys.
+    /// Whether newer routes could not be decoded: they may have changed keys.
     is_unreadable: Cell<bool>,
     /// Whether any routes since the start restricted the regions of requests.
     has_seen_residency: Cell<bool>,
@@ -68,7 +69,7 @@
         self.is_known.get()
     }
 
-    /// Whether routes are in force and no later record failed to decode.
+    /// Whether routes are in force and no newer ones failed to decode.
     pub(crate) fn is_latest_readable(&self) -> bool {
         self.is_known() && !self.is_unreadable.get()
     }
@@ -228,7 +229,9 @@
                 }
                 Some(Ok(OperatorRecord::Version(version))) => self.on_version_published(version),
                 Some(Err(error)) => {
-                    self.is_unreadable.set(true);
+                    if is_routes_key(&record.key) {
+                        self.is_unreadable.set(true);
+                    }
                     log::error!(key = &*record.key, error:% = error; "operator record cannot be decoded");
                 }
                 None => {}
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -5,7 +5,7 @@
 use borageshore_net::{Clock, run_event_loop, sleep_ms};
 use borageshore_standins::platform::{PlatformService, PlatformStore, StoreMode};
 use serde_json::json;
-use support::{Fleet, put_routes, route};
+use support::{Fleet, KEY, put_routes, route};
 
 /// The records of a page of the store.
 const PAGE_RECORDS: usize = 500;
@@ -183,6 +183,23 @@
     an_entry_that_leaves_in_the_far_future: entry_with("leaves_ms", "1e300");
 }
 
+cases! {
+    // All callers with keys are refused because of an odd record beside the operator's.
+    an_odd_version_leaves_callers_with_keys_alone => {
+        run_event_loop(async {
+            let fleet = Fleet::open(&["a1"]).await;
+            let organisations = [json!({ "name": "mill", "api_keys": [KEY] })];
+            put_routes(&fleet.store, 1, &[route("last", "unsafe", "last", json!([]))], &organisations);
+            let _last = service(&fleet.store, "last", "i-1");
+            fleet.wait_until_ready().await;
+            fleet.store.put("keyed.op", "version/odd &+#% 1", b"{ odd");
+            sleep_ms(APPLY_MS).await;
+            let answer = fleet.request(0, "POST", "/last/x", "x", "body".into()).await;
+            assert_eq!(answer.status, 200, "logs in {}", fleet.folder().display());
+        });
+    }
+}
+
 macro_rules! names {
     ($($name:ident: $odd:expr;)*) => {
         $(#[test] fn $name() { check_name($odd.as_ref()) })*
