--- a/crates/borageshore_gateway/src/duties.rs
+++ b/crates/borageshore_gateway/src/duties.rs
@@ -5,6 +5,7 @@
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
 use borageshore_batch::{ModelVersion, OrderLeases, SwapRound};
+use borageshore_diagnostics::LogOnce;
 use borageshore_duty::{DutyTiming, SendWindow, choose_holder};
 use borageshore_net::boot_time_ms;
 use borageshore_platform::{KeyedRecord, StoreError, Topic};
@@ -36,6 +37,7 @@
     endpoints: Rc<Endpoints>,
     usage: Rc<UsageReports>,
     endpoint_orders: Rc<EndpointOrders>,
+    undecodable: LogOnce,
     leases: RefCell<OrderLeases>,
     round_announced: Notify,
 }
@@ -95,7 +97,9 @@
                 self.usage.on_removed(&record.key);
                 continue;
             };
-            if let Err(error) = self.on_announcement(record, value) {
+            if let Err(error) = self.on_announcement(record, value)
+                && self.undecodable.is_new(&record.key)
+            {
                 log::error!(key = &*record.key, error:% = error; "cannot decode an announcement; ignoring it");
             }
         }
@@ -166,6 +170,7 @@
             endpoints,
             usage,
             endpoint_orders,
+            undecodable: LogOnce::default(),
             leases: RefCell::new(OrderLeases::open(timing.takeover_delay_ms())),
             round_announced: Notify::new(),
         });
--- a/crates/borageshore_gateway/src/members/mod.rs
+++ b/crates/borageshore_gateway/src/members/mod.rs
@@ -10,6 +10,7 @@
 };
 
 use borageshore_base::first_by_rendezvous;
+use borageshore_diagnostics::LogOnce;
 use borageshore_feed::FeedCandidate;
 use borageshore_membership::{
     HEARTBEAT_LOG_TIMEOUT_MS, Presence, PresenceState, PresenceTable, SUSPICION_TIMEOUT_MS,
@@ -43,6 +44,7 @@
     /// Suspected daemons whose records were read in the current batch.
     withdrawn: RefCell<Vec<Arc<str>>>,
     has_left: Cell<bool>,
+    undecodable: LogOnce,
     /// Whether some daemons read the store for others, as in a large fleet.
     has_feed_readers: Cell<bool>,
     ready_at_ms: Cell<Option<u64>>,
@@ -85,6 +87,7 @@
             ring: RefCell::default(),
             withdrawn: RefCell::default(),
             has_left: Cell::default(),
+            undecodable: LogOnce::default(),
             has_feed_readers: Cell::default(),
             ready_at_ms: Cell::default(),
             write_requested: Notify::new(),
@@ -392,7 +395,9 @@
     fn apply(&self, records: &[KeyedRecord]) {
         for record in records {
             self.on_own_record(record);
-            if let Err(error) = self.on_record(record) {
+            if let Err(error) = self.on_record(record)
+                && self.undecodable.is_new(&record.key)
+            {
                 log::error!(member = &*record.key, error:% = error; "cannot decode a membership record; ignoring it");
             }
         }
--- a/crates/borageshore_gateway/src/quarantine/mod.rs
+++ b/crates/borageshore_gateway/src/quarantine/mod.rs
@@ -15,7 +15,7 @@
     sync::Arc,
 };
 
-use borageshore_diagnostics::Instruments;
+use borageshore_diagnostics::{Instruments, LogOnce};
 use borageshore_net::{Clock, sleep_ms, within_ms};
 use borageshore_platform::KeyedRecord;
 use borageshore_routing::{
@@ -66,6 +66,7 @@
     /// Records for the store that are exempt from the report budget; an empty value removes the key.
     pending_records: RefCell<Vec<(Arc<str>, Bytes)>>,
     claims: Cell<u64>,
+    undecodable: LogOnce,
     is_known: Cell<bool>,
     /// Notified when the holds have been read.
     became_known: Notify,
@@ -106,6 +107,7 @@
             reports: RefCell::default(),
             pending_records: RefCell::default(),
             claims: Cell::new(0),
+            undecodable: LogOnce::default(),
             is_known: Cell::new(false),
             became_known: Notify::new(),
             has_gap: Cell::new(false),
@@ -352,7 +354,10 @@
         for record in records {
             match decode_record(record) {
                 Some(decoded) => self.on_record(decoded),
-                None => log::error!(key = &*record.key; "crash record cannot be decoded"),
+                None if self.undecodable.is_new(&record.key) => {
+                    log::error!(key = &*record.key; "crash record cannot be decoded");
+                }
+                None => {}
             }
         }
     }
--- a/crates/borageshore_gateway/src/routes.rs
+++ b/crates/borageshore_gateway/src/routes.rs
@@ -8,7 +8,7 @@
 
 use borageshore_access::Organisations;
 use borageshore_batch::ModelVersion;
-use borageshore_diagnostics::Instruments;
+use borageshore_diagnostics::{Instruments, LogOnce};
 use borageshore_platform::{
     ColdServiceLimits, KeyedRecord, OperatorRecord, ServiceLimits, decode_operator_record,
     is_routes_key,
@@ -40,6 +40,7 @@
     /// Whether any routes since the start restricted the regions of requests.
     has_seen_residency: Cell<bool>,
     published_versions: RefCell<Vec<ModelVersion>>,
+    undecodable: LogOnce,
     /// Notified when other routes are in force.
     pub(crate) changed: Notify,
     /// Notified when a trainer publishes a version.
@@ -59,6 +60,7 @@
             is_unreadable: Cell::default(),
             has_seen_residency: Cell::default(),
             published_versions: RefCell::default(),
+            undecodable: LogOnce::default(),
             changed: Notify::new(),
             version_published: Notify::new(),
         })
@@ -232,7 +234,9 @@
                     if is_routes_key(&record.key) {
                         self.is_unreadable.set(true);
                     }
-                    log::error!(key = &*record.key, error:% = error; "operator record cannot be decoded");
+                    if self.undecodable.is_new(&record.key) {
+                        log::error!(key = &*record.key, error:% = error; "operator record cannot be decoded");
+                    }
                 }
                 None => {}
             }
--- a/crates/borageshore_gateway/src/submission_index.rs
+++ b/crates/borageshore_gateway/src/submission_index.rs
@@ -10,6 +10,7 @@
 use borageshore_batch::{
     Demand, IndexEntry, ReceivedSubmission, Submission, SubmissionOrigin, work_key,
 };
+use borageshore_diagnostics::LogOnce;
 use borageshore_platform::{KeyedRecord, StoreError, Topic};
 use borageshore_topology::{Residency, Topology};
 use bytes::Bytes;
@@ -67,6 +68,7 @@
     restricted: RefCell<SortedMap<Arc<str>, Residency>>,
     /// The demand of the newest submission of each trainer.
     demand: RefCell<SortedMap<Arc<str>, Demand>>,
+    undecodable: LogOnce,
     /// Notified when the index changes.
     pub(crate) changed: Notify,
 }
@@ -81,6 +83,7 @@
             looked_up: RefCell::default(),
             restricted: RefCell::default(),
             demand: RefCell::default(),
+            undecodable: LogOnce::default(),
             changed: Notify::new(),
         })
     }
@@ -339,9 +342,10 @@
                     self.on_residency(&record.key, &entry);
                     self.entries.borrow_mut().insert(record.key.clone(), entry);
                 }
-                Err(error) => {
+                Err(error) if self.undecodable.is_new(&record.key) => {
                     log::error!(submission = &*record.key, error:% = error; "index entry cannot be decoded; ignoring it");
                 }
+                Err(_) => {}
             }
         }
         self.changed.notify_waiters();
--- a/crates/borageshore_gateway/src/usage/view.rs
+++ b/crates/borageshore_gateway/src/usage/view.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
 use borageshore_base::SortedMap;
+use borageshore_diagnostics::LogOnce;
 use borageshore_net::Clock;
 use borageshore_platform::{KeyedRecord, Topic};
 use borageshore_usage::{Counts, Totals, Window};
@@ -25,13 +26,16 @@
 struct TotalsView {
     totals: RefCell<Totals>,
     keys: RefCell<SortedMap<Arc<str>, Window>>,
+    undecodable: LogOnce,
 }
 
 impl RecordView for TotalsView {
     fn apply(&self, records: &[KeyedRecord]) {
         for record in records {
             let Some((window, incarnation)) = total_key(&record.key) else {
-                log::error!(key = &*record.key; "cannot parse the key of a usage total; ignoring it");
+                if self.undecodable.is_new(&record.key) {
+                    log::error!(key = &*record.key; "cannot parse the key of a usage total; ignoring it");
+                }
                 continue;
             };
             let Some(value) = &record.value else {
@@ -44,7 +48,10 @@
                     .totals
                     .borrow_mut()
                     .merge(window, &incarnation, &counts),
-                None => log::error!(key = &*record.key; "cannot decode a usage total; ignoring it"),
+                None if self.undecodable.is_new(&record.key) => {
+                    log::error!(key = &*record.key; "cannot decode a usage total; ignoring it");
+                }
+                None => {}
             }
         }
     }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -98,6 +98,29 @@
     }
 }
 
+/// Writes records that no daemon and no operator writes, in each topic that all daemons read.
+fn put_odd_records(store: &PlatformStore) {
+    for topic in [
+        "keyed.members",
+        "keyed.op",
+        "keyed.index",
+        "keyed.orders",
+        "keyed.feeders",
+        "keyed.servers",
+    ] {
+        for key in [
+            "odd &+#% 1",
+            "version/odd &+#% 1",
+            "crash/odd",
+            "suspect/odd",
+            "evacuate",
+        ] {
+            store.put(topic, key, b"{ odd");
+        }
+        store.put(topic, b"odd \xff", b"{ odd");
+    }
+}
+
 /// An entry of the service with a field replaced by a text in JSON.
 fn entry_with(field: &str, text: &str) -> Vec<u8> {
     let mut entry = json!({
@@ -198,6 +221,37 @@
             assert_eq!(answer.status, 200, "logs in {}", fleet.folder().display());
         });
     }
+
+    // Records of another writer in any topic end what a daemon does with the others, or fill its log.
+    odd_records_in_any_topic_change_nothing => {
+        run_event_loop(async {
+            let fleet = Fleet::open(&["a1"]).await;
+            let organisations = [json!({ "name": "mill", "api_keys": [KEY] })];
+            put_routes(&fleet.store, 1, &[route("last", "unsafe", "last", json!([]))], &organisations);
+            let _last = service(&fleet.store, "last", "i-1");
+            fleet.wait_until_ready().await;
+            for is_restarted in [false, true] {
+                put_odd_records(&fleet.store);
+                if is_restarted {
+                    fleet.kill(0);
+                    fleet.start(0);
+                    fleet.wait_until_ready().await;
+                }
+                for _ in 0..10 {
+                    put_odd_records(&fleet.store);
+                    sleep_ms(100).await;
+                }
+                let served = fleet.request(0, "POST", "/last/x", "served", "body".into()).await;
+                let unknown = fleet.request(0, "GET", "/unknown/x", "unknown", String::new()).await;
+                let statuses = (served.status, unknown.status);
+                assert_eq!(statuses, (200, 404), "{is_restarted}; logs in {}", fleet.folder().display());
+            }
+            let log = fleet.log(0);
+            let odd: Vec<&str> = log.lines().filter(|line| line.contains("odd")).collect();
+            // Two starts, and a line for each of the records that concern a daemon.
+            assert!(odd.len() <= 2 * 36, "{} lines: {:?}", odd.len(), &odd[..40]);
+        });
+    }
 }
 
 macro_rules! names {
