Test late requests of a planned stop whose route becomes slow

A report of other operators: requests that come late in the grace period are taken and passed on, and cut without an answer at its end. Here a request is taken late if its time limit or twice the recent duration of its route fits; the second misleads if the route becomes slow. What is in flight at the end is answered without a result.

--- a/tests/stopping.rs
+++ b/tests/stopping.rs
@@ -53,23 +53,32 @@
         let fleet = Rc::new(Fleet::open(zones).await);
         let endpoint = |number: usize| {
             let endpoint = PlatformService::bind("app", &format!("s-{number}"), clock).unwrap();
-            endpoint.set_switches(PlainSwitches {
-                work_ms,
-                lose_every: 0,
-                wrong_id_every: 0,
-            });
             endpoint.list(&fleet.store, &endpoint.address().to_string(), "ready");
             endpoint
         };
         let endpoints = (0..8).map(endpoint).collect();
         let mut page = route("page", "safe", "app", json!([]));
         page["timeout_ms"] = Value::from(limit_ms);
-        put_routes(&fleet.store, 1, &[page], &[]);
+        let mut record = route("record", "unsafe", "app", json!([]));
+        record["timeout_ms"] = Value::from(limit_ms);
+        put_routes(&fleet.store, 1, &[page, record], &[]);
         fleet.wait_until_ready().await;
-        Self {
+        let service = Self {
             fleet,
             clock,
             endpoints,
+        };
+        service.set_work_ms(work_ms);
+        service
+    }
+
+    fn set_work_ms(&self, work_ms: u64) {
+        for endpoint in &self.endpoints {
+            endpoint.set_switches(PlainSwitches {
+                work_ms,
+                lose_every: 0,
+                wrong_id_every: 0,
+            });
         }
     }
 
@@ -78,17 +87,30 @@
         endpoints.any(|endpoint| endpoint.runs().contains_key(id))
     }
 
-    /// Sends a request to a daemon some time after a moment, on a connection that has served one before if `is_kept`.
     async fn send(&self, daemon: usize, from_ms: u64, after_ms: u64, is_kept: bool) -> Sent {
+        self.send_on("page", daemon, from_ms, after_ms, is_kept)
+            .await
+    }
+
+    /// Sends a request on a route to a daemon some time after a moment, on a connection that has served one before if
+    /// `is_kept`.
+    async fn send_on(
+        &self,
+        route: &str,
+        daemon: usize,
+        from_ms: u64,
+        after_ms: u64,
+        is_kept: bool,
+    ) -> Sent {
         let client = HttpClient::open();
         let front = self.fleet.front(daemon);
         let request = |id: &str| {
-            let request = Request::get("/page/x").header("host", HOST);
+            let request = Request::get(format!("/{route}/x")).header("host", HOST);
             let request = request.header("x-request-id", id);
             let request = request.header("x-deadline-ms", LONG_LIMIT_MS.to_string());
             request.body(Full::<Bytes>::default()).unwrap()
         };
-        let id = format!("r-{daemon}-{after_ms}-{is_kept}");
+        let id = format!("{route}-{daemon}-{after_ms}-{is_kept}");
         if is_kept {
             let warm = request(&format!("warm-{id}"));
             client.call(&front, warm, TIMEOUTS).await.unwrap();
@@ -148,6 +170,36 @@
         assert!(served >= all_early.count(), "{sent:?}");
     }
 
+    // Requests that come late in the grace period are passed on and then cut, among them some that must not be repeated,
+    // because those before them were quick.
+    late_requests_of_a_route_that_becomes_slow_are_answered => {
+        let service = Service::open(&["a1", "a2"], LONG_LIMIT_MS, 5).await;
+        let from_ms = service.clock.now_ms() + 1_500;
+        let moments = (0..40).map(|number| number * GRACE_MS / 40);
+        let senders = moments.flat_map(|after_ms| {
+            [("record", true), ("record", false), ("page", true)]
+                .map(|(route, is_kept)| service.send_on(route, 0, from_ms, after_ms, is_kept))
+        });
+        let stop = service.stop(&[0], from_ms);
+        let become_slow = async {
+            sleep_ms((from_ms + GRACE_MS / 2).saturating_sub(service.clock.now_ms())).await;
+            service.set_work_ms(6_000);
+        };
+        let (sent, (), ()) = monoio::join!(join_all(senders), stop, become_slow);
+        for sent in &sent {
+            let is_answered = match sent.status {
+                Some(200 | 504) => true,
+                Some(503) => !service.has_run(&sent.id) && sent.took_ms < AT_ONCE_MS,
+                Some(_) => false,
+                None => !service.has_run(&sent.id),
+            };
+            assert!(is_answered, "{sent:?}");
+        }
+        let late = sent.iter().filter(|sent| sent.sent_at_ms > GRACE_MS / 2);
+        let passed_on = late.filter(|sent| service.has_run(&sent.id)).count();
+        assert!(passed_on > 0, "none was passed on late: {sent:?}");
+    }
+
     // A request that takes longer than the grace period is cut off, or is taken although it cannot be answered.
     what_a_stopping_daemon_has_no_time_for_is_refused => {
         let service = Service::open(&["a1", "a2"], LONG_LIMIT_MS, 6_000).await;
