--- a/tests/submissions.rs
+++ b/tests/submissions.rs
@@ -3,8 +3,10 @@
 mod support;
 
 use borageshore_net::{Clock, run_event_loop, sleep_ms};
-use borageshore_standins::platform::{EngineSwitches, PlatformEngine, PlatformStore, StoreMode};
-use serde_json::json;
+use borageshore_standins::platform::{
+    EngineSwitches, PlatformEngine, PlatformStore, ProxyMode, StoreMode,
+};
+use serde_json::{Value, json};
 use support::{Answer, Fleet, put_routes, route};
 
 const MODEL: &str = "m0";
@@ -17,6 +19,8 @@
 /// The delay of that read's answer, and when its records are dropped.
 const SLOW_MS: u64 = 400;
 const DROP_AFTER_MS: u64 = 150;
+/// A daemon that the store resets makes its calls through peers within this time.
+const CUT_OFF_MS: u64 = 1_500;
 
 fn submission() -> String {
     let item = json!({
@@ -58,7 +62,52 @@
     };
 }
 
+/// Names that a trainer may give a submission, and how a client writes them into a path.
+const NAMES: [(&str, &str); 5] = [
+    ("step+1", "step+1"),
+    ("step+2", "step%2B2"),
+    ("step%411", "step%25411"),
+    ("step#1", "step%231"),
+    ("step?1=2", "step%3F1%3D2"),
+];
+
 cases! {
+    // A submission is said not to exist, or is read in part, because of the name that its trainer gave it.
+    submissions_of_any_name_are_read_after_a_restart_and_through_a_peer => async {
+        let fleet = Fleet::open(&["a1", "a2"]).await;
+        list_engine(&fleet.store, "127.0.0.1:9", 1);
+        put_routes(&fleet.store, 1, &[route("batch", "rollout", "llm", json!([]))], &[]);
+        fleet.wait_until_ready().await;
+        // Others around them in the same topics, so that reads begin and end among them.
+        for id in ["step", "stepA1", "step+", "step-1", "stez"] {
+            assert_eq!(fleet.request(0, "POST", "/batch/x", id, submission()).await.status, 202);
+        }
+        for (id, _) in NAMES {
+            assert_eq!(fleet.request(0, "POST", "/batch/x", id, submission()).await.status, 202, "{id}");
+        }
+        (0..2).for_each(|number| fleet.kill(number));
+        (0..2).for_each(|number| fleet.start(number));
+        fleet.wait_until_ready().await;
+        fleet.store_proxy(1).set_mode(ProxyMode::Reset);
+        sleep_ms(CUT_OFF_MS).await;
+        for (id, in_path) in NAMES {
+            for daemon in [0, 1] {
+                let path = format!("/api/lots/{in_path}?after=0");
+                let answer = fleet.request(daemon, "GET", &path, "read", String::new()).await;
+                let page: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+                assert_eq!((answer.status, &page["total"]), (200, &json!(1)), "{id} at {daemon}; {}", fleet.folder().display());
+                let path = format!("/api/items/{in_path}?id=it%65m");
+                let answer = fleet.request(daemon, "GET", &path, "read", String::new()).await;
+                assert_eq!((answer.status, &answer.body[..]), (200, &b"body"[..]), "{id} at {daemon}");
+            }
+        }
+        for (id, in_path) in NAMES {
+            let path = format!("/api/lots/{in_path}");
+            let ended = fleet.request(1, "DELETE", &path, "end", String::new()).await;
+            assert_eq!(ended.status, 200, "{id}");
+        }
+    };
+
     // A daemon whose records of an ended submission are dropped while it answers says that there is no such submission.
     a_submission_whose_records_were_missed_is_not_denied => async {
         let fleet = Fleet::open(&["a1"]).await;
