--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -170,8 +170,9 @@
             }
         }
         let log = fleet.log(0);
-        let lines = log.lines().filter(|line| line.contains("i-2"));
-        let lines: Vec<&str> = lines.collect();
+        let lines: Vec<&str> = log.lines().filter(|line| line.contains("i-2")).collect();
+        let is_rejection = |line: &&str| line.contains("not using the endpoint");
+        assert!(lines.iter().all(is_rejection), "it is used: {lines:?}");
         assert_eq!(lines.len(), 2, "a line for each start: {lines:?}");
     });
 }
@@ -191,7 +192,7 @@
     an_entry_that_is_nested_deeply: nested(100_000);
     an_entry_with_a_field_that_is_nested_deeply: entry_with("zone", &nested(100_000));
     an_entry_with_adapters_that_are_nested_deeply: entry_with("models", &format!(r#"[{{"name":"m0","version":1,"adapters":{}}}]"#, nested(100_000)));
-    an_entry_with_an_unknown_field_that_is_nested_deeply: entry_with("slots", &format!(r#"0,"x":{}"#, nested(100_000)));
+    an_entry_with_an_unknown_field_that_is_nested_deeply: entry_with("slots", &format!(r#"6,"x":{}"#, nested(100_000)));
     an_entry_of_the_largest_size: vec![b'['; 256 * 1024 - 8];
     an_entry_with_a_port_out_of_range: entry_with("address", r#""127.0.0.1:65536""#);
     an_entry_with_a_negative_port: entry_with("address", r#""127.0.0.1:-1""#);
