--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -9,6 +9,9 @@
 
 /// The records of a page of the store.
 const PAGE_RECORDS: usize = 500;
+/// About the size of the values of a page.
+const PAGE_BYTES: usize = 1_024 * 1_024;
+const MAX_KEY_BYTES: usize = 255;
 /// How long a daemon takes to apply a record of the operator or of an endpoint.
 const APPLY_MS: u64 = 400;
 
@@ -76,6 +79,26 @@
 }
 
 cases! {
+    // A page of the store is larger than what a daemon reads, because JSON takes six bytes for each byte of its keys.
+    a_daemon_starts_beside_the_largest_page => {
+        run_event_loop(async {
+            let fleet = Fleet::open(&["a1"]).await;
+            put_routes(&fleet.store, 1, &[route("last", "unsafe", "last", json!([]))], &[]);
+            for number in 0..PAGE_RECORDS {
+                let key = [&[1; MAX_KEY_BYTES - 3][..], format!("{number:03}").as_bytes()].concat();
+                fleet.store.put("keyed.servers", key, &vec![b'['; PAGE_BYTES / PAGE_RECORDS]);
+            }
+            let _last = service(&fleet.store, "last", "i-1");
+            fleet.wait_until_ready().await;
+            fleet.kill(0);
+            fleet.start(0);
+            fleet.wait_until_ready().await;
+            sleep_ms(APPLY_MS).await;
+            let answer = fleet.request(0, "POST", "/last/x", "x", "body".into()).await;
+            assert_eq!(answer.status, 200, "logs in {}", fleet.folder().display());
+        });
+    }
+
     // Daemons that start read a list without end and never become ready.
     a_daemon_starts_beside_lists_that_do_not_end => {
         run_event_loop(async {
