--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -42,6 +42,24 @@
     }
 }
 
+/// Restarts the first daemon and waits until it has read all lists.
+async fn restart(fleet: &Fleet) {
+    fleet.kill(0);
+    fleet.start(0);
+    fleet.wait_until_ready().await;
+    sleep_ms(APPLY_MS).await;
+}
+
+/// Checks that the first daemon has a request served.
+async fn check_served(fleet: &Fleet, path: &str, beside: &str) {
+    let answer = fleet.request(0, "POST", path, path, "body".into()).await;
+    let folder = fleet.folder().display();
+    assert_eq!(
+        answer.status, 200,
+        "{path} beside {beside}; logs in {folder}"
+    );
+}
+
 /// Restarts a daemon while an entry with such a name stands at the end of a page, among endpoints on both sides of it.
 fn check_name(odd: &[u8]) {
     run_event_loop(async {
@@ -55,19 +73,9 @@
         let _first = service(&fleet.store, "first", "i-0000");
         let _last = service(&fleet.store, "last", "i-15");
         fleet.wait_until_ready().await;
-        fleet.kill(0);
-        fleet.start(0);
-        fleet.wait_until_ready().await;
-        sleep_ms(APPLY_MS).await;
+        restart(&fleet).await;
         for path in ["/first/x", "/last/x"] {
-            let answer = fleet.request(0, "POST", path, path, "body".into()).await;
-            assert_eq!(
-                answer.status,
-                200,
-                "{path} beside {}; logs in {}",
-                odd.escape_ascii(),
-                fleet.folder().display()
-            );
+            check_served(&fleet, path, &odd.escape_ascii().to_string()).await;
         }
     });
 }
@@ -90,12 +98,8 @@
             }
             let _last = service(&fleet.store, "last", "i-1");
             fleet.wait_until_ready().await;
-            fleet.kill(0);
-            fleet.start(0);
-            fleet.wait_until_ready().await;
-            sleep_ms(APPLY_MS).await;
-            let answer = fleet.request(0, "POST", "/last/x", "x", "body".into()).await;
-            assert_eq!(answer.status, 200, "logs in {}", fleet.folder().display());
+            restart(&fleet).await;
+            check_served(&fleet, "/last/x", "the largest page").await;
         });
     }
 
@@ -107,13 +111,9 @@
             list_pages(&fleet.store, b"i-1 odd");
             let _last = service(&fleet.store, "last", "i-3000");
             fleet.wait_until_ready().await;
-            fleet.kill(0);
             fleet.store.set_mode(StoreMode::EndlessLists);
-            fleet.start(0);
-            fleet.wait_until_ready().await;
-            sleep_ms(APPLY_MS).await;
-            let answer = fleet.request(0, "POST", "/last/x", "x", "body".into()).await;
-            assert_eq!(answer.status, 200, "logs in {}", fleet.folder().display());
+            restart(&fleet).await;
+            check_served(&fleet, "/last/x", "lists without end").await;
             let log = fleet.log(0);
             let lines = log.lines().filter(|line| line.contains("list is not read to its end"));
             assert!((1..=10).contains(&lines.count()), "a line for each list: {log}");
@@ -241,8 +241,7 @@
             fleet.wait_until_ready().await;
             fleet.store.put("keyed.op", "version/odd &+#% 1", b"{ odd");
             sleep_ms(APPLY_MS).await;
-            let answer = fleet.request(0, "POST", "/last/x", "x", "body".into()).await;
-            assert_eq!(answer.status, 200, "logs in {}", fleet.folder().display());
+            check_served(&fleet, "/last/x", "an odd version").await;
         });
     }
 
